--- /dev/null
+++ b/src/httpc.c
@@ -0,0 +1,400 @@
+/* HTTP client: libcurl's multi interface driven by a libev loop. */
+#include "httpc.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <sys/queue.h>
+
+#include <curl/curl.h>
+
+#include "result.h"
+
+#define DEFAULT_CONNECT_TIMEOUT_S 1.0
+#define DEFAULT_MAX_BODY	  (16U << 20)
+/* Idle connections kept for reuse, for all servers together. */
+#define MAX_IDLE_CONNECTIONS 512L
+/* An idle connection older than this is not reused, in seconds. */
+#define MAX_IDLE_AGE_S 20L
+
+typedef struct socket_watch_t {
+	ev_io io;
+	httpc_t *httpc;
+} socket_watch_t;
+
+struct httpc_t {
+	struct ev_loop *loop;
+	CURLM *multi;
+	ev_timer timer;
+	ev_timer reaper; /* finishes calls outside libcurl's callbacks */
+	LIST_HEAD(, http_call_t) calls;
+};
+
+struct http_call_t {
+	httpc_t *httpc;
+	CURL *easy;
+	struct curl_slist *headers;
+	char *body;
+	size_t max_body;
+	buf_t answer;
+	bool overflow;
+	ev_timer idle_timer;
+	http_data_cb_t on_data;
+	http_done_cb_t on_done;
+	void *ctx;
+	bool in_callback; /* on_data is running: free later */
+	bool cancelled;
+	LIST_ENTRY(http_call_t) entry;
+};
+
+static void
+call_free(http_call_t *call)
+{
+	ev_timer_stop(call->httpc->loop, &call->idle_timer);
+	LIST_REMOVE(call, entry);
+	curl_multi_remove_handle(call->httpc->multi, call->easy);
+	curl_easy_cleanup(call->easy);
+	curl_slist_free_all(call->headers);
+	buf_free(&call->answer);
+	free(call->body);
+	free(call);
+}
+
+/* True unless it is certain that no byte of the request was sent. */
+static bool
+call_sent(const http_call_t *call)
+{
+	curl_off_t pretransfer = 0;
+	long request_size = 0;
+
+	curl_easy_getinfo(
+	    call->easy, CURLINFO_PRETRANSFER_TIME_T, &pretransfer);
+	curl_easy_getinfo(call->easy, CURLINFO_REQUEST_SIZE, &request_size);
+	return (pretransfer != 0 || request_size != 0);
+}
+
+static int
+call_rc(const http_call_t *call, CURLcode code)
+{
+	if (call->overflow)
+		return (-RESULT_TOO_LARGE);
+	switch (code) {
+	case CURLE_OK:
+		return (0);
+	case CURLE_COULDNT_CONNECT:
+		return (-RESULT_ENDPOINT_UNREACHABLE);
+	case CURLE_OPERATION_TIMEDOUT:
+		return (call_sent(call) ? -RESULT_TIMEOUT
+					: -RESULT_ENDPOINT_UNREACHABLE);
+	default:
+		return (-RESULT_BROKEN_ANSWER);
+	}
+}
+
+/* Reports a call's end and frees it. */
+static void
+call_finish(http_call_t *call, int rc)
+{
+	long status = 0;
+	http_result_t result = {.rc = rc, .sent = call_sent(call)};
+	http_done_cb_t on_done = call->on_done;
+	void *ctx = call->ctx;
+	buf_t answer = call->answer;
+
+	curl_easy_getinfo(call->easy, CURLINFO_RESPONSE_CODE, &status);
+	result.status = (int)status;
+	result.body = str_buf(&answer);
+	call->answer = (buf_t){0};
+	call_free(call);
+	on_done(ctx, &result);
+	buf_free(&answer);
+}
+
+static void
+httpc_reap(httpc_t *httpc)
+{
+	CURLMsg *message;
+	int left;
+
+	while ((message = curl_multi_info_read(httpc->multi, &left)) != NULL) {
+		http_call_t *call = NULL;
+		CURLcode code = message->data.result;
+
+		if (message->msg != CURLMSG_DONE)
+			continue;
+		curl_easy_getinfo(
+		    message->easy_handle, CURLINFO_PRIVATE, (char **)&call);
+		if (call->cancelled)
+			call_free(call);
+		else
+			call_finish(call, call_rc(call, code));
+	}
+}
+
+static void
+on_socket_event(struct ev_loop *loop, ev_io *io, int events)
+{
+	socket_watch_t *watch = io->data;
+	httpc_t *httpc = watch->httpc;
+	int running;
+	int mask = (events & EV_READ ? CURL_CSELECT_IN : 0) |
+		   (events & EV_WRITE ? CURL_CSELECT_OUT : 0);
+
+	(void)loop;
+	curl_multi_socket_action(httpc->multi, io->fd, mask, &running);
+	httpc_reap(httpc);
+}
+
+static void
+on_timer(struct ev_loop *loop, ev_timer *timer, int events)
+{
+	httpc_t *httpc = timer->data;
+	int running;
+
+	(void)loop;
+	(void)events;
+	curl_multi_socket_action(
+	    httpc->multi, CURL_SOCKET_TIMEOUT, 0, &running);
+	httpc_reap(httpc);
+}
+
+static int
+on_curl_socket(
+    CURL *easy, curl_socket_t fd, int what, void *ctx, void *socket_ctx)
+{
+	httpc_t *httpc = ctx;
+	socket_watch_t *watch = socket_ctx;
+	int events = (what & CURL_POLL_IN ? EV_READ : 0) |
+		     (what & CURL_POLL_OUT ? EV_WRITE : 0);
+
+	(void)easy;
+	if (what == CURL_POLL_REMOVE) {
+		if (watch != NULL) {
+			ev_io_stop(httpc->loop, &watch->io);
+			free(watch);
+		}
+		curl_multi_assign(httpc->multi, fd, NULL);
+		return (0);
+	}
+	if (watch == NULL) {
+		watch = xcalloc(1, sizeof(*watch));
+		watch->httpc = httpc;
+		ev_init(&watch->io, on_socket_event);
+		watch->io.data = watch;
+		curl_multi_assign(httpc->multi, fd, watch);
+	}
+	ev_io_stop(httpc->loop, &watch->io);
+	ev_io_set(&watch->io, fd, events);
+	ev_io_start(httpc->loop, &watch->io);
+	return (0);
+}
+
+static int
+on_curl_timer(CURLM *multi, long timeout_ms, void *ctx)
+{
+	httpc_t *httpc = ctx;
+
+	(void)multi;
+	ev_timer_stop(httpc->loop, &httpc->timer);
+	if (timeout_ms >= 0) {
+		ev_timer_set(&httpc->timer, (double)timeout_ms / 1000, 0);
+		ev_timer_start(httpc->loop, &httpc->timer);
+	}
+	return (0);
+}
+
+static void
+on_reaper(struct ev_loop *loop, ev_timer *timer, int events)
+{
+	httpc_t *httpc = timer->data;
+	http_call_t *call = LIST_FIRST(&httpc->calls);
+
+	(void)loop;
+	(void)events;
+	while (call != NULL) {
+		http_call_t *next = LIST_NEXT(call, entry);
+
+		if (call->cancelled)
+			call_free(call);
+		call = next;
+	}
+}
+
+static void
+on_idle(struct ev_loop *loop, ev_timer *timer, int events)
+{
+	http_call_t *call = timer->data;
+
+	(void)loop;
+	(void)events;
+	ev_timer_stop(call->httpc->loop, &call->idle_timer);
+	call_finish(call, call_sent(call) ? -RESULT_ENDPOINT_SILENT
+					  : -RESULT_ENDPOINT_UNREACHABLE);
+}
+
+static void
+call_touch(http_call_t *call)
+{
+	if (call->idle_timer.repeat > 0)
+		ev_timer_again(call->httpc->loop, &call->idle_timer);
+}
+
+static size_t
+on_curl_data(char *data, size_t size, size_t count, void *ctx)
+{
+	http_call_t *call = ctx;
+	size_t len = size * count;
+	long status = 0;
+
+	if (call->cancelled)
+		return (0);
+	call_touch(call);
+	curl_easy_getinfo(call->easy, CURLINFO_RESPONSE_CODE, &status);
+	if (call->on_data != NULL && status == 200) {
+		call->in_callback = true;
+		call->on_data(call->ctx, (str_t){data, len});
+		call->in_callback = false;
+		return (call->cancelled ? 0 : len);
+	}
+	if (call->answer.len + len > call->max_body) {
+		call->overflow = true;
+		return (0);
+	}
+	buf_append(&call->answer, (str_t){data, len});
+	return (len);
+}
+
+/* Makes a client without open calls. */
+httpc_t *
+httpc_new(struct ev_loop *loop)
+{
+	httpc_t *httpc = xcalloc(1, sizeof(*httpc));
+
+	curl_global_init(CURL_GLOBAL_DEFAULT);
+	httpc->loop = loop;
+	LIST_INIT(&httpc->calls);
+	httpc->multi = curl_multi_init();
+	curl_multi_setopt(
+	    httpc->multi, CURLMOPT_SOCKETFUNCTION, on_curl_socket);
+	curl_multi_setopt(httpc->multi, CURLMOPT_SOCKETDATA, httpc);
+	curl_multi_setopt(httpc->multi, CURLMOPT_TIMERFUNCTION, on_curl_timer);
+	curl_multi_setopt(httpc->multi, CURLMOPT_TIMERDATA, httpc);
+	curl_multi_setopt(
+	    httpc->multi, CURLMOPT_MAXCONNECTS, MAX_IDLE_CONNECTIONS);
+	ev_timer_init(&httpc->timer, on_timer, 0, 0);
+	ev_timer_init(&httpc->reaper, on_reaper, 0, 0);
+	httpc->timer.data = httpc;
+	httpc->reaper.data = httpc;
+	return (httpc);
+}
+
+/* Drops all open calls without their callbacks and frees the client. */
+void
+httpc_delete(httpc_t *httpc)
+{
+	while (!LIST_EMPTY(&httpc->calls))
+		call_free(LIST_FIRST(&httpc->calls));
+	ev_timer_stop(httpc->loop, &httpc->reaper);
+	curl_multi_cleanup(httpc->multi);
+	ev_timer_stop(httpc->loop, &httpc->timer);
+	free(httpc);
+}
+
+static void
+call_set_request(http_call_t *call, const http_call_params_t *params)
+{
+	CURL *easy = call->easy;
+
+	curl_easy_setopt(easy, CURLOPT_URL, params->url);
+	curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, params->method);
+	/* libcurl would wait for "100 Continue" with large bodies. */
+	call->headers = curl_slist_append(NULL, "Expect:");
+	for (size_t i = 0;
+	     params->headers != NULL && params->headers[i] != NULL; i++)
+		call->headers =
+		    curl_slist_append(call->headers, params->headers[i]);
+	curl_easy_setopt(easy, CURLOPT_HTTPHEADER, call->headers);
+	if (params->body.len > 0 || strcmp(params->method, "POST") == 0) {
+		call->body = xmemdup(params->body.data, params->body.len);
+		curl_easy_setopt(easy, CURLOPT_POSTFIELDS, call->body);
+		curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE,
+		    (curl_off_t)params->body.len);
+	}
+}
+
+static void
+call_set_limits(http_call_t *call, const http_call_params_t *params)
+{
+	CURL *easy = call->easy;
+	double connect = params->connect_timeout > 0
+			     ? params->connect_timeout
+			     : DEFAULT_CONNECT_TIMEOUT_S;
+
+	curl_easy_setopt(
+	    easy, CURLOPT_CONNECTTIMEOUT_MS, (long)(connect * 1000));
+	curl_easy_setopt(
+	    easy, CURLOPT_TIMEOUT_MS, (long)(params->timeout * 1000));
+	curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+	curl_easy_setopt(easy, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
+	curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN, MAX_IDLE_AGE_S);
+	curl_easy_setopt(easy, CURLOPT_TCP_KEEPALIVE, 1L);
+	/*
+	 * libcurl repeats a request by itself when a reused connection turns
+	 * out to be closed, which could run a request twice.
+	 */
+	if (params->fresh_connection) {
+		curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
+		curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, 1L);
+	}
+}
+
+/* Starts a call; on_done runs exactly once unless the call is cancelled. */
+http_call_t *
+http_call_start(httpc_t *httpc, const http_call_params_t *params)
+{
+	http_call_t *call = xcalloc(1, sizeof(*call));
+
+	call->httpc = httpc;
+	call->easy = curl_easy_init();
+	call->on_data = params->on_data;
+	call->on_done = params->on_done;
+	call->ctx = params->ctx;
+	call->max_body =
+	    params->max_body > 0 ? params->max_body : DEFAULT_MAX_BODY;
+	call_set_request(call, params);
+	call_set_limits(call, params);
+	curl_easy_setopt(call->easy, CURLOPT_WRITEFUNCTION, on_curl_data);
+	curl_easy_setopt(call->easy, CURLOPT_WRITEDATA, call);
+	curl_easy_setopt(call->easy, CURLOPT_PRIVATE, call);
+	ev_timer_init(&call->idle_timer, on_idle, 0, params->idle_timeout);
+	call->idle_timer.data = call;
+	call_touch(call);
+	LIST_INSERT_HEAD(&httpc->calls, call, entry);
+	curl_multi_add_handle(httpc->multi, call->easy);
+	return (call);
+}
+
+/* Drops a call; none of its callbacks runs afterwards. */
+void
+http_call_cancel(http_call_t *call)
+{
+	httpc_t *httpc = call->httpc;
+
+	if (!call->in_callback) {
+		call_free(call);
+		return;
+	}
+	/* libcurl does not permit to remove a handle inside its callback. */
+	call->cancelled = true;
+	ev_timer_stop(httpc->loop, &call->idle_timer);
+	ev_timer_stop(httpc->loop, &httpc->reaper);
+	ev_timer_set(&httpc->reaper, 0, 0);
+	ev_timer_start(httpc->loop, &httpc->reaper);
+}
+
+/* Changes the time without a byte after which the call fails. */
+void
+http_call_set_idle_timeout(http_call_t *call, double seconds)
+{
+	call->idle_timer.repeat = seconds;
+	ev_timer_again(call->httpc->loop, &call->idle_timer);
+}
--- /dev/null
+++ b/src/httpd.h
@@ -0,0 +1,62 @@
+/* HTTP server: libmicrohttpd driven by a libev loop. */
+#ifndef DAISYPIER_HTTPD_H
+#define DAISYPIER_HTTPD_H
+
+#include <ev.h>
+
+#include "str.h"
+
+typedef struct httpd_t httpd_t;
+typedef struct http_request_t http_request_t;
+
+/*
+ * Called once with each complete request. The handler answers at once or later
+ * with exactly one of http_request_reply() and a stream that ends. The request
+ * must not be touched after its answer is complete or after on_close ran.
+ */
+typedef void (*httpd_handler_t)(void *ctx, http_request_t *request);
+
+typedef struct httpd_params_t {
+	const char *address;	  /* IP number to listen on */
+	uint16_t port;		  /* 0: the kernel chooses */
+	size_t max_body;	  /* bytes; larger requests get 413 */
+	unsigned idle_timeout;	  /* seconds without progress; 0: 30 */
+	unsigned max_connections; /* 0: 4096 */
+	httpd_handler_t handler;
+	void *ctx;
+} httpd_params_t;
+
+int httpd_new(
+    struct ev_loop *loop, const httpd_params_t *params, httpd_t **out);
+void httpd_delete(httpd_t *httpd);
+uint16_t httpd_port(const httpd_t *httpd);
+size_t httpd_open_requests(const httpd_t *httpd);
+void httpd_set_closing(httpd_t *httpd);
+void httpd_stop_accepting(httpd_t *httpd);
+
+const char *http_request_method(const http_request_t *request);
+const char *http_request_path(const http_request_t *request);
+const char *http_request_query(const http_request_t *request, const char *name);
+const char *http_request_header(
+    const http_request_t *request, const char *name);
+const char *http_request_client(const http_request_t *request);
+str_t http_request_body(const http_request_t *request);
+
+void http_request_set_header(
+    http_request_t *request, const char *name, const char *value);
+void http_request_reply(
+    http_request_t *request, int status, const char *content_type, str_t body);
+void http_request_reply_error(
+    http_request_t *request, int rc, const char *detail);
+
+void http_request_stream_begin(
+    http_request_t *request, int status, const char *content_type);
+void http_request_stream_write(http_request_t *request, str_t data);
+size_t http_request_stream_pending(const http_request_t *request);
+void http_request_stream_end(http_request_t *request);
+void http_request_stream_abort(http_request_t *request);
+
+void http_request_on_close(
+    http_request_t *request, void (*on_close)(void *ctx), void *ctx);
+
+#endif
--- /dev/null
+++ b/src/peer.h
@@ -0,0 +1,78 @@
+/* Authenticated calls between hosts: TCP frames that carry msgpack. */
+#ifndef DAISYPIER_PEER_H
+#define DAISYPIER_PEER_H
+
+#include <ev.h>
+
+#include "wire.h"
+
+typedef struct peer_t peer_t;
+typedef struct peer_call_t peer_call_t;
+typedef struct peer_request_t peer_request_t;
+
+/* Message types; numbers are part of the protocol and are never reused. */
+typedef enum peer_type_t {
+	PEER_REPLY = 1,
+	PEER_PING = 2,
+	PEER_GRANT_ASK = 10,
+	PEER_GRANT_RELEASE = 11,
+	PEER_GRANT_REVOKE = 12,
+	PEER_GRANT_HELD = 13,
+	PEER_GRANT_CHECK = 14,
+	PEER_GRANT = 15,
+	PEER_JOB_SUBMIT = 20,
+	PEER_JOB_GET = 21,
+	PEER_JOB_RESULTS = 22,
+	PEER_JOB_CANCEL = 23,
+	PEER_INTENT = 24,
+	PEER_OUTCOME = 25,
+	PEER_SHARD_OFFER = 26,
+	PEER_CONFIG_GET = 30,
+	PEER_WHERE = 40,
+	PEER_TYPE_MAX = 64,
+} peer_type_t;
+
+/*
+ * The reply to a call, exactly once. rc is 0 or negative: the callee's own
+ * code, -RESULT_TIMEOUT, or -RESULT_PEER_UNREACHABLE when the connection could
+ * not be made or was lost. sent tells whether the callee may have got the call.
+ * body is NULL unless the callee replied; it lives until the callback returns.
+ */
+typedef struct peer_reply_t {
+	int rc;
+	bool sent;
+	const msgpack_object *body;
+} peer_reply_t;
+
+typedef void (*peer_reply_cb_t)(void *ctx, const peer_reply_t *reply);
+
+/*
+ * Handles a call from another host. The handler replies at once or later with
+ * peer_request_reply(), exactly once also for one-way messages, which drop it.
+ * body lives until the handler returns.
+ */
+typedef void (*peer_handler_t)(
+    void *ctx, peer_request_t *request, const msgpack_object *body);
+
+typedef struct peer_params_t {
+	const char *address; /* IP number of this host */
+	uint16_t port;	     /* of every host; 0: the kernel chooses */
+	str_t key;	     /* secret that all hosts share */
+} peer_params_t;
+
+int peer_new(struct ev_loop *loop, const peer_params_t *params, peer_t **out);
+void peer_delete(peer_t *peer);
+uint16_t peer_port(const peer_t *peer);
+bool peer_listening(const peer_t *peer);
+void peer_handle(
+    peer_t *peer, peer_type_t type, peer_handler_t handler, void *ctx);
+
+peer_call_t *peer_call(peer_t *peer, const char *address, peer_type_t type,
+    str_t body, double timeout, peer_reply_cb_t on_reply, void *ctx);
+void peer_call_cancel(peer_call_t *call);
+void peer_send(peer_t *peer, const char *address, peer_type_t type, str_t body);
+
+const char *peer_request_address(const peer_request_t *request);
+void peer_request_reply(peer_request_t *request, int rc, str_t body);
+
+#endif
--- /dev/null
+++ b/src/placement.h
@@ -0,0 +1,12 @@
+/* Chooses the host that should act for a key, by rendezvous hashing. */
+#ifndef DAISYPIER_PLACEMENT_H
+#define DAISYPIER_PLACEMENT_H
+
+#include "membership.h"
+
+const member_t *placement_pick(
+    const member_t *members, size_t count, str_t key, const char *zone);
+size_t placement_rank(const member_t *members, size_t count, str_t key,
+    const member_t **out, size_t max);
+
+#endif
--- /dev/null
+++ b/src/result.c
@@ -0,0 +1,81 @@
+/* Numbered result codes, shared by functions, messages and HTTP answers. */
+#include "result.h"
+
+static const result_info_t table[] = {
+#define RESULT_INFO(code, code_number, status, code_outcome, code_text) \
+	{                                                               \
+	    .name = #code,                                              \
+	    .text = (code_text),                                        \
+	    .number = (code_number),                                    \
+	    .http_status = (status),                                    \
+	    .outcome = OUTCOME_##code_outcome,                          \
+	},
+    RESULT_TABLE(RESULT_INFO)
+#undef RESULT_INFO
+};
+
+#define TABLE_COUNT (sizeof(table) / sizeof(table[0]))
+
+/* Returns the whole table, in order of the numbers. */
+const result_info_t *
+result_table(size_t *count)
+{
+	*count = TABLE_COUNT;
+	return (table);
+}
+
+/*
+ * Describes a negative return value. A value that is not in the table is
+ * described as INTERNAL, so that a caller always gets a complete answer.
+ */
+const result_info_t *
+result_info(int rc)
+{
+	for (size_t i = 0; i < TABLE_COUNT; i++)
+		if (table[i].number == -rc)
+			return (&table[i]);
+	return (&table[TABLE_COUNT - 1]);
+}
+
+/* Returns the name of a negative return value, "OK" for 0. */
+const char *
+result_name(int rc)
+{
+	return (rc == 0 ? "OK" : result_info(rc)->name);
+}
+
+/* Returns a sentence that describes a negative return value. */
+const char *
+result_text(int rc)
+{
+	return (rc == 0 ? "success" : result_info(rc)->text);
+}
+
+/* Returns the HTTP status of a negative return value, 200 for 0. */
+int
+result_http_status(int rc)
+{
+	return (rc == 0 ? 200 : result_info(rc)->http_status);
+}
+
+/* Returns the outcome that an error code implies unless stated otherwise. */
+outcome_t
+result_outcome(int rc)
+{
+	return (result_info(rc)->outcome);
+}
+
+/* Returns the spelling of an outcome in answers to callers. */
+const char *
+outcome_name(outcome_t outcome)
+{
+	switch (outcome) {
+	case OUTCOME_NOT_RUN:
+		return ("not_run");
+	case OUTCOME_UNKNOWN:
+		return ("unknown");
+	case OUTCOME_FAILED:
+		break;
+	}
+	return ("failed");
+}
--- /dev/null
+++ b/tests/test_http.c
@@ -0,0 +1,228 @@
+/* Tests of the HTTP server and client on one loop. */
+#include "suite.h"
+
+#include <stdio.h>
+#include <string.h>
+
+#include "httpc.h"
+#include "httpd.h"
+#include "result.h"
+
+typedef struct http_test_t {
+	struct ev_loop *loop;
+	httpd_t *httpd;
+	httpc_t *httpc;
+	http_request_t *held;
+	http_call_t *call;
+	bool closed;
+	buf_t received;
+	http_result_t result;
+	int done;
+	char url[64];
+} http_test_t;
+
+static void
+on_held_close(void *ctx)
+{
+	http_test_t *test = ctx;
+
+	test->closed = true;
+	ev_break(test->loop, EVBREAK_ONE);
+}
+
+static void
+on_request(void *ctx, http_request_t *request)
+{
+	http_test_t *test = ctx;
+	const char *path = http_request_path(request);
+
+	if (strcmp(path, "/echo") == 0) {
+		http_request_reply(
+		    request, 200, "text/plain", http_request_body(request));
+	} else if (strcmp(path, "/whole") == 0) {
+		http_request_stream_begin(request, 200, "text/plain");
+		http_request_stream_write(request, STR("one "));
+		http_request_stream_write(request, STR("two"));
+		http_request_stream_end(request);
+	} else if (strcmp(path, "/cut") == 0) {
+		http_request_stream_begin(request, 200, "text/plain");
+		http_request_stream_write(request, STR("one "));
+		http_request_stream_abort(request);
+	} else {
+		test->held = request;
+		http_request_on_close(request, on_held_close, test);
+		if (test->call != NULL)
+			http_call_cancel(test->call);
+	}
+}
+
+static void
+on_data(void *ctx, str_t data)
+{
+	http_test_t *test = ctx;
+
+	buf_append(&test->received, data);
+}
+
+static void
+on_done(void *ctx, const http_result_t *result)
+{
+	http_test_t *test = ctx;
+
+	test->result = *result;
+	test->done++;
+	buf_append(&test->received, result->body);
+	ev_break(test->loop, EVBREAK_ONE);
+}
+
+static void
+setup(http_test_t *test)
+{
+	httpd_params_t params = {
+	    .address = "127.0.0.1",
+	    .max_body = 1 << 20,
+	    .handler = on_request,
+	    .ctx = test,
+	};
+
+	*test = (http_test_t){.loop = ev_loop_new(0)};
+	CU_ASSERT_FATAL(httpd_new(test->loop, &params, &test->httpd) == 0);
+	test->httpc = httpc_new(test->loop);
+}
+
+static void
+teardown(http_test_t *test)
+{
+	httpc_delete(test->httpc);
+	httpd_delete(test->httpd);
+	buf_free(&test->received);
+	ev_loop_destroy(test->loop);
+}
+
+static http_call_t *
+begin(http_test_t *test, const char *path, str_t body, double idle)
+{
+	snprintf(test->url, sizeof(test->url), "http://127.0.0.1:%u%s",
+	    httpd_port(test->httpd), path);
+	buf_clear(&test->received);
+	return (http_call_start(test->httpc, &(http_call_params_t){
+						 .method = "POST",
+						 .url = test->url,
+						 .body = body,
+						 .idle_timeout = idle,
+						 .on_data = on_data,
+						 .on_done = on_done,
+						 .ctx = test,
+					     }));
+}
+
+/* Guards against truncated or mixed-up bodies. */
+static void
+test_body_round_trip(void)
+{
+	http_test_t test;
+	buf_t body = {0};
+
+	setup(&test);
+	for (int i = 0; i < 100000; i++)
+		buf_printf(&body, "%07d,", i);
+	begin(&test, "/echo", str_buf(&body), 0);
+	ev_run(test.loop, 0);
+	CU_ASSERT(test.result.rc == 0 && test.result.status == 200);
+	CU_ASSERT(str_equal(str_buf(&test.received), str_buf(&body)));
+	buf_free(&body);
+	teardown(&test);
+}
+
+/* Guards against a body that grows the server without bound. */
+static void
+test_large_body_is_refused(void)
+{
+	http_test_t test;
+	buf_t body = {0};
+
+	setup(&test);
+	buf_reserve(&body, 2 << 20);
+	memset(body.data, 'x', 2 << 20);
+	body.len = 2 << 20;
+	begin(&test, "/echo", str_buf(&body), 0);
+	ev_run(test.loop, 0);
+	CU_ASSERT(test.result.status == 413);
+	buf_free(&body);
+	teardown(&test);
+}
+
+/* Guards against a stream that was cut and looks complete. */
+static void
+test_cut_stream_is_not_whole(void)
+{
+	http_test_t test;
+
+	setup(&test);
+	begin(&test, "/whole", (str_t){0}, 0);
+	ev_run(test.loop, 0);
+	CU_ASSERT(test.result.rc == 0);
+	CU_ASSERT(str_equal(str_buf(&test.received), STR("one two")));
+	begin(&test, "/cut", (str_t){0}, 0);
+	ev_run(test.loop, 0);
+	CU_ASSERT(test.result.rc == -RESULT_BROKEN_ANSWER);
+	CU_ASSERT(str_equal(str_buf(&test.received), STR("one ")));
+	teardown(&test);
+}
+
+/* Guards against work that goes on for a caller that went away. */
+static void
+test_gone_caller_is_noticed(void)
+{
+	http_test_t test;
+
+	setup(&test);
+	test.call = begin(&test, "/hold", (str_t){0}, 0);
+	ev_run(test.loop, 0);
+	CU_ASSERT(test.closed);
+	CU_ASSERT(test.done == 0);
+	teardown(&test);
+}
+
+/* Guards against a client that waits for ever on a silent connection. */
+static void
+test_silent_server_is_given_up(void)
+{
+	http_test_t test;
+
+	setup(&test);
+	begin(&test, "/hold", (str_t){0}, 0.2);
+	ev_run(test.loop, 0);
+	CU_ASSERT(test.result.rc == -RESULT_ENDPOINT_SILENT);
+	CU_ASSERT(test.result.sent);
+	CU_ASSERT(test.done == 1);
+	teardown(&test);
+}
+
+/* Guards against "not run" for a request that may have been sent. */
+static void
+test_refused_connection_is_not_sent(void)
+{
+	http_test_t test;
+	httpd_t *httpd;
+
+	setup(&test);
+	httpd = test.httpd;
+	httpd_stop_accepting(httpd);
+	begin(&test, "/echo", STR("x"), 0);
+	ev_run(test.loop, 0);
+	CU_ASSERT(test.result.rc == -RESULT_ENDPOINT_UNREACHABLE);
+	CU_ASSERT_FALSE(test.result.sent);
+	teardown(&test);
+}
+
+static const suite_test_t tests[] = {
+    {"body round trip", test_body_round_trip},
+    {"large body is refused", test_large_body_is_refused},
+    {"cut stream is not whole", test_cut_stream_is_not_whole},
+    {"gone caller is noticed", test_gone_caller_is_noticed},
+    {"silent server is given up", test_silent_server_is_given_up},
+    {"refused connection is not sent", test_refused_connection_is_not_sent},
+};
+
+SUITE_MAIN("http", tests)
