--- /dev/null
+++ b/src/logclient_memory.h
@@ -0,0 +1,36 @@
+/* A log in memory with faults on request, driven step by step by a test. */
+#ifndef DAISYPIER_LOGCLIENT_MEMORY_H
+#define DAISYPIER_LOGCLIENT_MEMORY_H
+
+#include "logclient.h"
+
+typedef struct log_memory_t log_memory_t;
+
+/* Faults of appends; each count or percentage is off when 0. */
+typedef struct log_faults_t {
+	bool outage;		 /* appends are refused, reads fail */
+	unsigned lose_every;	 /* each Nth append takes effect unanswered */
+	unsigned lose_percent;	 /* the same at random */
+	unsigned late_percent;	 /* unanswered first, takes effect later */
+	unsigned drop_percent;	 /* unanswered, never takes effect */
+	unsigned refuse_percent; /* refused with a definite answer */
+} log_faults_t;
+
+log_memory_t *log_memory_new(uint64_t seed);
+void log_memory_delete(log_memory_t *log);
+logclient_t *log_memory_client(log_memory_t *log);
+
+void log_memory_set_faults(log_memory_t *log, const log_faults_t *faults);
+bool log_memory_step(log_memory_t *log);
+void log_memory_run(log_memory_t *log);
+size_t log_memory_land(log_memory_t *log, size_t max);
+size_t log_memory_late(const log_memory_t *log);
+
+uint64_t log_memory_append(log_memory_t *log, str_t stream, str_t record);
+void log_memory_expire(log_memory_t *log, str_t stream, uint64_t first);
+uint64_t log_memory_next(log_memory_t *log, str_t stream);
+str_t log_memory_record(log_memory_t *log, str_t stream, uint64_t offset);
+uint64_t log_memory_appends(const log_memory_t *log);
+uint64_t log_memory_bytes(const log_memory_t *log);
+
+#endif
