--- a/Makefile
+++ b/Makefile
@@ -116,7 +116,8 @@
 lint: lint-deps deps
 	clang-format --dry-run -Werror $(C_FILES)
 	printf '%s\n' $(filter %.c,$(C_FILES)) | xargs -P 8 -n 4 sh -c \
-	    'clang-tidy --quiet "$$@" -- $(CPPFLAGS) -Itests -std=c11' lint
+	    'clang-tidy --quiet "$$@" -- $(subst ','\'',$(CPPFLAGS)) -Itests \
+	    -std=c11' lint
 
 install: all
 	install -d $(DESTDIR)$(PREFIX)/bin $(DESTDIR)$(PREFIX)/lib/pkgconfig \
--- /dev/null
+++ b/tests/test_standin_platform.c
@@ -0,0 +1,205 @@
+/* Tests of the stand-in log service and host list. */
+#include "suite.h"
+
+#include <signal.h>
+#include <stdio.h>
+
+#include "harness.h"
+#include "wire.h"
+
+static harness_process_t *
+start_platform(const char *rate)
+{
+	const char *const args[] = {"--rate", rate, NULL};
+	harness_process_t *process = harness_start("standin-platform", args);
+
+	CU_ASSERT_FATAL(process != NULL);
+	return (process);
+}
+
+static int
+append(harness_process_t *platform, const char *stream, str_t record)
+{
+	return (harness_post(NULL, record, "http://%s/v1/streams/%s/records",
+	    harness_address(platform), stream));
+}
+
+static int
+control(harness_process_t *platform, const char *what)
+{
+	return (harness_post(NULL, (str_t){0}, "http://%s/admin/%s",
+	    harness_address(platform), what));
+}
+
+/* Reads a stream; returns the number of records and joins their bytes. */
+static size_t
+read_stream(harness_process_t *platform, const char *query, uint64_t *first,
+    uint64_t *next, buf_t *joined)
+{
+	buf_t body = {0};
+	wire_message_t message;
+	const msgpack_object *root;
+	wire_reader_t records;
+	size_t count = 0;
+
+	buf_clear(joined);
+	CU_ASSERT(harness_get(&body, "http://%s/v1/streams/s/records?%s",
+		      harness_address(platform), query) == 200);
+	CU_ASSERT_FATAL(wire_message_decode(&message, str_buf(&body)) == 0);
+	root = wire_message_root(&message);
+	CU_ASSERT_FATAL(
+	    root->type == MSGPACK_OBJECT_MAP && root->via.map.size == 3);
+	*first = root->via.map.ptr[0].val.via.u64;
+	*next = root->via.map.ptr[1].val.via.u64;
+	records = wire_reader(&root->via.map.ptr[2].val);
+	while (records.left > 0) {
+		wire_reader_t record = wire_read_array(&records);
+
+		buf_printf(joined,
+		    "%llu=", (unsigned long long)wire_read_u64(&record));
+		buf_append(joined, wire_read_str(&record));
+		buf_append_char(joined, ';');
+		count++;
+	}
+	wire_message_free(&message);
+	buf_free(&body);
+	return (count);
+}
+
+/* Guards against lost records and against offsets that do not start at 1. */
+static void
+test_append_and_read(void)
+{
+	harness_process_t *platform = start_platform("0");
+	buf_t joined = {0};
+	uint64_t first;
+	uint64_t next;
+
+	CU_ASSERT(read_stream(platform, "from=1", &first, &next, &joined) == 0);
+	CU_ASSERT(first == 1 && next == 1);
+	CU_ASSERT(append(platform, "s", STR("a")) == 200);
+	CU_ASSERT(append(platform, "s", STR("b")) == 200);
+	CU_ASSERT(append(platform, "s", STR("c")) == 200);
+	CU_ASSERT(append(platform, "other", STR("x")) == 200);
+	CU_ASSERT(
+	    read_stream(platform, "from=2&max=1", &first, &next, &joined) == 1);
+	CU_ASSERT(first == 1 && next == 4);
+	CU_ASSERT(str_equal(str_buf(&joined), STR("2=b;")));
+	CU_ASSERT(control(platform, "expire?stream=s&before=3") == 200);
+	CU_ASSERT(read_stream(platform, "from=1", &first, &next, &joined) == 1);
+	CU_ASSERT(first == 3 && next == 4);
+	CU_ASSERT(str_equal(str_buf(&joined), STR("3=c;")));
+	buf_free(&joined);
+	harness_signal(platform, SIGTERM);
+	CU_ASSERT(harness_wait_exit(platform, 5) == 0);
+}
+
+/* Guards against faults that leave the log in another state than stated. */
+static void
+test_append_faults(void)
+{
+	harness_process_t *platform = start_platform("0");
+	buf_t joined = {0};
+	uint64_t first;
+	uint64_t next;
+
+	CU_ASSERT(control(platform, "lose_answers?every=1") == 200);
+	CU_ASSERT(append(platform, "s", STR("lost")) == 0);
+	CU_ASSERT(control(platform, "lose_answers?every=0") == 200);
+	CU_ASSERT(control(platform, "late_appends?every=1&ms=300") == 200);
+	CU_ASSERT(append(platform, "s", STR("late")) == 0);
+	CU_ASSERT(read_stream(platform, "from=1", &first, &next, &joined) == 1);
+	CU_ASSERT(control(platform, "late_appends?every=0") == 200);
+	CU_ASSERT(append(platform, "s", STR("x")) == 200);
+	harness_sleep(0.5);
+	read_stream(platform, "from=1", &first, &next, &joined);
+	CU_ASSERT(str_equal(str_buf(&joined), STR("1=lost;2=x;3=late;")));
+	CU_ASSERT(control(platform, "outage?on=1") == 200);
+	CU_ASSERT(append(platform, "s", STR("y")) == 503);
+	CU_ASSERT(control(platform, "outage?on=0") == 200);
+	read_stream(platform, "from=1", &first, &next, &joined);
+	CU_ASSERT(next == 4);
+	CU_ASSERT(control(platform, "retention?s=0.1") == 200);
+	harness_sleep(0.6);
+	CU_ASSERT(read_stream(platform, "from=1", &first, &next, &joined) == 0);
+	CU_ASSERT(first == 4 && next == 4);
+	buf_free(&joined);
+	harness_kill(platform);
+}
+
+/* Guards against an append rate that is not enforced or counts refusals. */
+static void
+test_rate_is_enforced(void)
+{
+	harness_process_t *platform = start_platform("5");
+	int accepted = 0;
+	int refused = 0;
+
+	for (int i = 0; i < 20; i++) {
+		int status = append(platform, "s", STR("r"));
+
+		accepted += status == 200;
+		refused += status == 429;
+	}
+	CU_ASSERT(accepted + refused == 20);
+	CU_ASSERT(accepted >= 5 && refused >= 1);
+	harness_kill(platform);
+}
+
+/* Guards against a host list that changes before its lag has passed. */
+static void
+test_host_list_lags(void)
+{
+	harness_process_t *platform = start_platform("0");
+	buf_t body = {0};
+
+	CU_ASSERT(harness_post(NULL, STR("[{\"name\":\"h1\"}]"),
+		      "http://%s/admin/hosts?lag_ms=400",
+		      harness_address(platform)) == 200);
+	harness_get(&body, "http://%s/v1/hosts", harness_address(platform));
+	CU_ASSERT(str_equal(str_buf(&body), STR("{\"hosts\":[]}")));
+	harness_sleep(0.6);
+	harness_get(&body, "http://%s/v1/hosts", harness_address(platform));
+	CU_ASSERT(
+	    str_equal(str_buf(&body), STR("{\"hosts\":[{\"name\":\"h1\"}]}")));
+	buf_free(&body);
+	harness_kill(platform);
+}
+
+/* Guards against a plain service that counts executions wrongly. */
+static void
+test_service_counts_executions(void)
+{
+	harness_process_t *service = harness_start("standin-service", NULL);
+	const char *const headers[] = {"X-Request-Key: k1", NULL};
+	buf_t body = {0};
+	char url[128];
+
+	CU_ASSERT_FATAL(service != NULL);
+	snprintf(url, sizeof(url), "http://%s/call", harness_address(service));
+	for (int i = 0; i < 2; i++) {
+		harness_request_t request = {.method = "POST",
+		    .url = url,
+		    .headers = headers,
+		    .body = STR("{\"a\":1}")};
+		harness_response_t response;
+
+		CU_ASSERT(harness_http(&request, &response) == 200);
+		harness_response_free(&response);
+	}
+	harness_get(
+	    &body, "http://%s/admin/executions", harness_address(service));
+	CU_ASSERT(str_equal(str_buf(&body), STR("{\"k1\":2}")));
+	buf_free(&body);
+	harness_kill(service);
+}
+
+static const suite_test_t tests[] = {
+    {"append and read", test_append_and_read},
+    {"append faults", test_append_faults},
+    {"rate is enforced", test_rate_is_enforced},
+    {"host list lags", test_host_list_lags},
+    {"service counts executions", test_service_counts_executions},
+};
+
+SUITE_MAIN("standin_platform", tests)
