--- a/src/result.c
+++ b/src/result.c
@@ -79,3 +79,29 @@
 	}
 	return ("failed");
 }
+
+/* Appends docs/ERRORS.md, so that the page cannot differ from the table. */
+void
+result_describe(buf_t *out)
+{
+	buf_append(out,
+	    STR("# Result codes\n\n"
+		"Functions return 0 or the negative number. Every error that a "
+		"caller gets is JSON:\n\n"
+		"    {\"error\": {\"code\": 11, \"name\": \"OVERLOADED\", "
+		"\"message\": \"no capacity in time\",\n"
+		"               \"outcome\": \"not_run\"}}\n\n"
+		"The outcome says what the caller may conclude. `not_run`: "
+		"certain, it did not\nstart and will not start. `unknown`: it "
+		"may have run or may still run; resend with\nthe same "
+		"idempotency key. `failed`: it failed for good. The table "
+		"gives "
+		"the usual\noutcome of a code; an answer may state a more "
+		"precise one.\n\n"
+		"| code | name | HTTP status | outcome | meaning |\n"
+		"| --- | --- | --- | --- | --- |\n"));
+	for (size_t i = 0; i < TABLE_COUNT; i++)
+		buf_printf(out, "| %d | %s | %d | `%s` | %s |\n",
+		    table[i].number, table[i].name, table[i].http_status,
+		    outcome_name(table[i].outcome), table[i].text);
+}
--- a/src/result.h
+++ b/src/result.h
@@ -4,6 +4,8 @@
 
 #include <stddef.h>
 
+#include "str.h"
+
 /* What a caller may conclude about the request that got an error. */
 typedef enum outcome_t {
 	OUTCOME_NOT_RUN, /* certain: it did not start and will not start */
@@ -78,5 +80,6 @@
 int result_http_status(int rc);
 outcome_t result_outcome(int rc);
 const char *outcome_name(outcome_t outcome);
+void result_describe(buf_t *out);
 
 #endif
--- a/tests/test_str.c
+++ b/tests/test_str.c
@@ -1,6 +1,8 @@
 /* Tests of strings, buffers and result codes. */
 #include "suite.h"
 
+#include <stdio.h>
+
 #include "result.h"
 #include "str.h"
 
@@ -61,11 +63,31 @@
 	CU_ASSERT_STRING_EQUAL(result_name(-123456), "INTERNAL");
 }
 
+/* Guards against a page of result codes that differs from the table. */
+static void
+test_errors_page_matches(void)
+{
+	buf_t expected = {0};
+	buf_t page = {0};
+	FILE *file = fopen("docs/ERRORS.md", "r");
+	int c;
+
+	CU_ASSERT_FATAL(file != NULL);
+	while ((c = getc(file)) != EOF)
+		buf_append_char(&page, (char)c);
+	fclose(file);
+	result_describe(&expected);
+	CU_ASSERT(str_equal(str_buf(&page), str_buf(&expected)));
+	buf_free(&page);
+	buf_free(&expected);
+}
+
 static const suite_test_t tests[] = {
     {"split keeps empty parts", test_split_keeps_empty_parts},
     {"number overflow is an error", test_number_overflow_is_an_error},
     {"buffer append and consume", test_buffer_append_and_consume},
     {"result numbers are unique", test_result_numbers_are_unique},
+    {"errors page matches", test_errors_page_matches},
 };
 
 SUITE_MAIN("str", tests)
