--- /dev/null
+++ b/src/member_message.h
@@ -0,0 +1,32 @@
+/* Coding of membership datagrams. */
+#ifndef DAISYPIER_MEMBER_MESSAGE_H
+#define DAISYPIER_MEMBER_MESSAGE_H
+
+#include "member_table.h"
+
+/* Bytes of a datagram that its authentication takes; see datagram.h. */
+#define MEMBER_MESSAGE_MAX (MEMBERSHIP_MAX_DATAGRAM - 40)
+
+typedef enum member_message_type_t {
+	MEMBER_PING = 1,
+	MEMBER_PING_REQ = 2, /* asks the receiver to probe the target */
+	MEMBER_ACK = 3,
+	MEMBER_NACK = 4, /* the receiver got no answer from the target */
+	MEMBER_SYNC = 5, /* digest of the table, or records of it */
+} member_message_type_t;
+
+typedef struct member_message_t {
+	member_message_type_t type;
+	uint32_t seq;
+	char target[64]; /* who is probed or has answered; empty: anybody */
+	bool has_digest;
+	bool is_answer; /* the digest answers a digest */
+	uint32_t digest[MEMBER_DIGEST_BUCKETS];
+	member_t updates[MEMBERSHIP_MAX_UPDATES]; /* the sender's own first */
+	size_t update_count;
+} member_message_t;
+
+size_t member_message_encode(const member_message_t *message, buf_t *out);
+int member_message_decode(str_t datagram, member_message_t *out);
+
+#endif
--- /dev/null
+++ b/src/member_table.h
@@ -0,0 +1,42 @@
+/* The known hosts in order of name, and which update replaces which. */
+#ifndef DAISYPIER_MEMBER_TABLE_H
+#define DAISYPIER_MEMBER_TABLE_H
+
+#include "clock.h"
+#include "membership.h"
+
+/* Groups of names that two tables compare by one hash each. */
+#define MEMBER_DIGEST_BUCKETS 64
+
+/* What only this host knows about a member. */
+typedef struct member_meta_t {
+	double since;	     /* when its state or incarnation last changed */
+	unsigned sends_left; /* datagrams that will still carry its record */
+} member_meta_t;
+
+typedef struct member_table_t {
+	member_t *members;
+	member_meta_t *meta; /* same order */
+	size_t count;
+	size_t cap;
+} member_table_t;
+
+#define MEMBER_NONE SIZE_MAX
+
+void member_table_free(member_table_t *table);
+size_t member_table_find(const member_table_t *table, str_t name);
+size_t member_table_find_address(const member_table_t *table, str_t address);
+size_t member_table_add(
+    member_table_t *table, const member_t *member, double now);
+void member_table_remove(member_table_t *table, size_t index);
+size_t member_table_living(const member_table_t *table);
+
+bool member_supersedes(const member_t *update, const member_t *known);
+void member_table_queue(member_table_t *table, size_t index);
+size_t member_table_pick_queued(
+    const member_table_t *table, rng_t *rng, size_t *out, size_t max);
+void member_table_digest(
+    const member_table_t *table, uint32_t digest[MEMBER_DIGEST_BUCKETS]);
+unsigned member_bucket(const member_t *member);
+
+#endif
