--- a/src/logclient_memory.c
+++ b/src/logclient_memory.c
@@ -36,6 +36,12 @@
 
 TAILQ_HEAD(memory_calls_t, memory_call_t);
 
+typedef struct memory_client_t {
+	logclient_t base;
+	log_memory_t *log;
+	bool paused; /* gets no answers */
+} memory_client_t;
+
 struct log_memory_t {
 	rng_t rng;
 	log_faults_t faults;
@@ -48,11 +54,6 @@
 	uint64_t bytes;
 };
 
-typedef struct memory_client_t {
-	logclient_t base;
-	log_memory_t *log;
-} memory_client_t;
-
 static memory_stream_t *
 stream_find(log_memory_t *log, str_t name)
 {
@@ -180,20 +181,43 @@
 	call_free(call);
 }
 
+static bool
+call_can_step(const memory_call_t *call)
+{
+	return (!call->effective ||
+		!((const memory_client_t *)call->client)->paused);
+}
+
+/* Chooses an open call by the seed; NULL when none can go on. */
+static memory_call_t *
+choose_call(log_memory_t *log)
+{
+	uint64_t skip = rng_below(&log->rng, log->call_count);
+	memory_call_t *call = TAILQ_FIRST(&log->calls);
+
+	while (skip-- > 0)
+		call = TAILQ_NEXT(call, entry);
+	for (size_t i = 0; i < log->call_count; i++) {
+		if (call_can_step(call))
+			return (call);
+		call = TAILQ_NEXT(call, entry);
+		if (call == NULL)
+			call = TAILQ_FIRST(&log->calls);
+	}
+	return (NULL);
+}
+
 /*
  * Lets one call, chosen by the seed, take effect or be answered. Returns false
- * when no call is open.
+ * when no call can go on.
  */
 bool
 log_memory_step(log_memory_t *log)
 {
-	memory_call_t *call = TAILQ_FIRST(&log->calls);
-	uint64_t skip = rng_below(&log->rng, log->call_count);
+	memory_call_t *call = choose_call(log);
 
 	if (call == NULL)
 		return (false);
-	while (skip-- > 0)
-		call = TAILQ_NEXT(call, entry);
 	if (call->effective) {
 		call_answer(log, call);
 		return (true);
@@ -351,6 +375,13 @@
 	return (&client->base);
 }
 
+/* Holds back the answers to a client, as if its process were frozen. */
+void
+log_memory_pause(logclient_t *client, bool paused)
+{
+	((memory_client_t *)client)->paused = paused;
+}
+
 /* Sets the faults of the calls that take effect from now on. */
 void
 log_memory_set_faults(log_memory_t *log, const log_faults_t *faults)
--- a/src/logclient_memory.h
+++ b/src/logclient_memory.h
@@ -19,6 +19,7 @@
 log_memory_t *log_memory_new(uint64_t seed);
 void log_memory_delete(log_memory_t *log);
 logclient_t *log_memory_client(log_memory_t *log);
+void log_memory_pause(logclient_t *client, bool paused);
 
 void log_memory_set_faults(log_memory_t *log, const log_faults_t *faults);
 bool log_memory_step(log_memory_t *log);
--- a/src/shard.c
+++ b/src/shard.c
@@ -120,7 +120,7 @@
 	tdelete(job, &shard->job_tree, compare_ids);
 	TAILQ_REMOVE(&shard->jobs, job, entry);
 	shard->job_count--;
-	for (uint32_t i = 0; i < job->item_count; i++)
+	for (uint32_t i = 0; i < job->item_cap; i++)
 		free((void *)job->items[i].result.data);
 	for (size_t i = 0; i < job->block_count; i++)
 		free(job->blocks[i].data);
@@ -141,18 +141,34 @@
 	free(key);
 }
 
-/* Allocates the items; returns false when the count is out of range. */
+/* Sets the number of items; returns false when it is out of range. */
 bool
 shard_job_set_count(shard_job_t *job, uint64_t count)
 {
 	if (count == 0 || count > MAX_JOB_ITEMS)
 		return (false);
-	job->items = xcalloc((size_t)count, sizeof(*job->items));
 	job->item_count = (uint32_t)count;
 	job->counts[ITEM_PENDING] = job->item_count;
 	return (true);
 }
 
+/* Memory follows the items that arrived, not the number that was declared. */
+static void
+job_reserve(shard_job_t *job, uint32_t need)
+{
+	uint32_t cap = job->item_cap;
+
+	if (need <= cap)
+		return;
+	cap = cap * 2 > need ? cap * 2 : need;
+	if (cap > job->item_count)
+		cap = job->item_count;
+	job->items = xrealloc(job->items, cap * sizeof(*job->items));
+	memset(job->items + job->item_cap, 0,
+	    (cap - job->item_cap) * sizeof(*job->items));
+	job->item_cap = cap;
+}
+
 /* Copies the inputs of consecutive items into one block of memory. */
 void
 shard_job_add_block(
@@ -164,6 +180,7 @@
 
 	for (uint32_t i = 0; i < count; i++)
 		size += inputs[i].len;
+	job_reserve(job, first + count);
 	block.unfinished = count;
 	block.data = xmalloc(size);
 	next = block.data;
--- a/src/shard.h
+++ b/src/shard.h
@@ -27,6 +27,7 @@
 	uint8_t state; /* item_state_t */
 	uint8_t tries;
 	bool no_repeat;
+	bool running; /* START was acknowledged in this process */
 } shard_item_t;
 
 typedef struct shard_block_t shard_block_t;
@@ -44,8 +45,9 @@
 	uint64_t created;     /* wall clock seconds */
 	uint64_t finished_at; /* wall clock seconds; 0: not finished */
 	uint8_t content[SHARD_HASH_SIZE];
-	uint64_t upload; /* number of the upload whose items are taken */
-	uint32_t loaded; /* items that arrived */
+	uint64_t upload;   /* number of the upload whose items are taken */
+	uint32_t loaded;   /* items that arrived */
+	uint32_t item_cap; /* items there is memory for */
 	uint32_t counts[ITEM_STATE_COUNT];
 	shard_block_t *blocks; /* memory of inputs, in order of items */
 	size_t block_count;
@@ -79,6 +81,7 @@
 	void (*on_sealed)(void *ctx, shard_job_t *job);
 	void (*on_cancelled)(void *ctx, shard_job_t *job);
 	void (*on_forget)(void *ctx, shard_job_t *job);
+	void (*on_batch)(void *ctx, uint64_t epoch, uint64_t seq);
 	void *ctx;
 } shard_observer_t;
 
--- a/src/shard_apply.c
+++ b/src/shard_apply.c
@@ -61,7 +61,7 @@
 	while (marked->left > 0 && !marked->fault) {
 		uint64_t i = wire_read_u64(marked);
 
-		if (first + i < job->item_count)
+		if (first + i < job->item_cap)
 			job->items[first + i].no_repeat = true;
 	}
 }
@@ -317,6 +317,9 @@
 	shard->seq = record->seq;
 	for (uint32_t i = 0; i < entries->size; i++)
 		shard_apply_entry(shard, &entries->ptr[i]);
+	if (shard->observer.on_batch != NULL)
+		shard->observer.on_batch(
+		    shard->observer.ctx, record->epoch, record->seq);
 	return (SHARD_CHANGED);
 }
 
