Check claimed element counts before msgpack decodes a message

msgpack-c allocates the number of elements that an array or a map claims. Five bytes of a malformed datagram made it ask for 32 GiB, which the address sanitizer reported in the test with 10,000 malformed datagrams. Raising the sanitizer's limit was ruled out: the allocation is the fault. Every decoder of wire_message_decode() was exposed, frames between hosts and log records too.

Decoding now walks the type bytes first and rejects a message whose counts exceed the bytes that are left.

--- a/src/wire.c
+++ b/src/wire.c
@@ -41,6 +41,78 @@
 		msgpack_pack_false(packer);
 }
 
+/* How the value after a type byte continues. */
+typedef struct wire_item_t {
+	size_t length_size; /* bytes that hold a length or a count */
+	size_t fixed;	    /* bytes that follow in any case */
+	uint64_t count;	    /* without bytes of its own */
+	unsigned per_count; /* nested values for each; 0: bytes */
+} wire_item_t;
+
+static wire_item_t
+wire_item(uint8_t type)
+{
+	static const uint8_t numbers[] = {4, 8, 1, 2, 4, 8, 1, 2, 4, 8};
+
+	if (type >= 0x80 && type <= 0x8f)
+		return ((wire_item_t){.count = type & 0x0f, .per_count = 2});
+	if (type >= 0x90 && type <= 0x9f)
+		return ((wire_item_t){.count = type & 0x0f, .per_count = 1});
+	if (type >= 0xa0 && type <= 0xbf)
+		return ((wire_item_t){.count = type & 0x1f});
+	if (type >= 0xc4 && type <= 0xc6)
+		return ((wire_item_t){.length_size = 1U << (type - 0xc4)});
+	if (type >= 0xc7 && type <= 0xc9)
+		return ((wire_item_t){
+		    .length_size = 1U << (type - 0xc7), .fixed = 1});
+	if (type >= 0xca && type <= 0xd3)
+		return ((wire_item_t){.fixed = numbers[type - 0xca]});
+	if (type >= 0xd4 && type <= 0xd8)
+		return ((wire_item_t){.fixed = 1 + (1U << (type - 0xd4))});
+	if (type >= 0xd9 && type <= 0xdb)
+		return ((wire_item_t){.length_size = 1U << (type - 0xd9)});
+	if (type == 0xdc || type == 0xdd)
+		return ((wire_item_t){
+		    .length_size = 2U << (type - 0xdc), .per_count = 1});
+	if (type == 0xde || type == 0xdf)
+		return ((wire_item_t){
+		    .length_size = 2U << (type - 0xde), .per_count = 2});
+	return ((wire_item_t){0});
+}
+
+/*
+ * Returns whether every array and map can have the number of elements that it
+ * claims. msgpack-c allocates the claimed number at once, so five bytes could
+ * otherwise take 100 GB.
+ */
+static bool
+wire_counts_fit(str_t data)
+{
+	uint64_t pending = 1;
+	size_t at = 0;
+
+	while (pending > 0 && at < data.len) {
+		wire_item_t item = wire_item((uint8_t)data.data[at++]);
+
+		pending--;
+		if (item.length_size + item.fixed > data.len - at)
+			return (false);
+		for (size_t i = 0; i < item.length_size; i++)
+			item.count =
+			    item.count << 8 | (uint8_t)data.data[at + i];
+		at += item.length_size + item.fixed;
+		if (item.per_count == 0) {
+			if (item.count > data.len - at)
+				return (false);
+			at += item.count;
+		}
+		pending += item.count * item.per_count;
+		if (pending > data.len - at)
+			return (false);
+	}
+	return (pending == 0);
+}
+
 /*
  * Decodes one complete message. Returns 0, or -RESULT_BAD_REQUEST for anything
  * else; then there is nothing to free.
@@ -51,6 +123,8 @@
 	size_t offset = 0;
 	msgpack_unpack_return rc;
 
+	if (!wire_counts_fit(data))
+		return (-RESULT_BAD_REQUEST);
 	msgpack_unpacked_init(&message->unpacked);
 	rc = msgpack_unpack_next(
 	    &message->unpacked, data.data, data.len, &offset);
