--- a/src/membership.h
+++ b/src/membership.h
@@ -68,10 +68,11 @@
 
 /* Protocol; now is monotonic time in seconds. */
 double membership_tick(membership_t *m, double now);
+double membership_next(const membership_t *m);
 void membership_receive(
     membership_t *m, double now, const char *from, str_t datagram);
 void membership_add_seed(membership_t *m, const char *address);
-void membership_leave(membership_t *m, double now);
+void membership_leave(membership_t *m);
 membership_stats_t membership_stats(const membership_t *m);
 
 /* The table, in order of name; valid until control returns to the loop. */
--- /dev/null
+++ b/src/membership_send.c
@@ -0,0 +1,152 @@
+/* Composes and sends the datagrams of the failure detector. */
+#include <string.h>
+
+#include "membership_state.h"
+
+/* Bounds the bytes of one exchange; the next one sends what is missing. */
+#define SYNC_MAX_DATAGRAMS 16
+
+/*
+ * Fills the records that every datagram carries: the own one, the one of the
+ * newest configuration's holder, and the receiver's own when it may have to
+ * refute it.
+ */
+static void
+fill_updates(membership_t *m, member_message_t *message, const member_t *claim)
+{
+	const member_t *self = membership_own(m);
+	const member_t *newest = membership_newest_config(m);
+	const member_t *known = NULL;
+
+	message->updates[message->update_count++] = *self;
+	if (newest != self)
+		message->updates[message->update_count++] = *newest;
+	if (claim != NULL)
+		known = membership_find(m, str_of(claim->name));
+	if (known != NULL && known != self && known != newest &&
+	    (known->state != MEMBER_ALIVE ||
+		known->incarnation != claim->incarnation ||
+		known->instance != claim->instance))
+		message->updates[message->update_count++] = *known;
+}
+
+static void
+transmit(membership_t *m, const char *address, const buf_t *datagram)
+{
+	m->send(m->send_ctx, address, str_buf(datagram));
+}
+
+/*
+ * Sends a datagram with as many queued updates as fit. claim is what the
+ * receiver last said of itself or what the table holds, or NULL when unknown.
+ */
+static void
+send_message(membership_t *m, const char *address, member_message_t *message,
+    const member_t *claim)
+{
+	size_t queued[MEMBERSHIP_MAX_UPDATES];
+	size_t fixed;
+	size_t picked;
+	size_t packed;
+	buf_t datagram = {0};
+
+	fill_updates(m, message, claim);
+	fixed = message->update_count;
+	picked = member_table_pick_queued(
+	    &m->table, &m->rng, queued, MEMBERSHIP_MAX_UPDATES - fixed);
+	for (size_t i = 0; i < picked; i++)
+		message->updates[message->update_count++] =
+		    m->table.members[queued[i]];
+	packed = member_message_encode(message, &datagram);
+	for (size_t i = 0; fixed + i < packed; i++)
+		m->table.meta[queued[i]].sends_left--;
+	transmit(m, address, &datagram);
+	buf_free(&datagram);
+}
+
+/* Sends a datagram without a digest; see send_message(). */
+void
+membership_send(membership_t *m, const char *address,
+    member_message_type_t type, uint32_t seq, const char *target,
+    const member_t *claim)
+{
+	member_message_t message = {.type = type, .seq = seq};
+
+	str_copy(message.target, sizeof(message.target), str_of(target));
+	send_message(m, address, &message, claim);
+}
+
+/* Sends one hash for each group of names. */
+void
+membership_send_digest(
+    membership_t *m, const char *address, bool is_answer, const member_t *claim)
+{
+	member_message_t message = {
+	    .type = MEMBER_SYNC,
+	    .has_digest = true,
+	    .is_answer = is_answer,
+	};
+
+	member_table_digest(&m->table, message.digest);
+	send_message(m, address, &message, claim);
+}
+
+/* Sends the records of the marked groups, in a bounded number of datagrams. */
+void
+membership_send_records(membership_t *m, const char *address,
+    const bool wanted[MEMBER_DIGEST_BUCKETS])
+{
+	size_t start = rng_below(&m->rng, m->table.count);
+	size_t next = 0;
+
+	for (int i = 0; i < SYNC_MAX_DATAGRAMS && next < m->table.count; i++) {
+		member_message_t message = {.type = MEMBER_SYNC};
+		size_t positions[MEMBERSHIP_MAX_UPDATES];
+		size_t packed;
+		buf_t datagram = {0};
+
+		message.updates[message.update_count++] = *membership_own(m);
+		for (; next < m->table.count &&
+		       message.update_count < MEMBERSHIP_MAX_UPDATES;
+		     next++) {
+			const member_t *member =
+			    &m->table.members[(start + next) % m->table.count];
+
+			if (!wanted[member_bucket(member)])
+				continue;
+			positions[message.update_count] = next;
+			message.updates[message.update_count++] = *member;
+		}
+		if (message.update_count == 1)
+			return;
+		packed = member_message_encode(&message, &datagram);
+		if (packed < message.update_count)
+			next = positions[packed];
+		transmit(m, address, &datagram);
+		buf_free(&datagram);
+	}
+}
+
+/*
+ * Returns the index of a random other member in one of two states, or
+ * MEMBER_NONE when there is none.
+ */
+size_t
+membership_random(membership_t *m, bool living, const char *except)
+{
+	size_t start = rng_below(&m->rng, m->table.count);
+
+	/* A few independent draws first, then a scan that finds any. */
+	for (size_t i = 0; i < m->table.count + 8; i++) {
+		size_t index = i < 8 ? rng_below(&m->rng, m->table.count)
+				     : (start + i) % m->table.count;
+		const member_t *member = &m->table.members[index];
+		bool fits = living ? member_is_living(member)
+				   : member->state == MEMBER_DEAD;
+
+		if (fits && strcmp(member->name, m->self) != 0 &&
+		    (except == NULL || strcmp(member->name, except) != 0))
+			return (index);
+	}
+	return (MEMBER_NONE);
+}
