--- a/src/logclient.c
+++ b/src/logclient.c
@@ -15,8 +15,9 @@
 
 #define APPEND_TIMEOUT_S 5.0
 #define READ_TIMEOUT_S	 5.0
-/* 16 records of 1 MiB, the most that one read of a shard asks for, fit. */
-#define MAX_READ_BYTES (64U << 20)
+/* 64 records of 1 MiB, the most that a read of a shard asks for, fit. */
+#define RECORD_OVERHEAD 1024U
+#define MAX_READ_BYTES	(64U * ((1U << 20) + RECORD_OVERHEAD))
 
 typedef struct log_http_t log_http_t;
 
--- a/src/shard_reader.c
+++ b/src/shard_reader.c
@@ -6,8 +6,14 @@
 #include "result.h"
 #include "shard_snapshot.h"
 
-/* Records of one read; 16 of at most 1 MiB bound the memory of a read. */
-#define READ_RECORDS 16
+/*
+ * Records of one read. Their number follows the size of the last answer, so
+ * that one answer neither takes many milliseconds nor carries next to nothing.
+ */
+#define READ_RECORDS_MIN 1U
+#define READ_RECORDS_MAX 64U
+#define READ_BYTES_LOW	 (256U << 10)
+#define READ_BYTES_HIGH	 (2U << 20)
 /* Passes begun again because records expired meanwhile, in one sync. */
 #define MAX_RESTARTS 3
 
@@ -27,7 +33,8 @@
 	bool reading;	/* a read of the log is open */
 	bool deleted;
 	uint64_t from;
-	uint64_t end; /* offset of the newest record when the sync began */
+	unsigned records; /* of the next read */
+	uint64_t end;	  /* offset of the newest record when the sync began */
 	bool end_known;
 	unsigned restarts;
 	snapshot_scan_t scan;
@@ -150,6 +157,19 @@
 	reader_finish(reader, 0);
 }
 
+static void
+reader_adapt(shard_reader_t *reader, const log_read_t *read)
+{
+	size_t bytes = 0;
+
+	for (size_t i = 0; i < read->count; i++)
+		bytes += read->records[i].data.len;
+	if (bytes > READ_BYTES_HIGH && reader->records > READ_RECORDS_MIN)
+		reader->records /= 2;
+	else if (bytes < READ_BYTES_LOW && reader->records < READ_RECORDS_MAX)
+		reader->records *= 2;
+}
+
 static void
 on_read(void *ctx, const log_read_t *read)
 {
@@ -165,6 +185,7 @@
 		reader_finish(reader, -RESULT_LOG_UNAVAILABLE);
 		return;
 	}
+	reader_adapt(reader, read);
 	if (!reader->end_known) {
 		reader->end = read->next - 1;
 		reader->end_known = true;
@@ -189,7 +210,7 @@
 {
 	reader->reading = true;
 	logclient_read(reader->log, str_of(reader->stream), reader->from,
-	    READ_RECORDS, on_read, reader);
+	    reader->records, on_read, reader);
 }
 
 /* Makes a reader that has read nothing; the state must be empty. */
@@ -201,6 +222,7 @@
 	reader->log = log;
 	reader->stream = xstrdup(stream);
 	reader->shard = shard;
+	reader->records = READ_RECORDS_MIN;
 	return (reader);
 }
 
--- a/src/shard_slot.c
+++ b/src/shard_slot.c
@@ -119,6 +119,8 @@
 void
 shard_slot_delete(shard_slot_t *slot)
 {
+	/* Callbacks must not queue anything again. */
+	slot->owned = false;
 	shard_commit_fail(&slot->commit, -RESULT_LOG_UNCERTAIN);
 	checks_finish(&slot->checks, -RESULT_NOT_OWNER);
 	checks_finish(&slot->next_checks, -RESULT_NOT_OWNER);
