--- a/src/standin_engine.c
+++ b/src/standin_engine.c
@@ -378,7 +378,8 @@
 	    .end = arg_end(20),
 	};
 	options->address->sval[0] = "127.0.0.1";
-	/* argtable leaves the value of an option that is not given undefined. */
+	/* argtable leaves the value of an option that is not given undefined.
+	 */
 	options->port->ival[0] = 0;
 	options->slowdown->dval[0] = 0;
 	options->slots->ival[0] = 8;
--- a/src/standin_platform.c
+++ b/src/standin_platform.c
@@ -381,7 +381,8 @@
 	int rc;
 
 	address->sval[0] = "127.0.0.1";
-	/* argtable leaves the value of an option that is not given undefined. */
+	/* argtable leaves the value of an option that is not given undefined.
+	 */
 	port->ival[0] = 0;
 	retention->dval[0] = 0;
 	rate->dval[0] = DEFAULT_RATE;
