Ask grants of each pool's admitting host

Cause: the policy of a pool must be reachable from every host, and online requests must go on when its admitting host does not answer.

The direct path is used when this host admits the pool. Without an answer within grant_timeout_ms online uses the local allowance and asks back an own batch grant of the endpoint; batch waits. GRANT_HELD goes out once a second and at once when another host takes over; its reply names requests that the admitting host does not know. A host that is not admitting by its own view grants online within the allowance only and no batch. The mode two_choices balances on each host alone, as the baseline. Policy: at most half of a pool's endpoints are ejected at a time, and a continued request (one that avoids an endpoint) is not refused for a limit or a full queue.

Ruled out: keeping a grant's number after an unanswered GRANT_ASK; it may have been granted, so the request goes on under a new number and releases the old one. GRANT_CHECK (14) is not used: GRANT_HELD and its reply say the same. Batch does not count against the local allowance, because it yields.

Measured: 8 tests with three hosts on loopback.

--- a/src/admission.c
+++ b/src/admission.c
@@ -373,7 +373,9 @@
 
 /*
  * Asks for a slot. The answer is an action, now or later. Asking again for a
- * grant that is held repeats its answer; while it waits there is none.
+ * grant that is held repeats its answer; while it waits there is none. A
+ * request that avoids an endpoint failed there: it is continued, and not
+ * refused for a limit or a full queue once more.
  */
 void
 admission_ask(admission_t *a, const admission_ask_t *ask, double now)
@@ -409,12 +411,34 @@
 			admission_schedule(a, now);
 		return;
 	}
-	if (has_endpoint(a) && now + wait > ask->deadline)
+	if (grant->avoid[0] != '\0' && has_endpoint(a))
+		admission_schedule(a, now); /* it was admitted before */
+	else if (has_endpoint(a) && now + wait > ask->deadline)
 		grant_refuse(a, grant, -RESULT_OVERLOADED, wait);
 	else
 		ask_online(a, grant, now);
 }
 
+/*
+ * When more than half of the endpoints would be out, the cause is hardly the
+ * single endpoint, and requests that wait for a return would only fail later.
+ */
+static bool
+too_many_out(const admission_t *a, double now)
+{
+	size_t usable = 0;
+	size_t out = 0;
+
+	for (size_t i = 0; i < a->endpoint_count; i++) {
+		const slot_endpoint_t *e = a->endpoints[i];
+
+		usable += !e->leaving && e->slots > 0;
+		out += !e->leaving && e->slots > 0 &&
+		       ejector_is_out(&e->ejector, now);
+	}
+	return (out * 2 > usable);
+}
+
 /* Takes in how a request on an endpoint went. */
 void
 admission_report(admission_t *a, const char *endpoint,
@@ -425,21 +449,23 @@
 	if (e == NULL || report == NULL)
 		return;
 	limiter_report(&e->limiter, report->first_token_seconds, now);
-	ejector_report(&e->ejector, report->rc, now);
+	if (ejector_report(&e->ejector, report->rc, now) &&
+	    too_many_out(a, now))
+		ejector_readmit(&e->ejector, now);
 }
 
 /*
- * Gives a slot back, or withdraws a waiting request. A grant that is not known
- * is ignored: its slot was reclaimed before. report may be NULL.
+ * Gives a slot back, or withdraws a waiting request. Returns false for a grant
+ * that is not known: its slot was reclaimed before. report may be NULL.
  */
-void
+bool
 admission_release(admission_t *a, const char *holder, uint64_t id,
     const grant_report_t *report, double now)
 {
 	slot_grant_t *grant = grant_find(a, holder, id);
 
 	if (grant == NULL)
-		return;
+		return (false);
 	if (grant->endpoint != NULL) {
 		admission_report(a, grant->endpoint->id.name, report, now);
 		if (grant->class == GRANT_ONLINE) {
@@ -454,6 +480,7 @@
 	}
 	grant_delete(a, grant);
 	admission_schedule(a, now);
+	return (true);
 }
 
 /* Takes in a grant that another admitting host, or nobody, issued. */
--- a/src/admission.h
+++ b/src/admission.h
@@ -86,7 +86,7 @@
     admission_t *a, double until, admission_allowance_t allowance, void *ctx);
 
 void admission_ask(admission_t *a, const admission_ask_t *ask, double now);
-void admission_release(admission_t *a, const char *holder, uint64_t id,
+bool admission_release(admission_t *a, const char *holder, uint64_t id,
     const grant_report_t *report, double now);
 void admission_report(admission_t *a, const char *endpoint,
     const grant_report_t *report, double now);
--- a/src/admission_schedule.c
+++ b/src/admission_schedule.c
@@ -35,6 +35,7 @@
 	return (spare);
 }
 
+/* Batch does not count against the allowance, because it yields. */
 static unsigned
 holder_uses(const slot_holder_t *holder, const slot_endpoint_t *endpoint)
 {
@@ -42,7 +43,8 @@
 	unsigned n = 0;
 
 	LIST_FOREACH (grant, &holder->grants, holder_entry)
-		n += grant->endpoint == endpoint;
+		n +=
+		    grant->endpoint == endpoint && grant->class == GRANT_ONLINE;
 	return (n);
 }
 
@@ -241,7 +243,8 @@
 revoke_for_online(admission_t *a, double now)
 {
 	unsigned spare = routes_refresh(a, now);
-	unsigned reserve = a->settings.online_reserve;
+	unsigned reserve =
+	    now < a->restricted_until ? 0 : a->settings.online_reserve;
 	unsigned wanted =
 	    a->waiting[GRANT_ONLINE] + (reserve > spare ? reserve - spare : 0);
 	unsigned coming = 0;
@@ -267,14 +270,15 @@
 void
 admission_schedule(admission_t *a, double now)
 {
+	bool restricted = now < a->restricted_until;
+
 	schedule_class(a, GRANT_ONLINE, 0, now);
-	if (now < a->restricted_until)
-		return;
-	if (a->waiting[GRANT_ONLINE] == 0)
+	if (!restricted && a->waiting[GRANT_ONLINE] == 0)
 		schedule_class(a, GRANT_BATCH, a->settings.online_reserve, now);
 	if (TAILQ_EMPTY(&a->batch_held))
 		return;
-	revoke_excess(a, now);
+	if (!restricted)
+		revoke_excess(a, now);
 	revoke_for_online(a, now);
 }
 
--- a/src/ejector.c
+++ b/src/ejector.c
@@ -61,6 +61,14 @@
 	return (true);
 }
 
+/* Ends an ejection early; the return is gradual all the same. */
+void
+ejector_readmit(ejector_t *ejector, double now)
+{
+	if (ejector->ejected_until > now)
+		ejector->ejected_until = now;
+}
+
 /* Returns whether the endpoint gets no requests now. */
 bool
 ejector_is_out(const ejector_t *ejector, double now)
--- a/src/ejector.h
+++ b/src/ejector.h
@@ -13,6 +13,7 @@
 
 bool ejector_counts(int rc);
 bool ejector_report(ejector_t *ejector, int rc, double now);
+void ejector_readmit(ejector_t *ejector, double now);
 bool ejector_is_out(const ejector_t *ejector, double now);
 unsigned ejector_bound(const ejector_t *ejector, unsigned limit, double now);
 
--- a/src/grants.h
+++ b/src/grants.h
@@ -2,7 +2,9 @@
 #ifndef DAISYPIER_GRANTS_H
 #define DAISYPIER_GRANTS_H
 
-#include "str.h"
+#include "config.h"
+#include "membership.h"
+#include "peer.h"
 
 typedef struct grants_t grants_t;
 typedef struct grant_t grant_t;
@@ -48,5 +50,39 @@
  */
 grant_t *grants_ask(grants_t *grants, const grant_params_t *params);
 void grant_release(grant_t *grant, const grant_report_t *report);
+/* Seconds after which asking again makes sense; valid in on_grant, rc != 0. */
+double grant_retry_after(const grant_t *grant);
+
+typedef enum grants_mode_t {
+	GRANTS_POOL,	    /* one admitting host for each pool */
+	GRANTS_TWO_CHOICES, /* each host balances alone: for measurements */
+} grants_mode_t;
+
+typedef struct grants_params_t {
+	struct ev_loop *loop;
+	peer_t *peer;
+	const char *host; /* own name */
+	const char *zone;
+	const char *site;
+	grants_mode_t mode;
+	/* The configuration in force; NULL until the first is known. */
+	const fleet_config_t *(*config)(void *ctx);
+	/* All known hosts, this one included. */
+	size_t (*members)(void *ctx, const member_t **out);
+	/* Whether the platform lists the endpoint as leaving. */
+	bool (*endpoint_leaving)(void *ctx, const config_endpoint_t *endpoint);
+	void *ctx;
+} grants_params_t;
+
+struct admission_stats_t;
+
+int grants_mode_parse(str_t text, grants_mode_t *out);
+grants_t *grants_new(const grants_params_t *params);
+void grants_delete(grants_t *grants);
+/* The member table, configuration or list of leaving endpoints changed. */
+void grants_fleet_changed(grants_t *grants);
+size_t grants_open(const grants_t *grants);
+bool grants_stats(
+    const grants_t *grants, const char *pool, struct admission_stats_t *out);
 
 #endif
--- /dev/null
+++ b/src/grants_admit.c
@@ -0,0 +1,438 @@
+/* The admitting side of grants: answers the asks of all hosts for a pool. */
+#include "grants_wire.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "logger.h"
+#include "result.h"
+
+/* Holders report once a second, so afterwards all grants are known. */
+#define TAKEOVER_S 1.5
+/* A pool that nobody asks for any more is forgotten after this, in seconds. */
+#define FORGET_S 10.0
+
+static grants_host_t *
+host_find(grants_t *grants, str_t name)
+{
+	grants_host_t *host;
+
+	LIST_FOREACH (host, &grants->hosts, entry)
+		if (str_equal(str_of(host->name), name))
+			return (host);
+	return (NULL);
+}
+
+/* Remembers where to send messages to a holder. */
+static grants_host_t *
+host_note(grants_t *grants, str_t name, const char *address)
+{
+	grants_host_t *host = host_find(grants, name);
+
+	if (host == NULL) {
+		host = xcalloc(1, sizeof(*host));
+		str_copy(host->name, sizeof(host->name), name);
+		LIST_INSERT_HEAD(&grants->hosts, host, entry);
+	}
+	str_copy(host->address, sizeof(host->address), str_of(address));
+	return (host);
+}
+
+static void
+pool_configure(grants_pool_t *pool, double now)
+{
+	grants_t *grants = pool->grants;
+	const fleet_config_t *config =
+	    grants->params.config(grants->params.ctx);
+	const config_pool_t *p =
+	    config != NULL ? config_pool(config, str_of(pool->name)) : NULL;
+	admission_settings_t settings = {0};
+	admission_endpoint_t *list;
+	size_t count = p != NULL ? p->endpoint_count : 0;
+
+	list = xcalloc(count, sizeof(*list));
+	for (size_t i = 0; i < count; i++) {
+		const config_endpoint_t *e =
+		    &config->endpoints[p->endpoints[i]];
+
+		list[i].name = e->name;
+		list[i].address = e->address;
+		list[i].zone = e->zone;
+		list[i].slots = e->slots;
+		list[i].leaving =
+		    grants->params.endpoint_leaving(grants->params.ctx, e);
+	}
+	if (p != NULL) {
+		settings.online_reserve = p->online_reserve;
+		settings.queue_limit = p->queue_limit;
+		settings.revoke_timeout = config->fleet.revoke_timeout_ms / 1e3;
+	}
+	admission_configure(pool->admission, &settings, list, count, now);
+	pool->configured = config;
+	free(list);
+}
+
+/* Sends what the policy decided; returns the action for one waiting ask. */
+static bool
+pool_dispatch(
+    grants_pool_t *pool, str_t asker, uint64_t id, admission_action_t *answer)
+{
+	grants_t *grants = pool->grants;
+	admission_action_t action;
+	bool found = false;
+
+	while (admission_next(pool->admission, &action)) {
+		grants_host_t *host;
+		grant_t *grant;
+		buf_t body = {0};
+
+		if (answer != NULL && !found &&
+		    action.kind != ADMISSION_REVOKE && action.id == id &&
+		    str_equal(str_of(action.holder), asker)) {
+			*answer = action;
+			found = true;
+			continue;
+		}
+		if (strcmp(action.holder, grants->host) == 0) {
+			grant = grants_find(grants, action.id);
+			if (grant != NULL && action.kind == ADMISSION_REVOKE)
+				grant_ask_revoke(grant);
+			else if (grant != NULL)
+				grant_answer(grant, action.rc,
+				    action.retry_after, &action.endpoint);
+			continue;
+		}
+		host = host_find(grants, str_of(action.holder));
+		if (host == NULL)
+			continue;
+		if (action.kind == ADMISSION_REVOKE)
+			grants_pack_revoke(&body, action.id);
+		else
+			grants_pack_answer(&body, pool->name, false, &action);
+		peer_send(grants->params.peer, host->address,
+		    action.kind == ADMISSION_REVOKE ? PEER_GRANT_REVOKE
+						    : PEER_GRANT,
+		    str_buf(&body));
+		buf_free(&body);
+	}
+	return (found);
+}
+
+/* Makes the pool's state when this host is asked for the first time. */
+static void
+pool_admit_open(grants_pool_t *pool, double now)
+{
+	pool->last_asked = now;
+	if (pool->admission != NULL)
+		return;
+	pool->admission = admission_new(rng_next(&pool->grants->rng));
+	admission_restrict(
+	    pool->admission, now + TAKEOVER_S, grants_allowance, pool->grants);
+	pool_configure(pool, now);
+	LOG_INFO("pool_admitting", "pool=%s", pool->name);
+}
+
+static void
+pool_ask(grants_pool_t *pool, admission_ask_t *ask, str_t org, double now)
+{
+	const fleet_config_t *config =
+	    pool->grants->params.config(pool->grants->params.ctx);
+	const config_org_t *limits =
+	    config != NULL ? config_org(config, org) : NULL;
+
+	ask->weight = 1;
+	if (limits != NULL) {
+		ask->weight = limits->weight;
+		ask->requests_per_s = limits->requests_per_s;
+		ask->concurrency = limits->concurrency;
+	}
+	admission_ask(pool->admission, ask, now);
+}
+
+/* Asks this host's own admission; the answer comes through grant_answer(). */
+void
+pool_admit_ask(grants_pool_t *pool, const grant_t *grant, double now)
+{
+	admission_ask_t ask = {
+	    .id = grant->id,
+	    .holder = pool->grants->host,
+	    .zone = pool->grants->zone,
+	    .class = grant->params.class,
+	    .org = grant->org,
+	    .prefix_hash = grant->params.prefix_hash,
+	    .deadline = grant->params.deadline,
+	    .avoid = grant->avoid,
+	};
+
+	pool_admit_open(pool, now);
+	pool_ask(pool, &ask, str_of(grant->org), now);
+	pool_dispatch(pool, (str_t){0}, 0, NULL);
+}
+
+/* Releases a grant of this host at its own admission. */
+void
+pool_admit_release(
+    grants_pool_t *pool, uint64_t id, const grant_report_t *report, double now)
+{
+	if (pool->admission == NULL)
+		return;
+	admission_release(pool->admission, pool->grants->host, id, report, now);
+	pool_dispatch(pool, (str_t){0}, 0, NULL);
+}
+
+/* Reports this host's grants to its own admission. */
+void
+pool_admit_report(grants_pool_t *pool, double now)
+{
+	const grant_t *grant;
+	admission_holding_t *holdings;
+	uint64_t *unknown;
+	size_t count = 0;
+	size_t n;
+
+	pool_admit_open(pool, now);
+	LIST_FOREACH (grant, &pool->held, pool_entry)
+		count++;
+	holdings = xcalloc(count, sizeof(*holdings));
+	unknown = xcalloc(count, sizeof(*unknown));
+	count = 0;
+	LIST_FOREACH (grant, &pool->held, pool_entry) {
+		holdings[count].id = grant->id;
+		holdings[count].waiting = grant->endpoint.name[0] == '\0';
+		holdings[count].class = grant->params.class;
+		holdings[count].org = str_of(grant->org);
+		holdings[count++].endpoint = str_of(grant->endpoint.name);
+	}
+	n = admission_held(
+	    pool->admission, pool->grants->host, holdings, count, unknown, now);
+	for (size_t i = 0; i < n; i++) {
+		grant_t *lost = grants_find(pool->grants, unknown[i]);
+
+		if (lost != NULL && lost->state == GRANT_STATE_QUEUED)
+			pool_admit_ask(pool, lost, now);
+	}
+	pool_dispatch(pool, (str_t){0}, 0, NULL);
+	free(holdings);
+	free(unknown);
+}
+
+/*
+ * Without the admitting role by its own view of the members, a host admits
+ * only what holders may use by themselves, and no batch: another host may be
+ * granting the same slots.
+ */
+void
+pool_admit_role(grants_pool_t *pool, double now)
+{
+	if (pool->admission == NULL || pool->self)
+		return;
+	admission_restrict(
+	    pool->admission, now + TAKEOVER_S, grants_allowance, pool->grants);
+	if (now - pool->last_asked < FORGET_S)
+		return;
+	admission_delete(pool->admission);
+	pool->admission = NULL;
+}
+
+static void
+on_ask(void *ctx, peer_request_t *request, const msgpack_object *body)
+{
+	grants_t *grants = ctx;
+	double now = clock_monotonic();
+	grants_message_t m = {0};
+	admission_action_t action;
+	admission_ask_t ask = {0};
+	const fleet_config_t *config =
+	    grants->params.config(grants->params.ctx);
+	grants_pool_t *pool;
+	buf_t reply = {0};
+	char holder[64];
+	char zone[64];
+	char org[64];
+	char avoid[64];
+	bool answered;
+
+	if (!grants_read_ask(body, &m)) {
+		peer_request_reply(request, -RESULT_BAD_REQUEST, (str_t){0});
+		return;
+	}
+	if (config == NULL || config_pool(config, m.pool) == NULL) {
+		/* The asking host may have a newer configuration. */
+		peer_request_reply(request, -RESULT_NOT_READY, (str_t){0});
+		return;
+	}
+	host_note(grants, m.holder, peer_request_address(request));
+	pool = grants_pool(grants, m.pool);
+	pool_admit_open(pool, now);
+	str_copy(holder, sizeof(holder), m.holder);
+	str_copy(zone, sizeof(zone), m.zone);
+	str_copy(org, sizeof(org), m.org);
+	str_copy(avoid, sizeof(avoid), m.avoid);
+	ask.id = m.id;
+	ask.holder = holder;
+	ask.zone = zone;
+	ask.class = m.class;
+	ask.org = org;
+	ask.prefix_hash = m.prefix_hash;
+	ask.deadline = now + m.remaining;
+	ask.avoid = avoid;
+	pool_ask(pool, &ask, m.org, now);
+	answered = pool_dispatch(pool, m.holder, m.id, &action);
+	grants_pack_answer(
+	    &reply, pool->name, !answered, answered ? &action : NULL);
+	peer_request_reply(request, 0, str_buf(&reply));
+	buf_free(&reply);
+}
+
+static void
+on_release(void *ctx, peer_request_t *request, const msgpack_object *body)
+{
+	grants_t *grants = ctx;
+	double now = clock_monotonic();
+	grants_message_t m = {0};
+	grants_pool_t *pool = NULL;
+	const grant_report_t *report;
+	char holder[64];
+	char endpoint[64];
+
+	if (grants_read_release(body, &m)) {
+		LIST_FOREACH (pool, &grants->pools, entry)
+			if (str_equal(str_of(pool->name), m.pool))
+				break;
+	}
+	if (pool != NULL && pool->admission != NULL) {
+		str_copy(holder, sizeof(holder), m.holder);
+		str_copy(endpoint, sizeof(endpoint), m.endpoint);
+		report = m.report.rc <= 0 ? &m.report : NULL;
+		if (!admission_release(
+			pool->admission, holder, m.id, report, now))
+			admission_report(
+			    pool->admission, endpoint, report, now);
+		pool_dispatch(pool, (str_t){0}, 0, NULL);
+	}
+	peer_request_reply(request, 0, (str_t){0});
+}
+
+static void
+on_held(void *ctx, peer_request_t *request, const msgpack_object *body)
+{
+	grants_t *grants = ctx;
+	double now = clock_monotonic();
+	const fleet_config_t *config =
+	    grants->params.config(grants->params.ctx);
+	grants_message_t m = {0};
+	admission_holding_t *holdings;
+	size_t count = grants_read_held(body, &m, &holdings);
+	uint64_t *unknown = xcalloc(count, sizeof(*unknown));
+	buf_t reply = {0};
+	char holder[64];
+
+	if (m.holder.len == 0 || config == NULL ||
+	    config_pool(config, m.pool) == NULL) {
+		peer_request_reply(request, -RESULT_NOT_READY, (str_t){0});
+	} else {
+		grants_pool_t *pool = grants_pool(grants, m.pool);
+
+		host_note(grants, m.holder, peer_request_address(request));
+		pool_admit_open(pool, now);
+		str_copy(holder, sizeof(holder), m.holder);
+		count = admission_held(
+		    pool->admission, holder, holdings, count, unknown, now);
+		pool_dispatch(pool, (str_t){0}, 0, NULL);
+		grants_pack_ids(&reply, unknown, count);
+		peer_request_reply(request, 0, str_buf(&reply));
+		buf_free(&reply);
+	}
+	free(holdings);
+	free(unknown);
+}
+
+static void
+host_gone(grants_t *grants, const grants_host_t *host, double now)
+{
+	grants_pool_t *pool;
+
+	LIST_FOREACH (pool, &grants->pools, entry) {
+		if (pool->admission == NULL)
+			continue;
+		admission_holder_gone(pool->admission, host->name, now);
+		pool_dispatch(pool, (str_t){0}, 0, NULL);
+	}
+}
+
+/* Reclaims the grants of hosts that died or were replaced. */
+void
+grants_admit_check_hosts(grants_t *grants, double now)
+{
+	grants_host_t *host = LIST_FIRST(&grants->hosts);
+
+	while (host != NULL) {
+		grants_host_t *next = LIST_NEXT(host, entry);
+		const member_t *member = NULL;
+
+		for (size_t i = 0; i < grants->member_count; i++)
+			if (strcmp(grants->members[i].name, host->name) == 0)
+				member = &grants->members[i];
+		/* A host may ask before membership has heard of it. */
+		if (member != NULL && member_is_living(member)) {
+			if (host->instance != 0 &&
+			    host->instance != member->instance)
+				host_gone(grants, host, now);
+			host->instance = member->instance;
+		} else if (host->instance != 0) {
+			host_gone(grants, host, now);
+			LIST_REMOVE(host, entry);
+			free(host);
+		}
+		host = next;
+	}
+}
+
+/* Applies the passage of time and changes of the configuration. */
+void
+grants_admit_tick(grants_t *grants, double now)
+{
+	grants_pool_t *pool;
+	const fleet_config_t *config =
+	    grants->params.config(grants->params.ctx);
+
+	LIST_FOREACH (pool, &grants->pools, entry) {
+		if (pool->admission == NULL)
+			continue;
+		if (grants->fleet_changed || pool->configured != config)
+			pool_configure(pool, now);
+		admission_tick(pool->admission, now);
+		pool_dispatch(pool, (str_t){0}, 0, NULL);
+	}
+}
+
+/* Begins to answer other hosts. */
+void
+grants_admit_start(grants_t *grants)
+{
+	peer_handle(grants->params.peer, PEER_GRANT_ASK, on_ask, grants);
+	peer_handle(
+	    grants->params.peer, PEER_GRANT_RELEASE, on_release, grants);
+	peer_handle(grants->params.peer, PEER_GRANT_HELD, on_held, grants);
+}
+
+/* Stops answering other hosts and frees what belongs to the admitting side. */
+void
+grants_admit_stop(grants_t *grants)
+{
+	grants_host_t *host;
+	grants_pool_t *pool;
+
+	peer_handle(grants->params.peer, PEER_GRANT_ASK, NULL, NULL);
+	peer_handle(grants->params.peer, PEER_GRANT_RELEASE, NULL, NULL);
+	peer_handle(grants->params.peer, PEER_GRANT_HELD, NULL, NULL);
+	while ((host = LIST_FIRST(&grants->hosts)) != NULL) {
+		LIST_REMOVE(host, entry);
+		free(host);
+	}
+	LIST_FOREACH (pool, &grants->pools, entry) {
+		if (pool->admission != NULL)
+			admission_delete(pool->admission);
+		pool->admission = NULL;
+	}
+}
--- /dev/null
+++ b/src/grants_wire.c
@@ -0,0 +1,210 @@
+/* The messages between hosts about grants. */
+#include "grants_wire.h"
+
+#include <stdlib.h>
+
+/* GRANT_ASK; the deadline is sent as a duration, clocks differ. */
+void
+grants_pack_ask(buf_t *out, const grant_t *grant, double now)
+{
+	msgpack_packer packer;
+
+	wire_packer_init(&packer, out);
+	msgpack_pack_array(&packer, 9);
+	msgpack_pack_uint64(&packer, grant->id);
+	wire_pack_str(&packer, str_of(grant->pool->name));
+	msgpack_pack_uint64(&packer, grant->params.class);
+	wire_pack_str(&packer, str_of(grant->org));
+	msgpack_pack_uint64(&packer, grant->params.prefix_hash);
+	msgpack_pack_double(&packer, grant->params.deadline - now);
+	wire_pack_str(&packer, str_of(grant->avoid));
+	wire_pack_str(&packer, str_of(grant->grants->host));
+	wire_pack_str(&packer, str_of(grant->grants->zone));
+}
+
+static grant_class_t
+read_class(wire_reader_t *reader)
+{
+	return (
+	    wire_read_u64(reader) == GRANT_ONLINE ? GRANT_ONLINE : GRANT_BATCH);
+}
+
+/* Returns false when the message is malformed. */
+bool
+grants_read_ask(const msgpack_object *body, grants_message_t *out)
+{
+	wire_reader_t reader = wire_reader(body);
+
+	out->id = wire_read_u64(&reader);
+	out->pool = wire_read_str(&reader);
+	out->class = read_class(&reader);
+	out->org = wire_read_str(&reader);
+	out->prefix_hash = wire_read_u64(&reader);
+	out->remaining = wire_read_double(&reader);
+	out->avoid = wire_read_str(&reader);
+	out->holder = wire_read_str(&reader);
+	out->zone = wire_read_str(&reader);
+	return (!reader.fault);
+}
+
+/* GRANT_RELEASE; the endpoint lets a report count for a local grant too. */
+void
+grants_pack_release(
+    buf_t *out, const grant_t *grant, const grant_report_t *report)
+{
+	msgpack_packer packer;
+
+	wire_packer_init(&packer, out);
+	msgpack_pack_array(&packer, 6);
+	msgpack_pack_uint64(&packer, grant->id);
+	wire_pack_str(&packer, str_of(grant->pool->name));
+	wire_pack_str(&packer, str_of(grant->grants->host));
+	wire_pack_str(&packer, str_of(grant->endpoint.name));
+	msgpack_pack_int(&packer, report != NULL ? report->rc : 1);
+	msgpack_pack_double(
+	    &packer, report != NULL ? report->first_token_seconds : 0);
+}
+
+/* A report with rc 1 says nothing. */
+bool
+grants_read_release(const msgpack_object *body, grants_message_t *out)
+{
+	wire_reader_t reader = wire_reader(body);
+
+	out->id = wire_read_u64(&reader);
+	out->pool = wire_read_str(&reader);
+	out->holder = wire_read_str(&reader);
+	out->endpoint = wire_read_str(&reader);
+	out->report.rc = (int)wire_read_i64(&reader);
+	out->report.first_token_seconds = wire_read_double(&reader);
+	return (!reader.fault);
+}
+
+/* The reply to GRANT_ASK, and GRANT. A queued request has no action yet. */
+void
+grants_pack_answer(
+    buf_t *out, const char *pool, bool queued, const admission_action_t *action)
+{
+	static const admission_action_t none;
+	msgpack_packer packer;
+
+	if (action == NULL)
+		action = &none;
+	wire_packer_init(&packer, out);
+	msgpack_pack_array(&packer, 7);
+	msgpack_pack_uint64(&packer, action->id);
+	msgpack_pack_int(&packer, action->rc);
+	wire_pack_str(&packer, str_of(action->endpoint.name));
+	wire_pack_str(&packer, str_of(action->endpoint.address));
+	msgpack_pack_double(&packer, action->retry_after);
+	wire_pack_bool(&packer, queued);
+	wire_pack_str(&packer, str_of(pool));
+}
+
+/* Returns false when the message is malformed. */
+bool
+grants_read_answer(
+    const msgpack_object *body, bool *queued, grants_message_t *out)
+{
+	wire_reader_t reader = wire_reader(body);
+
+	out->id = wire_read_u64(&reader);
+	out->rc = (int)wire_read_i64(&reader);
+	out->endpoint = wire_read_str(&reader);
+	out->address = wire_read_str(&reader);
+	out->retry_after = wire_read_double(&reader);
+	*queued = wire_read_bool(&reader);
+	out->pool = wire_read_str(&reader);
+	return (!reader.fault);
+}
+
+/* GRANT_REVOKE. */
+void
+grants_pack_revoke(buf_t *out, uint64_t id)
+{
+	msgpack_packer packer;
+
+	wire_packer_init(&packer, out);
+	msgpack_pack_array(&packer, 1);
+	msgpack_pack_uint64(&packer, id);
+}
+
+/* Returns false when the message is malformed. */
+bool
+grants_read_revoke(const msgpack_object *body, uint64_t *id)
+{
+	wire_reader_t reader = wire_reader(body);
+
+	*id = wire_read_u64(&reader);
+	return (!reader.fault);
+}
+
+/* GRANT_HELD: everything that this host has or wants of a pool. */
+void
+grants_pack_held(buf_t *out, const grants_pool_t *pool)
+{
+	msgpack_packer packer;
+	const grant_t *grant;
+	size_t count = 0;
+
+	LIST_FOREACH (grant, &pool->held, pool_entry)
+		count++;
+	wire_packer_init(&packer, out);
+	msgpack_pack_array(&packer, 3);
+	wire_pack_str(&packer, str_of(pool->grants->host));
+	wire_pack_str(&packer, str_of(pool->name));
+	msgpack_pack_array(&packer, count);
+	LIST_FOREACH (grant, &pool->held, pool_entry) {
+		msgpack_pack_array(&packer, 5);
+		msgpack_pack_uint64(&packer, grant->id);
+		wire_pack_bool(&packer, grant->endpoint.name[0] == '\0');
+		msgpack_pack_uint64(&packer, grant->params.class);
+		wire_pack_str(&packer, str_of(grant->org));
+		wire_pack_str(&packer, str_of(grant->endpoint.name));
+	}
+}
+
+/* Returns the number of holdings in *out, which the caller frees. */
+size_t
+grants_read_held(const msgpack_object *body, grants_message_t *head,
+    admission_holding_t **out)
+{
+	wire_reader_t reader = wire_reader(body);
+	wire_reader_t list;
+	size_t count;
+
+	*out = NULL;
+	head->holder = wire_read_str(&reader);
+	head->pool = wire_read_str(&reader);
+	list = wire_read_array(&reader);
+	if (reader.fault) {
+		head->holder = (str_t){0};
+		return (0);
+	}
+	count = list.left;
+	*out = xcalloc(count, sizeof(**out));
+	for (size_t i = 0; i < count; i++) {
+		wire_reader_t item = wire_read_array(&list);
+
+		(*out)[i].id = wire_read_u64(&item);
+		(*out)[i].waiting = wire_read_bool(&item);
+		(*out)[i].class = read_class(&item);
+		(*out)[i].org = wire_read_str(&item);
+		(*out)[i].endpoint = wire_read_str(&item);
+		if (item.fault)
+			return (i);
+	}
+	return (count);
+}
+
+/* The reply to GRANT_HELD. */
+void
+grants_pack_ids(buf_t *out, const uint64_t *ids, size_t count)
+{
+	msgpack_packer packer;
+
+	wire_packer_init(&packer, out);
+	msgpack_pack_array(&packer, count);
+	for (size_t i = 0; i < count; i++)
+		msgpack_pack_uint64(&packer, ids[i]);
+}
--- /dev/null
+++ b/src/grants_wire.h
@@ -0,0 +1,41 @@
+/* The messages between hosts about grants. */
+#ifndef DAISYPIER_GRANTS_WIRE_H
+#define DAISYPIER_GRANTS_WIRE_H
+
+#include "grants_state.h"
+
+/* GRANT_ASK, GRANT_RELEASE and GRANT_HELD name the holder and the pool. */
+typedef struct grants_message_t {
+	str_t holder;
+	str_t pool;
+	uint64_t id;
+	grant_class_t class;
+	str_t org;
+	uint64_t prefix_hash;
+	double remaining; /* seconds until the deadline */
+	str_t avoid;
+	str_t zone;
+	str_t endpoint;
+	str_t address;
+	int rc;
+	double retry_after;
+	grant_report_t report;
+} grants_message_t;
+
+void grants_pack_ask(buf_t *out, const grant_t *grant, double now);
+bool grants_read_ask(const msgpack_object *body, grants_message_t *out);
+void grants_pack_release(
+    buf_t *out, const grant_t *grant, const grant_report_t *report);
+bool grants_read_release(const msgpack_object *body, grants_message_t *out);
+void grants_pack_answer(buf_t *out, const char *pool, bool queued,
+    const admission_action_t *action);
+bool grants_read_answer(
+    const msgpack_object *body, bool *queued, grants_message_t *out);
+void grants_pack_revoke(buf_t *out, uint64_t id);
+bool grants_read_revoke(const msgpack_object *body, uint64_t *id);
+void grants_pack_held(buf_t *out, const grants_pool_t *pool);
+size_t grants_read_held(const msgpack_object *body, grants_message_t *head,
+    admission_holding_t **out);
+void grants_pack_ids(buf_t *out, const uint64_t *ids, size_t count);
+
+#endif
--- a/tests/test_admission.c
+++ b/tests/test_admission.c
@@ -236,6 +236,26 @@
 	admission_delete(t.a);
 }
 
+/* Guards against a stream that ends in the middle for a limit. */
+static void
+test_continued_request_is_not_refused(void)
+{
+	admission_settings_t no_queue = settings;
+	pool_test_t t;
+	uint64_t id;
+
+	no_queue.queue_limit = 0;
+	setup(&t, &no_queue, 2, 1);
+	ask(&t, GRANT_ONLINE);
+	ask(&t, GRANT_ONLINE);
+	id = ask_full(
+	    &t, &(admission_ask_t){
+		    .avoid = "e0", .concurrency = 1, .deadline = t.now + 0.01});
+	CU_ASSERT(t.refused == 0);
+	CU_ASSERT(admission_is_waiting(t.a, "h1", id));
+	admission_delete(t.a);
+}
+
 /* Guards against weights without effect. */
 static void
 test_weights_share_batch_slots(void)
@@ -375,6 +395,24 @@
 	admission_delete(t.a);
 }
 
+/* Guards against a pool that stops because every endpoint failed at once. */
+static void
+test_half_of_the_endpoints_stay(void)
+{
+	grant_report_t failed = {.rc = -RESULT_ENDPOINT_FAILED};
+	static const char *const names[] = {"e0", "e1", "e2", "e3"};
+	pool_test_t t;
+	admission_stats_t stats;
+
+	setup(&t, &settings, 4, 4);
+	for (int i = 0; i < 12; i++)
+		admission_report(t.a, names[i % 4], &failed, t.now);
+	admission_stats(t.a, t.now, &stats);
+	/* Two are out, two go on with one request at a time. */
+	CU_ASSERT(stats.capacity == 2);
+	admission_delete(t.a);
+}
+
 /* Guards against a queue inside an engine that became slow. */
 static void
 test_slow_endpoint_gets_fewer_requests(void)
@@ -582,6 +620,7 @@
     {"reserve is kept and restored", test_reserve_is_kept_and_restored},
     {"flood does not starve others", test_flood_does_not_starve_others},
     {"full queue drops the longest", test_full_queue_drops_the_longest},
+    {"continued request is not refused", test_continued_request_is_not_refused},
     {"weights share batch slots", test_weights_share_batch_slots},
     {"organisation limits", test_org_limits},
     {"hopeless request is refused early",
@@ -589,6 +628,7 @@
     {"waiting ends at the deadline", test_waiting_ends_at_the_deadline},
     {"leaving and failing endpoints get nothing",
 	test_leaving_and_failing_endpoints_get_nothing},
+    {"half of the endpoints stay", test_half_of_the_endpoints_stay},
     {"slow endpoint gets fewer requests",
 	test_slow_endpoint_gets_fewer_requests},
     {"takeover bounds double grants", test_takeover_bounds_double_grants},
--- /dev/null
+++ b/tests/test_grants.c
@@ -0,0 +1,496 @@
+/* Tests of grants between hosts: three hosts of one process on loopback. */
+#include "suite.h"
+
+#include <stdio.h>
+#include <string.h>
+
+#include "admission.h"
+#include "clock.h"
+#include "grants.h"
+#include "require.h"
+#include "result.h"
+
+#define HOSTS 3
+#define POOL  "m"
+#define TOKEN                                           \
+	"token_hash = 0123456789abcdef0123456789abcdef" \
+	"0123456789abcdef0123456789abcdef\n"
+#define ENDPOINT(name, port)                             \
+	"[endpoint " name "]\naddress = 127.0.0.9:" port \
+	"\nzone = z\nmodel = m\nslots = 4\n"
+
+static const char config_text[] = "[model m]\nonline_reserve = 0\n" ENDPOINT(
+    "e0", "1") ENDPOINT("e1", "2") "[organisation acme]\n" TOKEN;
+
+static const char *const host_names[HOSTS] = {"a", "b", "c"};
+static const char *const host_addresses[HOSTS] = {
+    "127.0.5.1", "127.0.5.2", "127.0.5.3"};
+
+/* One request of the test and what became of it. */
+typedef struct asked_t {
+	grant_t *grant;
+	unsigned answers;
+	unsigned revokes;
+	int rc;
+	bool keep; /* do not release when asked to */
+	grant_endpoint_t endpoint;
+	double asked;
+	double answered;
+} asked_t;
+
+typedef struct grants_test_t {
+	struct ev_loop *loop;
+	fleet_config_t *config;
+	member_t members[HOSTS];
+	peer_t *peers[HOSTS];
+	grants_t *grants[HOSTS];
+	ev_timer stop;
+	const char *leaving; /* endpoint */
+} grants_test_t;
+
+static const fleet_config_t *
+get_config(void *ctx)
+{
+	return (((grants_test_t *)ctx)->config);
+}
+
+static size_t
+get_members(void *ctx, const member_t **out)
+{
+	*out = ((grants_test_t *)ctx)->members;
+	return (HOSTS);
+}
+
+static bool
+is_leaving(void *ctx, const config_endpoint_t *endpoint)
+{
+	const grants_test_t *t = ctx;
+
+	return (t->leaving != NULL && strcmp(t->leaving, endpoint->name) == 0);
+}
+
+static void
+start_host(grants_test_t *t, size_t i, grants_mode_t mode, uint16_t port)
+{
+	peer_params_t peer = {
+	    .address = host_addresses[i],
+	    .port = port,
+	    .key = STR("key"),
+	};
+	grants_params_t params = {
+	    .loop = t->loop,
+	    .host = host_names[i],
+	    .zone = "z",
+	    .site = "s",
+	    .mode = mode,
+	    .config = get_config,
+	    .members = get_members,
+	    .endpoint_leaving = is_leaving,
+	    .ctx = t,
+	};
+
+	CU_ASSERT(peer_new(t->loop, &peer, &t->peers[i]) == 0);
+	params.peer = t->peers[i];
+	t->grants[i] = grants_new(&params);
+}
+
+static void
+stop_host(grants_test_t *t, size_t i)
+{
+	if (t->grants[i] == NULL)
+		return;
+	grants_delete(t->grants[i]);
+	peer_delete(t->peers[i]);
+	t->grants[i] = NULL;
+	t->peers[i] = NULL;
+}
+
+static void
+on_stop(struct ev_loop *loop, ev_timer *timer, int events)
+{
+	(void)timer;
+	(void)events;
+	ev_break(loop, EVBREAK_ALL);
+}
+
+static void
+run_for(grants_test_t *t, double seconds)
+{
+	ev_now_update(t->loop);
+	ev_timer_set(&t->stop, seconds, 0);
+	ev_timer_start(t->loop, &t->stop);
+	ev_run(t->loop, 0);
+}
+
+/* Starts all hosts; only admits is ready, so that it admits the pool. */
+static void
+setup(grants_test_t *t, size_t admits, grants_mode_t mode)
+{
+	config_faults_t faults;
+
+	*t = (grants_test_t){.loop = ev_loop_new(0)};
+	ev_timer_init(&t->stop, on_stop, 0, 0);
+	if (config_parse(str_of(config_text), STR(""), &t->config, &faults) !=
+	    0)
+		fprintf(stderr, "line %u: %s\n", faults.items[0].line,
+		    faults.items[0].text);
+	REQUIRE(t->config != NULL);
+	config_faults_free(&faults);
+	for (size_t i = 0; i < HOSTS; i++) {
+		member_t *member = &t->members[i];
+
+		str_copy(
+		    member->name, sizeof(member->name), str_of(host_names[i]));
+		str_copy(member->address, sizeof(member->address),
+		    str_of(host_addresses[i]));
+		str_copy(member->site, sizeof(member->site), STR("s"));
+		member->instance = i + 1;
+		member->ready = i == admits;
+	}
+	for (size_t i = 0; i < HOSTS; i++)
+		start_host(t, i, mode, i > 0 ? peer_port(t->peers[0]) : 0);
+}
+
+static void
+teardown(grants_test_t *t)
+{
+	for (size_t i = 0; i < HOSTS; i++)
+		stop_host(t, i);
+	config_unref(t->config);
+	ev_loop_destroy(t->loop);
+}
+
+static void
+on_grant(void *ctx, grant_t *grant, int rc, const grant_endpoint_t *endpoint)
+{
+	asked_t *asked = ctx;
+
+	CU_ASSERT(asked->grant == grant);
+	asked->answers++;
+	asked->rc = rc;
+	asked->answered = clock_monotonic();
+	if (rc == 0)
+		asked->endpoint = *endpoint;
+	else
+		asked->grant = NULL;
+}
+
+static void
+on_revoke(void *ctx, grant_t *grant)
+{
+	asked_t *asked = ctx;
+
+	asked->revokes++;
+	if (asked->keep)
+		return;
+	asked->grant = NULL;
+	grant_release(grant, NULL);
+}
+
+static void
+ask(grants_test_t *t, size_t host, grant_class_t class, asked_t *asked)
+{
+	grant_params_t params = {
+	    .pool = POOL,
+	    .class = class,
+	    .org = "acme",
+	    .deadline = clock_monotonic() + 5,
+	    .on_grant = on_grant,
+	    .on_revoke = on_revoke,
+	    .ctx = asked,
+	};
+
+	asked->asked = clock_monotonic();
+	asked->grant = grants_ask(t->grants[host], &params);
+	CU_ASSERT(asked->answers == 0);
+}
+
+static void
+release(asked_t *asked)
+{
+	if (asked->grant != NULL)
+		grant_release(asked->grant, &(grant_report_t){0});
+	asked->grant = NULL;
+}
+
+static admission_stats_t
+stats_of(grants_test_t *t, size_t host)
+{
+	admission_stats_t stats = {0};
+
+	grants_stats(t->grants[host], POOL, &stats);
+	return (stats);
+}
+
+/* Lets the admitting host's time of limited grants pass. */
+static void
+settle(grants_test_t *t)
+{
+	asked_t asked = {0};
+
+	ask(t, 1, GRANT_ONLINE, &asked);
+	run_for(t, 1.7);
+	release(&asked);
+}
+
+/* Guards against a grant that never arrives or is never given back. */
+static void
+test_grants_on_own_and_other_host(void)
+{
+	grants_test_t t;
+	asked_t asked[2] = {0};
+
+	setup(&t, 1, GRANTS_POOL);
+	settle(&t);
+	ask(&t, 0, GRANT_ONLINE, &asked[0]);
+	ask(&t, 1, GRANT_ONLINE, &asked[1]);
+	run_for(&t, 0.1);
+	for (size_t i = 0; i < 2; i++) {
+		CU_ASSERT(asked[i].answers == 1 && asked[i].rc == 0);
+		CU_ASSERT(
+		    strncmp(asked[i].endpoint.address, "127.0.0.9:", 10) == 0);
+	}
+	CU_ASSERT(stats_of(&t, 1).online == 2);
+	release(&asked[0]);
+	release(&asked[1]);
+	run_for(&t, 0.1);
+	CU_ASSERT(stats_of(&t, 1).online == 0);
+	CU_ASSERT(grants_open(t.grants[0]) == 0);
+	teardown(&t);
+}
+
+/* Guards against an online request that waits for another host's batch. */
+static void
+test_online_revokes_batch_of_other_host(void)
+{
+	grants_test_t t;
+	asked_t batch[10] = {0};
+	asked_t online = {0};
+	unsigned granted = 0;
+
+	setup(&t, 1, GRANTS_POOL);
+	settle(&t);
+	for (size_t i = 0; i < 10; i++)
+		ask(&t, 0, GRANT_BATCH, &batch[i]);
+	run_for(&t, 0.2);
+	for (size_t i = 0; i < 10; i++)
+		granted += batch[i].answers;
+	CU_ASSERT(granted == 8);
+	ask(&t, 2, GRANT_ONLINE, &online);
+	run_for(&t, 0.2);
+	CU_ASSERT(online.answers == 1 && online.rc == 0);
+	CU_ASSERT(online.answered - online.asked < 0.05);
+	for (size_t i = 0; i < 10; i++)
+		granted -= batch[i].revokes;
+	CU_ASSERT(granted == 7);
+	/* A queued request gets the next free slot by a message. */
+	release(&online);
+	run_for(&t, 0.1);
+	for (size_t i = 0; i < 10; i++)
+		granted += batch[i].answers;
+	CU_ASSERT(granted == 7 + 9);
+	for (size_t i = 0; i < 10; i++)
+		release(&batch[i]);
+	run_for(&t, 0.1);
+	CU_ASSERT(stats_of(&t, 1).batch == 0);
+	teardown(&t);
+}
+
+/* Guards against online requests that fail with their admitting host. */
+static void
+test_local_allowance_without_admitting_host(void)
+{
+	grants_test_t t;
+	asked_t online[8] = {0};
+	asked_t batch = {0};
+	unsigned granted = 0;
+	size_t asker = 0;
+
+	setup(&t, 1, GRANTS_POOL);
+	for (size_t i = 0; i < HOSTS; i++) {
+		t.members[i].ready = true;
+		grants_fleet_changed(t.grants[i]);
+	}
+	run_for(&t, 0.1);
+	ask(&t, 0, GRANT_ONLINE, &online[0]);
+	run_for(&t, 0.1);
+	release(&online[0]);
+	online[0] = (asked_t){0};
+	for (size_t i = 0; i < HOSTS; i++) {
+		if (grants_stats(t.grants[i], POOL, &(admission_stats_t){0}))
+			stop_host(&t, i);
+		else
+			asker = i;
+	}
+	/* One of three hosts, 2 endpoints with 4 slots: one on each. */
+	for (size_t i = 0; i < 8; i++)
+		ask(&t, asker, GRANT_ONLINE, &online[i]);
+	ask(&t, asker, GRANT_BATCH, &batch);
+	run_for(&t, 0.5);
+	for (size_t i = 0; i < 8; i++)
+		granted += online[i].answers;
+	CU_ASSERT(granted == 2);
+	CU_ASSERT(batch.answers == 0);
+	for (size_t i = 0; i < 8; i++)
+		if (online[i].answers > 0) {
+			CU_ASSERT(online[i].answered - online[i].asked < 0.3);
+			release(&online[i]);
+			break;
+		}
+	run_for(&t, 0.1);
+	granted = 0;
+	for (size_t i = 0; i < 8; i++)
+		granted += online[i].answers;
+	CU_ASSERT(granted == 3);
+	teardown(&t);
+}
+
+/* Guards against slots granted twice after another host takes over. */
+static void
+test_takeover_learns_grants(void)
+{
+	grants_test_t t;
+	asked_t online[10] = {0};
+	asked_t late = {0};
+	unsigned granted = 0;
+
+	setup(&t, 1, GRANTS_POOL);
+	settle(&t);
+	for (size_t i = 0; i < 10; i++)
+		ask(&t, 0, GRANT_ONLINE, &online[i]);
+	run_for(&t, 0.2);
+	/* Host c takes over from host b, which goes away. */
+	t.members[1].ready = false;
+	t.members[1].state = MEMBER_DEAD;
+	t.members[2].ready = true;
+	stop_host(&t, 1);
+	for (size_t i = 0; i < HOSTS; i++)
+		if (t.grants[i] != NULL)
+			grants_fleet_changed(t.grants[i]);
+	run_for(&t, 0.3);
+	CU_ASSERT(stats_of(&t, 2).online >= 8);
+	ask(&t, 2, GRANT_ONLINE, &late);
+	run_for(&t, 1.5);
+	for (size_t i = 0; i < 10; i++)
+		granted += online[i].answers;
+	CU_ASSERT(granted == 8 && late.answers == 0);
+	CU_ASSERT(stats_of(&t, 2).online == 8);
+	for (size_t i = 0; i < 10; i++)
+		if (online[i].answers > 0)
+			release(&online[i]);
+	run_for(&t, 0.2);
+	granted = late.answers;
+	for (size_t i = 0; i < 10; i++)
+		granted += online[i].answers;
+	CU_ASSERT(granted == 8 + 3);
+	teardown(&t);
+}
+
+/* Guards against slots that a dead host keeps. */
+static void
+test_grants_of_dead_host_are_reclaimed(void)
+{
+	grants_test_t t;
+	asked_t online = {0};
+
+	setup(&t, 1, GRANTS_POOL);
+	settle(&t);
+	ask(&t, 0, GRANT_ONLINE, &online);
+	run_for(&t, 1.2); /* until host a has been seen in the member table */
+	CU_ASSERT(stats_of(&t, 1).online == 1);
+	stop_host(&t, 0);
+	t.members[0].state = MEMBER_DEAD;
+	grants_fleet_changed(t.grants[1]);
+	run_for(&t, 0.2);
+	CU_ASSERT(stats_of(&t, 1).online == 0);
+	teardown(&t);
+}
+
+/* Guards against new work on an endpoint that the platform lists as leaving. */
+static void
+test_leaving_endpoint_gets_nothing(void)
+{
+	grants_test_t t;
+	asked_t online[8] = {0};
+	unsigned granted = 0;
+
+	setup(&t, 1, GRANTS_POOL);
+	settle(&t);
+	t.leaving = "e1";
+	run_for(&t, 1.2);
+	for (size_t i = 0; i < 8; i++)
+		ask(&t, 0, GRANT_ONLINE, &online[i]);
+	run_for(&t, 0.2);
+	for (size_t i = 0; i < 8; i++) {
+		granted += online[i].answers;
+		CU_ASSERT(online[i].answers == 0 ||
+			  strcmp(online[i].endpoint.name, "e0") == 0);
+	}
+	CU_ASSERT(granted == 4);
+	teardown(&t);
+}
+
+/* Guards against a baseline that is not one: no priority, no waiting. */
+static void
+test_two_choices_mode(void)
+{
+	grants_test_t t;
+	asked_t asked[40] = {0};
+	unsigned first = 0;
+
+	setup(&t, 1, GRANTS_TWO_CHOICES);
+	for (size_t i = 0; i < 40; i++)
+		ask(&t, 0, i % 2 ? GRANT_BATCH : GRANT_ONLINE, &asked[i]);
+	run_for(&t, 0.1);
+	for (size_t i = 0; i < 40; i++) {
+		CU_ASSERT(asked[i].answers == 1 && asked[i].rc == 0);
+		CU_ASSERT(asked[i].revokes == 0);
+		first += strcmp(asked[i].endpoint.name, "e0") == 0;
+		release(&asked[i]);
+	}
+	CU_ASSERT(first >= 15 && first <= 25);
+	teardown(&t);
+}
+
+/* Guards against a request that never gets any answer. */
+static void
+test_refusals(void)
+{
+	grants_test_t t;
+	asked_t unknown = {0};
+	grant_params_t params = {
+	    .pool = "nothing",
+	    .org = "acme",
+	    .deadline = clock_monotonic() + 5,
+	    .on_grant = on_grant,
+	    .ctx = &unknown,
+	};
+	asked_t withdrawn = {0};
+
+	setup(&t, 1, GRANTS_POOL);
+	unknown.grant = grants_ask(t.grants[0], &params);
+	ask(&t, 0, GRANT_ONLINE, &withdrawn);
+	release(&withdrawn);
+	run_for(&t, 0.2);
+	CU_ASSERT(unknown.answers == 1 && unknown.rc == -RESULT_UNKNOWN_MODEL);
+	CU_ASSERT(withdrawn.answers == 0);
+	CU_ASSERT(stats_of(&t, 1).online == 0);
+	CU_ASSERT(grants_open(t.grants[0]) == 0);
+	teardown(&t);
+}
+
+static const suite_test_t tests[] = {
+    {"grants on own and other host", test_grants_on_own_and_other_host},
+    {"online revokes batch of other host",
+	test_online_revokes_batch_of_other_host},
+    {"local allowance without admitting host",
+	test_local_allowance_without_admitting_host},
+    {"takeover learns grants", test_takeover_learns_grants},
+    {"grants of dead host are reclaimed",
+	test_grants_of_dead_host_are_reclaimed},
+    {"leaving endpoint gets nothing", test_leaving_endpoint_gets_nothing},
+    {"two choices mode", test_two_choices_mode},
+    {"refusals", test_refusals},
+};
+
+SUITE_MAIN("grants", tests)
