Run one generation on one endpoint and resume it

It succeeds only with the finish event and the right token count. Requests that must not be repeated use a fresh connection and are not resumed. httpc.c: calls started or cancelled inside on_data are added to or removed from libcurl after its callback; libcurl refuses both inside its callbacks, so that an order to cancel sent from on_token would never have been sent.

Ruled out: counting bytes as progress; an endpoint that only sends comments would then hold a slot until the deadline.

Measured: 15 tests against a scripted engine.

--- /dev/null
+++ b/src/generation.c
@@ -0,0 +1,393 @@
+/* One generation on one endpoint, from its first to its last token. */
+#include "generation.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <jansson.h>
+
+#include "clock.h"
+#include "counter.h"
+#include "result.h"
+#include "sse.h"
+
+#define CONNECT_TIMEOUT_S 1.0
+/* An order to cancel that takes longer is given up. */
+#define CANCEL_TIMEOUT_S 2.0
+/* Longest reason of a refusal that is passed on, in bytes. */
+#define MAX_DETAIL 1024
+
+struct generation_t {
+	httpc_t *httpc;
+	char address[64];
+	char attempt_id[128];
+	generation_params_t params;
+	http_call_t *call;
+	sse_t sse;
+	ev_timer silence;
+	ev_timer restart; /* continues outside the call's own callbacks */
+	unsigned next_index;
+	bool resumed;  /* the present connection resumes */
+	bool progress; /* this connection brought a token */
+	bool sent;
+	bool in_callback;
+	bool cancelled;
+	bool finished;
+	int fault; /* of the present connection */
+	char finish_reason[32];
+	char detail[MAX_DETAIL];
+	counter_t *resumes;
+	counter_t *dropped;
+};
+
+static void generation_connect(generation_t *g, bool resume);
+
+static void
+generation_free(generation_t *g)
+{
+	struct ev_loop *loop = httpc_loop(g->httpc);
+
+	ev_timer_stop(loop, &g->silence);
+	ev_timer_stop(loop, &g->restart);
+	if (g->call != NULL)
+		http_call_cancel(g->call);
+	sse_free(&g->sse);
+	free(g);
+}
+
+static void
+on_cancel_done(void *ctx, const http_result_t *result)
+{
+	(void)ctx;
+	(void)result;
+}
+
+/* Tells the engine that nobody wants the rest; the slot becomes free. */
+static void
+generation_cancel_at_engine(const generation_t *g)
+{
+	char url[128];
+	json_t *object = json_pack("{s:s}", "request_id", g->attempt_id);
+	char *text = json_dumps(object, JSON_COMPACT);
+
+	snprintf(url, sizeof(url), "http://%s/v1/cancel", g->address);
+	http_call_start(g->httpc, &(http_call_params_t){
+				      .method = "POST",
+				      .url = url,
+				      .body = str_of(text),
+				      .connect_timeout = CONNECT_TIMEOUT_S,
+				      .timeout = CANCEL_TIMEOUT_S,
+				      .on_done = on_cancel_done,
+				  });
+	free(text);
+	json_decref(object);
+}
+
+static void
+generation_end(generation_t *g, int rc)
+{
+	generation_result_t result = {
+	    .rc = rc,
+	    .sent = g->sent,
+	    .next_index = g->next_index,
+	};
+	void (*on_done)(void *, const generation_result_t *) =
+	    g->params.on_done;
+	void *ctx = g->params.ctx;
+	char finish_reason[sizeof(g->finish_reason)];
+	char detail[sizeof(g->detail)];
+
+	if (rc != 0 && rc != -RESULT_ENDPOINT_REFUSED && g->sent)
+		generation_cancel_at_engine(g);
+	memcpy(finish_reason, g->finish_reason, sizeof(finish_reason));
+	memcpy(detail, g->detail, sizeof(detail));
+	result.finish_reason = str_of(finish_reason);
+	result.detail = str_of(detail);
+	generation_free(g);
+	on_done(ctx, &result);
+}
+
+/*
+ * Decides what follows after a connection ended early: resume at the engine, or
+ * the end after a resume that brought no token. A request that must not be
+ * repeated is not resumed, because an engine could take a resume for a new
+ * request.
+ */
+static void
+generation_broken(generation_t *g, int rc)
+{
+	double now = clock_monotonic();
+
+	if (now >= g->params.deadline)
+		generation_end(g, -RESULT_TIMEOUT);
+	else if (!g->params.repeatable || !g->sent ||
+		 (g->resumed && !g->progress))
+		generation_end(g, rc);
+	else
+		generation_connect(g, true);
+}
+
+static void
+on_restart(struct ev_loop *loop, ev_timer *timer, int events)
+{
+	generation_t *g = timer->data;
+
+	(void)events;
+	ev_timer_stop(loop, timer);
+	generation_broken(g, g->fault);
+}
+
+/* Gives the present connection up; what follows happens from the loop. */
+static void
+generation_drop(generation_t *g, int rc)
+{
+	struct ev_loop *loop = httpc_loop(g->httpc);
+
+	g->fault = rc;
+	ev_timer_stop(loop, &g->silence);
+	if (g->call != NULL) {
+		g->sent = true;
+		http_call_cancel(g->call);
+	}
+	g->call = NULL;
+	ev_timer_set(&g->restart, 0, 0);
+	ev_timer_start(loop, &g->restart);
+}
+
+/*
+ * No token arrived for too long. Bytes that bring no token do not count, so an
+ * endpoint that only sends comments is noticed too.
+ */
+static void
+on_silence(struct ev_loop *loop, ev_timer *timer, int events)
+{
+	generation_t *g = timer->data;
+
+	(void)events;
+	ev_timer_stop(loop, timer);
+	if (g->finished)
+		generation_end(g, 0);
+	else
+		generation_drop(g, -RESULT_ENDPOINT_SILENT);
+}
+
+static void
+generation_expect(generation_t *g, double seconds)
+{
+	double left = g->params.deadline - clock_monotonic();
+
+	g->silence.repeat = seconds < left ? seconds : left;
+	if (g->silence.repeat <= 0)
+		g->silence.repeat = 0.001;
+	ev_timer_again(httpc_loop(g->httpc), &g->silence);
+}
+
+/* Returns false when the connection is of no more use. */
+static bool
+generation_take_finish(generation_t *g, const json_t *event, const char *reason)
+{
+	const json_t *tokens = json_object_get(event, "tokens");
+
+	if (!json_is_integer(tokens) ||
+	    json_integer_value(tokens) != (json_int_t)g->next_index)
+		return (false);
+	str_copy(g->finish_reason, sizeof(g->finish_reason), str_of(reason));
+	g->finished = true;
+	/* The end of the answer follows; it adds nothing. */
+	generation_expect(g, g->params.silence);
+	return (true);
+}
+
+/* Returns false when the connection is of no more use. */
+static bool
+generation_take_token(generation_t *g, const json_t *event)
+{
+	const json_t *index = json_object_get(event, "index");
+	const json_t *text = json_object_get(event, "text");
+	json_int_t i = json_integer_value(index);
+
+	if (!json_is_integer(index) || !json_is_string(text) || i < 0)
+		return (false);
+	if (i < (json_int_t)g->next_index) {
+		counter_add(g->dropped, 1); /* a repeated token */
+		return (true);
+	}
+	if (i > (json_int_t)g->next_index)
+		return (false); /* a gap */
+	g->progress = true;
+	g->next_index++;
+	generation_expect(g, g->params.silence);
+	g->params.on_token(g->params.ctx, (unsigned)i,
+	    (str_t){json_string_value(text), json_string_length(text)});
+	return (true);
+}
+
+static bool
+on_event(void *ctx, str_t data)
+{
+	generation_t *g = ctx;
+	json_t *event;
+	const char *id;
+	const char *reason;
+	bool ok = false;
+
+	if (g->finished || str_equal(data, STR("[DONE]")))
+		return (true);
+	event = json_loadb(data.data, data.len, 0, NULL);
+	id = json_string_value(json_object_get(event, "id"));
+	reason = json_string_value(json_object_get(event, "finish_reason"));
+	if (id != NULL && strcmp(id, g->attempt_id) != 0) {
+		/* It belongs to another request. */
+		counter_add(g->dropped, 1);
+		ok = true;
+	} else if (id != NULL) {
+		ok = reason != NULL ? generation_take_finish(g, event, reason)
+				    : generation_take_token(g, event);
+	}
+	json_decref(event);
+	return (ok && !g->cancelled);
+}
+
+static void
+on_data(void *ctx, str_t data)
+{
+	generation_t *g = ctx;
+	bool ok;
+
+	g->in_callback = true;
+	ok = sse_feed(&g->sse, data, on_event, g);
+	g->in_callback = false;
+	if (g->cancelled)
+		generation_free(g);
+	else if (!ok)
+		generation_drop(g, -RESULT_BROKEN_ANSWER);
+}
+
+/* Takes the reason out of an error body, or the body itself. */
+static void
+generation_take_detail(generation_t *g, str_t body)
+{
+	json_t *object = json_loadb(body.data, body.len, 0, NULL);
+	json_t *error = json_object_get(object, "error");
+	const char *text = json_string_value(error);
+
+	if (text == NULL)
+		text = json_string_value(json_object_get(error, "message"));
+	if (text == NULL)
+		text = json_string_value(json_object_get(object, "reason"));
+	str_copy(
+	    g->detail, sizeof(g->detail), text != NULL ? str_of(text) : body);
+	json_decref(object);
+}
+
+static void
+on_done(void *ctx, const http_result_t *result)
+{
+	generation_t *g = ctx;
+
+	g->call = NULL;
+	g->sent = g->sent || result->sent;
+	ev_timer_stop(httpc_loop(g->httpc), &g->silence);
+	if (g->finished) {
+		generation_end(g, 0);
+	} else if (result->rc != 0) {
+		generation_broken(g, result->rc);
+	} else if (result->status == 200) {
+		generation_broken(g, -RESULT_BROKEN_ANSWER);
+	} else if (result->status == 422) {
+		generation_take_detail(g, result->body);
+		generation_end(g, -RESULT_ENDPOINT_REFUSED);
+	} else {
+		generation_take_detail(g, result->body);
+		generation_end(g, -RESULT_ENDPOINT_FAILED);
+	}
+}
+
+static json_t *
+generation_request(const generation_t *g, bool resume)
+{
+	const generation_params_t *p = &g->params;
+
+	if (resume)
+		return (json_pack("{s:s,s:i}", "request_id", g->attempt_id,
+		    "from", (int)g->next_index));
+	return (json_pack("{s:s,s:s%,s:i,s:b,s:s,s:i}", "model", p->model,
+	    "prompt", p->prompt.data != NULL ? p->prompt.data : "",
+	    p->prompt.len, "max_tokens", (int)p->max_tokens, "stream", 1,
+	    "request_id", g->attempt_id, "start_index", (int)p->start_index));
+}
+
+static void
+generation_connect(generation_t *g, bool resume)
+{
+	static const char *const headers[] = {
+	    "Content-Type: application/json", NULL};
+	char url[128];
+	json_t *object = generation_request(g, resume);
+	char *text = object != NULL ? json_dumps(object, JSON_COMPACT) : NULL;
+
+	if (resume)
+		counter_add(g->resumes, 1);
+	g->resumed = resume;
+	sse_reset(&g->sse);
+	g->progress = false;
+	snprintf(url, sizeof(url), "http://%s/v1/%s", g->address,
+	    resume ? "resume" : "completions");
+	g->call = http_call_start(
+	    g->httpc, &(http_call_params_t){
+			  .method = "POST",
+			  .url = url,
+			  .headers = headers,
+			  .body = str_of(text),
+			  .connect_timeout = CONNECT_TIMEOUT_S,
+			  .fresh_connection = resume || !g->params.repeatable,
+			  .on_data = on_data,
+			  .on_done = on_done,
+			  .ctx = g,
+		      });
+	free(text);
+	json_decref(object);
+	generation_expect(g, g->next_index > g->params.start_index
+				 ? g->params.silence
+				 : g->params.first_token_silence);
+}
+
+/* Starts a generation; see generation.h. */
+generation_t *
+generation_start(httpc_t *httpc, const generation_params_t *params)
+{
+	generation_t *g = xcalloc(1, sizeof(*g));
+
+	g->httpc = httpc;
+	g->params = *params;
+	str_copy(g->address, sizeof(g->address), str_of(params->address));
+	str_copy(
+	    g->attempt_id, sizeof(g->attempt_id), str_of(params->attempt_id));
+	g->next_index = params->start_index;
+	g->resumes = counter_get("daisypier_streams_resumed_total",
+	    "Streams resumed at the engine after a break or silence");
+	g->dropped = counter_get("daisypier_events_dropped_total",
+	    "Events of another request or repeated tokens");
+	ev_timer_init(&g->silence, on_silence, 0, 0);
+	ev_timer_init(&g->restart, on_restart, 0, 0);
+	g->silence.data = g;
+	g->restart.data = g;
+	generation_connect(g, false);
+	/* Only the first request carries the caller's strings. */
+	g->params.prompt = (str_t){0};
+	g->params.model = NULL;
+	return (g);
+}
+
+/* Cancels here and at the engine; no callback follows. */
+void
+generation_cancel(generation_t *g)
+{
+	generation_cancel_at_engine(g);
+	if (!g->in_callback) {
+		generation_free(g);
+		return;
+	}
+	g->cancelled = true;
+}
--- a/src/httpc.c
+++ b/src/httpc.c
@@ -25,7 +25,12 @@
 	struct ev_loop *loop;
 	CURLM *multi;
 	ev_timer timer;
-	ev_timer reaper; /* finishes calls outside libcurl's callbacks */
+	/*
+	 * libcurl permits neither to add nor to remove calls inside its
+	 * callbacks; this timer does it afterwards.
+	 */
+	ev_timer reaper;
+	bool in_callback;
 	LIST_HEAD(, http_call_t) calls;
 };
 
@@ -41,7 +46,7 @@
 	http_data_cb_t on_data;
 	http_done_cb_t on_done;
 	void *ctx;
-	bool in_callback; /* on_data is running: free later */
+	bool waiting; /* not given to libcurl yet */
 	bool cancelled;
 	LIST_ENTRY(http_call_t) entry;
 };
@@ -51,7 +56,8 @@
 {
 	ev_timer_stop(call->httpc->loop, &call->idle_timer);
 	LIST_REMOVE(call, entry);
-	curl_multi_remove_handle(call->httpc->multi, call->easy);
+	if (!call->waiting)
+		curl_multi_remove_handle(call->httpc->multi, call->easy);
 	curl_easy_cleanup(call->easy);
 	curl_slist_free_all(call->headers);
 	buf_free(&call->answer);
@@ -213,12 +219,25 @@
 	while (call != NULL) {
 		http_call_t *next = LIST_NEXT(call, entry);
 
-		if (call->cancelled)
+		if (call->cancelled) {
 			call_free(call);
+		} else if (call->waiting) {
+			call->waiting = false;
+			curl_multi_add_handle(httpc->multi, call->easy);
+		}
 		call = next;
 	}
 }
 
+/* Lets the reaper run when libcurl's callback is over. */
+static void
+httpc_reap_soon(httpc_t *httpc)
+{
+	ev_timer_stop(httpc->loop, &httpc->reaper);
+	ev_timer_set(&httpc->reaper, 0, 0);
+	ev_timer_start(httpc->loop, &httpc->reaper);
+}
+
 static void
 on_idle(struct ev_loop *loop, ev_timer *timer, int events)
 {
@@ -250,9 +269,9 @@
 	call_touch(call);
 	curl_easy_getinfo(call->easy, CURLINFO_RESPONSE_CODE, &status);
 	if (call->on_data != NULL && status == 200) {
-		call->in_callback = true;
+		call->httpc->in_callback = true;
 		call->on_data(call->ctx, (str_t){data, len});
-		call->in_callback = false;
+		call->httpc->in_callback = false;
 		return (call->cancelled ? 0 : len);
 	}
 	if (call->answer.len + len > call->max_body) {
@@ -287,6 +306,13 @@
 	return (httpc);
 }
 
+/* Returns the loop that drives the client. */
+struct ev_loop *
+httpc_loop(const httpc_t *httpc)
+{
+	return (httpc->loop);
+}
+
 /* Drops all open calls without their callbacks and frees the client. */
 void
 httpc_delete(httpc_t *httpc)
@@ -369,7 +395,11 @@
 	call->idle_timer.data = call;
 	call_touch(call);
 	LIST_INSERT_HEAD(&httpc->calls, call, entry);
-	curl_multi_add_handle(httpc->multi, call->easy);
+	call->waiting = httpc->in_callback;
+	if (call->waiting)
+		httpc_reap_soon(httpc);
+	else
+		curl_multi_add_handle(httpc->multi, call->easy);
 	return (call);
 }
 
@@ -379,16 +409,13 @@
 {
 	httpc_t *httpc = call->httpc;
 
-	if (!call->in_callback) {
+	if (!httpc->in_callback) {
 		call_free(call);
 		return;
 	}
-	/* libcurl does not permit to remove a handle inside its callback. */
 	call->cancelled = true;
 	ev_timer_stop(httpc->loop, &call->idle_timer);
-	ev_timer_stop(httpc->loop, &httpc->reaper);
-	ev_timer_set(&httpc->reaper, 0, 0);
-	ev_timer_start(httpc->loop, &httpc->reaper);
+	httpc_reap_soon(httpc);
 }
 
 /* Changes the time without a byte after which the call fails. */
--- a/src/httpc.h
+++ b/src/httpc.h
@@ -43,6 +43,7 @@
 
 httpc_t *httpc_new(struct ev_loop *loop);
 void httpc_delete(httpc_t *httpc);
+struct ev_loop *httpc_loop(const httpc_t *httpc);
 
 http_call_t *http_call_start(httpc_t *httpc, const http_call_params_t *params);
 void http_call_cancel(http_call_t *call);
--- /dev/null
+++ b/tests/test_generation.c
@@ -0,0 +1,537 @@
+/* Tests of one generation against a scripted engine. */
+#include "suite.h"
+
+#include <stdio.h>
+#include <string.h>
+
+#include <jansson.h>
+
+#include "clock.h"
+#include "generation.h"
+#include "httpd.h"
+#include "result.h"
+#include "sse.h"
+
+#define MAX_STEPS 6
+
+/* T(k) is token k of attempt "a1"; F(n) its finish event after n tokens. */
+#define T(k) "data: {\"id\":\"a1\",\"index\":" #k ",\"text\":\"t" #k "\"}\n\n"
+#define F(n)                                                             \
+	"data: {\"id\":\"a1\",\"finish_reason\":\"stop\",\"tokens\":" #n \
+	"}\n\ndata: [DONE]\n\n"
+
+typedef enum step_end_t {
+	STEP_END,   /* the answer is whole */
+	STEP_CUT,   /* the connection breaks */
+	STEP_HOLD,  /* nothing more arrives */
+	STEP_BYTES, /* one byte at a time, then whole */
+	STEP_CLOSE, /* the listening socket closes first */
+} step_end_t;
+
+/* What the engine does with the next completion or resume request. */
+typedef struct step_t {
+	int status; /* 0: 200 */
+	const char *text;
+	step_end_t end;
+} step_t;
+
+typedef struct generation_test_t {
+	struct ev_loop *loop;
+	httpd_t *httpd;
+	httpc_t *httpc;
+	const step_t *steps;
+	unsigned streams;
+	unsigned resumes;
+	unsigned cancels;
+	long resumed_from;
+	long started_from;
+	http_request_t *open;
+	const char *bytes;
+	ev_timer byte_timer;
+	generation_t *generation;
+	long cancel_at; /* token at which to cancel; -1: never */
+	buf_t text;
+	unsigned next;
+	unsigned done;
+	int rc;
+	bool sent;
+	char reason[32];
+	char detail[64];
+	ev_timer stop;
+} generation_test_t;
+
+static void
+on_open_close(void *ctx)
+{
+	generation_test_t *t = ctx;
+
+	t->open = NULL;
+}
+
+static void
+on_byte(struct ev_loop *loop, ev_timer *timer, int events)
+{
+	generation_test_t *t = timer->data;
+
+	(void)events;
+	if (t->open == NULL || *t->bytes == '\0') {
+		ev_timer_stop(loop, timer);
+		if (t->open != NULL)
+			http_request_stream_end(t->open);
+		return;
+	}
+	http_request_stream_write(t->open, (str_t){t->bytes++, 1});
+}
+
+static void
+serve(generation_test_t *t, http_request_t *request, const step_t *step)
+{
+	if (step->status != 0) {
+		http_request_reply(request, step->status, "application/json",
+		    str_of(step->text));
+		return;
+	}
+	http_request_stream_begin(request, 200, "text/event-stream");
+	if (step->end == STEP_BYTES) {
+		t->open = request;
+		t->bytes = step->text;
+		http_request_on_close(request, on_open_close, t);
+		ev_timer_again(t->loop, &t->byte_timer);
+		return;
+	}
+	http_request_stream_write(request, str_of(step->text));
+	if (step->end == STEP_END)
+		http_request_stream_end(request);
+	else if (step->end == STEP_CUT)
+		http_request_stream_abort(request);
+}
+
+static void
+on_request(void *ctx, http_request_t *request)
+{
+	generation_test_t *t = ctx;
+	const char *path = http_request_path(request);
+	str_t body = http_request_body(request);
+	json_t *object = json_loadb(body.data, body.len, 0, NULL);
+
+	if (strcmp(path, "/v1/cancel") == 0) {
+		t->cancels++;
+		http_request_reply(request, 200, "text/plain", STR("{}"));
+		json_decref(object);
+		return;
+	}
+	CU_ASSERT_STRING_EQUAL(
+	    json_string_value(json_object_get(object, "request_id")), "a1");
+	if (strcmp(path, "/v1/resume") == 0) {
+		t->resumes++;
+		t->resumed_from =
+		    (long)json_integer_value(json_object_get(object, "from"));
+	} else {
+		t->started_from = (long)json_integer_value(
+		    json_object_get(object, "start_index"));
+	}
+	json_decref(object);
+	CU_ASSERT_FATAL(t->streams < MAX_STEPS);
+	serve(t, request, &t->steps[t->streams++]);
+}
+
+static void
+on_token(void *ctx, unsigned index, str_t text)
+{
+	generation_test_t *t = ctx;
+
+	CU_ASSERT(index == t->next);
+	t->next++;
+	buf_append(&t->text, text);
+	if ((long)index == t->cancel_at) {
+		generation_cancel(t->generation);
+		t->generation = NULL;
+	}
+}
+
+static void
+on_done(void *ctx, const generation_result_t *result)
+{
+	generation_test_t *t = ctx;
+
+	t->generation = NULL;
+	t->done++;
+	t->rc = result->rc;
+	t->sent = result->sent;
+	CU_ASSERT(result->next_index == t->next);
+	str_copy(t->reason, sizeof(t->reason), result->finish_reason);
+	str_copy(t->detail, sizeof(t->detail), result->detail);
+	/* Lets an order to cancel arrive. */
+	ev_timer_stop(t->loop, &t->stop);
+	ev_timer_set(&t->stop, 0.1, 0);
+	ev_timer_start(t->loop, &t->stop);
+}
+
+static void
+on_stop(struct ev_loop *loop, ev_timer *timer, int events)
+{
+	(void)timer;
+	(void)events;
+	ev_break(loop, EVBREAK_ALL);
+}
+
+static void
+setup(generation_test_t *t, const step_t *steps)
+{
+	httpd_params_t params = {
+	    .address = "127.0.0.1",
+	    .max_body = 1 << 20,
+	    .handler = on_request,
+	    .ctx = t,
+	};
+
+	*t = (generation_test_t){.loop = ev_loop_new(0), .steps = steps};
+	t->cancel_at = -1;
+	t->resumed_from = -1;
+	ev_timer_init(&t->stop, on_stop, 0, 0);
+	ev_timer_init(&t->byte_timer, on_byte, 0, 0.0005);
+	t->byte_timer.data = t;
+	CU_ASSERT(httpd_new(t->loop, &params, &t->httpd) == 0);
+	t->httpc = httpc_new(t->loop);
+}
+
+static void
+teardown(generation_test_t *t)
+{
+	ev_timer_stop(t->loop, &t->byte_timer);
+	httpc_delete(t->httpc);
+	httpd_delete(t->httpd);
+	buf_free(&t->text);
+	ev_loop_destroy(t->loop);
+}
+
+/* Runs the steps; the silence limits are 0.2 s and the deadline is 5 s. */
+static void
+run_from(generation_test_t *t, const step_t *steps, bool repeatable,
+    unsigned start, long cancel_at)
+{
+	char address[32];
+
+	setup(t, steps);
+	t->cancel_at = cancel_at;
+	t->next = start;
+	snprintf(
+	    address, sizeof(address), "127.0.0.1:%u", httpd_port(t->httpd));
+	if (steps[0].end == STEP_CLOSE)
+		httpd_stop_accepting(t->httpd);
+	t->generation =
+	    generation_start(t->httpc, &(generation_params_t){
+					   .address = address,
+					   .attempt_id = "a1",
+					   .model = "m",
+					   .prompt = STR("hello"),
+					   .max_tokens = 8,
+					   .start_index = start,
+					   .repeatable = repeatable,
+					   .first_token_silence = 0.2,
+					   .silence = 0.2,
+					   .deadline = clock_monotonic() + 5,
+					   .on_token = on_token,
+					   .on_done = on_done,
+					   .ctx = t,
+				       });
+	ev_timer_set(&t->stop, cancel_at < 0 ? 8 : 0.3, 0);
+	ev_timer_start(t->loop, &t->stop);
+	ev_run(t->loop, 0);
+	CU_ASSERT(t->done == (cancel_at < 0 ? 1 : 0));
+}
+
+static void
+run(generation_test_t *t, const step_t *steps)
+{
+	run_from(t, steps, true, 0, -1);
+}
+
+#define CHECK_TEXT(t, expected) \
+	CU_ASSERT(str_equal(str_buf(&(t).text), STR(expected)))
+
+/* Guards against tokens lost where the bytes are split. */
+static void
+test_split_at_every_byte(void)
+{
+	static const step_t steps[] = {
+	    {.text = ": comment\r\n" T(
+		 0) "data:{\"id\":\"a1\",\"index\":1,"
+		    "\r\ndata: \"text\":\"t1\"}\r\n\r\n" F(2),
+		.end = STEP_BYTES}};
+	generation_test_t t;
+
+	run(&t, steps);
+	CU_ASSERT(t.rc == 0);
+	CHECK_TEXT(t, "t0t1");
+	CU_ASSERT_STRING_EQUAL(t.reason, "stop");
+	CU_ASSERT(t.streams == 1 && t.cancels == 0);
+	teardown(&t);
+}
+
+static bool
+on_sse_event(void *ctx, str_t data)
+{
+	buf_t *out = ctx;
+
+	buf_append(out, data);
+	buf_append_char(out, '|');
+	return (true);
+}
+
+/* Guards against a parser that depends on where the stream is cut. */
+static void
+test_sse_pieces(void)
+{
+	static const str_t stream = {
+	    "data: one\n\ndata: two\r\ndata: 2\r\n\r\n:x\n\nid: 1\ndata:3\n\n",
+	    sizeof("data: one\n\ndata: two\r\ndata: 2\r\n\r\n:x\n\nid: "
+		   "1\ndata:3\n\n") -
+		1};
+
+	for (size_t i = 0; i <= stream.len; i++) {
+		for (size_t k = i; k <= stream.len; k++) {
+			sse_t sse = {0};
+			buf_t out = {0};
+
+			sse_feed(
+			    &sse, (str_t){stream.data, i}, on_sse_event, &out);
+			sse_feed(&sse, (str_t){stream.data + i, k - i},
+			    on_sse_event, &out);
+			sse_feed(&sse, (str_t){stream.data + k, stream.len - k},
+			    on_sse_event, &out);
+			CU_ASSERT(
+			    str_equal(str_buf(&out), STR("one|two\n2|3|")));
+			sse_free(&sse);
+			buf_free(&out);
+		}
+	}
+}
+
+/* Guards against tokens of another request in a caller's answer. */
+static void
+test_crossed_events_are_dropped(void)
+{
+	static const step_t steps[] = {
+	    {.text = T(0) "data: {\"id\":\"b7\",\"index\":1,\"text\":\"X\"}\n\n"
+			  "data: {\"id\":\"b7\",\"finish_reason\":\"stop\","
+			  "\"tokens\":1}\n\n" T(1) F(2)}};
+	generation_test_t t;
+
+	run(&t, steps);
+	CU_ASSERT(t.rc == 0);
+	CHECK_TEXT(t, "t0t1");
+	teardown(&t);
+}
+
+/* Guards against a token that is delivered twice. */
+static void
+test_repeated_token_is_dropped(void)
+{
+	static const step_t steps[] = {{.text = T(0) T(1) T(0) T(1) T(2) F(3)}};
+	generation_test_t t;
+
+	run(&t, steps);
+	CU_ASSERT(t.rc == 0);
+	CHECK_TEXT(t, "t0t1t2");
+	teardown(&t);
+}
+
+/* Guards against an answer in which a token is missing. */
+static void
+test_gap_is_filled_by_resuming(void)
+{
+	static const step_t steps[] = {
+	    {.text = T(0) T(2) T(3) F(4)}, {.text = T(1) T(2) T(3) F(4)}};
+	generation_test_t t;
+
+	run(&t, steps);
+	CU_ASSERT(t.rc == 0);
+	CU_ASSERT(t.resumes == 1 && t.resumed_from == 1);
+	CHECK_TEXT(t, "t0t1t2t3");
+	teardown(&t);
+}
+
+/* Guards against a stream that ends with its connection. */
+static void
+test_cut_stream_is_resumed(void)
+{
+	static const step_t steps[] = {
+	    {.text = T(0) T(1), .end = STEP_CUT},
+	    {.text = T(2), .end = STEP_CUT},
+	    /* Whole in HTTP's terms, but without the finish event. */
+	    {.text = T(3), .end = STEP_END},
+	    {.text = T(4) F(5)},
+	};
+	generation_test_t t;
+
+	run(&t, steps);
+	CU_ASSERT(t.rc == 0);
+	CU_ASSERT(t.resumes == 3 && t.resumed_from == 4);
+	CHECK_TEXT(t, "t0t1t2t3t4");
+	teardown(&t);
+}
+
+/* Guards against waiting for ever on a connection that went silent. */
+static void
+test_silent_stream_is_resumed(void)
+{
+	static const step_t steps[] = {
+	    {.text = T(0), .end = STEP_HOLD},
+	    {.text = T(1) F(2)},
+	};
+	generation_test_t t;
+	double start = clock_monotonic();
+
+	run(&t, steps);
+	CU_ASSERT(t.rc == 0);
+	CU_ASSERT(t.resumes == 1 && t.resumed_from == 1);
+	CU_ASSERT(clock_monotonic() - start < 1.5);
+	CHECK_TEXT(t, "t0t1");
+	teardown(&t);
+}
+
+/* Guards against comments that hide the lack of tokens. */
+static void
+test_comments_are_no_progress(void)
+{
+	static char comments[8192];
+	step_t steps[] = {
+	    {.text = comments, .end = STEP_BYTES}, {.text = T(1) F(2)}};
+	generation_test_t t;
+	double start = clock_monotonic();
+	size_t n = (size_t)snprintf(comments, sizeof(comments), "%s", T(0));
+
+	while (n + 9 < sizeof(comments))
+		n += (size_t)snprintf(
+		    comments + n, sizeof(comments) - n, ": wait\n\n");
+	run(&t, steps);
+	CU_ASSERT(t.rc == 0 && t.resumes == 1);
+	/* The comments alone take more than 4 s. */
+	CU_ASSERT(clock_monotonic() - start < 2);
+	teardown(&t);
+}
+
+/* Guards against an endpoint that keeps a request without progress. */
+static void
+test_silent_endpoint_is_given_up(void)
+{
+	static const step_t steps[] = {
+	    {.text = "", .end = STEP_HOLD}, {.text = "", .end = STEP_HOLD}};
+	generation_test_t t;
+
+	run(&t, steps);
+	CU_ASSERT(t.rc == -RESULT_ENDPOINT_SILENT && t.sent);
+	CU_ASSERT(t.streams == 2 && t.cancels == 1);
+	teardown(&t);
+}
+
+/* Guards against an answer that looks complete and is not. */
+static void
+test_wrong_token_count_is_no_success(void)
+{
+	static const step_t steps[] = {
+	    {.text = T(0) T(1) F(3)}, {.text = F(3)}};
+	generation_test_t t;
+
+	run(&t, steps);
+	CU_ASSERT(t.rc == -RESULT_BROKEN_ANSWER);
+	CU_ASSERT(t.next == 2);
+	teardown(&t);
+}
+
+/* Guards against a second run of a request that must not be repeated. */
+static void
+test_non_repeatable_is_not_resumed(void)
+{
+	static const step_t steps[] = {{.text = T(0), .end = STEP_CUT}};
+	generation_test_t t;
+
+	run_from(&t, steps, false, 0, -1);
+	CU_ASSERT(t.rc == -RESULT_BROKEN_ANSWER && t.sent);
+	CU_ASSERT(t.streams == 1);
+	teardown(&t);
+}
+
+/* Guards against retries of a request that can never succeed. */
+static void
+test_refusal_carries_the_reason(void)
+{
+	static const step_t steps[] = {
+	    {.status = 422, .text = "{\"error\":{\"message\":\"too long\"}}"}};
+	static const step_t failed[] = {{.status = 500, .text = "oops"}};
+	static const step_t gone[] = {
+	    {.text = T(0), .end = STEP_CUT}, {.status = 404, .text = "{}"}};
+	generation_test_t t;
+
+	run(&t, steps);
+	CU_ASSERT(t.rc == -RESULT_ENDPOINT_REFUSED);
+	CU_ASSERT_STRING_EQUAL(t.detail, "too long");
+	teardown(&t);
+	run(&t, failed);
+	CU_ASSERT(t.rc == -RESULT_ENDPOINT_FAILED && t.sent);
+	teardown(&t);
+	run(&t, gone);
+	CU_ASSERT(t.rc == -RESULT_ENDPOINT_FAILED && t.next == 1);
+	teardown(&t);
+}
+
+/* Guards against "not run" for a request that may have been sent. */
+static void
+test_unreachable_is_not_sent(void)
+{
+	static const step_t steps[] = {{.text = "", .end = STEP_CLOSE}};
+	generation_test_t t;
+
+	run(&t, steps);
+	CU_ASSERT(t.rc == -RESULT_ENDPOINT_UNREACHABLE);
+	CU_ASSERT(!t.sent && t.cancels == 0);
+	teardown(&t);
+}
+
+/* Guards against a continued answer that starts anew. */
+static void
+test_start_index(void)
+{
+	static const step_t steps[] = {{.text = T(3) T(4) F(5)}};
+	generation_test_t t;
+
+	run_from(&t, steps, true, 3, -1);
+	CU_ASSERT(t.rc == 0 && t.started_from == 3);
+	CHECK_TEXT(t, "t3t4");
+	teardown(&t);
+}
+
+/* Guards against an engine that goes on for nobody. */
+static void
+test_cancel_inside_a_callback(void)
+{
+	static const step_t steps[] = {
+	    {.text = T(0) T(1) T(2), .end = STEP_HOLD}};
+	generation_test_t t;
+
+	run_from(&t, steps, true, 0, 1);
+	CU_ASSERT(t.cancels == 1);
+	CHECK_TEXT(t, "t0t1");
+	teardown(&t);
+}
+
+static const suite_test_t tests[] = {
+    {"split at every byte", test_split_at_every_byte},
+    {"sse pieces", test_sse_pieces},
+    {"crossed events are dropped", test_crossed_events_are_dropped},
+    {"repeated token is dropped", test_repeated_token_is_dropped},
+    {"gap is filled by resuming", test_gap_is_filled_by_resuming},
+    {"cut stream is resumed", test_cut_stream_is_resumed},
+    {"silent stream is resumed", test_silent_stream_is_resumed},
+    {"comments are no progress", test_comments_are_no_progress},
+    {"silent endpoint is given up", test_silent_endpoint_is_given_up},
+    {"wrong token count is no success", test_wrong_token_count_is_no_success},
+    {"non-repeatable is not resumed", test_non_repeatable_is_not_resumed},
+    {"refusal carries the reason", test_refusal_carries_the_reason},
+    {"unreachable is not sent", test_unreachable_is_not_sent},
+    {"start index", test_start_index},
+    {"cancel inside a callback", test_cancel_inside_a_callback},
+};
+
+SUITE_MAIN("generation", tests)
--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -216,6 +216,51 @@
 	teardown(&test);
 }
 
+static void
+on_first_data(void *ctx, str_t data)
+{
+	http_test_t *test = ctx;
+
+	if (test->call == NULL)
+		return;
+	/* libcurl is inside a callback of the first call here. */
+	http_call_cancel(test->call);
+	test->call = NULL;
+	buf_append(&test->received, data);
+	http_call_start(test->httpc, &(http_call_params_t){
+					 .method = "POST",
+					 .url = test->url,
+					 .body = STR(" second"),
+					 .on_data = on_data,
+					 .on_done = on_done,
+					 .ctx = test,
+				     });
+}
+
+/* Guards against a call that never runs when started inside on_data. */
+static void
+test_call_started_inside_a_callback(void)
+{
+	http_test_t test;
+
+	setup(&test);
+	snprintf(test.url, sizeof(test.url), "http://127.0.0.1:%u/echo",
+	    httpd_port(test.httpd));
+	test.call = http_call_start(test.httpc, &(http_call_params_t){
+						    .method = "POST",
+						    .url = test.url,
+						    .body = STR("first"),
+						    .timeout = 5,
+						    .on_data = on_first_data,
+						    .on_done = on_done,
+						    .ctx = &test,
+						});
+	ev_run(test.loop, 0);
+	CU_ASSERT(test.done == 1 && test.result.rc == 0);
+	CU_ASSERT(str_equal(str_buf(&test.received), STR("first second")));
+	teardown(&test);
+}
+
 static const suite_test_t tests[] = {
     {"body round trip", test_body_round_trip},
     {"large body is refused", test_large_body_is_refused},
@@ -223,6 +268,7 @@
     {"gone caller is noticed", test_gone_caller_is_noticed},
     {"silent server is given up", test_silent_server_is_given_up},
     {"refused connection is not sent", test_refused_connection_is_not_sent},
+    {"call started inside a callback", test_call_started_inside_a_callback},
 };
 
 SUITE_MAIN("http", tests)
