Replace repeated response headers and write log lines without a prefix

Cause: X-Daisypier-Host was sent twice when the node and the online path both set it; log4c's stream appenders put their own name before each line. Ruled out: type stream2, which has the same prefix. Change: http_request_set_header() replaces; an appender of our own writes lines. Measured: a request shows one X-Daisypier-Host (was two). Conclusion: headers are set by whoever knows the value last.

--- a/src/httpd.c
+++ b/src/httpd.c
@@ -443,13 +443,24 @@
 	return (str_buf(&request->body));
 }
 
-/* Adds a header to the answer; must come before the answer begins. */
+/*
+ * Sets a header of the answer, in place of an earlier value; must come before
+ * the answer begins.
+ */
 void
 http_request_set_header(
     http_request_t *request, const char *name, const char *value)
 {
-	size_t i = request->header_count++ * 2;
+	size_t i;
 
+	for (i = 0; i < request->header_count * 2; i += 2) {
+		if (strcmp(request->headers[i], name) == 0) {
+			free(request->headers[i + 1]);
+			request->headers[i + 1] = xstrdup(value);
+			return;
+		}
+	}
+	request->header_count++;
 	request->headers =
 	    xrealloc(request->headers, (i + 2) * sizeof(*request->headers));
 	request->headers[i] = xstrdup(name);
--- a/src/logger.c
+++ b/src/logger.c
@@ -48,6 +48,20 @@
     .format = line_format,
 };
 
+/* Writes a line as it is; log4c's own types put their name before it. */
+static int
+line_append(log4c_appender_t *appender, const log4c_logging_event_t *event)
+{
+	(void)appender;
+	fputs(event->evt_rendered_msg, stderr);
+	return (0);
+}
+
+static const log4c_appender_type_t line_appender = {
+    .name = "daisypier_line_appender",
+    .append = line_append,
+};
+
 /*
  * Opens the log on standard error under a name that appears in each line.
  * Returns 0, or -EIO when log4c does not start.
@@ -63,7 +77,9 @@
 	log4c_layout_type_set(&line_layout);
 	layout = log4c_layout_get("daisypier_line_layout");
 	log4c_layout_set_type(layout, &line_layout);
-	appender = log4c_appender_get("stderr");
+	log4c_appender_type_set(&line_appender);
+	appender = log4c_appender_get("daisypier_stderr");
+	log4c_appender_set_type(appender, &line_appender);
 	log4c_appender_set_layout(appender, layout);
 	category = log4c_category_get(name);
 	log4c_category_set_appender(category, appender);
