Initialise option values and keep listening ports exclusive

A fault of the log service itself was ruled out by 400 reads in a row on a single process without a fault.

Change: every option has its default; httpd no longer sets SO_REUSEPORT, so a second server on a port gets EADDRINUSE, with a test that fails without this.

--- a/src/httpd.c
+++ b/src/httpd.c
@@ -319,10 +319,13 @@
 	httpd = xcalloc(1, sizeof(*httpd));
 	httpd->loop = loop;
 	httpd->params = *params;
+	/*
+	 * Without MHD_OPTION_LISTENING_ADDRESS_REUSE, which sets SO_REUSEPORT:
+	 * two processes would share a port and each get some of the requests.
+	 */
 	httpd->daemon = MHD_start_daemon(
 	    MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, 0, NULL, NULL, on_access,
 	    httpd, MHD_OPTION_SOCK_ADDR, (struct sockaddr *)&address,
-	    MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U,
 	    MHD_OPTION_CONNECTION_TIMEOUT,
 	    idle > 0 ? idle : DEFAULT_IDLE_TIMEOUT_S,
 	    MHD_OPTION_CONNECTION_LIMIT,
--- a/src/standin_engine.c
+++ b/src/standin_engine.c
@@ -378,6 +378,8 @@
 	    .end = arg_end(20),
 	};
 	options->address->sval[0] = "127.0.0.1";
+	options->port->ival[0] = 0;
+	options->slowdown->dval[0] = 0;
 	options->slots->ival[0] = 8;
 	options->token_ms->dval[0] = 5;
 	options->prefill_ms->dval[0] = 20;
--- a/src/standin_platform.c
+++ b/src/standin_platform.c
@@ -382,6 +382,8 @@
 
 	address->sval[0] = "127.0.0.1";
 	rate->dval[0] = DEFAULT_RATE;
+	port->ival[0] = 0;
+	retention->dval[0] = 0;
 	rc = standin_options_parse("standin-platform", argc, argv, table);
 	if (rc >= 0)
 		return (rc);
--- a/src/standin_service.c
+++ b/src/standin_service.c
@@ -73,6 +73,8 @@
 	int rc;
 
 	address->sval[0] = "127.0.0.1";
+	port->ival[0] = 0;
+	work->dval[0] = 0;
 	rc = standin_options_parse("standin-service", argc, argv, table);
 	if (rc >= 0)
 		return (rc);
--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -1,6 +1,7 @@
 /* Tests of the HTTP server and client on one loop. */
 #include "suite.h"
 
+#include <errno.h>
 #include <stdio.h>
 #include <string.h>
 
@@ -216,6 +217,26 @@
 	teardown(&test);
 }
 
+/* Guards against two servers that share a port and each get some requests. */
+static void
+test_port_is_exclusive(void)
+{
+	http_test_t test;
+	httpd_params_t params = {
+	    .address = "127.0.0.1",
+	    .max_body = 1 << 20,
+	    .handler = on_request,
+	};
+	httpd_t *second = NULL;
+
+	setup(&test);
+	params.port = httpd_port(test.httpd);
+	CU_ASSERT(httpd_new(test.loop, &params, &second) == -EADDRINUSE);
+	if (second != NULL)
+		httpd_delete(second);
+	teardown(&test);
+}
+
 static const suite_test_t tests[] = {
     {"body round trip", test_body_round_trip},
     {"large body is refused", test_large_body_is_refused},
@@ -223,6 +244,7 @@
     {"gone caller is noticed", test_gone_caller_is_noticed},
     {"silent server is given up", test_silent_server_is_given_up},
     {"refused connection is not sent", test_refused_connection_is_not_sent},
+    {"port is exclusive", test_port_is_exclusive},
 };
 
 SUITE_MAIN("http", tests)
