--- a/src/audit.c
+++ b/src/audit.c
@@ -224,25 +224,6 @@
 	free(query);
 }
 
-/* Sends what waits and stops; open queries get no answer. */
-void
-audit_delete(audit_t *audit)
-{
-	audit_op_t *op;
-
-	flush(audit);
-	ev_timer_stop(audit->params.loop, &audit->timer);
-	while ((op = LIST_FIRST(&audit->ops)) != NULL) {
-		LIST_REMOVE(op, entry);
-		op->audit = NULL;
-	}
-	while (!LIST_EMPTY(&audit->queries))
-		query_delete(LIST_FIRST(&audit->queries));
-	buf_free(&audit->waiting);
-	buf_free(&audit->batch);
-	free(audit);
-}
-
 /* Adds an entry; its time and host are set when they are empty. */
 void
 audit_write(audit_t *audit, const audit_entry_t *entry)
@@ -318,6 +299,25 @@
 	query_delete(query);
 }
 
+/* Sends what waits and stops; open queries end with -RESULT_STOPPING. */
+void
+audit_delete(audit_t *audit)
+{
+	audit_op_t *op;
+
+	flush(audit);
+	ev_timer_stop(audit->params.loop, &audit->timer);
+	while ((op = LIST_FIRST(&audit->ops)) != NULL) {
+		LIST_REMOVE(op, entry);
+		op->audit = NULL;
+	}
+	while (!LIST_EMPTY(&audit->queries))
+		query_finish(LIST_FIRST(&audit->queries), -RESULT_STOPPING);
+	buf_free(&audit->waiting);
+	buf_free(&audit->batch);
+	free(audit);
+}
+
 /* Returns whether a batch was read before, appended twice. */
 static bool
 query_seen(query_t *query, uint64_t writer, uint64_t seq)
--- a/src/config_apply.c
+++ b/src/config_apply.c
@@ -31,14 +31,6 @@
 	free(pending);
 }
 
-/* Deletes all pending changes without an answer. */
-void
-config_pending_delete_all(config_store_t *store)
-{
-	while (!LIST_EMPTY(&store->pending))
-		pending_delete(LIST_FIRST(&store->pending));
-}
-
 /* Gives the one answer; later ones are dropped. */
 static void
 pending_answer(config_pending_t *pending, config_result_t result)
@@ -334,6 +326,21 @@
 	store->stepping = false;
 }
 
+/* Ends all pending changes; their outcome stays unknown. */
+void
+config_pending_delete_all(config_store_t *store)
+{
+	config_pending_t *pending;
+
+	while ((pending = LIST_FIRST(&store->pending)) != NULL) {
+		if (pending->on_history != NULL)
+			pending->on_history(pending->ctx, NULL);
+		pending_answer(
+		    pending, (config_result_t){.outcome = CONFIG_UNKNOWN});
+		pending_delete(pending);
+	}
+}
+
 /* The log cannot be read: changes that were not appended yet end here. */
 void
 config_pending_read_failed(config_store_t *store)
--- a/src/config_store.c
+++ b/src/config_store.c
@@ -555,7 +555,7 @@
 	return (store);
 }
 
-/* Stops; open changes get no answer. */
+/* Stops; open changes are answered with CONFIG_UNKNOWN. */
 void
 config_store_delete(config_store_t *store)
 {
