--- a/src/httpd.c
+++ b/src/httpd.c
@@ -319,10 +319,13 @@
 	httpd = xcalloc(1, sizeof(*httpd));
 	httpd->loop = loop;
 	httpd->params = *params;
+	/*
+	 * Without MHD_OPTION_LISTENING_ADDRESS_REUSE, which sets SO_REUSEPORT:
+	 * two processes would share a port and each get some of the requests.
+	 */
 	httpd->daemon = MHD_start_daemon(
 	    MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, 0, NULL, NULL, on_access,
 	    httpd, MHD_OPTION_SOCK_ADDR, (struct sockaddr *)&address,
-	    MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U,
 	    MHD_OPTION_CONNECTION_TIMEOUT,
 	    idle > 0 ? idle : DEFAULT_IDLE_TIMEOUT_S,
 	    MHD_OPTION_CONNECTION_LIMIT,
@@ -443,13 +446,24 @@
 	return (str_buf(&request->body));
 }
 
-/* Adds a header to the answer; must come before the answer begins. */
+/*
+ * Sets a header of the answer, in place of an earlier value; must come before
+ * the answer begins.
+ */
 void
 http_request_set_header(
     http_request_t *request, const char *name, const char *value)
 {
-	size_t i = request->header_count++ * 2;
+	size_t i;
 
+	for (i = 0; i < request->header_count * 2; i += 2) {
+		if (strcmp(request->headers[i], name) == 0) {
+			free(request->headers[i + 1]);
+			request->headers[i + 1] = xstrdup(value);
+			return;
+		}
+	}
+	request->header_count++;
 	request->headers =
 	    xrealloc(request->headers, (i + 2) * sizeof(*request->headers));
 	request->headers[i] = xstrdup(name);
