Keep a quarter of the slots under the adaptive limit

Cause: prompts that become longer raise the first-token latency without any queue; the limit of an endpoint then fell to 1 until the window of the best latency had passed.

Change: the limit keeps a quarter of the slots, and the best latency is that of the last 10 to 20 s instead of 30 to 60 s.

--- a/src/limiter.c
+++ b/src/limiter.c
@@ -10,10 +10,15 @@
 /* Differences below this are noise whatever the ratio, in seconds. */
 #define SLACK_S	 0.05
 #define DECREASE 0.85
+/*
+ * Prompts that became longer look like a queue until the window has passed, so
+ * the limit keeps this part of the slots.
+ */
+#define MIN_SHARE 0.25
 /* The reports of one queue arrive together; they count as one sign. */
 #define DECREASE_INTERVAL_S 1.0
 /* The best latency is that of the last one to two windows, in seconds. */
-#define WINDOW_S 30.0
+#define WINDOW_S 10.0
 
 /* Starts at the configured number of slots. */
 void
@@ -73,7 +78,8 @@
 	if (now - limiter->last_decrease < DECREASE_INTERVAL_S)
 		return;
 	limiter->last_decrease = now;
-	limiter->limit = fmax(1, limiter->limit * DECREASE);
+	limiter->limit = fmax(
+	    fmax(1, limiter->slots * MIN_SHARE), limiter->limit * DECREASE);
 }
 
 /* Returns how many requests may run at a time; at least 1 with any slot. */
--- a/tests/test_grants.c
+++ b/tests/test_grants.c
@@ -296,6 +296,28 @@
 	teardown(&t);
 }
 
+/* Makes all hosts ready; returns the one that then admits the pool. */
+static size_t
+all_ready(grants_test_t *t)
+{
+	asked_t asked = {0};
+	size_t admitting = HOSTS;
+
+	for (size_t i = 0; i < HOSTS; i++) {
+		t->members[i].ready = true;
+		grants_fleet_changed(t->grants[i]);
+	}
+	run_for(t, 0.1);
+	ask(t, 0, GRANT_ONLINE, &asked);
+	run_for(t, 0.1);
+	release(&asked);
+	for (size_t i = 0; i < HOSTS; i++)
+		if (grants_stats(t->grants[i], POOL, &(admission_stats_t){0}))
+			admitting = i;
+	REQUIRE(admitting < HOSTS);
+	return (admitting);
+}
+
 /* Guards against online requests that fail with their admitting host. */
 static void
 test_local_allowance_without_admitting_host(void)
@@ -304,24 +326,13 @@
 	asked_t online[8] = {0};
 	asked_t batch = {0};
 	unsigned granted = 0;
-	size_t asker = 0;
+	size_t admitting;
+	size_t asker;
 
 	setup(&t, 1, GRANTS_POOL);
-	for (size_t i = 0; i < HOSTS; i++) {
-		t.members[i].ready = true;
-		grants_fleet_changed(t.grants[i]);
-	}
-	run_for(&t, 0.1);
-	ask(&t, 0, GRANT_ONLINE, &online[0]);
-	run_for(&t, 0.1);
-	release(&online[0]);
-	online[0] = (asked_t){0};
-	for (size_t i = 0; i < HOSTS; i++) {
-		if (grants_stats(t.grants[i], POOL, &(admission_stats_t){0}))
-			stop_host(&t, i);
-		else
-			asker = i;
-	}
+	admitting = all_ready(&t);
+	asker = (admitting + 1) % HOSTS;
+	stop_host(&t, admitting);
 	/* One of three hosts, 2 endpoints with 4 slots: one on each. */
 	for (size_t i = 0; i < 8; i++)
 		ask(&t, asker, GRANT_ONLINE, &online[i]);
@@ -345,6 +356,55 @@
 	teardown(&t);
 }
 
+static void
+on_swallow(void *ctx, peer_request_t *request, const msgpack_object *body)
+{
+	peer_request_t **held = ctx;
+
+	(void)body;
+	for (size_t i = 0; i < 64; i++) {
+		if (held[i] == NULL) {
+			held[i] = request;
+			return;
+		}
+	}
+	peer_request_reply(request, -RESULT_TIMEOUT, (str_t){0});
+}
+
+/* Guards against a wait for an admitting host that is frozen. */
+static void
+test_frozen_admitting_host(void)
+{
+	grants_test_t t;
+	asked_t online[2] = {0};
+	peer_request_t *held[64] = {0};
+	size_t admitting;
+	size_t asker;
+
+	setup(&t, 1, GRANTS_POOL);
+	admitting = all_ready(&t);
+	asker = (admitting + 1) % HOSTS;
+	peer_handle(t.peers[admitting], PEER_GRANT_ASK, on_swallow, held);
+	peer_handle(t.peers[admitting], PEER_GRANT_HELD, on_swallow, held);
+	ask(&t, asker, GRANT_ONLINE, &online[0]);
+	run_for(&t, 0.1);
+	CU_ASSERT(online[0].answers == 0);
+	run_for(&t, 0.3);
+	CU_ASSERT(online[0].answers == 1 && online[0].rc == 0);
+	/* It is known now, so the next request does not wait. */
+	ask(&t, asker, GRANT_ONLINE, &online[1]);
+	run_for(&t, 0.1);
+	CU_ASSERT(online[1].answers == 1 && online[1].rc == 0);
+	CU_ASSERT(online[1].answered - online[1].asked < 0.05);
+	release(&online[0]);
+	release(&online[1]);
+	for (size_t i = 0; i < 64; i++)
+		if (held[i] != NULL)
+			peer_request_reply(
+			    held[i], -RESULT_TIMEOUT, (str_t){0});
+	teardown(&t);
+}
+
 /* Guards against slots granted twice after another host takes over. */
 static void
 test_takeover_learns_grants(void)
@@ -485,6 +545,7 @@
 	test_online_revokes_batch_of_other_host},
     {"local allowance without admitting host",
 	test_local_allowance_without_admitting_host},
+    {"frozen admitting host", test_frozen_admitting_host},
     {"takeover learns grants", test_takeover_learns_grants},
     {"grants of dead host are reclaimed",
 	test_grants_of_dead_host_are_reclaimed},
