Serve online requests and calls of plain services

A repeatable request continues on another endpoint from the first token not delivered, within the retry budget and at most 8 attempts. A stream that cannot be completed ends with an error event and without the last chunk. A request that must not be repeated goes on when its caller leaves, so that a resend gets its response.

Ruled out: asking the grant before the intent; during an outage of the log such requests would hold the slots that other online requests need. Slowing the engine down for a slow caller; the slot would be held longer.

The durable calls are tested with a fake only.

--- /dev/null
+++ b/src/online_answer.c
@@ -0,0 +1,89 @@
+/* Answers to callers: headers, whole responses and errors. */
+#include "online_state.h"
+
+#include <inttypes.h>
+#include <math.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+#include <jansson.h>
+
+/* Callers that come back sooner only add load, in seconds. */
+#define MIN_RETRY_AFTER_S 1.0
+
+/* Sets the headers that every answer carries. */
+void
+online_answer_headers(const online_request_t *r)
+{
+	const online_params_t *params = &r->online->params;
+	char version[24];
+
+	snprintf(version, sizeof(version), "%" PRIu64,
+	    params->config_version(params->ctx));
+	http_request_set_header(r->http, "X-Request-Id", r->id);
+	http_request_set_header(r->http, "X-Daisypier-Host", r->online->host);
+	http_request_set_header(r->http, "X-Daisypier-Config", version);
+	if (r->endpoint.name[0] != '\0')
+		http_request_set_header(
+		    r->http, "X-Daisypier-Endpoint", r->endpoint.name);
+}
+
+/* The answer is complete; the HTTP request must not be touched any more. */
+void
+online_answer_done(online_request_t *r)
+{
+	r->http = NULL;
+}
+
+/* Answers with a whole JSON body. */
+void
+online_answer_json(online_request_t *r, int status, str_t body)
+{
+	online_answer_headers(r);
+	http_request_reply(r->http, status, "application/json", body);
+	online_answer_done(r);
+}
+
+/* Ends a stream that began: an error event, and no last chunk. */
+static void
+answer_stream_error(online_request_t *r, str_t body)
+{
+	buf_t event = {0};
+
+	buf_append(&event, STR("event: error\ndata: "));
+	buf_append(&event, body);
+	buf_append(&event, STR("\n\n"));
+	http_request_stream_write(r->http, str_buf(&event));
+	http_request_stream_abort(r->http);
+	buf_free(&event);
+	online_answer_done(r);
+}
+
+/* Answers with r->rc and what is certain about the request. */
+void
+online_answer_error(online_request_t *r, outcome_t outcome)
+{
+	const result_info_t *info = result_info(r->rc);
+	json_t *object = json_pack("{s:{s:i,s:s,s:s,s:s}}", "error", "code",
+	    info->number, "name", info->name, "message",
+	    r->detail[0] != '\0' ? r->detail : info->text, "outcome",
+	    outcome_name(outcome));
+	char *text = object != NULL ? json_dumps(object, JSON_COMPACT) : NULL;
+	str_t body = text != NULL ? str_of(text) : STR("{\"error\":{}}");
+	char seconds[24];
+
+	if (r->streaming) {
+		answer_stream_error(r, body);
+	} else {
+		if (info->http_status == 429 || info->http_status == 503) {
+			snprintf(seconds, sizeof(seconds), "%.0f",
+			    ceil(fmax(MIN_RETRY_AFTER_S,
+				fmin(r->retry_after, 3600))));
+			http_request_set_header(
+			    r->http, "Retry-After", seconds);
+		}
+		online_answer_json(r, info->http_status, body);
+	}
+	free(text);
+	json_decref(object);
+}
--- /dev/null
+++ b/tests/test_online.c
@@ -0,0 +1,834 @@
+/* Tests of online requests with real grants against scripted endpoints. */
+#include "suite.h"
+
+#include <arpa/inet.h>
+#include <stdio.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <jansson.h>
+
+#include "clock.h"
+#include "online.h"
+#include "require.h"
+#include "result.h"
+
+#define ENGINES 2
+#define NEVER	1000000
+#define TOKEN                                                           \
+	"token_hash = 0123456789abcdef0123456789abcdef0123456789abcdef" \
+	"0123456789abcdef\n"
+#define HELLO "{\"model\":\"m\",\"prompt\":\"hello\",\"max_tokens\":6}"
+#define HELLO_STREAM                                              \
+	"{\"model\":\"m\",\"prompt\":\"hello\",\"max_tokens\":6," \
+	"\"stream\":true}"
+
+/* How the engines treat their next requests. */
+typedef struct script_t {
+	unsigned cut_first; /* requests that are cut at cut_at */
+	unsigned cut_at;
+	unsigned hold_first; /* requests that never end */
+	int status;	     /* 0: 200 */
+	bool closed;	     /* nobody listens */
+} script_t;
+
+typedef struct online_test_t {
+	struct ev_loop *loop;
+	peer_t *peer;
+	grants_t *grants;
+	httpc_t *httpc;
+	fleet_config_t *config;
+	member_t member;
+	online_t *online;
+	httpd_t *entry;
+	httpd_t *engines[ENGINES];
+	script_t script;
+	unsigned runs; /* completion or service requests at all endpoints */
+	unsigned start_indexes[32];
+	unsigned cancels;
+	char last_key[64];
+	/* The fake durable calls. */
+	intent_answer_t intent_answer;
+	int withdraw_rc;
+	unsigned intents;
+	unsigned withdrawals;
+	unsigned outcomes;
+	buf_t outcome;
+	intent_answer_cb_t on_answer;
+	intent_done_cb_t on_done;
+	void *intent_ctx;
+	int done_rc;
+	ev_timer intent_timer;
+	/* The caller. */
+	http_call_t *call;
+	buf_t body;
+	http_result_t result;
+	bool done;
+	ev_timer stop;
+} online_test_t;
+
+static const fleet_config_t *
+get_config(void *ctx)
+{
+	return (((online_test_t *)ctx)->config);
+}
+
+static uint64_t
+get_version(void *ctx)
+{
+	(void)ctx;
+	return (17);
+}
+
+static size_t
+get_members(void *ctx, const member_t **out)
+{
+	*out = &((online_test_t *)ctx)->member;
+	return (1);
+}
+
+static bool
+is_leaving(void *ctx, const config_endpoint_t *endpoint)
+{
+	(void)ctx;
+	(void)endpoint;
+	return (false);
+}
+
+static unsigned
+number_of(const json_t *object, const char *name)
+{
+	return ((unsigned)json_integer_value(json_object_get(object, name)));
+}
+
+static void
+serve_tokens(online_test_t *t, http_request_t *request, const json_t *body)
+{
+	const char *id = json_string_value(json_object_get(body, "request_id"));
+	unsigned max = number_of(body, "max_tokens");
+	buf_t out = {0};
+	unsigned cut = NEVER;
+
+	if (t->script.cut_first > 0) {
+		t->script.cut_first--;
+		cut = t->script.cut_at;
+	}
+	http_request_stream_begin(request, 200, "text/event-stream");
+	for (unsigned i = number_of(body, "start_index"); i < max; i++) {
+		if (i >= cut)
+			break;
+		buf_printf(&out,
+		    "data: {\"id\":\"%s\",\"index\":%u,\"text\":\"%u \"}\n\n",
+		    id, i, i);
+	}
+	if (cut == NEVER && t->script.hold_first == 0)
+		buf_printf(&out,
+		    "data: {\"id\":\"%s\",\"finish_reason\":\"length\","
+		    "\"tokens\":%u}\n\ndata: [DONE]\n\n",
+		    id, max);
+	http_request_stream_write(request, str_buf(&out));
+	buf_free(&out);
+	if (t->script.hold_first > 0)
+		t->script.hold_first--;
+	else if (cut == NEVER)
+		http_request_stream_end(request);
+	else
+		http_request_stream_abort(request);
+}
+
+static void
+on_engine_request(void *ctx, http_request_t *request)
+{
+	online_test_t *t = ctx;
+	const char *path = http_request_path(request);
+	const char *key = http_request_header(request, "X-Request-Key");
+	str_t text = http_request_body(request);
+	json_t *body = json_loadb(text.data, text.len, JSON_DECODE_ANY, NULL);
+
+	if (strcmp(path, "/v1/cancel") == 0) {
+		t->cancels++;
+		http_request_reply(request, 200, "text/plain", STR("{}"));
+	} else if (strcmp(path, "/v1/resume") == 0) {
+		http_request_reply(request, 404, "text/plain", STR("{}"));
+	} else {
+		if (t->runs < 32)
+			t->start_indexes[t->runs] =
+			    number_of(body, "start_index");
+		t->runs++;
+		if (key != NULL)
+			str_copy(t->last_key, sizeof(t->last_key), str_of(key));
+		if (t->script.status != 0)
+			http_request_reply(request, t->script.status,
+			    "application/json",
+			    STR("{\"error\":\"scripted\"}"));
+		else if (strcmp(path, "/call") == 0)
+			http_request_reply(
+			    request, 200, "application/json", text);
+		else
+			serve_tokens(t, request, body);
+	}
+	json_decref(body);
+}
+
+static void
+on_entry_request(void *ctx, http_request_t *request)
+{
+	online_test_t *t = ctx;
+
+	if (!online_handle(t->online, request, &t->config->orgs[0]))
+		http_request_reply_error(request, -RESULT_NOT_FOUND, NULL);
+}
+
+static void
+on_intent_timer(struct ev_loop *loop, ev_timer *timer, int events)
+{
+	online_test_t *t = timer->data;
+
+	(void)loop;
+	(void)events;
+	if (t->on_answer != NULL)
+		t->on_answer(t->intent_ctx, &t->intent_answer);
+	else
+		t->on_done(t->intent_ctx, t->done_rc);
+}
+
+static void
+answer_soon(online_test_t *t, intent_answer_cb_t on_answer,
+    intent_done_cb_t on_done, int rc, void *ctx)
+{
+	t->on_answer = on_answer;
+	t->on_done = on_done;
+	t->done_rc = rc;
+	t->intent_ctx = ctx;
+	ev_timer_set(&t->intent_timer, 0.01, 0);
+	ev_timer_start(t->loop, &t->intent_timer);
+}
+
+static void
+fake_ask(void *ops_ctx, const intent_t *intent, intent_answer_cb_t on_answer,
+    void *ctx)
+{
+	online_test_t *t = ops_ctx;
+
+	CU_ASSERT_STRING_EQUAL(intent->key, "k1");
+	CU_ASSERT_STRING_EQUAL(intent->org, "acme");
+	t->intents++;
+	answer_soon(t, on_answer, NULL, 0, ctx);
+}
+
+static void
+fake_outcome(void *ops_ctx, const intent_t *intent, int status, str_t body,
+    intent_done_cb_t on_done, void *ctx)
+{
+	online_test_t *t = ops_ctx;
+
+	(void)intent;
+	CU_ASSERT(status == 200);
+	t->outcomes++;
+	buf_append(&t->outcome, body);
+	answer_soon(t, NULL, on_done, 0, ctx);
+}
+
+static void
+fake_withdraw(
+    void *ops_ctx, const intent_t *intent, intent_done_cb_t on_done, void *ctx)
+{
+	online_test_t *t = ops_ctx;
+
+	(void)intent;
+	t->withdrawals++;
+	answer_soon(t, NULL, on_done, t->withdraw_rc, ctx);
+}
+
+static const intent_ops_t intents = {
+    .ask = fake_ask,
+    .outcome = fake_outcome,
+    .withdraw = fake_withdraw,
+};
+
+static void
+on_stop(struct ev_loop *loop, ev_timer *timer, int events)
+{
+	(void)timer;
+	(void)events;
+	ev_break(loop, EVBREAK_ALL);
+}
+
+static httpd_t *
+serve(online_test_t *t, const char *address, httpd_handler_t handler)
+{
+	httpd_params_t params = {
+	    .address = address,
+	    .max_body = 1 << 20,
+	    .handler = handler,
+	    .ctx = t,
+	};
+	httpd_t *httpd = NULL;
+
+	CU_ASSERT(httpd_new(t->loop, &params, &httpd) == 0);
+	return (httpd);
+}
+
+static void
+configure(online_test_t *t, unsigned queue_limit, unsigned silence_ms)
+{
+	buf_t text = {0};
+	config_faults_t faults;
+
+	buf_printf(&text,
+	    "[fleet]\nsilence_ms = %u\nfirst_token_silence_ms = %u\n"
+	    "[model m]\nonline_reserve = 0\nqueue_limit = %u\n[service s]\n"
+	    "[organisation acme]\n" TOKEN,
+	    silence_ms, silence_ms, queue_limit);
+	for (size_t i = 0; i < ENGINES; i++)
+		buf_printf(&text,
+		    "[endpoint e%zu]\naddress = 127.0.0.1:%u\nzone = z\n"
+		    "%s\nslots = 1\n",
+		    i, httpd_port(t->engines[i]), "model = m");
+	buf_printf(&text,
+	    "[endpoint s0]\naddress = 127.0.0.2:%u\nzone = z\n"
+	    "service = s\nslots = 1\n",
+	    httpd_port(t->engines[0]));
+	if (config_parse(str_buf(&text), STR(""), &t->config, &faults) != 0)
+		fprintf(stderr, "line %u: %s\n", faults.items[0].line,
+		    faults.items[0].text);
+	config_faults_free(&faults);
+	buf_free(&text);
+	REQUIRE(t->config != NULL);
+}
+
+static void
+setup(online_test_t *t, const script_t *script)
+{
+	peer_params_t peer = {.address = "127.0.6.1", .key = STR("key")};
+	grants_params_t grants = {
+	    .host = "a",
+	    .zone = "z",
+	    .site = "s",
+	    .config = get_config,
+	    .members = get_members,
+	    .endpoint_leaving = is_leaving,
+	    .ctx = t,
+	};
+	online_params_t online = {
+	    .host = "a",
+	    .config = get_config,
+	    .config_version = get_version,
+	    .ctx = t,
+	    .intents = &intents,
+	    .intents_ctx = t,
+	};
+
+	*t = (online_test_t){.loop = ev_loop_new(0), .script = *script};
+	ev_timer_init(&t->stop, on_stop, 0, 0);
+	ev_timer_init(&t->intent_timer, on_intent_timer, 0, 0);
+	t->intent_timer.data = t;
+	str_copy(t->member.name, sizeof(t->member.name), STR("a"));
+	str_copy(t->member.site, sizeof(t->member.site), STR("s"));
+	t->member.ready = true;
+	/* The service answers at another address with the same port. */
+	t->engines[0] = serve(t, "0.0.0.0", on_engine_request);
+	t->engines[1] = serve(t, "127.0.0.1", on_engine_request);
+	configure(t, 10, 300);
+	for (size_t i = 0; i < ENGINES && script->closed; i++)
+		httpd_stop_accepting(t->engines[i]);
+	CU_ASSERT(peer_new(t->loop, &peer, &t->peer) == 0);
+	t->httpc = httpc_new(t->loop);
+	grants.loop = online.loop = t->loop;
+	grants.peer = t->peer;
+	t->grants = grants_new(&grants);
+	online.grants = t->grants;
+	online.httpc = t->httpc;
+	t->online = online_new(&online);
+	t->entry = serve(t, "127.0.0.1", on_entry_request);
+}
+
+static void
+run_for(online_test_t *t, double seconds)
+{
+	ev_now_update(t->loop);
+	ev_timer_set(&t->stop, seconds, 0);
+	ev_timer_start(t->loop, &t->stop);
+	ev_run(t->loop, 0);
+	ev_timer_stop(t->loop, &t->stop);
+}
+
+static void
+teardown(online_test_t *t)
+{
+	run_for(t, 0.05);
+	CU_ASSERT(online_open(t->online) == 0);
+	CU_ASSERT(grants_open(t->grants) == 0);
+	httpd_delete(t->entry);
+	online_delete(t->online);
+	grants_delete(t->grants);
+	httpc_delete(t->httpc);
+	peer_delete(t->peer);
+	for (size_t i = 0; i < ENGINES; i++)
+		httpd_delete(t->engines[i]);
+	config_unref(t->config);
+	buf_free(&t->body);
+	buf_free(&t->outcome);
+	ev_loop_destroy(t->loop);
+}
+
+static void
+on_data(void *ctx, str_t data)
+{
+	buf_append(&((online_test_t *)ctx)->body, data);
+}
+
+static void
+on_done(void *ctx, const http_result_t *result)
+{
+	online_test_t *t = ctx;
+
+	t->call = NULL;
+	t->done = true;
+	t->result = *result;
+	buf_append(&t->body, result->body);
+	ev_break(t->loop, EVBREAK_ALL);
+}
+
+static void
+send_request(online_test_t *t, const char *method, const char *path,
+    const char *const *headers, const char *body)
+{
+	char url[128];
+
+	snprintf(url, sizeof(url), "http://127.0.0.1:%u%s",
+	    httpd_port(t->entry), path);
+	t->done = false;
+	buf_clear(&t->body);
+	t->call = http_call_start(t->httpc, &(http_call_params_t){
+						.method = method,
+						.url = url,
+						.headers = headers,
+						.body = str_of(body),
+						.on_data = on_data,
+						.on_done = on_done,
+						.ctx = t,
+					    });
+}
+
+static void
+ask(online_test_t *t, const char *path, const char *const *headers,
+    const char *body)
+{
+	send_request(t, "POST", path, headers, body);
+	run_for(t, 10);
+	CU_ASSERT(t->done);
+	/* A durable call may still follow the answer. */
+	run_for(t, 0.05);
+}
+
+static bool
+has(const online_test_t *t, const char *text)
+{
+	return (t->body.len > 0 && strstr(t->body.data, text) != NULL);
+}
+
+/* Returns the streamed text, and checks that tokens come in order. */
+static const char *
+streamed(const online_test_t *t)
+{
+	static char text[256];
+	const char *at = t->body.len > 0 ? t->body.data : "";
+	unsigned next = 0;
+
+	text[0] = '\0';
+	while ((at = strstr(at, "data: {")) != NULL) {
+		json_t *event =
+		    json_loads(at + 6, JSON_DISABLE_EOF_CHECK, NULL);
+		const json_t *choice =
+		    json_array_get(json_object_get(event, "choices"), 0);
+		const char *piece =
+		    json_string_value(json_object_get(choice, "text"));
+		const json_t *token = json_object_get(event, "token");
+
+		if (token != NULL)
+			CU_ASSERT(json_integer_value(token) == next++);
+		if (piece != NULL)
+			strncat(text, piece, sizeof(text) - strlen(text) - 1);
+		json_decref(event);
+		at++;
+	}
+	return (text);
+}
+
+static const char *const no_repeat[] = {
+    "X-No-Repeat: 1", "Idempotency-Key: k1", NULL};
+
+/* Guards against wrong or incomplete answers in the plain case. */
+static void
+test_plain_answers(void)
+{
+	static const char *const headers[] = {"X-Request-Id: r1", NULL};
+	online_test_t t;
+	const request_entry_t *entry;
+
+	setup(&t, &(script_t){0});
+	ask(&t, "/v1/completions", headers, HELLO);
+	CU_ASSERT(t.result.rc == 0 && t.result.status == 200);
+	CU_ASSERT(has(&t, "\"text\":\"0 1 2 3 4 5 \""));
+	CU_ASSERT(has(&t, "\"finish_reason\":\"length\""));
+	CU_ASSERT(has(&t, "\"completion_tokens\":6"));
+	CU_ASSERT(has(&t, "\"id\":\"r1\""));
+	entry = request_log_find(online_log(t.online), STR("r1"));
+	CU_ASSERT(entry != NULL && entry->endpoint[0] == 'e');
+	CU_ASSERT(entry != NULL && strcmp(entry->outcome, "ok") == 0);
+	CU_ASSERT(entry != NULL && entry->config_version == 17);
+	ask(&t, "/v1/completions", NULL, HELLO_STREAM);
+	CU_ASSERT(t.result.rc == 0);
+	CU_ASSERT_STRING_EQUAL(streamed(&t), "0 1 2 3 4 5 ");
+	CU_ASSERT(has(&t, "data: [DONE]"));
+	ask(&t, "/v1/chat/completions", NULL,
+	    "{\"model\":\"m\",\"max_tokens\":2,\"messages\":[{\"role\":"
+	    "\"user\",\"content\":\"hi\"}]}");
+	CU_ASSERT(has(&t, "\"role\":\"assistant\",\"content\":\"0 1 \""));
+	teardown(&t);
+}
+
+/* Guards against a lost or doubled token when an endpoint fails. */
+static void
+test_continued_on_another_endpoint(void)
+{
+	online_test_t t;
+
+	setup(&t, &(script_t){.cut_first = 1, .cut_at = 3});
+	ask(&t, "/v1/completions", NULL, HELLO_STREAM);
+	CU_ASSERT(t.result.rc == 0);
+	CU_ASSERT_STRING_EQUAL(streamed(&t), "0 1 2 3 4 5 ");
+	CU_ASSERT(has(&t, "data: [DONE]"));
+	CU_ASSERT(t.runs == 2 && t.start_indexes[1] == 3);
+	teardown(&t);
+	setup(&t, &(script_t){.cut_first = 2, .cut_at = 3});
+	ask(&t, "/v1/completions", NULL, HELLO);
+	CU_ASSERT(has(&t, "\"text\":\"0 1 2 3 4 5 \""));
+	CU_ASSERT(t.runs == 3);
+	teardown(&t);
+	setup(&t, &(script_t){.hold_first = 1});
+	ask(&t, "/v1/completions", NULL, HELLO_STREAM);
+	CU_ASSERT_STRING_EQUAL(streamed(&t), "0 1 2 3 4 5 ");
+	CU_ASSERT(t.runs == 2 && t.start_indexes[1] == 6);
+	CU_ASSERT(t.cancels == 1);
+	teardown(&t);
+}
+
+/* Guards against an answer that was cut and looks complete. */
+static void
+test_cut_answer_never_looks_complete(void)
+{
+	online_test_t t;
+
+	setup(&t, &(script_t){.cut_first = 100, .cut_at = 3});
+	ask(&t, "/v1/completions", NULL, HELLO_STREAM);
+	CU_ASSERT(t.result.rc == -RESULT_BROKEN_ANSWER);
+	CU_ASSERT_STRING_EQUAL(streamed(&t), "0 1 2 ");
+	CU_ASSERT(!has(&t, "[DONE]"));
+	CU_ASSERT(has(&t, "event: error"));
+	CU_ASSERT(has(&t, "\"outcome\":\"unknown\""));
+	/* The retry budget and the cap end it. */
+	CU_ASSERT(t.runs <= 8);
+	teardown(&t);
+}
+
+/* Guards against "not run" for what may have run, and the reverse. */
+static void
+test_not_run_only_when_certain(void)
+{
+	online_test_t t;
+
+	setup(&t, &(script_t){.cut_first = 100, .cut_at = 0});
+	ask(&t, "/v1/completions", NULL, HELLO);
+	CU_ASSERT(t.result.status == 502);
+	CU_ASSERT(has(&t, "\"outcome\":\"unknown\""));
+	teardown(&t);
+	setup(&t, &(script_t){.closed = true});
+	ask(&t, "/v1/completions", NULL, HELLO);
+	CU_ASSERT(t.result.status == 502 && t.runs == 0);
+	CU_ASSERT(has(&t, "\"outcome\":\"not_run\""));
+	CU_ASSERT(has(&t, "ENDPOINT_UNREACHABLE"));
+	teardown(&t);
+	setup(&t, &(script_t){.status = 422});
+	ask(&t, "/v1/completions", NULL, HELLO);
+	CU_ASSERT(t.result.status == 422 && t.runs == 1);
+	CU_ASSERT(has(&t, "\"outcome\":\"failed\""));
+	CU_ASSERT(has(&t, "scripted"));
+	teardown(&t);
+}
+
+/* Guards against a second run of a request that must not be repeated. */
+static void
+test_no_repeat_runs_at_most_once(void)
+{
+	online_test_t t;
+
+	setup(&t, &(script_t){.cut_first = 100, .cut_at = 1});
+	ask(&t, "/v1/completions", no_repeat, HELLO);
+	CU_ASSERT(t.intents == 1 && t.runs == 1 && t.withdrawals == 0);
+	CU_ASSERT(has(&t, "\"outcome\":\"unknown\""));
+	teardown(&t);
+	setup(&t, &(script_t){0});
+	ask(&t, "/v1/call/s", no_repeat, "{\"x\":1}");
+	CU_ASSERT(t.result.status == 200 && has(&t, "{\"x\":1}"));
+	CU_ASSERT(t.runs == 1 && t.outcomes == 1);
+	CU_ASSERT_STRING_EQUAL(t.last_key, "k1");
+	CU_ASSERT(str_equal(str_buf(&t.outcome), STR("{\"x\":1}")));
+	teardown(&t);
+	setup(&t, &(script_t){.status = 500});
+	ask(&t, "/v1/call/s", no_repeat, "{\"x\":1}");
+	CU_ASSERT(t.result.status == 502 && t.runs == 1);
+	CU_ASSERT(has(&t, "\"outcome\":\"unknown\""));
+	teardown(&t);
+}
+
+/* Guards against a run without permission, and against a lost response. */
+static void
+test_intent_decides(void)
+{
+	online_test_t t;
+
+	setup(&t, &(script_t){0});
+	t.intent_answer.rc = -RESULT_LOG_UNAVAILABLE;
+	ask(&t, "/v1/call/s", no_repeat, "{}");
+	CU_ASSERT(t.result.status == 503 && t.runs == 0);
+	CU_ASSERT(has(&t, "\"outcome\":\"not_run\""));
+	t.intent_answer.rc = -RESULT_IN_PROGRESS;
+	ask(&t, "/v1/call/s", no_repeat, "{}");
+	CU_ASSERT(t.result.status == 409 && t.runs == 0);
+	CU_ASSERT(has(&t, "\"outcome\":\"unknown\""));
+	t.intent_answer = (intent_answer_t){
+	    .recorded = true, .status = 200, .body = STR("{\"old\":1}")};
+	ask(&t, "/v1/call/s", no_repeat, "{}");
+	CU_ASSERT(t.result.status == 200 && has(&t, "{\"old\":1}"));
+	t.intent_answer.body =
+	    STR("{\"choices\":[{\"text\":\"old text\",\"finish_reason\":"
+		"\"stop\"}],\"usage\":{\"completion_tokens\":2}}");
+	ask(&t, "/v1/completions", no_repeat, HELLO_STREAM);
+	CU_ASSERT(t.result.rc == 0 && has(&t, "[DONE]"));
+	CU_ASSERT_STRING_EQUAL(streamed(&t), "old text");
+	CU_ASSERT(t.runs == 0 && t.outcomes == 0);
+	teardown(&t);
+}
+
+/* Guards against "not run" while a permission to run still stands. */
+static void
+test_not_run_after_an_intent_needs_a_void(void)
+{
+	online_test_t t;
+
+	setup(&t, &(script_t){.closed = true});
+	ask(&t, "/v1/completions", no_repeat, HELLO);
+	CU_ASSERT(t.withdrawals == 1 && t.runs == 0);
+	CU_ASSERT(has(&t, "\"outcome\":\"not_run\""));
+	t.withdraw_rc = -RESULT_LOG_UNCERTAIN;
+	ask(&t, "/v1/completions", no_repeat, HELLO);
+	CU_ASSERT(t.withdrawals == 2 && t.runs == 0);
+	CU_ASSERT(has(&t, "\"outcome\":\"unknown\""));
+	teardown(&t);
+}
+
+/* Guards against unclear errors for wrong requests. */
+static void
+test_validation(void)
+{
+	static const struct {
+		const char *path;
+		const char *header;
+		const char *body;
+		int status;
+		const char *text;
+	} cases[] = {
+	    {"/v1/completions", NULL, "nonsense", 400, "not a JSON object"},
+	    {"/v1/completions", NULL, "{\"prompt\":\"x\"}", 400, "model"},
+	    {"/v1/completions", NULL, "{\"model\":\"m\"}", 400, "prompt"},
+	    {"/v1/completions", NULL,
+		"{\"model\":\"m\",\"prompt\":\"x\",\"max_tokens\":0}", 400,
+		"max_tokens"},
+	    {"/v1/completions", NULL, "{\"model\":\"zz\",\"prompt\":\"x\"}",
+		404, "UNKNOWN_MODEL"},
+	    {"/v1/completions", NULL, "{\"model\":\"s\",\"prompt\":\"x\"}", 404,
+		"UNKNOWN_MODEL"},
+	    {"/v1/chat/completions", NULL, HELLO, 400, "messages"},
+	    {"/v1/completions", "X-Deadline-Ms: soon", HELLO, 400,
+		"X-Deadline-Ms"},
+	    {"/v1/completions", "X-No-Repeat: 1", HELLO, 400,
+		"Idempotency-Key"},
+	    {"/v1/completions", "X-Request-Id: a b", HELLO, 400,
+		"X-Request-Id"},
+	    {"/v1/call/zz", NULL, "{}", 404, "UNKNOWN_MODEL"},
+	    {"/v1/call/s", NULL, "{", 400, "not JSON"},
+	    {"/v1/other", NULL, "{}", 404, "NOT_FOUND"},
+	};
+	online_test_t t;
+
+	setup(&t, &(script_t){0});
+	for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		const char *headers[] = {cases[i].header, NULL};
+
+		ask(&t, cases[i].path, headers, cases[i].body);
+		CU_ASSERT(t.result.status == cases[i].status);
+		CU_ASSERT(has(&t, cases[i].text));
+		CU_ASSERT(has(&t, "\"outcome\":\"not_run\""));
+	}
+	send_request(&t, "GET", "/v1/completions", NULL, "");
+	run_for(&t, 5);
+	CU_ASSERT(t.result.status == 405);
+	CU_ASSERT(t.runs == 0);
+	teardown(&t);
+}
+
+/* Guards against an engine that goes on for a caller that went away. */
+static void
+test_gone_caller(void)
+{
+	online_test_t t;
+
+	setup(&t, &(script_t){.hold_first = 100});
+	send_request(&t, "POST", "/v1/completions", NULL, HELLO_STREAM);
+	run_for(&t, 0.15);
+	CU_ASSERT(t.runs == 1 && online_open(t.online) == 1);
+	http_call_cancel(t.call);
+	run_for(&t, 1.0);
+	CU_ASSERT(t.cancels >= 1);
+	CU_ASSERT(online_open(t.online) == 0);
+	CU_ASSERT(grants_open(t.grants) == 0);
+	teardown(&t);
+}
+
+/* Guards against a request that outlives its deadline. */
+static void
+test_deadline(void)
+{
+	static const char *const headers[] = {"X-Deadline-Ms: 400", NULL};
+	online_test_t t;
+	double start;
+
+	setup(&t, &(script_t){.hold_first = 100});
+	start = clock_monotonic();
+	ask(&t, "/v1/completions", headers, HELLO);
+	CU_ASSERT(t.result.status == 504);
+	CU_ASSERT(clock_monotonic() - start < 2);
+	CU_ASSERT(has(&t, "\"outcome\":\"unknown\""));
+	teardown(&t);
+}
+
+/* Sends a request as bytes, to see the headers of the answer. */
+static void
+ask_raw(online_test_t *t)
+{
+	struct sockaddr_in to = {
+	    .sin_family = AF_INET,
+	    .sin_port = htons(httpd_port(t->entry)),
+	    .sin_addr.s_addr = htonl(INADDR_LOOPBACK),
+	};
+	buf_t request = {0};
+	char piece[4096];
+	ssize_t n;
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+	buf_printf(&request,
+	    "POST /v1/completions HTTP/1.1\r\nHost: a\r\nX-Request-Id: r9\r\n"
+	    "Content-Length: %zu\r\n\r\n%s",
+	    sizeof(HELLO) - 1, HELLO);
+	buf_clear(&t->body);
+	CU_ASSERT(connect(fd, (struct sockaddr *)&to, sizeof(to)) == 0);
+	CU_ASSERT(
+	    send(fd, request.data, request.len, 0) == (ssize_t)request.len);
+	run_for(t, 0.3);
+	while ((n = recv(fd, piece, sizeof(piece), MSG_DONTWAIT)) > 0)
+		buf_append(&t->body, (str_t){piece, (size_t)n});
+	buf_free(&request);
+	close(fd);
+}
+
+/* Guards against a slot that is held for a caller who does not read. */
+static void
+test_slow_caller_is_given_up(void)
+{
+	static const char body[] =
+	    "{\"model\":\"m\",\"prompt\":\"x\",\"max_tokens\":80000,"
+	    "\"stream\":true}";
+	online_test_t t;
+	struct sockaddr_in to = {
+	    .sin_family = AF_INET,
+	    .sin_addr.s_addr = htonl(INADDR_LOOPBACK),
+	};
+	buf_t request = {0};
+	int small = 4096;
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+	setup(&t, &(script_t){.hold_first = 1});
+	to.sin_port = htons(httpd_port(t.entry));
+	setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &small, sizeof(small));
+	buf_printf(&request,
+	    "POST /v1/completions HTTP/1.1\r\nHost: a\r\n"
+	    "Content-Length: %zu\r\n\r\n%s",
+	    sizeof(body) - 1, body);
+	CU_ASSERT(connect(fd, (struct sockaddr *)&to, sizeof(to)) == 0);
+	CU_ASSERT(
+	    send(fd, request.data, request.len, 0) == (ssize_t)request.len);
+	for (int i = 0; i < 50 && t.cancels == 0; i++)
+		run_for(&t, 0.2);
+	CU_ASSERT(t.runs == 1 && t.cancels == 1);
+	CU_ASSERT(online_open(t.online) == 0);
+	buf_free(&request);
+	close(fd);
+	teardown(&t);
+}
+
+/* Guards against missing headers, and against a queue without a bound. */
+static void
+test_headers_and_overload(void)
+{
+	online_test_t t;
+	http_call_t *waiting[2];
+
+	setup(&t, &(script_t){0});
+	ask_raw(&t);
+	CU_ASSERT(has(&t, "HTTP/1.1 200"));
+	CU_ASSERT(has(&t, "X-Request-Id: r9\r\n"));
+	CU_ASSERT(has(&t, "X-Daisypier-Host: a\r\n"));
+	CU_ASSERT(has(&t, "X-Daisypier-Endpoint: e"));
+	CU_ASSERT(has(&t, "X-Daisypier-Config: 17\r\n"));
+	teardown(&t);
+	setup(&t, &(script_t){.hold_first = 100});
+	config_unref(t.config);
+	configure(&t, 0, 5000);
+	grants_fleet_changed(t.grants);
+	for (size_t i = 0; i < 2; i++) {
+		send_request(&t, "POST", "/v1/completions", NULL, HELLO_STREAM);
+		waiting[i] = t.call;
+	}
+	run_for(&t, 0.1);
+	CU_ASSERT(t.runs == 2);
+	ask_raw(&t);
+	CU_ASSERT(has(&t, "HTTP/1.1 503"));
+	CU_ASSERT(has(&t, "Retry-After: "));
+	CU_ASSERT(has(&t, "OVERLOADED"));
+	CU_ASSERT(has(&t, "\"outcome\":\"not_run\""));
+	for (size_t i = 0; i < 2; i++)
+		http_call_cancel(waiting[i]);
+	run_for(&t, 1.0);
+	teardown(&t);
+}
+
+static const suite_test_t tests[] = {
+    {"plain answers", test_plain_answers},
+    {"continued on another endpoint", test_continued_on_another_endpoint},
+    {"cut answer never looks complete", test_cut_answer_never_looks_complete},
+    {"not run only when certain", test_not_run_only_when_certain},
+    {"no repeat runs at most once", test_no_repeat_runs_at_most_once},
+    {"intent decides", test_intent_decides},
+    {"not run after an intent needs a void",
+	test_not_run_after_an_intent_needs_a_void},
+    {"validation", test_validation},
+    {"gone caller", test_gone_caller},
+    {"deadline", test_deadline},
+    {"slow caller is given up", test_slow_caller_is_given_up},
+    {"headers and overload", test_headers_and_overload},
+};
+
+SUITE_MAIN("online", tests)
