--- /dev/null
+++ b/tests/test_fail_jobs.c
@@ -0,0 +1,195 @@
+/*
+ * Failures under which an acknowledged job completes exactly once, with real
+ * processes: every item has one result, the right one, readable at any host.
+ */
+#include "suite.h"
+
+#include <signal.h>
+#include <stdio.h>
+
+#include "harness_hosts.h"
+
+#define ITEMS	   120
+#define MAX_TOKENS 12
+#define FINISH_S   60.0
+
+static hosts_t hosts;
+
+static void
+submit(const char *name, char id[64])
+{
+	buf_t lines = {0};
+
+	hosts_job_lines(&lines, name, ITEMS, MAX_TOKENS);
+	CU_ASSERT_FATAL(
+	    hosts_submit_anywhere(&hosts, name, str_buf(&lines), FINISH_S, id));
+	buf_free(&lines);
+}
+
+static void
+check_finished(const char *name, const char *id)
+{
+	CU_ASSERT(hosts_wait_job(&hosts, id, FINISH_S));
+	CU_ASSERT(hosts_check_results(&hosts, id, name, ITEMS, MAX_TOKENS));
+}
+
+typedef struct progress_t {
+	const char *id;
+	int at_least;
+} progress_t;
+
+static bool
+has_progress(void *ctx)
+{
+	const progress_t *progress = ctx;
+
+	return (hosts_job_count(&hosts, progress->id, "succeeded") >=
+		progress->at_least);
+}
+
+static void
+wait_progress(const char *id, int at_least)
+{
+	progress_t progress = {.id = id, .at_least = at_least};
+
+	CU_ASSERT(harness_wait(has_progress, &progress, FINISH_S));
+}
+
+/* Guards against an acknowledged job that is lost with its owner. */
+static void
+test_owner_killed_after_acknowledging(void)
+{
+	char id[64];
+
+	hosts_start(&hosts, &(hosts_params_t){.token_ms = 10});
+	submit("kill-at-once", id);
+	harness_kill(hosts.hosts[hosts_owner_of(&hosts, id)]);
+	check_finished("kill-at-once", id);
+	hosts_end(&hosts);
+}
+
+/* Guards against items that are lost or counted twice by the next owner. */
+static void
+test_owner_killed_amid_the_job(void)
+{
+	char id[64];
+	char again[64];
+
+	hosts_start(&hosts, &(hosts_params_t){.token_ms = 20, .slots = 2});
+	submit("kill-amid", id);
+	wait_progress(id, 10);
+	harness_kill(hosts.hosts[hosts_owner_of(&hosts, id)]);
+	submit("kill-amid", again);
+	CU_ASSERT_STRING_EQUAL(id, again);
+	check_finished("kill-amid", id);
+	hosts_end(&hosts);
+}
+
+/* Guards against a paused owner that wakes and whose late records count. */
+static void
+test_frozen_owner_wakes(void)
+{
+	char id[64];
+	unsigned owner;
+
+	hosts_start(&hosts, &(hosts_params_t){.token_ms = 20, .slots = 2});
+	submit("freeze", id);
+	wait_progress(id, 10);
+	owner = hosts_owner_of(&hosts, id);
+	harness_stop(hosts.hosts[owner]);
+	wait_progress(id, 60);
+	harness_continue(hosts.hosts[owner]);
+	check_finished("freeze", id);
+	hosts_end(&hosts);
+}
+
+/* Guards against results that are lost while the log service is out. */
+static void
+test_log_outage_amid_the_job(void)
+{
+	char id[64];
+
+	hosts_start(&hosts, &(hosts_params_t){.token_ms = 20, .slots = 2});
+	submit("outage", id);
+	wait_progress(id, 10);
+	hosts_platform(&hosts, "outage?on=1");
+	harness_sleep(20);
+	hosts_platform(&hosts, "outage?on=0");
+	check_finished("outage", id);
+	hosts_end(&hosts);
+}
+
+/* Guards against guesses about appends whose answers were lost. */
+static void
+test_every_tenth_answer_lost(void)
+{
+	char id[64];
+
+	hosts_start(&hosts, &(hosts_params_t){.token_ms = 10});
+	hosts_platform(&hosts, "lose_answers?every=10");
+	for (int i = 0; i < 5; i++) {
+		char name[32];
+
+		snprintf(name, sizeof(name), "lost-%d", i);
+		submit(name, id);
+		check_finished(name, id);
+	}
+	hosts_end(&hosts);
+}
+
+/* Guards against a second fault that undoes the recovery from the first. */
+static void
+test_frozen_owner_and_lost_answers(void)
+{
+	char id[64];
+	unsigned owner;
+
+	hosts_start(&hosts, &(hosts_params_t){.token_ms = 20, .slots = 2});
+	hosts_platform(&hosts, "lose_answers?every=4");
+	submit("two-faults", id);
+	wait_progress(id, 10);
+	owner = hosts_owner_of(&hosts, id);
+	harness_stop(hosts.hosts[owner]);
+	wait_progress(id, 40);
+	harness_continue(hosts.hosts[owner]);
+	harness_kill(hosts.hosts[(owner + 1) % 3]);
+	check_finished("two-faults", id);
+	hosts_end(&hosts);
+}
+
+/* Guards against the loss of jobs when a part of the hosts goes at once. */
+static void
+test_four_of_thirteen_killed(void)
+{
+	char ids[8][64];
+	char name[32];
+
+	hosts_start(&hosts, &(hosts_params_t){.hosts = 13, .token_ms = 20});
+	for (int i = 0; i < 8; i++) {
+		snprintf(name, sizeof(name), "thirteen-%d", i);
+		submit(name, ids[i]);
+	}
+	for (unsigned i = 2; i < 6; i++)
+		harness_kill(hosts.hosts[i]);
+	for (int i = 0; i < 8; i++) {
+		char again[64];
+
+		snprintf(name, sizeof(name), "thirteen-%d", i);
+		submit(name, again);
+		CU_ASSERT_STRING_EQUAL(ids[i], again);
+		check_finished(name, ids[i]);
+	}
+	hosts_end(&hosts);
+}
+
+static const suite_test_t tests[] = {
+    {"owner killed after acknowledging", test_owner_killed_after_acknowledging},
+    {"owner killed amid the job", test_owner_killed_amid_the_job},
+    {"frozen owner wakes", test_frozen_owner_wakes},
+    {"log outage amid the job", test_log_outage_amid_the_job},
+    {"every tenth answer lost", test_every_tenth_answer_lost},
+    {"frozen owner and lost answers", test_frozen_owner_and_lost_answers},
+    {"four of thirteen killed", test_four_of_thirteen_killed},
+};
+
+SUITE_MAIN("fail_jobs", tests)
