Test silence, slowness and abandoned generations of the stand-ins

The tests of the daemon rely on these faults: a log that never answers or answers late, a stream that goes silent, and a caller that never comes back. None of them was covered.

Change: three tests; the programs are unchanged.

--- a/tests/test_standin_engine.c
+++ b/tests/test_standin_engine.c
@@ -132,6 +132,55 @@
 	harness_kill(engine);
 }
 
+/* Guards against a silent connection that cannot be replaced. */
+static void
+test_resume_after_silence(void)
+{
+	harness_process_t *engine = start_engine("1", "1");
+	buf_t got = {0};
+	buf_t want = {0};
+
+	CU_ASSERT(harness_post(NULL, (str_t){0},
+		      "http://%s/admin/fault?mode=stall&every=4",
+		      harness_address(engine)) == 200);
+	complete(engine, "quiet", "r1", 20, 0, 0.5, &got);
+	expected_stream("quiet", "r1", 0, 3, "length", &want);
+	CU_ASSERT(got.len > 0 && got.len < want.len);
+	CU_ASSERT(str_has_prefix(str_buf(&want), str_buf(&got)));
+	CU_ASSERT(
+	    harness_post(NULL, (str_t){0}, "http://%s/admin/fault?mode=none",
+		harness_address(engine)) == 200);
+	CU_ASSERT(harness_post(&got, STR("{\"request_id\":\"r1\",\"from\":3}"),
+		      "http://%s/v1/resume", harness_address(engine)) == 200);
+	expected_stream("quiet", "r1", 3, 20, "length", &want);
+	CU_ASSERT(str_equal(str_buf(&got), str_buf(&want)));
+	buf_free(&got);
+	buf_free(&want);
+	harness_kill(engine);
+}
+
+static bool
+one_dropped(void *ctx)
+{
+	return (stat_of(ctx, "/admin/stats", "dropped") == 1);
+}
+
+/* Guards against a slot that stays taken when nobody resumes. */
+static void
+test_broken_connection_frees_slot(void)
+{
+	harness_process_t *engine = start_engine("1", "20");
+	buf_t got = {0};
+
+	complete(engine, "left", "r1", 100000, 0, 0.2, &got);
+	harness_sleep(2);
+	CU_ASSERT(stat_of(engine, "/admin/stats", "running") == 1);
+	CU_ASSERT(harness_wait(one_dropped, engine, 10));
+	CU_ASSERT(stat_of(engine, "/admin/stats", "running") == 0);
+	buf_free(&got);
+	harness_kill(engine);
+}
+
 static bool
 no_running(void *ctx)
 {
@@ -216,6 +265,8 @@
 static const suite_test_t tests[] = {
     {"stream and continuation", test_stream_and_continuation},
     {"resume after break", test_resume_after_break},
+    {"resume after silence", test_resume_after_silence},
+    {"broken connection frees slot", test_broken_connection_frees_slot},
     {"slots and cancel", test_slots_and_cancel},
     {"fencing", test_fencing},
     {"prefix cache", test_prefix_cache},
--- a/tests/test_standin_platform.c
+++ b/tests/test_standin_platform.c
@@ -4,6 +4,7 @@
 #include <signal.h>
 #include <stdio.h>
 
+#include "clock.h"
 #include "harness.h"
 #include "wire.h"
 
@@ -127,6 +128,38 @@
 	harness_kill(platform);
 }
 
+/* Guards against outages that answer, and against slowness that loses. */
+static void
+test_silent_and_slow_log(void)
+{
+	harness_process_t *platform = start_platform("0");
+	buf_t joined = {0};
+	harness_response_t response;
+	uint64_t first;
+	uint64_t next;
+	double start;
+	char url[128];
+
+	snprintf(url, sizeof(url), "http://%s/v1/streams/s/records",
+	    harness_address(platform));
+	CU_ASSERT(control(platform, "outage?on=1&mode=hang") == 200);
+	CU_ASSERT(harness_http(&(harness_request_t){.method = "POST",
+				   .url = url,
+				   .body = STR("a"),
+				   .timeout = 0.3},
+		      &response) == 0);
+	harness_response_free(&response);
+	CU_ASSERT(control(platform, "outage?on=0") == 200);
+	CU_ASSERT(read_stream(platform, "from=1", &first, &next, &joined) == 0);
+	CU_ASSERT(control(platform, "slow?ms=200") == 200);
+	start = clock_monotonic();
+	CU_ASSERT(append(platform, "s", STR("b")) == 200);
+	CU_ASSERT(clock_monotonic() - start >= 0.19);
+	CU_ASSERT(read_stream(platform, "from=1", &first, &next, &joined) == 1);
+	buf_free(&joined);
+	harness_kill(platform);
+}
+
 /* Guards against an append rate that is not enforced or counts refusals. */
 static void
 test_rate_is_enforced(void)
@@ -197,6 +230,7 @@
 static const suite_test_t tests[] = {
     {"append and read", test_append_and_read},
     {"append faults", test_append_faults},
+    {"silent and slow log", test_silent_and_slow_log},
     {"rate is enforced", test_rate_is_enforced},
     {"host list lags", test_host_list_lags},
     {"service counts executions", test_service_counts_executions},
