--- a/src/durable.c
+++ b/src/durable.c
@@ -15,8 +15,11 @@
 
 /* Bytes of a job in one message. */
 #define PART_BYTES (1U << 20)
-/* A call without a reply for this long is sent again, in seconds. */
-#define ATTEMPT_S   2.0
+/*
+ * While the owner commits, its link may be idle. A ping at this interval finds
+ * a silent link, and keeps the call's own timeout from dropping a good one.
+ */
+#define PING_S	    1.0
 #define RETRY_MIN_S 0.05
 #define RETRY_MAX_S 0.5
 
@@ -37,6 +40,7 @@
 	bool maybe; /* an attempt may have taken effect without a reply */
 	int last;   /* result code of the last attempt */
 	char hint[64];
+	char address[48]; /* of the host that was asked */
 	peer_call_t *peer;
 	durable_request_t *local;
 	bool finished;
@@ -264,12 +268,38 @@
 	call_schedule(call, call->deadline - clock_monotonic());
 }
 
+static void
+on_ping_reply(void *ctx, const peer_reply_t *reply)
+{
+	(void)ctx;
+	(void)reply;
+}
+
+static void
+call_ping(durable_call_t *call)
+{
+	peer_call(call->durable->params.peer, call->address, PEER_PING,
+	    (str_t){0}, PING_S, on_ping_reply, NULL);
+	call_schedule(call, PING_S);
+}
+
+/* The call's timeout is longer than its deadline: the timer ends it. */
+static void
+call_peer(durable_call_t *call, const char *address, str_t message)
+{
+	double left = call->deadline - clock_monotonic();
+
+	str_copy(call->address, sizeof(call->address), str_of(address));
+	call->peer = peer_call(call->durable->params.peer, address, call->type,
+	    message, left + 2 * PING_S, on_peer_reply, call);
+	call_schedule(call, PING_S);
+}
+
 static void
 call_attempt(durable_call_t *call)
 {
 	const durable_params_t *params = &call->durable->params;
 	const member_t *target = call_target(call);
-	double left = call->deadline - clock_monotonic();
 	buf_t message = {0};
 
 	if (target == NULL) {
@@ -281,9 +311,7 @@
 	if (strcmp(target->name, params->name) == 0)
 		call_local(call, str_buf(&message));
 	else
-		call->peer = peer_call(params->peer, target->address,
-		    call->type, str_buf(&message),
-		    left < ATTEMPT_S ? left : ATTEMPT_S, on_peer_reply, call);
+		call_peer(call, target->address, str_buf(&message));
 	buf_free(&message);
 }
 
@@ -295,12 +323,18 @@
 	(void)loop;
 	(void)events;
 	if (clock_monotonic() < call->deadline) {
-		if (call->local == NULL)
+		if (call->peer != NULL)
+			call_ping(call);
+		else if (call->local == NULL)
 			call_attempt(call);
 		else
 			call_schedule(call, call->deadline - clock_monotonic());
 		return;
 	}
+	if (call->peer != NULL) {
+		call->maybe = true;
+		call->last = -RESULT_OWNER_UNREACHABLE;
+	}
 	/* A local request that still waits may take effect later. */
 	if (call->local != NULL) {
 		call->maybe = true;
--- a/tests/test_durable.c
+++ b/tests/test_durable.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "clock.h"
+#include "counter.h"
 #include "harness_cluster.h"
 #include "result.h"
 
@@ -378,6 +379,33 @@
 	cluster_free(&cluster);
 }
 
+/* Guards against a slow commit that costs the link and all its calls. */
+static void
+test_slow_owner_keeps_its_link(void)
+{
+	cluster_t cluster;
+	char id[SHARD_ID_SIZE];
+	answer_t answer;
+	counter_t *dropped =
+	    counter_get("daisypier_peer_links_dropped_total", "");
+	double before;
+	size_t other;
+
+	cluster_init(&cluster, 13);
+	cluster_wait_owned(&cluster);
+	durable_job_id(STR(ORG), STR("key"), id);
+	other = cluster_other_than(&cluster, cluster_owner_of(&cluster, id));
+	CU_ASSERT(get(&cluster, other, id).rc == -RESULT_NOT_FOUND);
+	before = counter_value(dropped);
+	cluster.log_frozen = true;
+	answer = submit(&cluster, other, "key", small_job(), 2);
+	CU_ASSERT(answer.rc == -RESULT_OWNER_UNREACHABLE);
+	CU_ASSERT(counter_value(dropped) == before);
+	cluster.log_frozen = false;
+	CU_ASSERT(submit(&cluster, other, "key", small_job(), 2).rc == 0);
+	cluster_free(&cluster);
+}
+
 /* Guards against an acknowledged job that is lost with its owner. */
 static void
 test_owner_dies(void)
@@ -588,6 +616,7 @@
     {"large job", test_large_job},
     {"two hosts upload one job", test_two_hosts_upload_one_job},
     {"outage is told truthfully", test_outage_is_told_truthfully},
+    {"slow owner keeps its link", test_slow_owner_keeps_its_link},
     {"owner dies", test_owner_dies},
     {"owner dies in mid-submit", test_owner_dies_in_mid_submit},
     {"no owner is not run", test_no_owner_is_not_run},
