--- a/src/operator_config.c
+++ b/src/operator_config.c
@@ -6,7 +6,8 @@
 #include "operator_http_impl.h"
 #include "result.h"
 
-#define TIMEOUT_S 10.0
+#define TIMEOUT_S     10.0
+#define MAX_TIMEOUT_S 20.0
 
 typedef struct outcome_info_t {
 	const char *name;
@@ -149,7 +150,8 @@
 			.sites = sites,
 			.site_count = count,
 		    },
-		.timeout = timeout > 0 ? timeout : TIMEOUT_S,
+		.timeout = timeout > 0 && timeout <= MAX_TIMEOUT_S ? timeout
+								   : TIMEOUT_S,
 	    },
 	    on_applied, call);
 	free(sites);
