--- a/demo/demo.sh
+++ b/demo/demo.sh
@@ -82,9 +82,11 @@
 done
 
 echo "== apply the configuration"
-"$build/daisypier" --operator "http://127.0.0.11:$op" --token operator-token \
-    config apply --made-from 0 --base demo/base.ini \
-    --overlay "site-one=$work/overlay.ini" || fail "config apply"
+DAISYPIER_SERVER=http://127.0.0.11:$op
+DAISYPIER_TOKEN=operator-token
+export DAISYPIER_SERVER DAISYPIER_TOKEN
+"$build/daisypier" config apply --from 0 --wait 10 demo/base.ini \
+    "site-one=$work/overlay.ini" || fail "config apply"
 
 for i in 1 2 3; do
 	for _ in $(seq 100); do
@@ -112,32 +114,33 @@
 
 echo "== online completion"
 request 1 /v1/completions -H "Authorization: Bearer $token" \
-    -d '{"model":"tally-lm","prompt":"how many chairs are left","max_tokens":8}'
+    -d '{"model":"tally-lm","prompt":"what is two plus two","max_tokens":8}'
 grep -q '"finish_reason"' "$work/body" || fail completion
 
 echo "== streamed completion"
 request 2 /v1/completions -H "Authorization: Bearer $token" \
-    -d '{"model":"tally-lm","prompt":"float of kiosk 4","max_tokens":4,"stream":true}'
+    -d '{"model":"tally-lm","prompt":"name four colours","max_tokens":4,"stream":true}'
 grep -q '\[DONE\]' "$work/body" || fail stream
 
 echo "== call that must not be repeated, sent twice"
 for host in 1 3; do
 	request $host /v1/call/ledger -H "Authorization: Bearer $token" \
-	    -H 'X-No-Repeat: 1' -H 'Idempotency-Key: quote-17' \
-	    -d '{"quote":17}'
+	    -H 'X-No-Repeat: 1' -H 'Idempotency-Key: payment-17' \
+	    -d '{"amount":17}'
 	grep -q '"execution":1' "$work/body" || fail "call ran twice"
+	cp "$work/headers" "$work/call-headers"
 done
 
 echo "== job of 200 items, 3 of which cannot be done"
 for n in $(seq 0 199); do
 	case $n in
-	13 | 77 | 151) prompt="impossible sheet $n" ;;
-	*) prompt="sheet $n" ;;
+	13 | 77 | 151) prompt="impossible item $n" ;;
+	*) prompt="item $n" ;;
 	esac
 	echo "{\"model\":\"tally-lm\",\"prompt\":\"$prompt\",\"max_tokens\":10}"
 done >"$work/items"
 request 2 /v1/jobs -H "Authorization: Bearer $batch_token" \
-    -H 'Idempotency-Key: evening' --data-binary "@$work/items"
+    -H 'Idempotency-Key: job-1' --data-binary "@$work/items"
 job=$(sed 's/.*"id":"\([^"]*\)".*/\1/' "$work/body")
 for _ in $(seq 100); do
 	curl -s -H "Authorization: Bearer $batch_token" \
@@ -151,4 +154,9 @@
 curl -s -H "Authorization: Bearer $batch_token" \
     "http://127.0.0.11:$http/v1/jobs/$job/results" | head -n 2
 
+echo "== where the calls ran, and the configuration on each host"
+"$build/daisypier" where "$(tr -d '\r' <"$work/call-headers" |
+    sed -n 's/^X-Request-Id: //p')" || fail where
+"$build/daisypier" config status || fail "config status"
+
 echo "demo: ok"
--- a/src/node_http.c
+++ b/src/node_http.c
@@ -1,6 +1,9 @@
 /* Requests of callers: who they are and which module answers. */
+#include <inttypes.h>
+#include <stdio.h>
 #include <string.h>
 
+#include "clock.h"
 #include "counter.h"
 #include "entries.h"
 #include "node_state.h"
@@ -88,6 +91,25 @@
 	return (config_org_of_token(config, str_trim(header)));
 }
 
+/* Headers of every answer: which request, which host, which configuration. */
+static void
+set_common_headers(const node_t *node, http_request_t *request)
+{
+	const char *id = http_request_header(request, "X-Request-Id");
+	char number[32];
+
+	http_request_set_header(
+	    request, "X-Daisypier-Host", node->settings->name);
+	snprintf(number, sizeof(number), "%" PRIu64,
+	    config_store_version(node->config));
+	http_request_set_header(request, "X-Daisypier-Config", number);
+	if (id == NULL) {
+		snprintf(number, sizeof(number), "%016" PRIx64, random_u64());
+		id = number;
+	}
+	http_request_set_header(request, "X-Request-Id", id);
+}
+
 /* Answers one request of a caller. */
 void
 node_handle_request(void *ctx, http_request_t *request)
@@ -96,8 +118,7 @@
 	const fleet_config_t *config = config_store_current(node->config);
 	const config_org_t *org;
 
-	http_request_set_header(
-	    request, "X-Daisypier-Host", node->settings->name);
+	set_common_headers(node, request);
 	if (handle_open_path(node, request))
 		return;
 	/* A stopping host serves the callers that still know its address. */
