Bound revocations while a new admitting host learns the grants

Cause: after a takeover online requests may wait for their host's allowance beside free slots; each free slot did not count for them, so batch was asked back again and again for slots that they could not use yet.

Change: under restriction free slots count for the waiting requests. The reserve is restored afterwards only. Batch that holders have reported yields to waiting online requests during the restriction already.

Measured, removed in a scratch copy, first failing assertion: free slots not counted t.granted == 1 && t.revoked == 0 no revocation under restriction t.revoked == 2

--- a/src/admission.c
+++ b/src/admission.c
@@ -635,14 +635,6 @@
 	return (grant != NULL && grant->state == SLOT_WAITING);
 }
 
-/* Returns whether something depends on admission_tick() being called soon. */
-bool
-admission_is_busy(const admission_t *a)
-{
-	return (a->waiting[GRANT_ONLINE] > 0 || a->waiting[GRANT_BATCH] > 0 ||
-		a->revoking > 0);
-}
-
 /* Describes the present state. */
 void
 admission_stats(const admission_t *a, double now, admission_stats_t *out)
--- a/src/admission.h
+++ b/src/admission.h
@@ -99,7 +99,6 @@
 
 bool admission_is_waiting(
     const admission_t *a, const char *holder, uint64_t id);
-bool admission_is_busy(const admission_t *a);
 void admission_stats(const admission_t *a, double now, admission_stats_t *out);
 unsigned admission_in_use(const admission_t *a, const char *endpoint);
 
--- a/src/admission_schedule.c
+++ b/src/admission_schedule.c
@@ -243,14 +243,16 @@
 revoke_for_online(admission_t *a, double now)
 {
 	unsigned spare = routes_refresh(a, now);
-	unsigned reserve =
-	    now < a->restricted_until ? 0 : a->settings.online_reserve;
-	unsigned wanted =
-	    a->waiting[GRANT_ONLINE] + (reserve > spare ? reserve - spare : 0);
+	unsigned wanted = a->waiting[GRANT_ONLINE];
 	unsigned coming = 0;
 	const char *useless = useless_endpoint(a);
 	slot_grant_t *grant = TAILQ_LAST(&a->batch_held, slot_queue_t);
 
+	/* Under restriction requests may wait beside slots that are free. */
+	if (now < a->restricted_until)
+		wanted -= spare < wanted ? spare : wanted;
+	else if (a->settings.online_reserve > spare)
+		wanted += a->settings.online_reserve - spare;
 	for (size_t i = 0; i < a->endpoint_count; i++)
 		if (a->routes[i].capacity > 0)
 			coming += a->endpoints[i]->revoking;
--- a/tests/test_admission.c
+++ b/tests/test_admission.c
@@ -345,6 +345,7 @@
 test_waiting_ends_at_the_deadline(void)
 {
 	pool_test_t t;
+	admission_stats_t stats;
 
 	setup(&t, &settings, 1, 1);
 	ask(&t, GRANT_ONLINE);
@@ -353,7 +354,8 @@
 	admission_tick(t.a, t.now);
 	drain(&t);
 	CU_ASSERT(t.refused == 1 && t.last.rc == -RESULT_OVERLOADED);
-	CU_ASSERT(!admission_is_busy(t.a));
+	admission_stats(t.a, t.now, &stats);
+	CU_ASSERT(stats.online_waiting == 0 && stats.online == 1);
 	admission_delete(t.a);
 }
 
@@ -514,6 +516,27 @@
 	admission_delete(t.a);
 }
 
+/*
+ * Guards against a takeover that drives batch out, slot by slot, for requests
+ * that wait for their host's allowance, and against one that keeps online
+ * waiting behind batch.
+ */
+static void
+test_revocation_during_takeover(void)
+{
+	pool_test_t t;
+
+	setup(&t, &settings, 1, 8);
+	admission_restrict(t.a, t.now + 1.5, allow_one_of, NULL);
+	report_held(&t, 2, 1000, 5); /* one online, four batch */
+	for (int i = 0; i < 3; i++)
+		ask(&t, GRANT_ONLINE);
+	CU_ASSERT(t.granted == 1 && t.revoked == 0);
+	report_held(&t, 3, 2000, 2);
+	CU_ASSERT(t.revoked == 2);
+	admission_delete(t.a);
+}
+
 /* Guards against slots that are lost with a message or with their holder. */
 static void
 test_lost_grants_are_reclaimed(void)
@@ -632,6 +655,7 @@
     {"slow endpoint gets fewer requests",
 	test_slow_endpoint_gets_fewer_requests},
     {"takeover bounds double grants", test_takeover_bounds_double_grants},
+    {"revocation during takeover", test_revocation_during_takeover},
     {"lost grants are reclaimed", test_lost_grants_are_reclaimed},
     {"avoided endpoint", test_avoided_endpoint},
     {"random events keep the bounds", test_random_events_keep_the_bounds},
