Fit the load tool's batch job to the jobs interface

The interface to jobs came after the tool: progress is in the counts, "finished" is a time, and results come in pages. The tool had taken that time for a count and had read one page. Preparing a large job also ran after the clock had started, which would have counted as latency of the first requests.

--- a/src/daisyload.c
+++ b/src/daisyload.c
@@ -71,7 +71,6 @@
 		    .loop = ev_default_loop(0),
 		    .scenario = scenario,
 		    .stats = stats,
-		    .start = clock_monotonic(),
 		    .rng = rng_seeded(~(uint64_t)scenario->seed),
 		    .on_progress = on_progress,
 		},
@@ -87,6 +86,9 @@
 	    "Authorization: Bearer %s", scenario->token);
 	entries = load_entries_new(&tool.run);
 	tool.batch = load_batch_new(&tool.run);
+	/* A large job takes a while to prepare; the clock starts after it. */
+	ev_now_update(tool.run.loop);
+	tool.run.start = clock_monotonic();
 	tool.next = load_arrivals_next(&tool.arrivals);
 	ev_timer_init(&tool.arrive, on_arrive, 0, 0);
 	tool.arrive.data = &tool;
--- a/src/load_batch.c
+++ b/src/load_batch.c
@@ -12,6 +12,7 @@
 #define SUBMIT_TIMEOUT_S 30.0
 #define POLL_TIMEOUT_S	 5.0
 #define POLL_S		 0.5
+#define PAGE_SIZE	 1000U
 #define MAX_RESULTS	 (256U << 20)
 
 typedef enum batch_step_t {
@@ -26,8 +27,9 @@
 	batch_step_t step;
 	char job_id[128];
 	char key[64];
-	buf_t job;  /* one item a line */
-	bool *seen; /* item: a result was read */
+	buf_t job;     /* one item a line */
+	bool *seen;    /* item: a result was read */
+	unsigned from; /* first item of the next page of results */
 	http_call_t *call;
 	ev_timer timer;
 };
@@ -111,8 +113,6 @@
 	load_stats_t *stats = batch->run->stats;
 	const json_t *id = json_object_get(root, "id");
 
-	if (id == NULL)
-		id = json_object_get(root, "job");
 	if (!json_is_string(id)) {
 		batch_end(batch, "answer without id");
 		return;
@@ -132,17 +132,11 @@
 {
 	static const char *const names[] = {
 	    "succeeded", "failed", "unknown", "cancelled"};
-	const json_t *finished = json_object_get(root, "finished");
 	const json_t *counts = json_object_get(root, "counts");
 	json_int_t sum = 0;
 
-	if (!json_is_integer(finished))
-		finished = json_object_get(root, "done");
-	if (json_is_integer(finished))
-		return (json_integer_value(finished));
 	for (size_t i = 0; i < sizeof(names) / sizeof(names[0]); i++)
-		sum += json_integer_value(
-		    json_object_get(counts != NULL ? counts : root, names[i]));
+		sum += json_integer_value(json_object_get(counts, names[i]));
 	return (sum);
 }
 
@@ -167,65 +161,72 @@
 	}
 }
 
-/* Returns the answer's text in a result, at any of the usual places. */
-static const char *
-result_answer(const json_t *line)
+/* Checks the state and the text of an item's result. */
+static void
+batch_check_item(load_batch_t *batch, unsigned n, const json_t *line)
 {
-	const json_t *text = json_object_get(line, "text");
-	const json_t *result = json_object_get(line, "result");
-
-	if (text == NULL && json_is_string(result))
-		text = result;
-	if (text == NULL)
-		text = json_object_get(result, "text");
-	return (json_string_value(text));
+	load_stats_t *stats = batch->run->stats;
+	const char *state = json_string_value(json_object_get(line, "state"));
+	const char *text = json_string_value(
+	    json_object_get(json_object_get(line, "result"), "text"));
+	bool succeeded = state != NULL && strcmp(state, "succeeded") == 0;
+	buf_t prompt = {0};
+	buf_t expected = {0};
+
+	batch_prompt(batch, n, &prompt);
+	standin_answer(str_buf(&prompt),
+	    (unsigned)batch->run->scenario->batch_max_tokens, &expected);
+	if (standin_prompt_refused(str_buf(&prompt)))
+		stats->batch_wrong += succeeded;
+	else if (!succeeded)
+		stats->batch_lost++;
+	else if (!str_equal(str_of(text), str_buf(&expected)))
+		stats->batch_wrong++;
+	buf_free(&prompt);
+	buf_free(&expected);
 }
 
 static void
-batch_check_result(load_batch_t *batch, const json_t *line)
+batch_check_line(load_batch_t *batch, str_t text)
 {
 	load_stats_t *stats = batch->run->stats;
+	json_t *line = json_loadb(text.data, text.len, 0, NULL);
 	const json_t *index = json_object_get(line, "index");
-	const char *text = result_answer(line);
-	buf_t prompt = {0};
-	buf_t expected = {0};
-	json_int_t n;
+	json_int_t n = json_is_integer(index) ? json_integer_value(index) : -1;
 
-	if (index == NULL)
-		index = json_object_get(line, "item");
-	n = json_is_integer(index) ? json_integer_value(index) : -1;
 	stats->batch_results++;
 	if (n < 0 || n >= (json_int_t)batch_count(batch)) {
 		stats->batch_wrong++;
-		return;
+	} else {
+		stats->batch_duplicates += batch->seen[n];
+		batch->seen[n] = true;
+		batch_check_item(batch, (unsigned)n, line);
 	}
-	stats->batch_duplicates += batch->seen[n];
-	batch->seen[n] = true;
-	batch_prompt(batch, (unsigned)n, &prompt);
-	standin_answer(str_buf(&prompt),
-	    (unsigned)batch->run->scenario->batch_max_tokens, &expected);
-	if (!standin_prompt_refused(str_buf(&prompt)) &&
-	    (text == NULL || !str_equal(str_of(text), str_buf(&expected))))
-		stats->batch_wrong++;
-	buf_free(&prompt);
-	buf_free(&expected);
+	json_decref(line);
 }
 
+/* Checks one page of results; the next one starts behind its last item. */
 static void
-batch_check_results(load_batch_t *batch, str_t body)
+batch_check_page(load_batch_t *batch, str_t body)
 {
+	unsigned lines = 0;
 	str_t line;
 
 	while (str_split(&body, '\n', &line)) {
-		json_t *root;
-
 		if (line.len == 0)
 			continue;
-		root = json_loadb(line.data, line.len, 0, NULL);
-		batch_check_result(batch, root);
-		json_decref(root);
+		batch_check_line(batch, line);
+		lines++;
 	}
-	batch_end(batch, "complete");
+	batch->from += lines;
+	if (lines == 0)
+		batch_end(batch, "results missing");
+	else if (batch->from >= batch_count(batch))
+		batch_end(batch, memchr(batch->seen, false, batch_count(batch))
+				     ? "results missing"
+				     : "complete");
+	else
+		batch_schedule(batch, 0);
 }
 
 static void
@@ -240,7 +241,7 @@
 		return;
 	}
 	if (batch->step == STEP_RESULTS) {
-		batch_check_results(batch, result->body);
+		batch_check_page(batch, result->body);
 		return;
 	}
 	root = json_loadb(result->body.data != NULL ? result->body.data : "",
@@ -266,10 +267,13 @@
 	if (submit)
 		snprintf(url, sizeof(url), "http://%s/v1/jobs?due_s=%.0f",
 		    load_run_entry(run), run->scenario->batch_due);
+	else if (batch->step == STEP_POLL)
+		snprintf(url, sizeof(url), "http://%s/v1/jobs/%s",
+		    load_run_entry(run), batch->job_id);
 	else
-		snprintf(url, sizeof(url), "http://%s/v1/jobs/%s%s",
-		    load_run_entry(run), batch->job_id,
-		    batch->step == STEP_RESULTS ? "/results" : "");
+		snprintf(url, sizeof(url),
+		    "http://%s/v1/jobs/%s/results?from=%u&max=%u",
+		    load_run_entry(run), batch->job_id, batch->from, PAGE_SIZE);
 	batch->call = http_call_start(run->httpc,
 	    &(http_call_params_t){
 		.method = submit ? "POST" : "GET",
--- a/src/load_stats.c
+++ b/src/load_stats.c
@@ -116,10 +116,11 @@
 	    (unsigned long long)stats->batch_items, "items done",
 	    (unsigned long long)stats->batch_done, "items done a second",
 	    batch_rate(stats));
-	printf("%-22s %9llu\n%-22s %9llu\n%-22s %9llu\n", "results read",
-	    (unsigned long long)stats->batch_results, "wrong content",
-	    (unsigned long long)stats->batch_wrong, "duplicates",
-	    (unsigned long long)stats->batch_duplicates);
+	printf("%-22s %9llu\n%-22s %9llu\n%-22s %9llu\n%-22s %9llu\n",
+	    "results read", (unsigned long long)stats->batch_results,
+	    "wrong content", (unsigned long long)stats->batch_wrong,
+	    "not succeeded", (unsigned long long)stats->batch_lost,
+	    "duplicates", (unsigned long long)stats->batch_duplicates);
 }
 
 static json_t *
@@ -137,11 +138,12 @@
 static json_t *
 batch_json(const load_stats_t *stats)
 {
-	return (json_pack("{s:s,s:I,s:I,s:f,s:I,s:I,s:I}", "state",
+	return (json_pack("{s:s,s:I,s:I,s:f,s:I,s:I,s:I,s:I}", "state",
 	    stats->batch_state, "items", (json_int_t)stats->batch_items, "done",
 	    (json_int_t)stats->batch_done, "done_per_s", batch_rate(stats),
 	    "results", (json_int_t)stats->batch_results, "wrong",
-	    (json_int_t)stats->batch_wrong, "duplicates",
+	    (json_int_t)stats->batch_wrong, "not_succeeded",
+	    (json_int_t)stats->batch_lost, "duplicates",
 	    (json_int_t)stats->batch_duplicates));
 }
 
--- a/src/load_stats.h
+++ b/src/load_stats.h
@@ -39,6 +39,7 @@
 	uint64_t batch_done; /* succeeded, failed or cancelled */
 	uint64_t batch_results;
 	uint64_t batch_wrong;	   /* results with wrong content */
+	uint64_t batch_lost;	   /* possible items that did not succeed */
 	uint64_t batch_duplicates; /* more than one result for an item */
 	double batch_first;	   /* seconds; acceptance of the job */
 	double batch_last;	   /* seconds; last progress seen */
