Let the load tool submit its job for another organisation

A trial with 60 online requests a second and a job of 4,000 items on three hosts and eight engines had 22 of 1,323 requests refused as LIMITED. Lack of capacity was ruled out, as the same load without the job had none: the job used the token, and so the concurrency limit, of the online organisation.

Change: key token in section [batch]; the token of [load] stays the default.

--- a/src/load_batch.c
+++ b/src/load_batch.c
@@ -27,6 +27,7 @@
 	batch_step_t step;
 	char job_id[128];
 	char key[64];
+	char authorization[256];
 	buf_t job;     /* one item a line */
 	bool *seen;    /* item: a result was read */
 	unsigned from; /* first item of the next page of results */
@@ -259,7 +260,7 @@
 	load_batch_t *batch = timer->data;
 	load_run_t *run = batch->run;
 	bool submit = batch->step == STEP_SUBMIT;
-	const char *headers[] = {run->authorization, batch->key, NULL};
+	const char *headers[] = {batch->authorization, batch->key, NULL};
 	char url[320];
 
 	(void)loop;
@@ -306,6 +307,10 @@
 	run->stats->batch_state = "not accepted";
 	snprintf(batch->key, sizeof(batch->key),
 	    "Idempotency-Key: load-%016llx", (unsigned long long)random_u64());
+	snprintf(batch->authorization, sizeof(batch->authorization),
+	    "Authorization: Bearer %s",
+	    run->scenario->batch_token[0] != '\0' ? run->scenario->batch_token
+						  : run->scenario->token);
 	batch_render(batch);
 	batch_schedule(batch, run->scenario->batch_start);
 	return (batch);
--- a/src/load_scenario.c
+++ b/src/load_scenario.c
@@ -159,6 +159,9 @@
 		set_text(&parser->scenario->token, value);
 	else if (load && str_equal(key, STR("model")))
 		set_text(&parser->scenario->model, value);
+	else if (parser->section == SECTION_BATCH &&
+		 str_equal(key, STR("token")))
+		set_text(&parser->scenario->batch_token, value);
 	else
 		set_number(parser, line, key, value);
 }
@@ -178,7 +181,11 @@
 {
 	parser_t parser = {.scenario = out, .fault = fault};
 
-	*out = (load_scenario_t){.token = xstrdup(""), .model = xstrdup("")};
+	*out = (load_scenario_t){
+	    .token = xstrdup(""),
+	    .model = xstrdup(""),
+	    .batch_token = xstrdup(""),
+	};
 	set_defaults(out, false);
 	ini_text_read(text, &(ini_events_t){
 				.on_section = on_section,
@@ -201,6 +208,7 @@
 		free(scenario->entries[i]);
 	free(scenario->token);
 	free(scenario->model);
+	free(scenario->batch_token);
 	*scenario = (load_scenario_t){0};
 }
 
--- a/src/load_scenario.h
+++ b/src/load_scenario.h
@@ -32,6 +32,7 @@
 	double seed;
 	double max_open; /* requests at a time; more fail as NOT_STARTED */
 	/* Section [batch]. */
+	char *batch_token;  /* of the job's organisation; empty: token */
 	double batch_items; /* 0: no job */
 	double batch_max_tokens;
 	double batch_start;	    /* seconds */
--- a/tests/test_load.c
+++ b/tests/test_load.c
@@ -184,6 +184,8 @@
 	buf_t body = {0};
 	int status = 200;
 
+	CU_ASSERT_STRING_EQUAL(
+	    http_request_header(request, "Authorization"), "Bearer jobs");
 	if (strcmp(path, "/v1/jobs") == 0) {
 		status = host->submissions++ == 0 ? 503 : 201;
 		if (host->submissions == 1)
@@ -222,6 +224,8 @@
 	char address[32];
 	char *entry = address;
 	load_scenario_t scenario = {.model = "m",
+	    .token = "online",
+	    .batch_token = "jobs",
 	    .batch_items = JOB_ITEMS,
 	    .batch_max_tokens = 4,
 	    .batch_refused_every = JOB_ITEMS};
