--- a/src/admission.c
+++ b/src/admission.c
@@ -11,11 +11,6 @@
 #define HOLD_SMOOTHING 0.05
 /* Batch requests that may wait; their owners ask for a few at a time. */
 #define BATCH_QUEUE_LIMIT 4096
-/*
- * A report may have been written before its holder got a grant; younger grants
- * than this are not reclaimed when a report lacks them.
- */
-#define REPORT_GRACE_S 2.0
 
 static slot_holder_t *
 holder_find(const admission_t *a, const char *name)
@@ -28,8 +23,9 @@
 	return (NULL);
 }
 
-static slot_holder_t *
-holder_get(admission_t *a, const char *name)
+/* Returns the holder of that name, made on the first call. */
+slot_holder_t *
+slot_holder_get(admission_t *a, const char *name)
 {
 	slot_holder_t *holder = holder_find(a, name);
 
@@ -42,8 +38,9 @@
 	return (holder);
 }
 
-static slot_org_t *
-org_get(admission_t *a, str_t name, double now)
+/* Returns the organisation of that name, made on the first call. */
+slot_org_t *
+slot_org_get(admission_t *a, str_t name, double now)
 {
 	slot_org_t *org;
 
@@ -60,8 +57,9 @@
 	return (org);
 }
 
-static slot_endpoint_t *
-endpoint_find(const admission_t *a, str_t name)
+/* Returns the endpoint of that name, or NULL. */
+slot_endpoint_t *
+slot_endpoint_find(const admission_t *a, str_t name)
 {
 	for (size_t i = 0; i < a->endpoint_count; i++)
 		if (str_equal(str_of(a->endpoints[i]->id.name), name))
@@ -69,8 +67,9 @@
 	return (NULL);
 }
 
-static slot_grant_t *
-grant_find(const admission_t *a, const char *holder, uint64_t id)
+/* Returns a holder's grant by its number, or NULL. */
+slot_grant_t *
+slot_grant_find(const admission_t *a, const char *holder, uint64_t id)
 {
 	slot_grant_t *grant;
 
@@ -80,9 +79,10 @@
 	return (NULL);
 }
 
-static slot_grant_t *
-grant_new(admission_t *a, uint64_t id, slot_holder_t *holder, slot_org_t *org,
-    grant_class_t class)
+/* Makes a grant that is in no queue yet. */
+slot_grant_t *
+slot_grant_new(admission_t *a, uint64_t id, slot_holder_t *holder,
+    slot_org_t *org, grant_class_t class)
 {
 	slot_grant_t *grant = xcalloc(1, sizeof(*grant));
 
@@ -122,8 +122,9 @@
 	a->held[class]--;
 }
 
-static void
-grant_delete(admission_t *a, slot_grant_t *grant)
+/* Takes a grant out of everything that counts it and frees it. */
+void
+slot_grant_delete(admission_t *a, slot_grant_t *grant)
 {
 	grant_unqueue(a, grant);
 	LIST_REMOVE(grant, bucket_entry);
@@ -154,7 +155,7 @@
 {
 	a->totals.refused++;
 	admission_emit(a, ADMISSION_REFUSE, grant, rc, retry_after);
-	grant_delete(a, grant);
+	slot_grant_delete(a, grant);
 }
 
 /* Makes the state of a pool that has no endpoints yet. */
@@ -182,7 +183,7 @@
 
 	while ((holder = LIST_FIRST(&a->holders)) != NULL) {
 		while (!LIST_EMPTY(&holder->grants))
-			grant_delete(a, LIST_FIRST(&holder->grants));
+			slot_grant_delete(a, LIST_FIRST(&holder->grants));
 		LIST_REMOVE(holder, entry);
 		free(holder);
 	}
@@ -230,7 +231,8 @@
 		a->endpoints[i]->leaving = true;
 	for (size_t i = 0; i < count; i++) {
 		const admission_endpoint_t *config = &endpoints[i];
-		slot_endpoint_t *e = endpoint_find(a, str_of(config->name));
+		slot_endpoint_t *e =
+		    slot_endpoint_find(a, str_of(config->name));
 
 		if (e == NULL)
 			e = endpoint_add(a, config, now);
@@ -380,7 +382,7 @@
 void
 admission_ask(admission_t *a, const admission_ask_t *ask, double now)
 {
-	slot_grant_t *grant = grant_find(a, ask->holder, ask->id);
+	slot_grant_t *grant = slot_grant_find(a, ask->holder, ask->id);
 	slot_org_t *org;
 	double wait;
 
@@ -389,15 +391,15 @@
 			admission_emit(a, ADMISSION_GRANT, grant, 0, 0);
 		return;
 	}
-	org = org_get(a, str_of(ask->org), now);
+	org = slot_org_get(a, str_of(ask->org), now);
 	org->weight = ask->weight;
 	org->concurrency = ask->concurrency;
 	if (org->quota.rate <= 0 && ask->requests_per_s > 0)
 		quota_init(&org->quota, ask->requests_per_s, now);
 	quota_set_rate(&org->quota, ask->requests_per_s, now);
 	wait = admission_estimate(a, org, now);
-	grant =
-	    grant_new(a, ask->id, holder_get(a, ask->holder), org, ask->class);
+	grant = slot_grant_new(
+	    a, ask->id, slot_holder_get(a, ask->holder), org, ask->class);
 	grant->prefix_hash = ask->prefix_hash;
 	grant->deadline = ask->deadline;
 	grant->since = now;
@@ -444,7 +446,7 @@
 admission_report(admission_t *a, const char *endpoint,
     const grant_report_t *report, double now)
 {
-	slot_endpoint_t *e = endpoint_find(a, str_of(endpoint));
+	slot_endpoint_t *e = slot_endpoint_find(a, str_of(endpoint));
 
 	if (e == NULL || report == NULL)
 		return;
@@ -462,7 +464,7 @@
 admission_release(admission_t *a, const char *holder, uint64_t id,
     const grant_report_t *report, double now)
 {
-	slot_grant_t *grant = grant_find(a, holder, id);
+	slot_grant_t *grant = slot_grant_find(a, holder, id);
 
 	if (grant == NULL)
 		return (false);
@@ -478,85 +480,11 @@
 				: held;
 		}
 	}
-	grant_delete(a, grant);
+	slot_grant_delete(a, grant);
 	admission_schedule(a, now);
 	return (true);
 }
 
-/* Takes in a grant that another admitting host, or nobody, issued. */
-static void
-held_insert(admission_t *a, slot_holder_t *holder,
-    const admission_holding_t *holding, double now)
-{
-	slot_endpoint_t *endpoint = endpoint_find(a, holding->endpoint);
-	slot_grant_t *grant;
-
-	if (endpoint == NULL)
-		return;
-	grant = grant_new(a, holding->id, holder, org_get(a, holding->org, now),
-	    holding->class);
-	grant->state = SLOT_HELD;
-	grant->endpoint = endpoint;
-	grant->since = now;
-	grant->listed = true;
-	endpoint->in_use++;
-	grant->org->held[grant->class]++;
-	a->held[grant->class]++;
-	if (grant->class == GRANT_BATCH)
-		TAILQ_INSERT_TAIL(&a->batch_held, grant, order);
-}
-
-/* Reclaims what a holder did not list and so no longer has or asks for. */
-static void
-held_reclaim(admission_t *a, slot_holder_t *holder, double now)
-{
-	slot_grant_t *grant = LIST_FIRST(&holder->grants);
-
-	while (grant != NULL) {
-		slot_grant_t *next = LIST_NEXT(grant, holder_entry);
-
-		if (!grant->listed && now - grant->since >= REPORT_GRACE_S) {
-			a->totals.reclaimed++;
-			grant_delete(a, grant);
-		}
-		grant = next;
-	}
-}
-
-/*
- * Takes in a holder's list of all its grants of the pool. Unknown ones are
- * added, those it lacks are reclaimed, and an answer that it did not get is
- * repeated. Writes the ids of waiting requests that are not known here to
- * unknown, which has room for count, and returns how many those are: the holder
- * must ask for them again.
- */
-size_t
-admission_held(admission_t *a, const char *holder_name,
-    const admission_holding_t *holdings, size_t count, uint64_t *unknown,
-    double now)
-{
-	slot_holder_t *holder = holder_get(a, holder_name);
-	size_t unknown_count = 0;
-	slot_grant_t *grant;
-
-	LIST_FOREACH (grant, &holder->grants, holder_entry)
-		grant->listed = false;
-	for (size_t i = 0; i < count; i++) {
-		grant = grant_find(a, holder_name, holdings[i].id);
-		if (grant != NULL)
-			grant->listed = true;
-		if (grant == NULL && holdings[i].waiting)
-			unknown[unknown_count++] = holdings[i].id;
-		else if (grant == NULL)
-			held_insert(a, holder, &holdings[i], now);
-		else if (holdings[i].waiting && grant->state == SLOT_HELD)
-			admission_emit(a, ADMISSION_GRANT, grant, 0, 0);
-	}
-	held_reclaim(a, holder, now);
-	admission_schedule(a, now);
-	return (unknown_count);
-}
-
 /* Reclaims all grants of a holder that is dead. */
 void
 admission_holder_gone(admission_t *a, const char *holder_name, double now)
@@ -567,7 +495,7 @@
 		return;
 	while (!LIST_EMPTY(&holder->grants)) {
 		a->totals.reclaimed++;
-		grant_delete(a, LIST_FIRST(&holder->grants));
+		slot_grant_delete(a, LIST_FIRST(&holder->grants));
 	}
 	LIST_REMOVE(holder, entry);
 	free(holder);
@@ -607,7 +535,7 @@
 	while ((grant = TAILQ_FIRST(&a->revoked)) != NULL &&
 	       now - grant->revoked >= a->settings.revoke_timeout) {
 		a->totals.revoke_timeouts++;
-		grant_delete(a, grant);
+		slot_grant_delete(a, grant);
 	}
 	admission_schedule(a, now);
 }
@@ -630,7 +558,7 @@
 bool
 admission_is_waiting(const admission_t *a, const char *holder, uint64_t id)
 {
-	const slot_grant_t *grant = grant_find(a, holder, id);
+	const slot_grant_t *grant = slot_grant_find(a, holder, id);
 
 	return (grant != NULL && grant->state == SLOT_WAITING);
 }
@@ -653,7 +581,7 @@
 unsigned
 admission_in_use(const admission_t *a, const char *endpoint)
 {
-	const slot_endpoint_t *e = endpoint_find(a, str_of(endpoint));
+	const slot_endpoint_t *e = slot_endpoint_find(a, str_of(endpoint));
 
 	return (e != NULL ? e->in_use : 0);
 }
--- a/src/admission_state.h
+++ b/src/admission_state.h
@@ -1,4 +1,4 @@
-/* State of one pool's admission, shared by its two source files. */
+/* State of one pool's admission, shared by its source files. */
 #ifndef DAISYPIER_ADMISSION_STATE_H
 #define DAISYPIER_ADMISSION_STATE_H
 
@@ -103,6 +103,17 @@
 	admission_stats_t totals;
 };
 
+/* admission.c */
+slot_holder_t *slot_holder_get(admission_t *a, const char *name);
+slot_org_t *slot_org_get(admission_t *a, str_t name, double now);
+slot_endpoint_t *slot_endpoint_find(const admission_t *a, str_t name);
+slot_grant_t *slot_grant_find(
+    const admission_t *a, const char *holder, uint64_t id);
+slot_grant_t *slot_grant_new(admission_t *a, uint64_t id, slot_holder_t *holder,
+    slot_org_t *org, grant_class_t class);
+void slot_grant_delete(admission_t *a, slot_grant_t *grant);
+
+/* admission_schedule.c */
 unsigned slot_endpoint_capacity(const slot_endpoint_t *endpoint, double now);
 void admission_emit(admission_t *a, admission_kind_t kind,
     const slot_grant_t *grant, int rc, double retry_after);
--- a/src/grants.c
+++ b/src/grants.c
@@ -1,30 +1,18 @@
 /* The asking side of grants: one for each request that needs a slot. */
 #include "grants_wire.h"
 
-#include <limits.h>
 #include <stdlib.h>
 #include <string.h>
 
-#include "logger.h"
 #include "placement.h"
 #include "result.h"
-#include "route.h"
 
 #define TICK_S	 0.05
 #define REPORT_S 1.0
-/*
- * An admitting host that did not answer is not asked again for this time, so
- * that not every request waits for it, in seconds.
- */
-#define BLOCKED_S 0.5
-/* Between two tries of a request that no host can admit, in seconds. */
-#define RETRY_S 0.2
 /* The admitting host ends a queued request itself; this covers a lost answer.
  */
 #define DEADLINE_GRACE_S 0.5
 
-static void grant_try(grant_t *grant, double now);
-
 /* Parses the setting "admission". Returns 0 or -RESULT_BAD_REQUEST. */
 int
 grants_mode_parse(str_t text, grants_mode_t *out)
@@ -51,7 +39,8 @@
 	return (NULL);
 }
 
-static const config_pool_t *
+/* Returns the pool's configuration, or NULL; *config may be NULL too. */
+const config_pool_t *
 pool_config(const grants_pool_t *pool, const fleet_config_t **config)
 {
 	const grants_params_t *params = &pool->grants->params;
@@ -225,8 +214,10 @@
 	    &grants->buckets[grant->id % GRANTS_BUCKETS], grant, bucket_entry);
 }
 
-static void
-send_release(grant_t *grant, const char *address, const grant_report_t *report)
+/* Tells one host that a grant is over. */
+void
+grant_send_release(
+    grant_t *grant, const char *address, const grant_report_t *report)
 {
 	buf_t body = {0};
 
@@ -244,123 +235,11 @@
 
 	if (grant->granted_by[0] != '\0' &&
 	    (pool->self || strcmp(grant->granted_by, pool->address) != 0))
-		send_release(grant, grant->granted_by, report);
+		grant_send_release(grant, grant->granted_by, report);
 	if (pool->self)
 		pool_admit_release(pool, grant->id, report, now);
 	else if (pool->admitting[0] != '\0')
-		send_release(grant, pool->address, report);
-}
-
-/*
- * Lists the endpoints with what this host runs there and may run there. Batch
- * does not count against the allowance, because it yields.
- */
-static size_t
-pool_routes(const grants_pool_t *pool, bool unbounded, route_endpoint_t **out,
-    const config_endpoint_t ***endpoints)
-{
-	const grants_params_t *params = &pool->grants->params;
-	const fleet_config_t *config;
-	const config_pool_t *p = pool_config(pool, &config);
-	size_t count = p != NULL ? p->endpoint_count : 0;
-	const grant_t *grant;
-
-	*out = xcalloc(count, sizeof(**out));
-	*endpoints = (const config_endpoint_t **)xcalloc(
-	    count, sizeof(config_endpoint_t *));
-	for (size_t i = 0; i < count; i++) {
-		const config_endpoint_t *e =
-		    &config->endpoints[p->endpoints[i]];
-		route_endpoint_t *route = &(*out)[i];
-
-		(*endpoints)[i] = e;
-		route->name = e->name;
-		route->zone = e->zone;
-		LIST_FOREACH (grant, &pool->held, pool_entry)
-			route->in_use +=
-			    (unbounded ||
-				grant->params.class == GRANT_ONLINE) &&
-			    strcmp(grant->endpoint.name, e->name) == 0;
-		if (params->endpoint_leaving(params->ctx, e))
-			route->capacity = 0;
-		else if (unbounded)
-			route->capacity = UINT_MAX;
-		else
-			route->capacity = grants_allowance(pool->grants,
-			    pool->grants->host, e->name, e->slots);
-	}
-	return (count);
-}
-
-/*
- * Picks an endpoint without an admitting host: within the local allowance, or
- * without any bound for the baseline mode. Returns whether there was one.
- */
-static bool
-grant_choose_alone(grant_t *grant, bool unbounded)
-{
-	grants_t *grants = grant->grants;
-	route_endpoint_t *routes;
-	const config_endpoint_t **endpoints;
-	size_t count = pool_routes(grant->pool, unbounded, &routes, &endpoints);
-	size_t i = route_two_choices(routes, count, grant->avoid, &grants->rng);
-	grant_endpoint_t endpoint;
-
-	if (i == ROUTE_NONE)
-		i = route_two_choices(routes, count, NULL, &grants->rng);
-	if (i != ROUTE_NONE) {
-		str_copy(endpoint.name, sizeof(endpoint.name),
-		    str_of(endpoints[i]->name));
-		str_copy(endpoint.address, sizeof(endpoint.address),
-		    str_of(endpoints[i]->address));
-		grant_answer(grant, 0, 0, &endpoint);
-	}
-	free(routes);
-	free((void *)endpoints);
-	return (i != ROUTE_NONE);
-}
-
-/*
- * Asks back one of this host's own batch grants on an endpoint, so that a
- * request that was put there alone does not wait behind it.
- */
-static void
-pool_revoke_own(grants_pool_t *pool, const char *endpoint)
-{
-	grant_t *grant;
-
-	LIST_FOREACH (grant, &pool->held, pool_entry) {
-		if (grant->params.class == GRANT_BATCH && !grant->revoked &&
-		    strcmp(grant->endpoint.name, endpoint) == 0) {
-			grant_ask_revoke(grant);
-			return;
-		}
-	}
-}
-
-/* Goes on without the admitting host: online only, within the allowance. */
-static void
-grant_go_alone(grant_t *grant, double now)
-{
-	grant->state = GRANT_STATE_RETRY;
-	grant->retry_at = now + RETRY_S;
-	if (grant->params.class != GRANT_ONLINE)
-		return;
-	if (!grant_choose_alone(grant, false))
-		return;
-	counter_add(grant->grants->granted_locally, 1);
-	pool_revoke_own(grant->pool, grant->endpoint.name);
-}
-
-static void
-pool_block(grants_pool_t *pool, double now)
-{
-	if (pool->blocked_until <= now) {
-		counter_add(pool->grants->unanswered, 1);
-		LOG_WARN("admitting_host_unreachable", "pool=%s host=%s",
-		    pool->name, pool->admitting);
-	}
-	pool->blocked_until = now + BLOCKED_S;
+		grant_send_release(grant, pool->address, report);
 }
 
 static bool
@@ -399,7 +278,7 @@
 	 * is given up; under a new one nothing can be counted twice.
 	 */
 	if (reply->sent)
-		send_release(grant, grant->granted_by, NULL);
+		grant_send_release(grant, grant->granted_by, NULL);
 	grant->granted_by[0] = '\0';
 	grant_set_id(grant);
 	grant_go_alone(grant, now);
@@ -425,7 +304,7 @@
 }
 
 /* Asks whoever can decide now. */
-static void
+void
 grant_try(grant_t *grant, double now)
 {
 	grants_pool_t *pool = grant->pool;
@@ -471,18 +350,6 @@
 	return (grant);
 }
 
-/* Lets waiting online requests use what was just given back. */
-static void
-pool_retry_alone(grants_pool_t *pool, double now)
-{
-	grant_t *grant;
-
-	LIST_FOREACH (grant, &pool->held, pool_entry)
-		if (grant->state == GRANT_STATE_RETRY &&
-		    grant->params.class == GRANT_ONLINE)
-			grant_go_alone(grant, now);
-}
-
 /* Gives a slot back, or withdraws the request; see grants.h. */
 void
 grant_release(grant_t *grant, const grant_report_t *report)
@@ -543,56 +410,6 @@
 	peer_request_reply(request, 0, (str_t){0});
 }
 
-static void
-on_report_reply(void *ctx, const peer_reply_t *reply)
-{
-	grants_pool_t *pool = ctx;
-	double now = clock_monotonic();
-	wire_reader_t ids;
-	grant_t *grant;
-
-	pool->report_call = NULL;
-	if (reply->rc == 0) {
-		ids = wire_reader(reply->body);
-		while (!ids.fault && ids.left > 0) {
-			grant = grants_find(pool->grants, wire_read_u64(&ids));
-			if (grant != NULL && grant->state == GRANT_STATE_QUEUED)
-				grant_try(grant, now);
-		}
-		return;
-	}
-	/* Queued requests must not wait for a host that is gone. */
-	pool_block(pool, now);
-	LIST_FOREACH (grant, &pool->held, pool_entry)
-		if (grant->state == GRANT_STATE_QUEUED)
-			grant_go_alone(grant, now);
-}
-
-/* Reports all grants of the pool to its admitting host. */
-static void
-pool_report(grants_pool_t *pool, double now)
-{
-	const fleet_config_t *config;
-	bool any = !LIST_EMPTY(&pool->held);
-	buf_t body = {0};
-
-	if (pool_config(pool, &config) == NULL || pool->admitting[0] == '\0')
-		return;
-	if (pool->self) {
-		if (any || pool->admission != NULL)
-			pool_admit_report(pool, now);
-		return;
-	}
-	if (pool->report_call != NULL || (!any && !pool->reported))
-		return;
-	pool->reported = any;
-	grants_pack_held(&body, pool);
-	pool->report_call = peer_call(pool->grants->params.peer, pool->address,
-	    PEER_GRANT_HELD, str_buf(&body),
-	    config->fleet.grant_timeout_ms / 1e3, on_report_reply, pool);
-	buf_free(&body);
-}
-
 static void
 on_report_timer(struct ev_loop *loop, ev_timer *timer, int events)
 {
@@ -625,26 +442,6 @@
 	allowance_clear(grants->allowance);
 }
 
-/* Moves requests and reports to a pool's new admitting host. */
-static void
-pool_moved(grants_pool_t *pool, double now)
-{
-	grant_t *grant;
-
-	pool->reported = true;
-	if (pool->report_call != NULL)
-		peer_call_cancel(pool->report_call);
-	pool->report_call = NULL;
-	pool_report(pool, now);
-	LIST_FOREACH (grant, &pool->held, pool_entry) {
-		if (grant->state != GRANT_STATE_QUEUED)
-			continue;
-		if (grant->granted_by[0] != '\0')
-			send_release(grant, grant->granted_by, NULL);
-		grant_try(grant, now);
-	}
-}
-
 static void
 fleet_refresh(grants_t *grants, double now)
 {
--- /dev/null
+++ b/src/grants_alone.c
@@ -0,0 +1,124 @@
+/* Grants without an admitting host: the local allowance and the baseline. */
+#include "grants_state.h"
+
+#include <limits.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "route.h"
+
+/* Between two tries of a request that no host can admit, in seconds. */
+#define RETRY_S 0.2
+
+/*
+ * Lists the endpoints with what this host runs there and may run there. Batch
+ * does not count against the allowance, because it yields.
+ */
+static size_t
+pool_routes(const grants_pool_t *pool, bool unbounded, route_endpoint_t **out,
+    const config_endpoint_t ***endpoints)
+{
+	const grants_params_t *params = &pool->grants->params;
+	const fleet_config_t *config;
+	const config_pool_t *p = pool_config(pool, &config);
+	size_t count = p != NULL ? p->endpoint_count : 0;
+	const grant_t *grant;
+
+	*out = xcalloc(count, sizeof(**out));
+	*endpoints = (const config_endpoint_t **)xcalloc(
+	    count, sizeof(config_endpoint_t *));
+	for (size_t i = 0; i < count; i++) {
+		const config_endpoint_t *e =
+		    &config->endpoints[p->endpoints[i]];
+		route_endpoint_t *route = &(*out)[i];
+
+		(*endpoints)[i] = e;
+		route->name = e->name;
+		route->zone = e->zone;
+		LIST_FOREACH (grant, &pool->held, pool_entry)
+			route->in_use +=
+			    (unbounded ||
+				grant->params.class == GRANT_ONLINE) &&
+			    strcmp(grant->endpoint.name, e->name) == 0;
+		if (params->endpoint_leaving(params->ctx, e))
+			route->capacity = 0;
+		else if (unbounded)
+			route->capacity = UINT_MAX;
+		else
+			route->capacity = grants_allowance(pool->grants,
+			    pool->grants->host, e->name, e->slots);
+	}
+	return (count);
+}
+
+/*
+ * Picks an endpoint without an admitting host: within the local allowance, or
+ * without any bound for the baseline mode. Returns whether there was one.
+ */
+bool
+grant_choose_alone(grant_t *grant, bool unbounded)
+{
+	grants_t *grants = grant->grants;
+	route_endpoint_t *routes;
+	const config_endpoint_t **endpoints;
+	size_t count = pool_routes(grant->pool, unbounded, &routes, &endpoints);
+	size_t i = route_two_choices(routes, count, grant->avoid, &grants->rng);
+	grant_endpoint_t endpoint;
+
+	if (i == ROUTE_NONE)
+		i = route_two_choices(routes, count, NULL, &grants->rng);
+	if (i != ROUTE_NONE) {
+		str_copy(endpoint.name, sizeof(endpoint.name),
+		    str_of(endpoints[i]->name));
+		str_copy(endpoint.address, sizeof(endpoint.address),
+		    str_of(endpoints[i]->address));
+		grant_answer(grant, 0, 0, &endpoint);
+	}
+	free(routes);
+	free((void *)endpoints);
+	return (i != ROUTE_NONE);
+}
+
+/*
+ * Asks back one of this host's own batch grants on an endpoint, so that a
+ * request that was put there alone does not wait behind it.
+ */
+static void
+pool_revoke_own(grants_pool_t *pool, const char *endpoint)
+{
+	grant_t *grant;
+
+	LIST_FOREACH (grant, &pool->held, pool_entry) {
+		if (grant->params.class == GRANT_BATCH && !grant->revoked &&
+		    strcmp(grant->endpoint.name, endpoint) == 0) {
+			grant_ask_revoke(grant);
+			return;
+		}
+	}
+}
+
+/* Goes on without the admitting host: online only, within the allowance. */
+void
+grant_go_alone(grant_t *grant, double now)
+{
+	grant->state = GRANT_STATE_RETRY;
+	grant->retry_at = now + RETRY_S;
+	if (grant->params.class != GRANT_ONLINE)
+		return;
+	if (!grant_choose_alone(grant, false))
+		return;
+	counter_add(grant->grants->granted_locally, 1);
+	pool_revoke_own(grant->pool, grant->endpoint.name);
+}
+
+/* Lets waiting online requests use what was just given back. */
+void
+pool_retry_alone(grants_pool_t *pool, double now)
+{
+	grant_t *grant;
+
+	LIST_FOREACH (grant, &pool->held, pool_entry)
+		if (grant->state == GRANT_STATE_RETRY &&
+		    grant->params.class == GRANT_ONLINE)
+			grant_go_alone(grant, now);
+}
--- /dev/null
+++ b/src/grants_report.c
@@ -0,0 +1,92 @@
+/* What this host tells the admitting host of a pool, and when it is silent. */
+#include "grants_wire.h"
+
+#include "logger.h"
+
+/*
+ * An admitting host that did not answer is not asked again for this time, so
+ * that not every request waits for it, in seconds.
+ */
+#define BLOCKED_S 0.5
+
+/* Notes that the admitting host did not answer. */
+void
+pool_block(grants_pool_t *pool, double now)
+{
+	if (pool->blocked_until <= now) {
+		counter_add(pool->grants->unanswered, 1);
+		LOG_WARN("admitting_host_unreachable", "pool=%s host=%s",
+		    pool->name, pool->admitting);
+	}
+	pool->blocked_until = now + BLOCKED_S;
+}
+
+static void
+on_report_reply(void *ctx, const peer_reply_t *reply)
+{
+	grants_pool_t *pool = ctx;
+	double now = clock_monotonic();
+	wire_reader_t ids;
+	grant_t *grant;
+
+	pool->report_call = NULL;
+	if (reply->rc == 0) {
+		ids = wire_reader(reply->body);
+		while (!ids.fault && ids.left > 0) {
+			grant = grants_find(pool->grants, wire_read_u64(&ids));
+			if (grant != NULL && grant->state == GRANT_STATE_QUEUED)
+				grant_try(grant, now);
+		}
+		return;
+	}
+	/* Queued requests must not wait for a host that is gone. */
+	pool_block(pool, now);
+	LIST_FOREACH (grant, &pool->held, pool_entry)
+		if (grant->state == GRANT_STATE_QUEUED)
+			grant_go_alone(grant, now);
+}
+
+/* Reports all grants of the pool to its admitting host. */
+void
+pool_report(grants_pool_t *pool, double now)
+{
+	const fleet_config_t *config;
+	bool any = !LIST_EMPTY(&pool->held);
+	buf_t body = {0};
+
+	if (pool_config(pool, &config) == NULL || pool->admitting[0] == '\0')
+		return;
+	if (pool->self) {
+		if (any || pool->admission != NULL)
+			pool_admit_report(pool, now);
+		return;
+	}
+	if (pool->report_call != NULL || (!any && !pool->reported))
+		return;
+	pool->reported = any;
+	grants_pack_held(&body, pool);
+	pool->report_call = peer_call(pool->grants->params.peer, pool->address,
+	    PEER_GRANT_HELD, str_buf(&body),
+	    config->fleet.grant_timeout_ms / 1e3, on_report_reply, pool);
+	buf_free(&body);
+}
+
+/* Moves requests and reports to a pool's new admitting host. */
+void
+pool_moved(grants_pool_t *pool, double now)
+{
+	grant_t *grant;
+
+	pool->reported = true;
+	if (pool->report_call != NULL)
+		peer_call_cancel(pool->report_call);
+	pool->report_call = NULL;
+	pool_report(pool, now);
+	LIST_FOREACH (grant, &pool->held, pool_entry) {
+		if (grant->state != GRANT_STATE_QUEUED)
+			continue;
+		if (grant->granted_by[0] != '\0')
+			grant_send_release(grant, grant->granted_by, NULL);
+		grant_try(grant, now);
+	}
+}
--- a/src/grants_state.h
+++ b/src/grants_state.h
@@ -102,6 +102,22 @@
 unsigned grants_allowance(
     void *ctx, const char *holder, const char *endpoint, unsigned slots);
 
+const config_pool_t *pool_config(
+    const grants_pool_t *pool, const fleet_config_t **config);
+void grant_try(grant_t *grant, double now);
+void grant_send_release(
+    grant_t *grant, const char *address, const grant_report_t *report);
+
+/* grants_alone.c: without an admitting host */
+bool grant_choose_alone(grant_t *grant, bool unbounded);
+void grant_go_alone(grant_t *grant, double now);
+void pool_retry_alone(grants_pool_t *pool, double now);
+
+/* grants_report.c */
+void pool_block(grants_pool_t *pool, double now);
+void pool_report(grants_pool_t *pool, double now);
+void pool_moved(grants_pool_t *pool, double now);
+
 /* grants_admit.c: the admitting side */
 void grants_admit_start(grants_t *grants);
 void grants_admit_stop(grants_t *grants);
