Send orders to endpoints under a claim, a lease and a share of loads

Cause: an endpoint's model version, role and adapters come from the configuration, and two owners of its shard may act around a freeze. Ruled out: a permission to load from one host for the whole fleet, which needs another message and another failure case; each owner takes the part of weight_loads_per_minute that its part of all shards stands for. The long-term average is exact; each owner may save up one load. Where fencing is ignored a new owner reads the state only after lease, order time and clock error, and sends only within the lease of its last read.

--- /dev/null
+++ b/src/order_plan.h
@@ -0,0 +1,58 @@
+/* Which order an endpoint needs next and whether it may be sent now. */
+#ifndef DAISYPIER_ORDER_PLAN_H
+#define DAISYPIER_ORDER_PLAN_H
+
+#include "config.h"
+
+#define ORDER_MAX_ADAPTERS 64
+
+typedef enum order_op_t {
+	ORDER_NONE,
+	ORDER_LOAD, /* a model, or an adapter of a loaded one */
+	ORDER_UNLOAD_ADAPTER,
+	ORDER_ROLE,
+} order_op_t;
+
+/* Strings are views of the configuration or of the observed state. */
+typedef struct order_t {
+	order_op_t op;
+	str_t model;
+	str_t version; /* of ORDER_LOAD; empty: any */
+	str_t adapter;
+	str_t role;
+} order_t;
+
+/* What the endpoint reports of the pool's model. */
+typedef struct order_state_t {
+	bool loaded;
+	str_t version;
+	str_t role;
+	str_t adapters[ORDER_MAX_ADAPTERS];
+	size_t adapter_count;
+	unsigned loading; /* loads that go on */
+} order_state_t;
+
+/* A host's claim on the endpoint's shard; times are monotonic seconds. */
+typedef struct order_claim_t {
+	uint64_t epoch;	   /* offset of the claim: the fencing number */
+	double since;	   /* when this host first saw its claim in force */
+	double read_began; /* of the last read that showed it as newest */
+} order_claim_t;
+
+/* Shares the loads of the fleet among the owners of shards. */
+typedef struct order_bucket_t {
+	double tokens;
+	double updated;
+} order_bucket_t;
+
+order_t order_next(
+    const config_endpoint_t *endpoint, const order_state_t *state);
+bool order_may_read(const config_fleet_t *fleet,
+    const config_endpoint_t *endpoint, const order_claim_t *claim, double now);
+bool order_may_send(const config_fleet_t *fleet,
+    const config_endpoint_t *endpoint, const order_claim_t *claim, double now);
+bool order_bucket_take(order_bucket_t *bucket, const config_fleet_t *fleet,
+    unsigned owned_shards, double now);
+unsigned order_shard(str_t endpoint, unsigned shards);
+
+#endif
