Delay the acknowledgement of a cancel after a takeover; start orders

Cause: the model shows that a superseded owner may start items until its last read is owner_check_ms old, so a cancel that the new owner acknowledges at once can be followed by new items (cancel_NO_TAKEOVER_WAIT). Ruled out: fencing at the engines, which do not all check; a shorter check, which only narrows the window. Change: an owner acknowledges a cancel once owner_check_ms plus clock_error_ms have passed since its claim was read back. The node now runs the orders.

--- a/src/durable_server.c
+++ b/src/durable_server.c
@@ -35,6 +35,7 @@
 	uint32_t max;
 	uint64_t attempt;
 	request_step_t step; /* after a read or a commit */
+	ev_timer settle;     /* waits until an earlier owner starts nothing */
 	LIST_ENTRY(durable_request_t) entry;
 };
 
@@ -43,6 +44,7 @@
 durable_request_reply(durable_request_t *request, int rc, str_t body)
 {
 	LIST_REMOVE(request, entry);
+	ev_timer_stop(request->server->params.loop, &request->settle);
 	if (request->peer != NULL)
 		peer_request_reply(request->peer, rc, body);
 	else if (request->on_reply != NULL)
@@ -196,6 +198,33 @@
 	buf_free(&body);
 }
 
+static void
+on_settled(struct ev_loop *loop, ev_timer *timer, int events)
+{
+	(void)loop;
+	(void)events;
+	step_job(timer->data);
+}
+
+/*
+ * Acknowledges an effective cancel once no earlier owner can start an item. A
+ * superseded owner that has not read since may still do so until its last read
+ * is owner_check_ms old; its read began before this host's claim.
+ */
+static void
+step_cancelled(durable_request_t *request)
+{
+	double wait = shard_owner_takeover_wait(
+	    request->server->params.owner, request->shard);
+
+	if (wait <= 0) {
+		step_job(request);
+		return;
+	}
+	ev_timer_set(&request->settle, wait, 0);
+	ev_timer_start(request->server->params.loop, &request->settle);
+}
+
 static void
 step_cancel(durable_request_t *request)
 {
@@ -205,11 +234,11 @@
 	if (job == NULL)
 		return;
 	if (job->cancelled || job->finished == job->item_count) {
-		durable_reply_job(request, job, SUBMIT_EXISTED);
+		step_cancelled(request);
 		return;
 	}
 	shard_entry_cancel(&entry, job->id, (uint64_t)clock_wall());
-	request_commit(request, &entry, step_job);
+	request_commit(request, &entry, step_cancelled);
 	buf_free(&entry);
 }
 
@@ -482,6 +511,8 @@
 	durable_request_t *request = xcalloc(1, sizeof(*request));
 
 	request->server = server;
+	ev_timer_init(&request->settle, on_settled, 0, 0);
+	request->settle.data = request;
 	LIST_INSERT_HEAD(&server->waiting, request, entry);
 	return (request);
 }
--- a/src/node.c
+++ b/src/node.c
@@ -563,11 +563,44 @@
 	node->online = NULL;
 }
 
+static bool
+claim_of(void *ctx, unsigned shard, uint64_t *epoch, double *read_began)
+{
+	return (shard_owner_claim(
+	    ((node_t *)ctx)->owner, shard, epoch, read_began));
+}
+
+static int
+start_orders(void *ctx)
+{
+	node_t *node = ctx;
+
+	node->orders = orders_new(&(orders_params_t){
+	    .loop = node->loop,
+	    .httpc = node->httpc,
+	    .audit = node->audit,
+	    .config = config_of,
+	    .claim = claim_of,
+	    .ctx = node,
+	});
+	return (0);
+}
+
+static void
+stop_orders(void *ctx)
+{
+	node_t *node = ctx;
+
+	orders_delete(node->orders);
+	node->orders = NULL;
+}
+
 static const component_t worker_components[] = {
     {"shard_owner", start_owner, stop_owner, NULL},
     {"durable", start_durable, stop_durable, NULL},
     {"batch", start_batch, stop_batch, NULL},
     {"online", start_online, stop_online, NULL},
+    {"orders", start_orders, stop_orders, NULL},
 };
 
 /* Readiness is announced as it is; nothing else may set it. */
--- a/src/node_state.h
+++ b/src/node_state.h
@@ -16,6 +16,7 @@
 #include "node.h"
 #include "online.h"
 #include "operator_http.h"
+#include "orders.h"
 #include "peer.h"
 #include "shard_owner.h"
 #include "supervisor.h"
@@ -41,6 +42,7 @@
 	intent_durable_t *intents;
 	batch_t *batch;
 	online_t *online;
+	orders_t *orders;
 	httpd_t *callers;
 	audit_t *audit;
 	operator_http_t *operator_http;
--- a/src/shard_owner.c
+++ b/src/shard_owner.c
@@ -411,6 +411,39 @@
 	return (false);
 }
 
+/*
+ * Returns the seconds until no earlier owner of an owned shard can start work
+ * by a read that began before this host's claim; 0 when that time has passed.
+ */
+double
+shard_owner_takeover_wait(const shard_owner_t *owner, unsigned shard)
+{
+	const shard_slot_t *slot = owner->slots[shard];
+	double until = slot->owned_since + (owner->settings.owner_check_ms +
+					       owner->settings.clock_error_ms) /
+					       1000.0;
+	double now = shard_owner_now(owner);
+
+	return (slot->owned && until > now ? until - now : 0);
+}
+
+/*
+ * Returns whether this host owns the shard, with the offset of its claim and
+ * the monotonic time at which the last read that showed it as newest began.
+ */
+bool
+shard_owner_claim(const shard_owner_t *owner, unsigned shard, uint64_t *epoch,
+    double *read_began)
+{
+	const shard_slot_t *slot = owner->slots[shard];
+
+	if (!slot->owned)
+		return (false);
+	*epoch = slot->epoch;
+	*read_began = slot->checked_at;
+	return (true);
+}
+
 shard_change_t *
 shard_owner_commit(shard_owner_t *owner, unsigned shard, str_t entries,
     size_t count, bool refuse, shard_commit_cb_t on_commit, void *ctx)
--- a/src/shard_owner.h
+++ b/src/shard_owner.h
@@ -62,6 +62,9 @@
     shard_job_t *job, uint32_t item, item_state_t state, unsigned tries,
     str_t result);
 
+double shard_owner_takeover_wait(const shard_owner_t *owner, unsigned shard);
+bool shard_owner_claim(const shard_owner_t *owner, unsigned shard,
+    uint64_t *epoch, double *read_began);
 unsigned shard_owner_shards(const shard_owner_t *owner);
 unsigned shard_owner_shard_of(const shard_owner_t *owner, const char *id);
 bool shard_owner_owns(const shard_owner_t *owner, unsigned shard);
