Send only changed texts to other hosts and spread the questions

Cause: at full scale all texts have about 300 KB and change every 8 s; sending all of them to each host exceeds 13 KB/s, and all hosts asked the same member, the first one with the newest version. Ruled out: sending only the asking host's own overlay; it could then answer nobody of another site. Change: CONFIG_GET states a hash for each text that the host has, the answer leaves these out and names them; the member to ask is chosen at random among those with the newest version. The exchange moved to config_fetch. Conclusion: the bytes of a change follow the size of the changed text.

--- a/src/config_store.c
+++ b/src/config_store.c
@@ -1,4 +1,4 @@
-/* Follows the configuration: polls the log, asks peers and renews. */
+/* Follows the configuration in the log, puts it in force and renews it. */
 #include "config_store.h"
 
 #include <stdlib.h>
@@ -19,7 +19,6 @@
 /* A renewal is due after this many records, so that a tail scan finds one. */
 #define RENEW_RECORDS 256
 #define RETRY_S	      5.0
-#define FETCH_TIMEOUT 5.0
 /* Poll period while a change waits to be read back, in seconds. */
 #define PENDING_PERIOD 0.2
 /* Retention while no configuration is in force, in seconds. */
@@ -31,8 +30,6 @@
  */
 static const double renew_share[POLLERS] = {0.25, 0.28, 0.31};
 
-static void fetch_start(config_store_t *store);
-
 /* Returns the wall clock time in seconds. */
 double
 config_store_wall(const config_store_t *store)
@@ -96,8 +93,8 @@
 }
 
 /* Keeps the texts of a version when it is higher than all before. */
-static void
-hold(config_store_t *store, uint64_t version, uint64_t covered,
+void
+config_store_hold(config_store_t *store, uint64_t version, uint64_t covered,
     const config_record_t *from)
 {
 	config_record_t record = *from;
@@ -129,8 +126,8 @@
 }
 
 /* Describes the state as a RENEW record; the strings belong to the store. */
-static config_record_t
-renewal(const config_store_t *store)
+config_record_t
+config_store_renewal(const config_store_t *store)
 {
 	config_record_t record = {.kind = CONFIG_RENEW};
 
@@ -209,7 +206,7 @@
 	if (wall - chain->renewed_written < retention * renew_share[rank] &&
 	    chain->next - chain->renewed_covered < RENEW_RECORDS)
 		return;
-	record = renewal(store);
+	record = config_store_renewal(store);
 	record.written = wall;
 	config_record_encode(&record, &bytes);
 	store->renewing = true;
@@ -234,7 +231,7 @@
 		}
 		if (config_chain_apply(&store->chain, record->offset,
 			&decoded.record) == CONFIG_EFFECTIVE)
-			hold(store, record->offset, record->offset,
+			config_store_hold(store, record->offset, record->offset,
 			    &decoded.record);
 		config_decoded_free(&decoded);
 	}
@@ -261,7 +258,8 @@
 		store->scan_end = 0;
 		return;
 	}
-	hold(store, chain->version, chain->next - 1, &decoded.record);
+	config_store_hold(
+	    store, chain->version, chain->next - 1, &decoded.record);
 	config_decoded_free(&decoded);
 	config_store_poll(store);
 }
@@ -400,114 +398,11 @@
 	    READ_MAX, on_read, config_op_new(store, NULL));
 }
 
-/* Takes another host's state: [confirmed, RENEW record or empty]. */
-static void
-on_fetched(void *ctx, const peer_reply_t *reply)
-{
-	config_store_t *store = ctx;
-	wire_reader_t reader = wire_reader(reply->body);
-	bool confirmed = wire_read_bool(&reader);
-	str_t bytes = wire_read_str(&reader);
-	config_decoded_t decoded;
-
-	store->fetch = NULL;
-	if (reply->rc != 0 || reader.fault)
-		return;
-	if (bytes.len > 0 && config_record_decode(&decoded, bytes) == 0) {
-		if (decoded.record.kind == CONFIG_RENEW)
-			hold(store, decoded.record.version,
-			    decoded.record.covered, &decoded.record);
-		config_decoded_free(&decoded);
-	}
-	if (confirmed)
-		store->confirmed = true;
-}
-
-/* Returns a living member other than self, ready ones first, or NULL. */
-static const member_t *
-random_member(config_store_t *store)
-{
-	const member_t *members;
-	size_t count = membership_members(store->params.membership, &members);
-	const member_t *self = membership_self(store->params.membership);
-	const member_t *chosen = NULL;
-	uint64_t seen = 0;
-
-	for (size_t i = 0; i < count; i++) {
-		const member_t *member = &members[i];
-
-		if (!member_is_living(member) ||
-		    strcmp(member->name, self->name) == 0)
-			continue;
-		if (chosen != NULL && chosen->ready && !member->ready)
-			continue;
-		if (chosen != NULL && member->ready && !chosen->ready)
-			seen = 0;
-		if (rng_below(&store->rng, ++seen) == 0)
-			chosen = member;
-	}
-	return (chosen);
-}
-
-/* Asks another host for a version that is newer than the own one. */
-static void
-fetch_start(config_store_t *store)
-{
-	const member_t *newest =
-	    membership_newest_config(store->params.membership);
-	const member_t *target = newest;
-	buf_t body = {0};
-	msgpack_packer packer;
-
-	if (store->fetch != NULL)
-		return;
-	if (newest->config_version <= store->newest_version) {
-		if (store->confirmed)
-			return;
-		target = random_member(store);
-	}
-	if (target == NULL)
-		return;
-	wire_packer_init(&packer, &body);
-	msgpack_pack_array(&packer, 1);
-	msgpack_pack_uint64(&packer, store->newest_version);
-	counter_add(store->fetches, 1);
-	store->fetch = peer_call(store->params.peer, target->address,
-	    PEER_CONFIG_GET, str_buf(&body), FETCH_TIMEOUT, on_fetched, store);
-	buf_free(&body);
-}
-
-static void
-on_config_get(void *ctx, peer_request_t *request, const msgpack_object *body)
-{
-	config_store_t *store = ctx;
-	wire_reader_t reader = wire_reader(body);
-	uint64_t have = wire_read_u64(&reader);
-	config_record_t record = renewal(store);
-	buf_t bytes = {0};
-	buf_t reply = {0};
-	msgpack_packer packer;
-
-	if (reader.fault) {
-		peer_request_reply(request, -RESULT_BAD_REQUEST, (str_t){0});
-		return;
-	}
-	if (store->newest_version > have)
-		config_record_encode(&record, &bytes);
-	wire_packer_init(&packer, &reply);
-	msgpack_pack_array(&packer, 2);
-	wire_pack_bool(&packer, store->confirmed);
-	wire_pack_bin(&packer, str_buf(&bytes));
-	peer_request_reply(request, 0, str_buf(&reply));
-	buf_free(&bytes);
-	buf_free(&reply);
-}
-
 /* Looks for newer versions; daisypierd calls it when the table changes. */
 void
 config_store_members_changed(config_store_t *store)
 {
-	fetch_start(store);
+	config_fetch_start(store);
 }
 
 static void
@@ -518,7 +413,7 @@
 	bool pending = !LIST_EMPTY(&store->pending);
 
 	(void)events;
-	fetch_start(store);
+	config_fetch_start(store);
 	config_pending_step(store, false);
 	if (rank < POLLERS || pending)
 		config_store_poll(store);
@@ -547,7 +442,7 @@
 	    "Appends to the configuration's stream");
 	store->fetches = counter_get("daisypier_config_fetches_total",
 	    "Questions to other hosts for a configuration");
-	peer_handle(params->peer, PEER_CONFIG_GET, on_config_get, store);
+	config_fetch_init(store);
 	/* The first look is due at once: a start should not cost a period. */
 	ev_timer_init(&store->timer, on_timer, 0, store->params.period);
 	store->timer.data = store;
--- a/src/config_store_impl.h
+++ b/src/config_store_impl.h
@@ -1,4 +1,4 @@
-/* State that the two parts of the configuration store share. */
+/* State that the parts of the configuration store share. */
 #ifndef DAISYPIER_CONFIG_STORE_IMPL_H
 #define DAISYPIER_CONFIG_STORE_IMPL_H
 
@@ -69,6 +69,7 @@
 	bool confirmed;		 /* the fleet's newest version was known once */
 
 	peer_call_t *fetch;
+	uint64_t fetch_have; /* newest version when it was sent */
 	bool renewing;
 	uint64_t renewed; /* offset of the own newest RENEW */
 	double renew_at;  /* monotonic: earliest time of the next RENEW */
@@ -86,6 +87,11 @@
 };
 
 void config_store_poll(config_store_t *store);
+void config_store_hold(config_store_t *store, uint64_t version,
+    uint64_t covered, const config_record_t *from);
+config_record_t config_store_renewal(const config_store_t *store);
+void config_fetch_init(config_store_t *store);
+void config_fetch_start(config_store_t *store);
 double config_store_wall(const config_store_t *store);
 config_op_t *config_op_new(config_store_t *store, config_pending_t *pending);
 config_store_t *config_op_end(config_op_t *op);
--- a/tests/test_config_store.c
+++ b/tests/test_config_store.c
@@ -384,9 +384,10 @@
 	(void)body;
 	config_record_encode(&record, &bytes);
 	wire_packer_init(&packer, &reply);
-	msgpack_pack_array(&packer, 2);
+	msgpack_pack_array(&packer, 3);
 	wire_pack_bool(&packer, *confirmed);
 	wire_pack_bin(&packer, str_buf(&bytes));
+	msgpack_pack_array(&packer, 0);
 	peer_request_reply(request, 0, str_buf(&reply));
 	buf_free(&bytes);
 	buf_free(&reply);
@@ -424,6 +425,93 @@
 	config_test_stop(&fleet);
 }
 
+/* Applies a base and two overlays of about 20 KB each. */
+static void
+submit_large(config_test_host_t *host, uint64_t made_from, char base_mark,
+    char one_mark, answer_t *answer)
+{
+	buf_t texts[3] = {0};
+	char marks[3] = {base_mark, one_mark, 'c'};
+	config_site_t sites[2];
+
+	for (size_t i = 0; i < 3; i++) {
+		for (int k = 0; k < 300; k++)
+			buf_printf(&texts[i], "; %03d %060d\n", k, (int)i);
+		buf_printf(&texts[i], "; %c\n", marks[i]);
+	}
+	sites[0] = (config_site_t){STR("one"), str_buf(&texts[1])};
+	sites[1] = (config_site_t){STR("two"), str_buf(&texts[2])};
+	*answer = (answer_t){0};
+	config_store_apply(host->store,
+	    &(config_change_t){
+		.made_from = made_from,
+		.author = "ana",
+		.texts = {str_buf(&texts[0]), sites, 2},
+		.timeout = 5,
+	    },
+	    on_answer, answer);
+	for (size_t i = 0; i < 3; i++)
+		buf_free(&texts[i]);
+}
+
+static bool
+ends_with(str_t text, char mark)
+{
+	return (text.len > 2 && text.data[text.len - 2] == mark);
+}
+
+/*
+ * Guards against hosts that send all texts for each change, and against texts
+ * that are put together from different versions.
+ */
+static void
+test_only_changed_texts_are_sent(void)
+{
+	config_test_t fleet;
+	answer_t answer;
+	double before;
+	double bytes[2];
+	double fetches[2];
+
+	config_test_start(&fleet, 5, 37);
+	CU_ASSERT(config_test_run(&fleet, config_test_is_joined, 5));
+	for (int i = 0; i < 2; i++) {
+		before = counter_value(
+		    counter_get("daisypier_peer_sent_bytes_total", ""));
+		fetches[i] = counter_value(
+		    counter_get("daisypier_config_fetches_total", ""));
+		submit_large(&fleet.hosts[0],
+		    config_test_newest_version(&fleet), 'a', (char)('b' + i),
+		    &answer);
+		await(&fleet, &answer, 6);
+		CU_ASSERT(answer.outcome == CONFIG_ACCEPTED);
+		CU_ASSERT(config_test_run(&fleet, config_test_has_newest, 5));
+		config_test_run(&fleet, NULL, 0.2);
+		fetches[i] = counter_value(counter_get(
+				 "daisypier_config_fetches_total", "")) -
+			     fetches[i];
+		bytes[i] = counter_value(counter_get(
+			       "daisypier_peer_sent_bytes_total", "")) -
+			   before;
+	}
+	for (size_t i = 0; i < 5; i++) {
+		const config_record_t *newest =
+		    config_store_newest(fleet.hosts[i].store);
+
+		REQUIRE(newest != NULL);
+		CU_ASSERT(ends_with(newest->texts.base, 'a'));
+		CU_ASSERT(ends_with(
+		    config_texts_overlay(&newest->texts, STR("one")), 'c'));
+		CU_ASSERT(ends_with(
+		    config_texts_overlay(&newest->texts, STR("two")), 'c'));
+	}
+	printf("[one of three texts of 22 KB changed: %.0f bytes in %.0f "
+	       "fetches] ",
+	    bytes[1], fetches[1]);
+	CU_ASSERT(fetches[1] > 0 && bytes[1] < fetches[1] * 30000);
+	config_test_stop(&fleet);
+}
+
 static uint64_t
 last_renewal(const config_test_t *fleet)
 {
@@ -570,6 +658,7 @@
     {"never reverts", test_never_reverts},
     {"cold start in an outage", test_cold_start_in_outage},
     {"unconfirmed peer", test_unconfirmed_peer},
+    {"only changed texts are sent", test_only_changed_texts_are_sent},
     {"expiry", test_expiry},
     {"long stream", test_long_stream},
 };
