Test cancelled jobs with real processes and a frozen owner

Ruled out: counting items by the job's own state, which the owner under test writes; the engines' counters of GET /admin/stats are used instead. Change: tests/test_fail_cancel.c cancels through another host while the owner is stopped and taken over, wakes the old owner, and cancels on a healthy owner. hosts_engines_sum() sums a counter over the engines; hosts_admitting() tells the admitting host of the pool for tests to come.

--- a/tests/harness_hosts.c
+++ b/tests/harness_hosts.c
@@ -326,6 +326,38 @@
 	return (host_placed(hosts, str_of(key)));
 }
 
+/* Returns which host admits to the pool while all hosts are ready. */
+unsigned
+hosts_admitting(const hosts_t *hosts)
+{
+	return (host_placed(hosts, STR(HOSTS_MODEL)));
+}
+
+/* Returns the sum of a number of GET /admin/stats over all engines. */
+unsigned
+hosts_engines_sum(const hosts_t *hosts, const char *name)
+{
+	unsigned sum = 0;
+
+	for (unsigned i = 0; i < hosts->params.engines; i++) {
+		buf_t stats = {0};
+		json_t *object = NULL;
+
+		if (harness_get(&stats, "http://%s/admin/stats",
+			harness_address(hosts->engines[i])) == 200)
+			object = json_loadb(stats.data, stats.len, 0, NULL);
+		if (!json_is_integer(json_object_get(object, name))) {
+			fprintf(stderr, "engine-%u tells no %s\n", i, name);
+			abort();
+		}
+		sum +=
+		    (unsigned)json_integer_value(json_object_get(object, name));
+		json_decref(object);
+		buf_free(&stats);
+	}
+	return (sum);
+}
+
 /* Sets a fault of the platform: a path below /admin. */
 void
 hosts_platform(const hosts_t *hosts, const char *query)
--- a/tests/harness_hosts.h
+++ b/tests/harness_hosts.h
@@ -48,6 +48,8 @@
 
 const char *hosts_url(const hosts_t *hosts, unsigned index, const char *path);
 unsigned hosts_owner_of(const hosts_t *hosts, const char *job);
+unsigned hosts_admitting(const hosts_t *hosts);
+unsigned hosts_engines_sum(const hosts_t *hosts, const char *name);
 void hosts_platform(const hosts_t *hosts, const char *query);
 void hosts_fault(const hosts_t *hosts, unsigned engine, const char *query);
 double hosts_metric(const hosts_t *hosts, unsigned index, const char *name);
--- /dev/null
+++ b/tests/test_fail_cancel.c
@@ -0,0 +1,212 @@
+/*
+ * Guards guarantee G2 with real processes: after an acknowledged cancel no item
+ * of the job starts, whoever owned its shard before.
+ */
+#include "suite.h"
+
+#include <stdio.h>
+#include <string.h>
+
+#include <jansson.h>
+
+#include "clock.h"
+#include "harness_hosts.h"
+
+#define ITEMS	  300
+#define FINISH_S  30.0
+#define SETTLE_S  0.5 /* a grant in flight reaches its engine in this time */
+#define WATCH_S	  4.0
+#define RESULTS_S 10.0
+
+static hosts_t hosts;
+
+/* Returns the status of a DELETE through one host; 0 for no answer. */
+static int
+cancel_at(unsigned host, const char *id)
+{
+	const char *headers[] = {"Authorization: Bearer " HOSTS_TOKEN, NULL};
+	harness_response_t response = {0};
+	char path[128];
+	int status;
+
+	snprintf(path, sizeof(path), "/v1/jobs/%s", id);
+	harness_http(
+	    &(harness_request_t){
+		.method = "DELETE",
+		.url = hosts_url(&hosts, host, path),
+		.headers = headers,
+		.timeout = 15,
+	    },
+	    &response);
+	status = response.error == 0 ? response.status : 0;
+	harness_response_free(&response);
+	return (status);
+}
+
+/* Repeats the cancel, as a caller does, until it is acknowledged. */
+static bool
+cancel_through(unsigned host, const char *id, double timeout)
+{
+	double end = clock_monotonic() + timeout;
+
+	while (clock_monotonic() < end) {
+		if (cancel_at(host, id) == 200)
+			return (true);
+		harness_sleep(0.1);
+	}
+	return (false);
+}
+
+typedef struct progress_t {
+	const char *id;
+	int at_least;
+} progress_t;
+
+static bool
+has_progress(void *ctx)
+{
+	const progress_t *progress = ctx;
+
+	return (hosts_job_count(&hosts, progress->id, "succeeded") >=
+		progress->at_least);
+}
+
+static void
+wait_progress(const char *id, int at_least)
+{
+	progress_t progress = {.id = id, .at_least = at_least};
+
+	CU_ASSERT_FATAL(harness_wait(has_progress, &progress, FINISH_S));
+}
+
+static void
+submit(const char *name, unsigned max_tokens, char id[64])
+{
+	buf_t lines = {0};
+
+	hosts_job_lines(&lines, name, ITEMS, max_tokens);
+	CU_ASSERT_FATAL(
+	    hosts_submit_anywhere(&hosts, name, str_buf(&lines), FINISH_S, id));
+	buf_free(&lines);
+}
+
+/* Counts the results with state succeeded and a text, read at one host. */
+static int
+readable_results(unsigned host, const char *id)
+{
+	const char *headers[] = {"Authorization: Bearer " HOSTS_TOKEN, NULL};
+	harness_response_t response = {0};
+	char path[128];
+	str_t rest;
+	str_t line;
+	int count = 0;
+
+	snprintf(path, sizeof(path), "/v1/jobs/%s/results?max=%d", id, ITEMS);
+	harness_http(
+	    &(harness_request_t){
+		.url = hosts_url(&hosts, host, path),
+		.headers = headers,
+		.timeout = RESULTS_S,
+	    },
+	    &response);
+	CU_ASSERT(response.error == 0 && response.status == 200);
+	rest = str_buf(&response.body);
+	while (str_split(&rest, '\n', &line)) {
+		json_t *object = json_loadb(line.data, line.len, 0, NULL);
+		const char *state =
+		    json_string_value(json_object_get(object, "state"));
+
+		if (state != NULL && strcmp(state, "succeeded") == 0 &&
+		    json_is_string(json_object_get(
+			json_object_get(object, "result"), "text")))
+			count++;
+		json_decref(object);
+	}
+	harness_response_free(&response);
+	return (count);
+}
+
+/* Requires that no engine starts anything during WATCH_S. */
+static void
+check_nothing_starts(const char *when, unsigned started)
+{
+	unsigned now;
+
+	harness_sleep(WATCH_S);
+	now = hosts_engines_sum(&hosts, "started");
+	printf(
+	    "%s: started %u, %.0f s later %u\n", when, started, WATCH_S, now);
+	CU_ASSERT(now == started);
+}
+
+/* Guards against an old owner that wakes and starts items of a dead job. */
+static void
+test_cancel_while_owner_frozen(void)
+{
+	char id[64];
+	unsigned owner;
+	unsigned other;
+	unsigned started;
+	int before;
+
+	hosts_start(&hosts, &(hosts_params_t){.token_ms = 20, .slots = 2});
+	submit("cancel-frozen", 12, id);
+	wait_progress(id, 10);
+	owner = hosts_owner_of(&hosts, id);
+	other = (owner + 1) % hosts.params.hosts;
+	harness_stop(hosts.hosts[owner]);
+	wait_progress(id, 40);
+	before = hosts_job_count(&hosts, id, "succeeded");
+	CU_ASSERT_FATAL(cancel_through(other, id, FINISH_S));
+	harness_sleep(SETTLE_S);
+	started = hosts_engines_sum(&hosts, "started");
+	CU_ASSERT(started < ITEMS);
+	check_nothing_starts("after the cancel", started);
+	CU_ASSERT(hosts_engines_sum(&hosts, "running") == 0);
+	harness_continue(hosts.hosts[owner]);
+	check_nothing_starts("after the old owner woke", started);
+	for (unsigned i = 0; i < hosts.params.hosts; i++) {
+		int count = readable_results(i, id);
+
+		printf("host-%u: %d results, %d before the cancel\n", i, count,
+		    before);
+		CU_ASSERT(count >= before);
+	}
+	hosts_end(&hosts);
+}
+
+/* Guards against streams that run on at the engine after a cancel. */
+static void
+test_cancel_on_healthy_owner(void)
+{
+	char id[64];
+	double begin;
+	unsigned owner;
+	unsigned started;
+
+	/* An uncancelled item takes 400 * 20 ms = 8 s. */
+	hosts_start(&hosts, &(hosts_params_t){.token_ms = 20, .slots = 4});
+	submit("cancel-healthy", 400, id);
+	harness_sleep(3);
+	CU_ASSERT(hosts_engines_sum(&hosts, "running") > 0);
+	owner = hosts_owner_of(&hosts, id);
+	begin = clock_monotonic();
+	CU_ASSERT_FATAL(cancel_at((owner + 1) % hosts.params.hosts, id) == 200);
+	printf("acknowledged after %.2f s\n", clock_monotonic() - begin);
+	harness_sleep(SETTLE_S);
+	started = hosts_engines_sum(&hosts, "started");
+	printf("running %u, cancelled %u of %u started\n",
+	    hosts_engines_sum(&hosts, "running"),
+	    hosts_engines_sum(&hosts, "cancelled"), started);
+	CU_ASSERT(hosts_engines_sum(&hosts, "running") == 0);
+	CU_ASSERT(hosts_engines_sum(&hosts, "cancelled") > 0);
+	check_nothing_starts("healthy owner", started);
+	hosts_end(&hosts);
+}
+
+static const suite_test_t tests[] = {
+    {"cancel while the owner is frozen", test_cancel_while_owner_frozen},
+    {"cancel on a healthy owner", test_cancel_on_healthy_owner},
+};
+
+SUITE_MAIN("fail_cancel", tests)
