Bound the hand-over of a planned stop and serve as soon as ready

Cause: a stopping host waited for the log service without a limit, although the next owners claim its shards once it has left; a host answered NOT_READY for up to 0.1 s after its health check said ready. Ruled out: cutting off open requests, which are still waited for. Change: after 15 s the hand-over is abandoned; readiness is evaluated for each request.

--- a/src/node_drain.c
+++ b/src/node_drain.c
@@ -5,6 +5,11 @@
 
 /* Callers that asked just before the stop may connect a little later. */
 #define ENTRIES_MARGIN_S 1.0
+/*
+ * Shards that cannot be handed over while the log service is out are left to
+ * the next owners, which claim them once this host has left.
+ */
+#define HAND_OVER_LIMIT_S 15.0
 
 static void
 on_handed_over(void *ctx)
@@ -42,6 +47,12 @@
 		LOG_INFO("drain_hand_over", "open_requests=%zu",
 		    httpd_open_requests(node->callers));
 	}
+	if (node->handing_over && !node->handed_over &&
+	    now >= node->stop_accepting_at + HAND_OVER_LIMIT_S) {
+		node->handed_over = true;
+		LOG_WARN("drain_hand_over_abandoned", "host=%s",
+		    node->settings->name);
+	}
 	if (!node->handed_over || !node_idle(node)) {
 		if (node->cut_off_at == 0 || now < node->cut_off_at)
 			return;
--- a/src/node_http.c
+++ b/src/node_http.c
@@ -122,7 +122,8 @@
 	if (handle_open_path(node, request))
 		return;
 	/* A stopping host serves the callers that still know its address. */
-	if (config == NULL || !node->working || !node->serving) {
+	if (config == NULL || !node->working ||
+	    (!node->serving && !node_ready(node))) {
 		http_request_reply_error(request, -RESULT_NOT_READY, NULL);
 		return;
 	}
