Ask an intent again while the first request is in progress

Cause: a caller was answered before the OUTCOME of its request was recorded, so a prompt resend got 409 IN_PROGRESS (make demo failed 2 of 3 times on a busy machine); a plain request to a frozen engine waited twice the time before the first token; a planned stop logged component_failed for the closed membership socket. Ruled out: answering only after the commit, which adds an append to each call. Change: the intent is asked again every 0.2 s within accept_timeout_ms; silence before the first token goes to another endpoint at once; the membership check knows of a planned stop. Conclusion: a resend gets the recorded response.

--- a/src/generation.c
+++ b/src/generation.c
@@ -112,7 +112,8 @@
  * Decides what follows after a connection ended early: resume at the engine, or
  * the end after a resume that brought no token. A request that must not be
  * repeated is not resumed, because an engine could take a resume for a new
- * request.
+ * request. Before the first token there is nothing to resume: another endpoint
+ * is tried sooner than a silent one a second time.
  */
 static void
 generation_broken(generation_t *g, int rc)
@@ -122,6 +123,8 @@
 	if (now >= g->params.deadline)
 		generation_end(g, -RESULT_TIMEOUT);
 	else if (!g->params.repeatable || !g->sent ||
+		 (rc == -RESULT_ENDPOINT_SILENT &&
+		     g->next_index == g->params.start_index) ||
 		 (g->resumed && !g->progress))
 		generation_end(g, rc);
 	else
--- a/src/intent_durable.c
+++ b/src/intent_durable.c
@@ -5,12 +5,18 @@
 #include <string.h>
 #include <sys/queue.h>
 
+#include "clock.h"
 #include "result.h"
 
 /* Outcomes and voids are sent again until the log took them, in seconds. */
 #define SETTLE_TIMEOUT_S 600.0
 /* Limit for an intent while no configuration is known, in seconds. */
 #define DEFAULT_ASK_TIMEOUT_S 10.0
+/*
+ * A resend may come while the first request is running or its outcome is being
+ * recorded; the intent is asked again at this interval, in seconds.
+ */
+#define ASK_AGAIN_S 0.2
 /* Requests remembered between their intent and its outcome. */
 #define MAX_OPEN 8192
 
@@ -28,6 +34,9 @@
 	char *key;
 	char *request_id;
 	uint64_t attempt;
+	uint64_t start_before; /* wall clock seconds */
+	double ask_until;      /* monotonic seconds */
+	ev_timer again;
 	intent_answer_cb_t on_answer;
 	intent_done_cb_t on_done;
 	void *ctx;
@@ -35,6 +44,7 @@
 } open_intent_t;
 
 struct intent_durable_t {
+	struct ev_loop *loop;
 	durable_t *durable;
 	const fleet_config_t *(*config)(void *ctx);
 	void *config_ctx;
@@ -45,6 +55,7 @@
 static void
 open_free(open_intent_t *open)
 {
+	ev_timer_stop(open->intents->loop, &open->again);
 	TAILQ_REMOVE(&open->intents->open, open, entry);
 	open->intents->count--;
 	free(open->org);
@@ -82,12 +93,42 @@
 	return (NULL);
 }
 
+static void on_permit(void *ctx, int rc, const durable_permit_t *permit);
+
+static void
+open_ask(open_intent_t *open)
+{
+	double left = open->ask_until - clock_monotonic();
+
+	durable_intent(open->intents->durable,
+	    &(durable_intent_t){
+		.org = open->org,
+		.key = open->key,
+		.request = open->request_id,
+		.start_before = open->start_before,
+	    },
+	    left > ASK_AGAIN_S ? left : ASK_AGAIN_S, on_permit, open);
+}
+
+static void
+on_again(struct ev_loop *loop, ev_timer *timer, int events)
+{
+	(void)loop;
+	(void)events;
+	open_ask(timer->data);
+}
+
 static void
 on_permit(void *ctx, int rc, const durable_permit_t *permit)
 {
 	open_intent_t *open = ctx;
 	intent_answer_t answer = {.rc = rc};
 
+	if (rc == -RESULT_IN_PROGRESS && clock_monotonic() < open->ask_until) {
+		ev_timer_set(&open->again, ASK_AGAIN_S, 0);
+		ev_timer_start(open->intents->loop, &open->again);
+		return;
+	}
 	open->state = OPEN_ANSWERED;
 	if (permit != NULL) {
 		open->attempt = permit->attempt;
@@ -98,33 +139,37 @@
 	open->on_answer(open->ctx, &answer);
 }
 
+/* Returns the seconds within which an intent must be answered. */
+static double
+ask_timeout(const intent_durable_t *intents)
+{
+	const fleet_config_t *config = intents->config(intents->config_ctx);
+
+	return (config != NULL ? config->fleet.accept_timeout_ms / 1000.0
+			       : DEFAULT_ASK_TIMEOUT_S);
+}
+
 static void
 ask(void *ops_ctx, const intent_t *intent, intent_answer_cb_t on_answer,
     void *ctx)
 {
 	intent_durable_t *intents = ops_ctx;
-	const fleet_config_t *config = intents->config(intents->config_ctx);
 	open_intent_t *open = xcalloc(1, sizeof(*open));
 
 	open->intents = intents;
 	open->org = xstrdup(intent->org);
 	open->key = xstrdup(intent->key);
 	open->request_id = xstrdup(intent->request_id);
+	open->start_before = (uint64_t)intent->start_before;
+	open->ask_until = clock_monotonic() + ask_timeout(intents);
 	open->on_answer = on_answer;
 	open->ctx = ctx;
+	ev_timer_init(&open->again, on_again, 0, 0);
+	open->again.data = open;
 	TAILQ_INSERT_TAIL(&intents->open, open, entry);
 	intents->count++;
 	open_trim(intents);
-	durable_intent(intents->durable,
-	    &(durable_intent_t){
-		.org = intent->org,
-		.key = intent->key,
-		.request = intent->request_id,
-		.start_before = (uint64_t)intent->start_before,
-	    },
-	    config != NULL ? config->fleet.accept_timeout_ms / 1000.0
-			   : DEFAULT_ASK_TIMEOUT_S,
-	    on_permit, open);
+	open_ask(open);
 }
 
 static void
@@ -157,7 +202,6 @@
     void *ops_ctx, const intent_t *intent, intent_done_cb_t on_done, void *ctx)
 {
 	intent_durable_t *intents = ops_ctx;
-	const fleet_config_t *config = intents->config(intents->config_ctx);
 	open_intent_t *open = open_find(intents, intent);
 
 	open->state = OPEN_SETTLING;
@@ -166,9 +210,7 @@
 	/* A caller waits for the answer to be certain, so the limit is short.
 	 */
 	durable_void(intents->durable, open->org, open->key, open->attempt,
-	    config != NULL ? config->fleet.accept_timeout_ms / 1000.0
-			   : DEFAULT_ASK_TIMEOUT_S,
-	    on_settled, open);
+	    ask_timeout(intents), on_settled, open);
 }
 
 const intent_ops_t intent_durable_ops = {
@@ -179,11 +221,12 @@
 
 /* Connects intents to the durable calls. */
 intent_durable_t *
-intent_durable_new(durable_t *durable,
+intent_durable_new(struct ev_loop *loop, durable_t *durable,
     const fleet_config_t *(*config)(void *ctx), void *config_ctx)
 {
 	intent_durable_t *intents = xcalloc(1, sizeof(*intents));
 
+	intents->loop = loop;
 	intents->durable = durable;
 	intents->config = config;
 	intents->config_ctx = config_ctx;
--- a/src/intent_durable.h
+++ b/src/intent_durable.h
@@ -11,7 +11,7 @@
 /* Operations whose context is an intent_durable_t. */
 extern const intent_ops_t intent_durable_ops;
 
-intent_durable_t *intent_durable_new(durable_t *durable,
+intent_durable_t *intent_durable_new(struct ev_loop *loop, durable_t *durable,
     const fleet_config_t *(*config)(void *ctx), void *config_ctx);
 void intent_durable_delete(intent_durable_t *intents);
 
--- a/src/node.c
+++ b/src/node.c
@@ -151,7 +151,10 @@
 static bool
 check_membership(void *ctx)
 {
-	return (membership_net_listening(((node_t *)ctx)->membership));
+	const node_t *node = ctx;
+
+	/* After a planned stop the socket is closed on purpose. */
+	return (node->stopped || membership_net_listening(node->membership));
 }
 
 static void
@@ -493,7 +496,8 @@
 	    .settings = fleet_settings_of,
 	    .ctx = node,
 	});
-	node->intents = intent_durable_new(node->durable, config_of, node);
+	node->intents =
+	    intent_durable_new(node->loop, node->durable, config_of, node);
 	return (0);
 }
 
--- a/src/node_drain.c
+++ b/src/node_drain.c
@@ -60,6 +60,7 @@
 		    httpd_open_requests(node->callers));
 	}
 	httpd_stop_accepting(node->callers);
+	node->stopped = true;
 	membership_net_stop(node->membership);
 	ev_timer_stop(node->loop, &node->refresh);
 	LOG_INFO("drain_done", "host=%s", node->settings->name);
--- a/src/node_state.h
+++ b/src/node_state.h
@@ -49,6 +49,7 @@
 	httpd_t *operators;
 	ev_timer refresh; /* readiness and the progress of a planned stop */
 	bool draining;
+	bool stopped;
 	double stop_accepting_at;
 	double cut_off_at; /* 0: never */
 	bool handed_over;
