--- a/src/node.c
+++ b/src/node.c
@@ -32,22 +32,25 @@
 		config_store_ready(node->config));
 }
 
-static size_t
-members_of(void *ctx, const member_t **out)
+/* Returns the member table to modules that take a callback. */
+size_t
+node_members_of(void *ctx, const member_t **out)
 {
 	return (membership_members(node_members(ctx), out));
 }
 
-static const fleet_config_t *
-config_of(void *ctx)
+/* Returns the configuration in force; NULL before the first. */
+const fleet_config_t *
+node_config_of(void *ctx)
 {
 	return (config_store_current(((node_t *)ctx)->config));
 }
 
-static const config_fleet_t *
-fleet_settings_of(void *ctx)
+/* Returns section [fleet] of the configuration in force; NULL before it. */
+const config_fleet_t *
+node_fleet_settings_of(void *ctx)
 {
-	const fleet_config_t *config = config_of(ctx);
+	const fleet_config_t *config = node_config_of(ctx);
 
 	return (config != NULL ? &config->fleet : NULL);
 }
@@ -269,8 +272,8 @@
 	    .mode = node->settings->admission == SETTINGS_ADMISSION_TWO_CHOICES
 			? GRANTS_TWO_CHOICES
 			: GRANTS_POOL,
-	    .config = config_of,
-	    .members = members_of,
+	    .config = node_config_of,
+	    .members = node_members_of,
 	    .endpoint_leaving = endpoint_leaving,
 	    .ctx = node,
 	});
@@ -310,7 +313,7 @@
 start_callers(void *ctx)
 {
 	node_t *node = ctx;
-	const fleet_config_t *config = config_of(node);
+	const fleet_config_t *config = node_config_of(node);
 
 	return (httpd_new(node->loop,
 	    &(httpd_params_t){
@@ -428,192 +431,6 @@
     {"operators", start_operators, stop_operators, NULL},
 };
 
-static void
-send_offer(void *ctx, const member_t *to, unsigned shard, bool query)
-{
-	const node_t *node = ctx;
-
-	durable_send_offer(node->peer, node->settings->name,
-	    membership_self(node_members(node))->instance, to, shard, query);
-}
-
-static bool
-in_contact(void *ctx)
-{
-	return (membership_in_contact(node_members(ctx)));
-}
-
-static int
-start_owner(void *ctx)
-{
-	node_t *node = ctx;
-	const fleet_config_t *config = config_of(node);
-	uint64_t instance = membership_self(node_members(node))->instance;
-
-	node->owner = shard_owner_new(&(shard_owner_params_t){
-	    .loop = node->loop,
-	    .log = node->log,
-	    .name = node->settings->name,
-	    .instance = instance,
-	    .shards = config->fleet.shards,
-	    .seed = instance,
-	    .members = members_of,
-	    .settings = fleet_settings_of,
-	    .offer = send_offer,
-	    .in_contact = in_contact,
-	    .ctx = node,
-	});
-	return (0);
-}
-
-static void
-stop_owner(void *ctx)
-{
-	node_t *node = ctx;
-
-	shard_owner_delete(node->owner);
-	node->owner = NULL;
-}
-
-static int
-start_durable(void *ctx)
-{
-	node_t *node = ctx;
-
-	node->durable = durable_new(&(durable_params_t){
-	    .loop = node->loop,
-	    .peer = node->peer,
-	    .owner = node->owner,
-	    .name = node->settings->name,
-	    .instance = membership_self(node_members(node))->instance,
-	    .members = members_of,
-	    .settings = fleet_settings_of,
-	    .ctx = node,
-	});
-	node->durable_http = durable_http_new(&(durable_http_params_t){
-	    .loop = node->loop,
-	    .durable = node->durable,
-	    .settings = fleet_settings_of,
-	    .ctx = node,
-	});
-	node->intents =
-	    intent_durable_new(node->loop, node->durable, config_of, node);
-	return (0);
-}
-
-static void
-stop_durable(void *ctx)
-{
-	node_t *node = ctx;
-
-	durable_http_delete(node->durable_http);
-	/* Ends the calls that are open, and so the intents that wait. */
-	durable_delete(node->durable);
-	intent_durable_delete(node->intents);
-	node->intents = NULL;
-	node->durable_http = NULL;
-	node->durable = NULL;
-}
-
-static int
-start_batch(void *ctx)
-{
-	node_t *node = ctx;
-
-	node->batch = batch_new(&(batch_params_t){
-	    .loop = node->loop,
-	    .httpc = node->httpc,
-	    .grants = node->grants,
-	    .owner = node->owner,
-	    .config = node->config,
-	    .host = node->settings->name,
-	});
-	return (0);
-}
-
-static void
-stop_batch(void *ctx)
-{
-	node_t *node = ctx;
-
-	batch_delete(node->batch);
-	node->batch = NULL;
-}
-
-static uint64_t
-config_version_of(void *ctx)
-{
-	return (config_store_version(((node_t *)ctx)->config));
-}
-
-static int
-start_online(void *ctx)
-{
-	node_t *node = ctx;
-
-	node->online = online_new(&(online_params_t){
-	    .loop = node->loop,
-	    .httpc = node->httpc,
-	    .grants = node->grants,
-	    .host = node->settings->name,
-	    .config = config_of,
-	    .config_version = config_version_of,
-	    .ctx = node,
-	    .intents = &intent_durable_ops,
-	    .intents_ctx = node->intents,
-	});
-	return (0);
-}
-
-static void
-stop_online(void *ctx)
-{
-	node_t *node = ctx;
-
-	online_delete(node->online);
-	node->online = NULL;
-}
-
-static bool
-claim_of(void *ctx, unsigned shard, uint64_t *epoch, double *read_began)
-{
-	return (shard_owner_claim(
-	    ((node_t *)ctx)->owner, shard, epoch, read_began));
-}
-
-static int
-start_orders(void *ctx)
-{
-	node_t *node = ctx;
-
-	node->orders = orders_new(&(orders_params_t){
-	    .loop = node->loop,
-	    .httpc = node->httpc,
-	    .audit = node->audit,
-	    .config = config_of,
-	    .claim = claim_of,
-	    .ctx = node,
-	});
-	return (0);
-}
-
-static void
-stop_orders(void *ctx)
-{
-	node_t *node = ctx;
-
-	orders_delete(node->orders);
-	node->orders = NULL;
-}
-
-static const component_t worker_components[] = {
-    {"shard_owner", start_owner, stop_owner, NULL},
-    {"durable", start_durable, stop_durable, NULL},
-    {"batch", start_batch, stop_batch, NULL},
-    {"online", start_online, stop_online, NULL},
-    {"orders", start_orders, stop_orders, NULL},
-};
-
 /* Readiness is announced as it is; nothing else may set it. */
 static void
 on_refresh(struct ev_loop *loop, ev_timer *timer, int events)
@@ -651,9 +468,7 @@
 	node->workers = supervisor_new(loop);
 	for (size_t i = 0; i < sizeof(components) / sizeof(components[0]); i++)
 		supervisor_add(node->supervisor, &components[i], node);
-	for (size_t i = 0;
-	     i < sizeof(worker_components) / sizeof(worker_components[0]); i++)
-		supervisor_add(node->workers, &worker_components[i], node);
+	node_add_workers(node);
 	ev_timer_init(&node->refresh, on_refresh, REFRESH_S, REFRESH_S);
 	node->refresh.data = node;
 	return (node);
--- a/src/node_state.h
+++ b/src/node_state.h
@@ -61,6 +61,14 @@
 membership_t *node_members(const node_t *node);
 bool node_ready(const node_t *node);
 
+/* Callbacks whose context is the node. */
+size_t node_members_of(void *ctx, const member_t **out);
+const fleet_config_t *node_config_of(void *ctx);
+const config_fleet_t *node_fleet_settings_of(void *ctx);
+
+/* node_workers.c: components that need a configuration. */
+void node_add_workers(node_t *node);
+
 /* node_http.c: requests of callers. */
 void node_handle_request(void *ctx, http_request_t *request);
 /* node_drain.c: the steps of a planned stop. */
--- /dev/null
+++ b/src/peer_link.c
@@ -0,0 +1,381 @@
+/* Connections between hosts: framing, buffers and their end. */
+#include <arpa/inet.h>
+#include <errno.h>
+#include <netinet/tcp.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "clock.h"
+#include "peer_state.h"
+#include "result.h"
+
+#define READ_SIZE 65536
+/* A link that has not connected or authenticated within this is dropped. */
+#define CONNECT_TIMEOUT_S    1.0
+#define KEEPALIVE_IDLE_S     10
+#define KEEPALIVE_INTERVAL_S 5
+
+static void
+link_set_events(peer_link_t *link, int events)
+{
+	if (link->io.events == events && ev_is_active(&link->io))
+		return;
+	ev_io_stop(link->peer->loop, &link->io);
+	ev_io_set(&link->io, link->fd, events);
+	ev_io_start(link->peer->loop, &link->io);
+}
+
+/* Writes what the socket takes; returns false when the link is broken. */
+static bool
+link_flush(peer_link_t *link)
+{
+	while (link->output.len > 0) {
+		ssize_t n = send(link->fd, link->output.data, link->output.len,
+		    MSG_NOSIGNAL | MSG_DONTWAIT);
+
+		if (n < 0 && errno == EINTR)
+			continue;
+		if (n < 0 && errno == EAGAIN)
+			break;
+		if (n < 0)
+			return (false);
+		counter_add(link->peer->bytes_sent, (uint64_t)n);
+		buf_consume(&link->output, (size_t)n);
+	}
+	link_set_events(link, EV_READ | (link->output.len > 0 ? EV_WRITE : 0));
+	return (true);
+}
+
+/* Writes after the current callback, so that frames share a packet. */
+static void
+link_flush_soon(peer_link_t *link)
+{
+	if (!link->connected || ev_is_active(&link->flush_timer))
+		return;
+	ev_timer_set(&link->flush_timer, 0, 0);
+	ev_timer_start(link->peer->loop, &link->flush_timer);
+}
+
+/* Sends a payload, or keeps it until the session has its key. */
+void
+peer_link_send(peer_link_t *link, str_t payload)
+{
+	uint32_t length = (uint32_t)payload.len;
+
+	counter_add(link->peer->frames_sent, 1);
+	if (link->session.ready) {
+		peer_frame_encode(&link->session, payload, &link->output);
+		link_flush_soon(link);
+		return;
+	}
+	buf_append(
+	    &link->waiting, (str_t){(const char *)&length, sizeof(length)});
+	buf_append(&link->waiting, payload);
+}
+
+/* Frames the payloads that waited for the session's key. */
+static void
+link_send_waiting(peer_link_t *link)
+{
+	size_t offset = 0;
+
+	while (offset < link->waiting.len) {
+		uint32_t length;
+
+		memcpy(&length, link->waiting.data + offset, sizeof(length));
+		offset += sizeof(length);
+		peer_frame_encode(&link->session,
+		    (str_t){link->waiting.data + offset, length},
+		    &link->output);
+		offset += length;
+	}
+	buf_free(&link->waiting);
+	link_flush_soon(link);
+}
+
+static void
+link_receive_reply(peer_link_t *link, uint64_t id, wire_reader_t *reader)
+{
+	peer_reply_t reply = {.sent = true};
+	peer_call_t *call;
+
+	reply.rc = (int)wire_read_i64(reader);
+	reply.body = wire_read_any(reader);
+	if (reader->fault)
+		return;
+	LIST_FOREACH (call, &link->calls, entry) {
+		if (call->id == id) {
+			peer_call_finish(call, &reply);
+			return;
+		}
+	}
+}
+
+static void
+link_receive_call(
+    peer_link_t *link, uint64_t type, uint64_t id, wire_reader_t *reader)
+{
+	peer_t *peer = link->peer;
+	const msgpack_object *body = wire_read_any(reader);
+	peer_request_t *request;
+
+	if (reader->fault)
+		return;
+	request = xcalloc(1, sizeof(*request));
+	request->link = link;
+	request->id = id;
+	memcpy(request->address, link->address, sizeof(request->address));
+	LIST_INSERT_HEAD(&link->requests, request, entry);
+	if (type >= PEER_TYPE_MAX || peer->handlers[type].handler == NULL)
+		peer_request_reply(request, -RESULT_NOT_FOUND, (str_t){0});
+	else
+		peer->handlers[type].handler(
+		    peer->handlers[type].ctx, request, body);
+}
+
+/* Returns false when the payload is malformed. */
+static bool
+link_receive(peer_link_t *link, str_t payload)
+{
+	wire_message_t message;
+	wire_reader_t reader;
+	uint64_t type;
+	uint64_t id;
+
+	if (wire_message_decode(&message, payload) != 0)
+		return (false);
+	reader = wire_reader(wire_message_root(&message));
+	type = wire_read_u64(&reader);
+	id = wire_read_u64(&reader);
+	if (!reader.fault && type == PEER_REPLY)
+		link_receive_reply(link, id, &reader);
+	else if (!reader.fault)
+		link_receive_call(link, type, id, &reader);
+	wire_message_free(&message);
+	return (!reader.fault);
+}
+
+static bool
+link_parse(peer_link_t *link)
+{
+	size_t offset = 0;
+	bool ok = true;
+
+	if (!link->session.ready) {
+		if (link->input.len < PEER_NONCE_SIZE)
+			return (true);
+		peer_session_accept(&link->session, str_buf(&link->peer->key),
+		    (const uint8_t *)link->input.data);
+		buf_consume(&link->input, PEER_NONCE_SIZE);
+		link_send_waiting(link);
+		if (link->outgoing)
+			ev_timer_stop(link->peer->loop, &link->connect_timer);
+	}
+	while (ok) {
+		str_t rest = {
+		    link->input.data + offset, link->input.len - offset};
+		str_t payload;
+		size_t consumed;
+
+		if (peer_frame_decode(
+			&link->session, rest, &payload, &consumed) != 0)
+			ok = false;
+		else if (consumed == 0)
+			break;
+		else
+			ok = link_receive(link, payload);
+		offset += ok ? consumed : 0;
+		if (ok)
+			ev_timer_stop(link->peer->loop, &link->connect_timer);
+	}
+	if (!ok)
+		counter_add(link->peer->rejected, 1);
+	else
+		buf_consume(&link->input, offset);
+	return (ok);
+}
+
+/* Returns false when the link is broken or closed. */
+static bool
+link_read(peer_link_t *link)
+{
+	for (;;) {
+		ssize_t n;
+
+		buf_reserve(&link->input, READ_SIZE);
+		n = recv(link->fd, link->input.data + link->input.len,
+		    READ_SIZE, MSG_DONTWAIT);
+		if (n < 0 && errno == EINTR)
+			continue;
+		if (n < 0 && errno == EAGAIN)
+			return (true);
+		if (n <= 0)
+			return (false);
+		link->input.len += (size_t)n;
+		link->last_received = clock_monotonic();
+		counter_add(link->peer->bytes_received, (uint64_t)n);
+		if (!link_parse(link))
+			return (false);
+	}
+}
+
+static bool
+link_connected(peer_link_t *link)
+{
+	int error = 0;
+	socklen_t size = sizeof(error);
+
+	getsockopt(link->fd, SOL_SOCKET, SO_ERROR, &error, &size);
+	if (error != 0)
+		return (false);
+	link->connected = true;
+	return (link_flush(link));
+}
+
+static void
+on_link(struct ev_loop *loop, ev_io *io, int events)
+{
+	peer_link_t *link = io->data;
+	bool ok = true;
+
+	(void)loop;
+	if (!link->connected)
+		ok = link_connected(link);
+	else if (events & EV_WRITE)
+		ok = link_flush(link);
+	if (ok && (events & EV_READ))
+		ok = link_read(link);
+	if (!ok)
+		peer_link_drop(link);
+}
+
+static void
+on_connect_timeout(struct ev_loop *loop, ev_timer *timer, int events)
+{
+	(void)loop;
+	(void)events;
+	peer_link_drop(timer->data);
+}
+
+static void
+on_flush(struct ev_loop *loop, ev_timer *timer, int events)
+{
+	peer_link_t *link = timer->data;
+
+	(void)loop;
+	(void)events;
+	if (!link_flush(link))
+		peer_link_drop(link);
+}
+
+/* Closes a link; its calls fail and its requests lose their way back. */
+void
+peer_link_drop(peer_link_t *link)
+{
+	struct ev_loop *loop = link->peer->loop;
+	peer_reply_t reply = {
+	    .rc = -RESULT_PEER_UNREACHABLE,
+	    .sent = link->session.ready,
+	};
+
+	counter_add(link->peer->links_dropped, 1);
+	ev_io_stop(loop, &link->io);
+	ev_timer_stop(loop, &link->connect_timer);
+	ev_timer_stop(loop, &link->flush_timer);
+	close(link->fd);
+	LIST_REMOVE(link, entry);
+	while (!LIST_EMPTY(&link->requests))
+		peer_request_unlink(LIST_FIRST(&link->requests));
+	while (!LIST_EMPTY(&link->calls))
+		peer_call_finish(LIST_FIRST(&link->calls), &reply);
+	buf_free(&link->input);
+	buf_free(&link->output);
+	buf_free(&link->waiting);
+	free(link);
+}
+
+static peer_link_t *
+link_new(peer_t *peer, int fd, const char *address, bool outgoing)
+{
+	peer_link_t *link = xcalloc(1, sizeof(*link));
+	int one = 1;
+	int idle = KEEPALIVE_IDLE_S;
+	int interval = KEEPALIVE_INTERVAL_S;
+
+	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
+	/* Ends incoming links whose other side vanished without a word. */
+	setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &one, sizeof(one));
+	setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &idle, sizeof(idle));
+	setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &interval, sizeof(interval));
+	link->peer = peer;
+	link->fd = fd;
+	str_copy(link->address, sizeof(link->address), str_of(address));
+	link->outgoing = outgoing;
+	link->connected = !outgoing;
+	peer_session_init(&link->session, outgoing);
+	buf_append(&link->output,
+	    (str_t){(const char *)link->session.own_nonce, PEER_NONCE_SIZE});
+	ev_io_init(&link->io, on_link, fd, EV_READ | EV_WRITE);
+	ev_timer_init(
+	    &link->connect_timer, on_connect_timeout, CONNECT_TIMEOUT_S, 0);
+	ev_timer_init(&link->flush_timer, on_flush, 0, 0);
+	link->io.data = link;
+	link->connect_timer.data = link;
+	link->flush_timer.data = link;
+	ev_io_start(peer->loop, &link->io);
+	ev_timer_start(peer->loop, &link->connect_timer);
+	LIST_INSERT_HEAD(&peer->links, link, entry);
+	return (link);
+}
+
+/* Takes in a connection from another host. */
+void
+peer_on_accept(struct ev_loop *loop, ev_io *io, int events)
+{
+	peer_t *peer = io->data;
+	struct sockaddr_in from;
+	socklen_t size = sizeof(from);
+	char address[INET_ADDRSTRLEN];
+	int fd = accept4(io->fd, (struct sockaddr *)&from, &size,
+	    SOCK_NONBLOCK | SOCK_CLOEXEC);
+
+	(void)loop;
+	(void)events;
+	if (fd < 0)
+		return;
+	inet_ntop(AF_INET, &from.sin_addr, address, sizeof(address));
+	link_new(peer, fd, address, false);
+}
+
+/* Returns an outgoing link to an address, or NULL when none can be opened. */
+peer_link_t *
+peer_link_to(peer_t *peer, const char *address)
+{
+	struct sockaddr_in to = {
+	    .sin_family = AF_INET,
+	    .sin_port = htons(peer->port),
+	};
+	struct sockaddr_in from = {.sin_family = AF_INET};
+	peer_link_t *link;
+	int fd;
+
+	LIST_FOREACH (link, &peer->links, entry)
+		if (link->outgoing && strcmp(link->address, address) == 0)
+			return (link);
+	if (inet_pton(AF_INET, address, &to.sin_addr) != 1)
+		return (NULL);
+	fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+	if (fd < 0)
+		return (NULL);
+	/* Other hosts recognise this host by its own address. */
+	inet_pton(AF_INET, peer->address, &from.sin_addr);
+	if (bind(fd, (struct sockaddr *)&from, sizeof(from)) != 0 ||
+	    (connect(fd, (struct sockaddr *)&to, sizeof(to)) != 0 &&
+		errno != EINPROGRESS)) {
+		close(fd);
+		return (NULL);
+	}
+	return (link_new(peer, fd, address, true));
+}
--- /dev/null
+++ b/src/peer_state.h
@@ -0,0 +1,86 @@
+/* State of the calls between hosts, shared by its source files. */
+#ifndef DAISYPIER_PEER_STATE_H
+#define DAISYPIER_PEER_STATE_H
+
+#include <netinet/in.h>
+#include <sys/queue.h>
+
+#include "counter.h"
+#include "peer.h"
+#include "peer_frame.h"
+
+typedef struct peer_link_t peer_link_t;
+
+LIST_HEAD(call_list_t, peer_call_t);
+
+struct peer_t {
+	struct ev_loop *loop;
+	char address[INET_ADDRSTRLEN];
+	uint16_t port;
+	buf_t key;
+	int fd;
+	ev_io io;
+	struct {
+		peer_handler_t handler;
+		void *ctx;
+	} handlers[PEER_TYPE_MAX];
+	LIST_HEAD(, peer_link_t) links;
+	struct call_list_t refused; /* calls that fail without a link */
+	uint64_t next_id;
+	counter_t *bytes_sent;
+	counter_t *bytes_received;
+	counter_t *frames_sent;
+	counter_t *rejected;
+	counter_t *links_dropped;
+};
+
+/* One TCP connection; outgoing ones carry calls, incoming ones replies. */
+struct peer_link_t {
+	peer_t *peer;
+	int fd;
+	char address[INET_ADDRSTRLEN];
+	bool outgoing;
+	bool connected;
+	peer_session_t session;
+	buf_t input;
+	buf_t output;  /* framed bytes */
+	buf_t waiting; /* length-prefixed payloads until the session is ready */
+	double last_received;
+	ev_io io;
+	ev_timer connect_timer;
+	ev_timer flush_timer;
+	struct call_list_t calls;
+	LIST_HEAD(, peer_request_t) requests;
+	LIST_ENTRY(peer_link_t) entry;
+};
+
+struct peer_call_t {
+	peer_t *peer;
+	peer_link_t *link; /* NULL when no link could be opened */
+	uint64_t id;
+	double started;
+	ev_timer timer;
+	peer_reply_cb_t on_reply;
+	void *ctx;
+	LIST_ENTRY(peer_call_t) entry;
+};
+
+struct peer_request_t {
+	peer_link_t *link; /* NULL after the link was lost */
+	uint64_t id;	   /* 0: one-way */
+	char address[INET_ADDRSTRLEN];
+	LIST_ENTRY(peer_request_t) entry;
+};
+
+/* peer.c: calls and requests. */
+void peer_call_unlink(peer_call_t *call);
+void peer_call_finish(peer_call_t *call, const peer_reply_t *reply);
+void peer_request_unlink(peer_request_t *request);
+
+/* peer_link.c: connections. */
+peer_link_t *peer_link_to(peer_t *peer, const char *address);
+void peer_link_send(peer_link_t *link, str_t payload);
+void peer_link_drop(peer_link_t *link);
+void peer_on_accept(struct ev_loop *loop, ev_io *io, int events);
+
+#endif
