Record claims, cancels and planned stops in the audit trail

Cause: only configuration changes, drains by an operator and orders left a record. Ruled out: a record for each item, which counters and job results cover.

--- a/src/durable_http.c
+++ b/src/durable_http.c
@@ -457,6 +457,18 @@
 	    (uint32_t)max, READ_TIMEOUT_S, on_page, job);
 }
 
+/* Reports an acknowledged cancel before its caller is answered. */
+static void
+on_cancel(void *ctx, int rc, const durable_job_t *found)
+{
+	job_request_t *job = ctx;
+	const durable_http_params_t *params = &job->http->params;
+
+	if (rc == 0 && params->on_cancelled != NULL)
+		params->on_cancelled(params->ctx, job->org, found->id);
+	on_job(ctx, rc, found);
+}
+
 static void
 handle_job(durable_http_t *http, http_request_t *request, const char *org,
     const char *id)
@@ -475,8 +487,8 @@
 		durable_job_get(
 		    http->params.durable, org, id, READ_TIMEOUT_S, on_job, job);
 	else
-		durable_job_cancel(
-		    http->params.durable, org, id, READ_TIMEOUT_S, on_job, job);
+		durable_job_cancel(http->params.durable, org, id,
+		    READ_TIMEOUT_S, on_cancel, job);
 }
 
 bool
--- a/src/durable_http.h
+++ b/src/durable_http.h
@@ -11,6 +11,8 @@
 	struct ev_loop *loop;
 	durable_t *durable;
 	const config_fleet_t *(*settings)(void *ctx); /* NULL: not known yet */
+	/* Learns of each acknowledged cancel; may be NULL. */
+	void (*on_cancelled)(void *ctx, const char *org, const char *job);
 	void *ctx;
 } durable_http_params_t;
 
--- a/src/node_drain.c
+++ b/src/node_drain.c
@@ -85,6 +85,12 @@
 	if (node->settings->stop_timeout_s > 0)
 		node->cut_off_at = now + node->settings->stop_timeout_s;
 	membership_set_leaving(node_members(node), true);
+	audit_write(node->audit, &(audit_entry_t){
+				     .actor = str_of(node->settings->name),
+				     .action = STR("drain_begin"),
+				     .subject = str_of(node->settings->name),
+				     .outcome = STR("accepted"),
+				 });
 	LOG_INFO("drain_begin", "host=%s accept_s=%g", node->settings->name,
 	    node->stop_accepting_at - now);
 }
--- a/src/node_workers.c
+++ b/src/node_workers.c
@@ -1,4 +1,6 @@
 /* Components of a host that start once a configuration is known. */
+#include <stdio.h>
+
 #include "node_state.h"
 
 static void
@@ -16,6 +18,33 @@
 	return (membership_in_contact(node_members(ctx)));
 }
 
+static void
+audit_owned(void *ctx, unsigned shard, uint64_t epoch)
+{
+	const node_t *node = ctx;
+	char subject[32];
+
+	snprintf(subject, sizeof(subject), "shard-%u", shard);
+	audit_write(node->audit, &(audit_entry_t){
+				     .actor = str_of(node->settings->name),
+				     .action = STR("shard_claim"),
+				     .subject = str_of(subject),
+				     .to_version = epoch,
+				     .outcome = STR("effective"),
+				 });
+}
+
+static void
+audit_cancelled(void *ctx, const char *org, const char *job)
+{
+	audit_write(((node_t *)ctx)->audit, &(audit_entry_t){
+						.actor = str_of(org),
+						.action = STR("job_cancel"),
+						.subject = str_of(job),
+						.outcome = STR("effective"),
+					    });
+}
+
 static int
 start_owner(void *ctx)
 {
@@ -33,6 +62,7 @@
 	    .members = node_members_of,
 	    .settings = node_fleet_settings_of,
 	    .offer = send_offer,
+	    .on_owned = audit_owned,
 	    .in_contact = in_contact,
 	    .ctx = node,
 	});
@@ -67,6 +97,7 @@
 	    .loop = node->loop,
 	    .durable = node->durable,
 	    .settings = node_fleet_settings_of,
+	    .on_cancelled = audit_cancelled,
 	    .ctx = node,
 	});
 	node->intents =
--- a/src/shard_owner.h
+++ b/src/shard_owner.h
@@ -35,6 +35,8 @@
 	/* Sends SHARD_OFFER, or asks an owner to look at the shard. */
 	void (*offer)(
 	    void *ctx, const member_t *to, unsigned shard, bool query);
+	/* Learns of each claim that took effect; may be NULL. */
+	void (*on_owned)(void *ctx, unsigned shard, uint64_t epoch);
 	/* Whether other hosts answer this one; NULL: not known. */
 	bool (*in_contact)(void *ctx);
 	double (*monotonic)(void *ctx); /* NULL: clock_monotonic() */
--- a/src/shard_slot.c
+++ b/src/shard_slot.c
@@ -245,6 +245,9 @@
 	token_bucket_charge(&slot->bucket, now);
 	LOG_INFO("shard_owned", "shard=%u epoch=%llu jobs=%zu", slot->shard,
 	    (unsigned long long)slot->epoch, slot->state.job_count);
+	if (owner->params.on_owned != NULL)
+		owner->params.on_owned(
+		    owner->params.ctx, slot->shard, slot->epoch);
 	slot_forget_uploads(slot);
 	TAILQ_FOREACH (job, &slot->state.jobs, entry)
 		if (job->sealed && !job->cancelled &&
--- a/tests/harness_hosts.c
+++ b/tests/harness_hosts.c
@@ -519,8 +519,46 @@
 typedef struct job_wait_t {
 	const hosts_t *hosts;
 	const char *id;
+	int at_least;
 } job_wait_t;
 
+static bool
+job_has_progress(void *ctx)
+{
+	const job_wait_t *wait = ctx;
+
+	return (hosts_job_count(wait->hosts, wait->id, "succeeded") >=
+		wait->at_least);
+}
+
+/* Waits until a number of items succeeded. */
+bool
+hosts_wait_progress(
+    const hosts_t *hosts, const char *id, int at_least, double timeout)
+{
+	job_wait_t wait = {.hosts = hosts, .id = id, .at_least = at_least};
+
+	return (harness_wait(job_has_progress, &wait, timeout));
+}
+
+/* Returns a number of an engine's statistics; 0 when it does not answer. */
+unsigned
+hosts_engine_count(const hosts_t *hosts, unsigned engine, const char *name)
+{
+	buf_t stats = {0};
+	json_t *object;
+	unsigned count;
+
+	harness_get(&stats, "http://%s/admin/stats",
+	    harness_address(hosts->engines[engine]));
+	object =
+	    json_loadb(stats.len > 0 ? stats.data : "", stats.len, 0, NULL);
+	count = (unsigned)json_integer_value(json_object_get(object, name));
+	json_decref(object);
+	buf_free(&stats);
+	return (count);
+}
+
 static bool
 job_is_finished(void *ctx)
 {
--- a/tests/harness_hosts.h
+++ b/tests/harness_hosts.h
@@ -61,6 +61,10 @@
 bool hosts_submit_anywhere(const hosts_t *hosts, const char *key, str_t lines,
     double timeout, char id[64]);
 int hosts_job_count(const hosts_t *hosts, const char *id, const char *state);
+bool hosts_wait_progress(
+    const hosts_t *hosts, const char *id, int at_least, double timeout);
+unsigned hosts_engine_count(
+    const hosts_t *hosts, unsigned engine, const char *name);
 bool hosts_wait_job(const hosts_t *hosts, const char *id, double timeout);
 void hosts_job_lines(
     buf_t *lines, const char *name, unsigned count, unsigned max_tokens);
--- a/tests/test_fail_cancel.c
+++ b/tests/test_fail_cancel.c
@@ -57,26 +57,10 @@
 	return (false);
 }
 
-typedef struct progress_t {
-	const char *id;
-	int at_least;
-} progress_t;
-
-static bool
-has_progress(void *ctx)
-{
-	const progress_t *progress = ctx;
-
-	return (hosts_job_count(&hosts, progress->id, "succeeded") >=
-		progress->at_least);
-}
-
 static void
 wait_progress(const char *id, int at_least)
 {
-	progress_t progress = {.id = id, .at_least = at_least};
-
-	CU_ASSERT_FATAL(harness_wait(has_progress, &progress, FINISH_S));
+	CU_ASSERT_FATAL(hosts_wait_progress(&hosts, id, at_least, FINISH_S));
 }
 
 static void
--- a/tests/test_fail_jobs.c
+++ b/tests/test_fail_jobs.c
@@ -6,7 +6,6 @@
 
 #include <signal.h>
 #include <stdio.h>
-#include <string.h>
 
 #include "harness_hosts.h"
 
@@ -36,26 +35,10 @@
 	CU_ASSERT(hosts_check_results(&hosts, id, name, ITEMS, MAX_TOKENS));
 }
 
-typedef struct progress_t {
-	const char *id;
-	int at_least;
-} progress_t;
-
-static bool
-has_progress(void *ctx)
-{
-	const progress_t *progress = ctx;
-
-	return (hosts_job_count(&hosts, progress->id, "succeeded") >=
-		progress->at_least);
-}
-
 static void
 wait_progress(const char *id, int at_least)
 {
-	progress_t progress = {.id = id, .at_least = at_least};
-
-	CU_ASSERT(harness_wait(has_progress, &progress, FINISH_S));
+	CU_ASSERT(hosts_wait_progress(&hosts, id, at_least, FINISH_S));
 }
 
 /* Guards against an acknowledged job that is lost with its owner. */
@@ -111,19 +94,8 @@
 {
 	unsigned sum = 0;
 
-	for (unsigned i = 0; i < hosts.params.engines; i++) {
-		buf_t stats = {0};
-		unsigned n = 0;
-		const char *at;
-
-		harness_get(&stats, "http://%s/admin/stats",
-		    harness_address(hosts.engines[i]));
-		at = stats.len > 0 ? strstr(stats.data, "\"started\"") : NULL;
-		if (at != NULL)
-			sscanf(at, "\"started\"%*[: ]%u", &n);
-		sum += n;
-		buf_free(&stats);
-	}
+	for (unsigned i = 0; i < hosts.params.engines; i++)
+		sum += hosts_engine_count(&hosts, i, "started");
 	return (sum);
 }
 
--- a/tests/test_fail_online.c
+++ b/tests/test_fail_online.c
@@ -7,7 +7,6 @@
 
 #include <signal.h>
 #include <stdio.h>
-#include <string.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -111,17 +110,9 @@
 static void
 kill_busy_engine(void)
 {
-	for (unsigned i = 0; i < hosts.params.engines; i++) {
-		buf_t stats = {0};
-
-		harness_get(&stats, "http://%s/admin/stats",
-		    harness_address(hosts.engines[i]));
-		if (stats.len > 0 &&
-		    strstr(stats.data, "\"running\":0") == NULL &&
-		    strstr(stats.data, "\"running\": 0") == NULL)
+	for (unsigned i = 0; i < hosts.params.engines; i++)
+		if (hosts_engine_count(&hosts, i, "running") > 0)
 			kill(harness_pid(hosts.engines[i]), SIGKILL);
-		buf_free(&stats);
-	}
 }
 
 static void
--- a/tests/test_fail_stop.c
+++ b/tests/test_fail_stop.c
@@ -3,7 +3,6 @@
 
 #include <signal.h>
 #include <stdio.h>
-#include <string.h>
 
 #include "harness_load.h"
 
@@ -66,22 +65,6 @@
 	hosts_end(&hosts);
 }
 
-static unsigned
-engine_started(unsigned index)
-{
-	buf_t stats = {0};
-	const char *at;
-	unsigned n = 0;
-
-	harness_get(&stats, "http://%s/admin/stats",
-	    harness_address(hosts.engines[index]));
-	at = stats.len > 0 ? strstr(stats.data, "\"started\"") : NULL;
-	if (at != NULL)
-		sscanf(at, "\"started\"%*[: ]%u", &n);
-	buf_free(&stats);
-	return (n);
-}
-
 /* Guards against new work for an endpoint that is on the leaving list. */
 static void
 test_leaving_endpoint(void)
@@ -94,7 +77,7 @@
 	load = load_start(&hosts,
 	    &(load_params_t){.callers = 8, .max_tokens = 10, .duration = 14});
 	harness_sleep(2);
-	CU_ASSERT(engine_started(0) > 0);
+	CU_ASSERT(hosts_engine_count(&hosts, 0, "started") > 0);
 	CU_ASSERT(harness_post(NULL,
 		      STR("{\"hosts\":[{\"name\":\"engine-0\",\"address\":"
 			  "\"\",\"zone\":\"trent-bank\",\"state\":\"leaving\"}"
@@ -102,9 +85,9 @@
 		      "http://%s/admin/hosts",
 		      harness_address(hosts.platform)) == 200);
 	harness_sleep(5);
-	before = engine_started(0);
+	before = hosts_engine_count(&hosts, 0, "started");
 	harness_sleep(5);
-	CU_ASSERT(engine_started(0) == before);
+	CU_ASSERT(hosts_engine_count(&hosts, 0, "started") == before);
 	result = load_finish(load);
 	CU_ASSERT(result.whole > 100);
 	CU_ASSERT(result.failed + result.refused + result.wrong == 0);
