--- a/src/durable_http.c
+++ b/src/durable_http.c
@@ -207,6 +207,7 @@
 	return (0);
 }
 
+/* Checks one item line. Returns 0 or a result code with a reason. */
 int
 durable_http_check_item(str_t line, size_t max_bytes, char *reason, size_t size)
 {
@@ -491,6 +492,10 @@
 		    READ_TIMEOUT_S, on_cancel, job);
 }
 
+/*
+ * Handles a request of an organisation. Returns false, without an answer, when
+ * the path is not one of jobs.
+ */
 bool
 durable_http_handle(
     durable_http_t *http, http_request_t *request, const config_org_t *org)
--- a/src/durable_http.h
+++ b/src/durable_http.h
@@ -19,14 +19,9 @@
 durable_http_t *durable_http_new(const durable_http_params_t *params);
 void durable_http_delete(durable_http_t *http);
 
-/*
- * Handles a request of an organisation. Returns false, without an answer, when
- * the path is not one of jobs.
- */
 bool durable_http_handle(
     durable_http_t *http, http_request_t *request, const config_org_t *org);
 
-/* Checks one item line. Returns 0 or a result code with a reason. */
 int durable_http_check_item(
     str_t line, size_t max_bytes, char *reason, size_t size);
 
--- a/src/membership.c
+++ b/src/membership.c
@@ -525,12 +525,24 @@
 }
 
 /*
- * Returns whether other hosts answer this one: the last probe was answered, or
- * there is no other host.
+ * Returns whether other hosts answer this one: the last probe was answered, and
+ * at least half of the others that did not stop as planned are alive and not
+ * suspected. Without other hosts it returns true.
  */
 bool
 membership_in_contact(const membership_t *m)
 {
-	return (
-	    m->silent_probes == 0 && membership_self(m)->state == MEMBER_ALIVE);
+	const member_t *members;
+	size_t count = membership_members(m, &members);
+	size_t known = 0;
+	size_t alive = 0;
+
+	for (size_t i = 0; i < count; i++) {
+		if (members[i].state == MEMBER_LEFT ||
+		    strcmp(members[i].name, m->self) == 0)
+			continue;
+		known++;
+		alive += members[i].state == MEMBER_ALIVE;
+	}
+	return (m->silent_probes == 0 && alive * 2 >= known);
 }
--- a/src/shard_owner.c
+++ b/src/shard_owner.c
@@ -420,6 +420,12 @@
 		owner->params.in_contact(owner->params.ctx));
 }
 
+/*
+ * Whether work of the shard may start now: the last read that showed this
+ * host's claim as newest began less than owner_check_ms ago, or the log service
+ * is out and other hosts still reach this one. When it returns false
+ * it starts such a read; the caller asks again later.
+ */
 bool
 shard_owner_may_act(shard_owner_t *owner, unsigned shard)
 {
@@ -468,6 +474,12 @@
 	return (true);
 }
 
+/*
+ * Commits entries of an owned shard. on_commit gets 0 once they were read back
+ * as effective, -RESULT_NOT_OWNER when they certainly are not and will not be,
+ * or, only with refuse, -RESULT_LOG_UNAVAILABLE when they certainly are not.
+ * Returns NULL without a callback when the shard does not accept changes.
+ */
 shard_change_t *
 shard_owner_commit(shard_owner_t *owner, unsigned shard, str_t entries,
     size_t count, bool refuse, shard_commit_cb_t on_commit, void *ctx)
@@ -545,6 +557,7 @@
 	free(start);
 }
 
+/* Commits START; needed before a non-repeatable item runs. */
 void
 shard_owner_start_item(shard_owner_t *owner, unsigned shard, shard_job_t *job,
     uint32_t item, shard_commit_cb_t on_commit, void *ctx)
@@ -573,6 +586,10 @@
 	buf_free(&entry);
 }
 
+/*
+ * Commits DONE with the item's end state and result. A later call for the same
+ * item has no effect. Waits in memory while the log service is out.
+ */
 void
 shard_owner_complete_item(shard_owner_t *owner, unsigned shard,
     shard_job_t *job, uint32_t item, item_state_t state, unsigned tries,
@@ -589,6 +606,7 @@
 	buf_free(&entry);
 }
 
+/* on_check gets 0 after a read that showed this host as the owner. */
 void
 shard_owner_check(
     shard_owner_t *owner, unsigned shard, shard_commit_cb_t on_check, void *ctx)
--- a/src/shard_owner.h
+++ b/src/shard_owner.h
@@ -49,19 +49,9 @@
 void shard_owner_tick(shard_owner_t *owner);
 
 void shard_owner_set_events(shard_owner_t *owner, const shard_events_t *events);
-/*
- * Whether work of the shard may start now: the last read that showed this
- * host's claim as newest began less than owner_check_ms ago. When it returns
- * false it starts such a read; the caller asks again later.
- */
 bool shard_owner_may_act(shard_owner_t *owner, unsigned shard);
-/* Commits START; needed before a non-repeatable item runs. */
 void shard_owner_start_item(shard_owner_t *owner, unsigned shard,
     shard_job_t *job, uint32_t item, shard_commit_cb_t on_commit, void *ctx);
-/*
- * Commits DONE with the item's end state and result. A later call for the same
- * item has no effect. Waits in memory while the log service is out.
- */
 void shard_owner_complete_item(shard_owner_t *owner, unsigned shard,
     shard_job_t *job, uint32_t item, item_state_t state, unsigned tries,
     str_t result);
@@ -78,19 +68,12 @@
 size_t shard_owner_owned(const shard_owner_t *owner);
 size_t shard_owner_waiting(const shard_owner_t *owner, unsigned shard);
 
-/*
- * Commits entries of an owned shard. on_commit gets 0 once they were read back
- * as effective, -RESULT_NOT_OWNER when they certainly are not and will not be,
- * or, only with refuse, -RESULT_LOG_UNAVAILABLE when they certainly are not.
- * Returns NULL without a callback when the shard does not accept changes.
- */
 shard_change_t *shard_owner_commit(shard_owner_t *owner, unsigned shard,
     str_t entries, size_t count, bool refuse, shard_commit_cb_t on_commit,
     void *ctx);
 bool shard_owner_withdraw(
     shard_owner_t *owner, unsigned shard, shard_change_t *change);
 
-/* on_check gets 0 after a read that showed this host as the owner. */
 void shard_owner_check(shard_owner_t *owner, unsigned shard,
     shard_commit_cb_t on_check, void *ctx);
 void shard_owner_offered(
