--- a/Makefile
+++ b/Makefile
@@ -13,25 +13,31 @@
     libinih-dev libjansson-dev libxxhash-dev libsodium-dev spin gnuplot-nox
 LINT_PACKAGES = clang-format clang-tidy
 
-CPPFLAGS = -D_GNU_SOURCE -DDAISYPIER_VERSION='"$(VERSION)"' -Isrc
+CPPFLAGS = -D_GNU_SOURCE -DDAISYPIER_VERSION='"$(VERSION)"' -Isrc -Iplatform
 CFLAGS = -std=c11 -g -Wall -Wextra -Werror -MMD -MP
 LDLIBS = -lev -lmsgpackc -lmicrohttpd -lcurl -largtable2 -llog4c -linih \
     -ljansson -lxxhash -lsodium -lm
 
+# The daemon on the users' platform is built into target/ by its deploy file.
+BUILD ?= build
 ifdef SANITIZE
 BUILD = build/san
 CFLAGS += -O1 -fsanitize=address,undefined -fno-omit-frame-pointer \
     -fno-sanitize-recover=undefined
 LDFLAGS += -fsanitize=address,undefined
 else
-BUILD = build
 CFLAGS += -O2
 endif
 
 MAINS = daisypierd daisypier daisyload standin_platform standin_engine \
     standin_service faultproxy
 MAIN_SRCS = $(wildcard $(MAINS:%=src/%.c))
-PROGRAMS = $(foreach p,$(MAIN_SRCS:src/%.c=%),$(BUILD)/$(subst _,-,$(p)))
+PROGRAMS = $(foreach p,$(MAIN_SRCS:src/%.c=%),$(BUILD)/$(subst _,-,$(p))) \
+    $(GATEWAY)
+GATEWAY = $(BUILD)/daisypier-gateway
+PLATFORM_SRCS = $(filter-out platform/daisypier_gateway.c, \
+    $(wildcard platform/*.c))
+PLATFORM_OBJS = $(PLATFORM_SRCS:platform/%.c=$(BUILD)/obj/platform/%.o)
 LIB_SRCS = $(filter-out $(MAIN_SRCS),$(wildcard src/*.c))
 LIB_OBJS = $(LIB_SRCS:src/%.c=$(BUILD)/obj/%.o)
 LIB = $(BUILD)/libdaisypier.a
@@ -57,6 +63,15 @@
 	@mkdir -p $(@D)
 	$(CC) $(CPPFLAGS) $(CFLAGS) -c -o $@ $<
 
+$(BUILD)/obj/platform/%.o: platform/%.c
+	@mkdir -p $(@D)
+	$(CC) $(CPPFLAGS) $(CFLAGS) -c -o $@ $<
+
+$(GATEWAY): $(BUILD)/obj/platform/daisypier_gateway.o $(PLATFORM_OBJS) $(LIB)
+	$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS)
+
+gateway: $(GATEWAY)
+
 $(BUILD)/obj/tests/%.o: tests/%.c
 	@mkdir -p $(@D)
 	$(CC) $(CPPFLAGS) -Itests $(CFLAGS) -c -o $@ $<
@@ -76,7 +91,8 @@
 endef
 $(foreach p,$(MAIN_SRCS:src/%.c=%),$(eval $(call PROGRAM_RULE,$(p))))
 
-$(BUILD)/tests/%: $(BUILD)/obj/tests/%.o $(TEST_SUPPORT_OBJS) $(LIB)
+$(BUILD)/tests/%: $(BUILD)/obj/tests/%.o $(TEST_SUPPORT_OBJS) \
+    $(PLATFORM_OBJS) $(LIB)
 	@mkdir -p $(@D)
 	$(CC) $(LDFLAGS) -o $@ $^ -lcunit $(LDLIBS)
 
@@ -109,7 +125,7 @@
 	$(MAKE) all $(BENCHES)
 	sh bench/run.sh build
 
-C_FILES = $(wildcard src/*.[ch] tests/*.[ch] bench/*.[ch] examples/*.[ch])
+C_FILES = $(wildcard src/*.[ch] platform/*.[ch] tests/*.[ch] bench/*.[ch] examples/*.[ch])
 format: lint-deps
 	clang-format -i $(C_FILES)
 
@@ -132,9 +148,10 @@
 	    > $(DESTDIR)$(PREFIX)/lib/pkgconfig/daisypier.pc
 
 clean:
-	rm -rf build
+	rm -rf build target
 
-.PHONY: all tests deps lint-deps check demo model bench format lint install clean
+.PHONY: all gateway tests deps lint-deps check demo model bench format lint install clean
 .SECONDARY:
 
--include $(wildcard $(BUILD)/obj/*.d $(BUILD)/obj/tests/*.d)
+-include $(wildcard $(BUILD)/obj/*.d $(BUILD)/obj/tests/*.d \
+    $(BUILD)/obj/platform/*.d)
--- /dev/null
+++ b/src/forward.h
@@ -0,0 +1,26 @@
+/* Online requests that are passed on to endpoints as they are. */
+#ifndef DAISYPIER_FORWARD_H
+#define DAISYPIER_FORWARD_H
+
+#include "dialect.h"
+#include "grants.h"
+#include "httpc.h"
+
+typedef struct forwarder_t forwarder_t;
+
+typedef struct forwarder_params_t {
+	struct ev_loop *loop;
+	httpc_t *httpc;
+	grants_t *grants;
+	const dialect_t *dialect;
+} forwarder_params_t;
+
+forwarder_t *forwarder_new(const forwarder_params_t *params);
+void forwarder_delete(forwarder_t *forwarder);
+void forwarder_take(forwarder_t *forwarder, http_request_t *request,
+    routing_table_t *table, const request_route_t *route);
+size_t forwarder_open(const forwarder_t *forwarder);
+void http_request_refuse(
+    http_request_t *request, int rc, double retry_after, const char *detail);
+
+#endif
--- /dev/null
+++ b/src/forward_plan.c
@@ -0,0 +1,77 @@
+/* What to do next with an online request: decisions without input or output. */
+#include "forward_plan.h"
+
+#include <math.h>
+
+/* Endpoints that may turn out to be unreachable before a request is refused. */
+#define MAX_UNREACHED 4
+/* Another attempt is of no use when less time is left, in seconds. */
+#define MIN_ATTEMPT_S 0.15
+/*
+ * Share of the caller's time that a request may wait for a slot. Load that
+ * comes in steps leaves room for it some seconds later; a caller that got its
+ * answer late is still served, and one that is refused in the end has time to
+ * try once more.
+ */
+#define QUEUE_SHARE 0.6
+
+static bool
+may_retry(const forward_state_t *state, double now)
+{
+	return (state->sent < state->max_attempts &&
+		state->unreached < MAX_UNREACHED &&
+		now + MIN_ATTEMPT_S < state->expires);
+}
+
+/* Whether another endpoint may go on with what one may have begun. */
+static bool
+may_repeat(const forward_state_t *state)
+{
+	return (state->answered ? state->resumable : state->repeatable);
+}
+
+/* Without another attempt: what the caller may be told. */
+static forward_step_t
+give_up(const forward_state_t *state)
+{
+	if (state->answered)
+		return (FORWARD_ABORT);
+	return (state->may_have_run ? FORWARD_FAIL : FORWARD_REFUSE);
+}
+
+/* Decides how a request goes on after an attempt ended. */
+forward_step_t
+forward_plan(const forward_state_t *state, const attempt_result_t *result,
+    double now)
+{
+	bool retry = may_retry(state, now);
+
+	switch (result->outcome) {
+	case ATTEMPT_COMPLETE:
+		/* A failure of the endpoint is final unless nothing is lost. */
+		if (result->status >= 500 && retry && may_repeat(state))
+			return (FORWARD_RETRY);
+		return (state->answered && result->status != 200
+			    ? FORWARD_ABORT
+			    : FORWARD_PASS);
+	case ATTEMPT_UNREACHED:
+	case ATTEMPT_REFUSED:
+		return (retry ? FORWARD_RETRY : give_up(state));
+	case ATTEMPT_BROKEN:
+		break;
+	}
+	if (retry && may_repeat(state))
+		return (FORWARD_RETRY);
+	return (give_up(state));
+}
+
+/* Returns until when a request may wait for a slot before it is refused. */
+double
+forward_queue_until(const request_route_t *route, double patience, double now)
+{
+	double time = route->timeout;
+
+	if (patience > 0)
+		time = fmin(time, patience);
+	return (now + time * QUEUE_SHARE);
+}
--- /dev/null
+++ b/src/gateway.c
@@ -0,0 +1,335 @@
+/* One gateway host: its components under a supervisor, and its planned stop. */
+#include "gateway.h"
+
+#include <math.h>
+#include <stdlib.h>
+
+#include "clock.h"
+#include "gateway_state.h"
+#include "logger.h"
+
+/* Callers use an old list of hosts for this multiple of its time. */
+#define KEEP_FACTOR 3
+/* Beyond that, for a request that was under way, in seconds. */
+#define KEEP_SLACK_S 0.3
+/* Time before the end of a planned stop that the exit itself needs. */
+#define EXIT_MARGIN_S 0.5
+#define DRAIN_CHECK_S 0.05
+
+/* Returns the member table, which lives as long as the membership component. */
+membership_t *
+gateway_members(const gateway_t *gateway)
+{
+	return (membership_net_table(gateway->membership));
+}
+
+static size_t
+members_of(void *ctx, const member_t **out)
+{
+	return (membership_members(gateway_members(ctx), out));
+}
+
+static const fleet_config_t *
+view_of(void *ctx)
+{
+	return (((gateway_t *)ctx)->view);
+}
+
+static bool
+endpoint_leaving(void *ctx, const config_endpoint_t *endpoint)
+{
+	const gateway_t *gateway = ctx;
+	const endpoint_entry_t *entry;
+
+	if (gateway->endpoints == NULL)
+		return (false);
+	entry = endpoint_set_find(gateway->endpoints, str_of(endpoint->name));
+	return (entry == NULL || entry->draining);
+}
+
+/* Lets callers come, or not, as the present state permits. */
+void
+gateway_update_ready(gateway_t *gateway)
+{
+	bool ready = !gateway->draining && gateway->table != NULL &&
+		     gateway->endpoint_follower != NULL &&
+		     follower_loaded(gateway->endpoint_follower);
+
+	/* A gap in the store's history does not make known state unusable. */
+	if (gateway->ready && !gateway->draining)
+		return;
+	if (ready == gateway->ready)
+		return;
+	gateway->ready = ready;
+	LOG_INFO("readiness", "ready=%d draining=%d", ready,
+	    gateway->draining);
+	if (gateway->membership != NULL)
+		membership_set_ready(gateway_members(gateway), ready);
+}
+
+static int
+start_peer(void *ctx)
+{
+	gateway_t *gateway = ctx;
+	const gateway_settings_t *settings = gateway->params.settings;
+
+	return (peer_new(gateway->params.loop,
+	    &(peer_params_t){
+		.address = settings->address,
+		.port = (uint16_t)settings->peer_port,
+		.key = str_of(settings->key),
+	    },
+	    &gateway->peer));
+}
+
+static void
+stop_peer(void *ctx)
+{
+	gateway_t *gateway = ctx;
+
+	peer_delete(gateway->peer);
+	gateway->peer = NULL;
+}
+
+static bool
+check_peer(void *ctx)
+{
+	return (peer_listening(((gateway_t *)ctx)->peer));
+}
+
+static void
+on_members_changed(void *ctx)
+{
+	gateway_t *gateway = ctx;
+
+	if (gateway->grants != NULL)
+		grants_fleet_changed(gateway->grants);
+	if (gateway->jobs != NULL)
+		jobs_members_changed(gateway->jobs);
+}
+
+static int
+start_membership(void *ctx)
+{
+	gateway_t *gateway = ctx;
+	const gateway_settings_t *settings = gateway->params.settings;
+	int rc;
+
+	rc = membership_net_new(gateway->params.loop,
+	    &(membership_net_params_t){
+		.name = settings->name,
+		.address = settings->address,
+		.port = (uint16_t)settings->peer_port,
+		.zone = settings->zone,
+		.site = settings->site,
+		.key = str_of(settings->key),
+		.period_ms = settings->period_ms,
+	    },
+	    &gateway->membership);
+	if (rc == 0)
+		membership_on_change(gateway_members(gateway),
+		    on_members_changed, gateway);
+	return (rc);
+}
+
+static void
+stop_membership(void *ctx)
+{
+	gateway_t *gateway = ctx;
+
+	membership_net_delete(gateway->membership);
+	gateway->membership = NULL;
+}
+
+static bool
+check_membership(void *ctx)
+{
+	const gateway_t *gateway = ctx;
+
+	/* After a planned stop the socket is closed on purpose. */
+	return (gateway->quiesced ||
+		membership_net_listening(gateway->membership));
+}
+
+static int
+start_grants(void *ctx)
+{
+	gateway_t *gateway = ctx;
+	const gateway_settings_t *settings = gateway->params.settings;
+
+	gateway->grants = grants_new(&(grants_params_t){
+	    .loop = gateway->params.loop,
+	    .peer = gateway->peer,
+	    .host = settings->name,
+	    .zone = settings->zone,
+	    .site = settings->site,
+	    .mode = GRANTS_POOL,
+	    .config = view_of,
+	    .members = members_of,
+	    .endpoint_leaving = endpoint_leaving,
+	    .ctx = gateway,
+	});
+	return (0);
+}
+
+static void
+stop_grants(void *ctx)
+{
+	gateway_t *gateway = ctx;
+
+	grants_delete(gateway->grants);
+	gateway->grants = NULL;
+}
+
+static int
+start_forwarder(void *ctx)
+{
+	gateway_t *gateway = ctx;
+
+	gateway->forwarder = forwarder_new(&(forwarder_params_t){
+	    .loop = gateway->params.loop,
+	    .httpc = gateway->params.httpc,
+	    .grants = gateway->grants,
+	    .dialect = gateway->params.dialect,
+	});
+	return (0);
+}
+
+static void
+stop_forwarder(void *ctx)
+{
+	gateway_t *gateway = ctx;
+
+	forwarder_delete(gateway->forwarder);
+	gateway->forwarder = NULL;
+}
+
+static routing_table_t *
+table_of(void *ctx)
+{
+	return (((gateway_t *)ctx)->table);
+}
+
+static int
+start_jobs(void *ctx)
+{
+	gateway_t *gateway = ctx;
+
+	gateway->jobs = jobs_new(&(jobs_params_t){
+	    .loop = gateway->params.loop,
+	    .store = gateway->params.store,
+	    .peer = gateway->peer,
+	    .grants = gateway->grants,
+	    .httpc = gateway->params.httpc,
+	    .dialect = gateway->params.dialect,
+	    .host = gateway->params.settings->name,
+	    .keep = gateway->params.settings->results_keep_s,
+	    .members = members_of,
+	    .table = table_of,
+	    .ctx = gateway,
+	});
+	return (0);
+}
+
+static void
+stop_jobs(void *ctx)
+{
+	gateway_t *gateway = ctx;
+
+	jobs_delete(gateway->jobs);
+	gateway->jobs = NULL;
+}
+
+static const component_t components[] = {
+    {"peer", start_peer, stop_peer, check_peer},
+    {"membership", start_membership, stop_membership, check_membership},
+    {"endpoints", gateway_start_endpoints, gateway_stop_endpoints, NULL},
+    {"config", gateway_start_config, gateway_stop_config, NULL},
+    {"hosts", gateway_start_hosts, gateway_stop_hosts, NULL},
+    {"grants", start_grants, stop_grants, NULL},
+    {"forwarder", start_forwarder, stop_forwarder, NULL},
+    {"jobs", start_jobs, stop_jobs, NULL},
+    {"http", gateway_start_http, gateway_stop_http, NULL},
+};
+
+static void
+on_drain_timer(struct ev_loop *loop, ev_timer *timer, int events)
+{
+	gateway_t *gateway = timer->data;
+	const gateway_settings_t *settings = gateway->params.settings;
+	double now = clock_monotonic();
+	double serve = fmin(settings->keep_s * KEEP_FACTOR + KEEP_SLACK_S,
+	    settings->stop_s - 2 * EXIT_MARGIN_S);
+	double elapsed = now - gateway->drain_began;
+	size_t open = httpd_open_requests(gateway->callers);
+
+	(void)events;
+	if (elapsed < serve)
+		return;
+	if (!gateway->quiesced) {
+		gateway->quiesced = true;
+		httpd_stop_accepting(gateway->callers);
+		membership_net_stop(gateway->membership);
+	}
+	if (open > 0 && elapsed < settings->stop_s - EXIT_MARGIN_S)
+		return;
+	LOG_INFO("drained", "elapsed_s=%.1f open=%zu", elapsed, open);
+	ev_timer_stop(loop, timer);
+	gateway->params.on_stopped(gateway->params.ctx);
+}
+
+/*
+ * Begins a planned stop: callers are sent elsewhere, those that have an old
+ * list of hosts are still served, and on_stopped runs when none is left.
+ */
+void
+gateway_drain(gateway_t *gateway)
+{
+	if (gateway->draining)
+		return;
+	gateway->draining = true;
+	gateway->drain_began = clock_monotonic();
+	LOG_INFO("draining", "open=%zu",
+	    httpd_open_requests(gateway->callers));
+	gateway_update_ready(gateway);
+	membership_set_leaving(gateway_members(gateway), true);
+	httpd_set_closing(gateway->callers);
+	gateway_withdraw_host(gateway);
+	jobs_drain(gateway->jobs);
+	ev_timer_init(&gateway->drain_timer, on_drain_timer, DRAIN_CHECK_S,
+	    DRAIN_CHECK_S);
+	gateway->drain_timer.data = gateway;
+	ev_timer_start(gateway->params.loop, &gateway->drain_timer);
+}
+
+/* Starts a host. Returns 0, or a negative error when a component fails. */
+int
+gateway_new(const gateway_params_t *params, gateway_t **out)
+{
+	gateway_t *gateway = xcalloc(1, sizeof(*gateway));
+	int rc;
+
+	gateway->params = *params;
+	gateway->supervisor = supervisor_new(params->loop);
+	for (size_t i = 0; i < sizeof(components) / sizeof(components[0]); i++)
+		supervisor_add(gateway->supervisor, &components[i], gateway);
+	rc = supervisor_start(gateway->supervisor);
+	if (rc != 0) {
+		gateway_delete(gateway);
+		return (rc);
+	}
+	*out = gateway;
+	return (0);
+}
+
+/* Stops all components and frees the host. */
+void
+gateway_delete(gateway_t *gateway)
+{
+	if (gateway->draining)
+		ev_timer_stop(gateway->params.loop, &gateway->drain_timer);
+	supervisor_delete(gateway->supervisor);
+	config_unref(gateway->view);
+	routing_table_unref(gateway->table);
+	free(gateway);
+}
--- /dev/null
+++ b/src/gateway_http.c
@@ -0,0 +1,205 @@
+/* The interfaces of a gateway host for callers and the platform. */
+#include "gateway_state.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "counter.h"
+#include "entries.h"
+#include "logger.h"
+#include "result.h"
+
+/* Callers reuse connections that were idle for minutes. */
+#define CALLERS_IDLE_S 300
+/* Hosts in one answer of the directory. */
+#define MAX_ENTRIES 64
+/* Until the first configuration is known, in seconds. */
+#define NO_CONFIG_RETRY_S 0.5
+
+static void
+handle_caller(void *ctx, http_request_t *request)
+{
+	gateway_t *gateway = ctx;
+	const char *host = http_request_header(request, "Host");
+	const request_route_t *route;
+	job_call_t call = {0};
+
+	if (gateway->table == NULL) {
+		http_request_refuse(
+		    request, -RESULT_NOT_READY, NO_CONFIG_RETRY_S, NULL);
+		return;
+	}
+	gateway->params.dialect->read_job_call(request, &call);
+	if (call.kind != JOB_CALL_NONE) {
+		jobs_call(gateway->jobs, request, &call);
+		return;
+	}
+	route = routing_table_match(gateway->table,
+	    str_of(host != NULL ? host : ""),
+	    str_of(http_request_target(request)));
+	if (route == NULL) {
+		LOG_INFO("request_without_route",
+		    "host=%s target=%s config=%llu", host != NULL ? host : "",
+		    http_request_target(request),
+		    (unsigned long long)gateway->table->version);
+		http_request_reply_error(request, -RESULT_NO_ROUTE, NULL);
+	} else if (route->kind == REQUEST_BATCH) {
+		jobs_submit(gateway->jobs, request, gateway->table, route);
+	} else {
+		forwarder_take(
+		    gateway->forwarder, request, gateway->table, route);
+	}
+}
+
+static void
+handle_readiness(void *ctx, http_request_t *request)
+{
+	const gateway_t *gateway = ctx;
+
+	if (gateway->ready)
+		http_request_reply(request, 200, "text/plain", STR("ready\n"));
+	else
+		http_request_reply_error(request,
+		    gateway->draining ? -RESULT_STOPPING : -RESULT_NOT_READY,
+		    NULL);
+}
+
+/* Lists hosts that answer probes; those in doubt only when no others are. */
+static size_t
+usable_members(const gateway_t *gateway, member_t **out)
+{
+	const member_t *all;
+	size_t count = membership_members(gateway_members(gateway), &all);
+	size_t kept = 0;
+
+	*out = xcalloc(count + 1, sizeof(**out));
+	for (size_t i = 0; i < count; i++)
+		if (all[i].state == MEMBER_ALIVE && all[i].ready &&
+		    !all[i].leaving)
+			(*out)[kept++] = all[i];
+	if (kept > 0)
+		return (kept);
+	for (size_t i = 0; i < count; i++)
+		(*out)[kept++] = all[i];
+	return (kept);
+}
+
+static void
+handle_directory(void *ctx, http_request_t *request)
+{
+	gateway_t *gateway = ctx;
+	const gateway_settings_t *settings = gateway->params.settings;
+	const char *port = strchr(settings->callers, ':');
+	const char *zone = http_request_query(
+	    request, gateway->params.dialect->entries_zone_argument);
+	const member_t *picked[MAX_ENTRIES];
+	const char *addresses[MAX_ENTRIES];
+	char text[MAX_ENTRIES][64];
+	member_t *members;
+	size_t count = usable_members(gateway, &members);
+	buf_t body = {0};
+
+	count = entries_order(members, count,
+	    &(entries_params_t){
+		.caller = http_request_client(request),
+		.zone = zone,
+		.max = MAX_ENTRIES,
+	    },
+	    picked);
+	for (size_t i = 0; i < count; i++) {
+		snprintf(text[i], sizeof(text[i]), "%s%s", picked[i]->address,
+		    port);
+		addresses[i] = text[i];
+	}
+	free(members);
+	if (count == 0) {
+		http_request_reply_error(request, -RESULT_NOT_READY, NULL);
+		return;
+	}
+	gateway->params.dialect->write_entries(
+	    &body, addresses, count, settings->keep_s);
+	http_request_reply(request, 200, "application/json", str_buf(&body));
+	buf_free(&body);
+}
+
+static void
+handle_metrics(void *ctx, http_request_t *request)
+{
+	buf_t body = {0};
+
+	(void)ctx;
+	metrics_render(&body);
+	http_request_reply(
+	    request, 200, "text/plain; version=0.0.4", str_buf(&body));
+	buf_free(&body);
+}
+
+static int
+listen_on(gateway_t *gateway, const char *address, unsigned idle,
+    httpd_handler_t handler, httpd_t **out)
+{
+	const gateway_settings_t *settings = gateway->params.settings;
+	const char *colon = strchr(address, ':');
+	char ip[48];
+	int rc;
+
+	str_copy(ip, sizeof(ip), (str_t){address, (size_t)(colon - address)});
+	rc = httpd_new(gateway->params.loop,
+	    &(httpd_params_t){
+		.address = ip,
+		.port = (uint16_t)strtoul(colon + 1, NULL, 10),
+		.max_body = settings->max_body_bytes,
+		.idle_timeout = idle,
+		.handler = handler,
+		.ctx = gateway,
+	    },
+	    out);
+	if (rc != 0)
+		LOG_ERROR("listen_failed", "address=%s cause=%s", address,
+		    strerror(-rc));
+	return (rc);
+}
+
+/* Opens all interfaces. */
+int
+gateway_start_http(void *ctx)
+{
+	gateway_t *gateway = ctx;
+	const gateway_settings_t *settings = gateway->params.settings;
+	char metrics[64];
+	int rc;
+
+	rc = listen_on(gateway, settings->callers, CALLERS_IDLE_S,
+	    handle_caller, &gateway->callers);
+	if (rc == 0)
+		rc = listen_on(gateway, settings->readiness, 0,
+		    handle_readiness, &gateway->readiness);
+	if (rc == 0)
+		rc = listen_on(gateway, settings->directory, 0,
+		    handle_directory, &gateway->directory);
+	if (rc == 0 && settings->metrics_port != 0) {
+		snprintf(metrics, sizeof(metrics), "%s:%u", settings->address,
+		    settings->metrics_port);
+		rc = listen_on(
+		    gateway, metrics, 0, handle_metrics, &gateway->metrics);
+	}
+	if (rc != 0)
+		gateway_stop_http(gateway);
+	return (rc);
+}
+
+/* Closes all interfaces. */
+void
+gateway_stop_http(void *ctx)
+{
+	gateway_t *gateway = ctx;
+	httpd_t **all[] = {&gateway->metrics, &gateway->directory,
+	    &gateway->readiness, &gateway->callers};
+
+	for (size_t i = 0; i < sizeof(all) / sizeof(all[0]); i++) {
+		if (*all[i] != NULL)
+			httpd_delete(*all[i]);
+		*all[i] = NULL;
+	}
+}
--- /dev/null
+++ b/src/gateway_state.h
@@ -0,0 +1,60 @@
+/* State of a gateway host, shared by its source files. */
+#ifndef DAISYPIER_GATEWAY_STATE_H
+#define DAISYPIER_GATEWAY_STATE_H
+
+#include "endpoint_set.h"
+#include "follower.h"
+#include "forward.h"
+#include "gateway.h"
+#include "jobs.h"
+#include "membership_net.h"
+#include "peer.h"
+#include "supervisor.h"
+
+struct gateway_t {
+	gateway_params_t params;
+	supervisor_t *supervisor;
+	peer_t *peer;
+	membership_net_t *membership;
+	grants_t *grants;
+	forwarder_t *forwarder;
+	jobs_t *jobs;
+	httpd_t *callers;
+	httpd_t *readiness;
+	httpd_t *directory;
+	httpd_t *metrics;
+	/* What the store says. */
+	follower_t *config_follower;
+	follower_t *endpoint_follower;
+	follower_t *host_follower;
+	routing_table_t *table;	 /* NULL before the first */
+	endpoint_set_t *endpoints;
+	fleet_config_t *view; /* of both, for admission; NULL before both */
+	store_call_t *announce;
+	ev_timer announce_timer;
+	bool ready;
+	/* Planned stop. */
+	bool draining;
+	bool quiesced; /* no new connections */
+	double drain_began;
+	ev_timer drain_timer;
+};
+
+membership_t *gateway_members(const gateway_t *gateway);
+void gateway_update_ready(gateway_t *gateway);
+
+/* gateway_store.c */
+int gateway_start_config(void *ctx);
+void gateway_stop_config(void *ctx);
+int gateway_start_endpoints(void *ctx);
+void gateway_stop_endpoints(void *ctx);
+int gateway_start_hosts(void *ctx);
+void gateway_stop_hosts(void *ctx);
+void gateway_refresh_view(gateway_t *gateway);
+void gateway_withdraw_host(gateway_t *gateway);
+
+/* gateway_http.c */
+int gateway_start_http(void *ctx);
+void gateway_stop_http(void *ctx);
+
+#endif
--- /dev/null
+++ b/src/gateway_store.c
@@ -0,0 +1,331 @@
+/* What a gateway host learns from the store: routes, endpoints and hosts. */
+#include "gateway_state.h"
+
+#include <string.h>
+
+#include "clock.h"
+#include "logger.h"
+#include "result.h"
+
+/*
+ * A read that waits for a change is answered without one after this, in
+ * seconds, so that a connection that went silent is noticed soon.
+ */
+#define CONFIG_WAIT_S 1.0
+/* Endpoints write all the time; waiting for one record would return at once. */
+#define ENDPOINTS_PAUSE_S 0.45
+#define HOSTS_WAIT_S	  5.0
+/* Pause before this host announces itself again after a failure. */
+#define ANNOUNCE_RETRY_S 0.5
+#define ANNOUNCE_TIMEOUT_S 2.0
+
+/* Gives admission the present routes and endpoints. */
+void
+gateway_refresh_view(gateway_t *gateway)
+{
+	fleet_config_t *old = gateway->view;
+
+	if (gateway->table == NULL)
+		return;
+	gateway->view = endpoint_set_view(gateway->endpoints, gateway->table);
+	config_unref(old);
+	if (gateway->grants != NULL)
+		grants_fleet_changed(gateway->grants);
+	gateway_update_ready(gateway);
+}
+
+static void
+on_config_record(void *ctx, const store_record_t *record)
+{
+	gateway_t *gateway = ctx;
+	const dialect_t *dialect = gateway->params.dialect;
+	routing_table_t *table;
+	uint64_t before = gateway->table != NULL ? gateway->table->version : 0;
+
+	if (record->removed ||
+	    !str_equal(record->key, str_of(dialect->config_key)))
+		return;
+	if (dialect->read_routes(record->value, &table) != 0) {
+		LOG_ERROR("config_unreadable", "offset=%llu bytes=%zu",
+		    (unsigned long long)record->offset, record->value.len);
+		return;
+	}
+	if (gateway->table != NULL && table->version <= before) {
+		routing_table_unref(table);
+		return;
+	}
+	LOG_INFO("config_in_force",
+	    "version=%llu before=%llu routes=%zu pools=%zu offset=%llu",
+	    (unsigned long long)table->version, (unsigned long long)before,
+	    table->route_count, table->pool_count,
+	    (unsigned long long)record->offset);
+	routing_table_unref(gateway->table);
+	gateway->table = table;
+	if (gateway->membership != NULL)
+		membership_set_config_version(
+		    gateway_members(gateway), table->version);
+	gateway_refresh_view(gateway);
+}
+
+static void
+on_config_contact(void *ctx, bool in_contact)
+{
+	const gateway_t *gateway = ctx;
+
+	if (in_contact)
+		LOG_INFO("store_regained", "follower=config version=%llu",
+		    gateway->table != NULL
+			? (unsigned long long)gateway->table->version
+			: 0ULL);
+	else
+		LOG_WARN("store_lost", "follower=config version=%llu",
+		    gateway->table != NULL
+			? (unsigned long long)gateway->table->version
+			: 0ULL);
+}
+
+static const follower_events_t config_events = {
+    .on_record = on_config_record,
+    .on_contact = on_config_contact,
+};
+
+/* Begins to follow the configuration. */
+int
+gateway_start_config(void *ctx)
+{
+	gateway_t *gateway = ctx;
+
+	gateway->config_follower = follower_new(&(follower_params_t){
+	    .loop = gateway->params.loop,
+	    .store = gateway->params.store,
+	    .topic = gateway->params.dialect->config_topic,
+	    .wait = CONFIG_WAIT_S,
+	    .events = &config_events,
+	    .ctx = gateway,
+	});
+	return (0);
+}
+
+/* Stops following the configuration. */
+void
+gateway_stop_config(void *ctx)
+{
+	gateway_t *gateway = ctx;
+
+	follower_delete(gateway->config_follower);
+	gateway->config_follower = NULL;
+}
+
+static void
+on_endpoints_reload(void *ctx)
+{
+	endpoint_set_reload(((gateway_t *)ctx)->endpoints);
+}
+
+static void
+on_endpoint_record(void *ctx, const store_record_t *record)
+{
+	gateway_t *gateway = ctx;
+	double now = clock_monotonic();
+	endpoint_entry_t entry = {0};
+	bool changed;
+
+	if (record->removed) {
+		endpoint_set_remove(gateway->endpoints, record->key, now);
+		return;
+	}
+	if (gateway->params.dialect->read_endpoint(
+		record->key, record->value, &entry) != 0) {
+		LOG_WARN("endpoint_entry_unreadable",
+		    "endpoint=" STR_FMT " offset=%llu bytes=%zu",
+		    STR_ARG(record->key), (unsigned long long)record->offset,
+		    record->value.len);
+		endpoint_set_remove(gateway->endpoints, record->key, now);
+		return;
+	}
+	changed = endpoint_set_put(gateway->endpoints, &entry, now);
+	if (changed && follower_loaded(gateway->endpoint_follower))
+		gateway_refresh_view(gateway);
+}
+
+static void
+on_endpoints_loaded(void *ctx)
+{
+	gateway_t *gateway = ctx;
+	double now = clock_monotonic();
+
+	endpoint_set_loaded(gateway->endpoints, now);
+	endpoint_set_tick(gateway->endpoints, now);
+	LOG_INFO("endpoints_loaded", "count=%zu",
+	    endpoint_set_count(gateway->endpoints));
+	gateway_refresh_view(gateway);
+}
+
+static void
+on_endpoints_synced(void *ctx)
+{
+	gateway_t *gateway = ctx;
+
+	if (endpoint_set_tick(gateway->endpoints, clock_monotonic()))
+		gateway_refresh_view(gateway);
+}
+
+static void
+on_endpoints_contact(void *ctx, bool in_contact)
+{
+	gateway_t *gateway = ctx;
+
+	endpoint_set_contact(
+	    gateway->endpoints, in_contact, clock_monotonic());
+	LOG_INFO(in_contact ? "store_regained" : "store_lost",
+	    "follower=endpoints count=%zu",
+	    endpoint_set_count(gateway->endpoints));
+}
+
+static const follower_events_t endpoint_events = {
+    .on_reload = on_endpoints_reload,
+    .on_record = on_endpoint_record,
+    .on_loaded = on_endpoints_loaded,
+    .on_synced = on_endpoints_synced,
+    .on_contact = on_endpoints_contact,
+};
+
+/* Begins to follow the endpoints' entries. */
+int
+gateway_start_endpoints(void *ctx)
+{
+	gateway_t *gateway = ctx;
+
+	gateway->endpoints = endpoint_set_new();
+	gateway->endpoint_follower = follower_new(&(follower_params_t){
+	    .loop = gateway->params.loop,
+	    .store = gateway->params.store,
+	    .topic = gateway->params.dialect->endpoints_topic,
+	    .pause = ENDPOINTS_PAUSE_S,
+	    .events = &endpoint_events,
+	    .ctx = gateway,
+	});
+	return (0);
+}
+
+/* Stops following the endpoints' entries. */
+void
+gateway_stop_endpoints(void *ctx)
+{
+	gateway_t *gateway = ctx;
+
+	follower_delete(gateway->endpoint_follower);
+	gateway->endpoint_follower = NULL;
+	endpoint_set_delete(gateway->endpoints);
+	gateway->endpoints = NULL;
+}
+
+static void
+on_host_record(void *ctx, const store_record_t *record)
+{
+	gateway_t *gateway = ctx;
+	char address[48];
+
+	if (record->removed ||
+	    str_equal(
+		record->key, str_of(gateway->params.settings->address)))
+		return;
+	str_copy(address, sizeof(address), record->key);
+	membership_add_seed(gateway_members(gateway), address);
+}
+
+static const follower_events_t host_events = {
+    .on_record = on_host_record,
+};
+
+static void
+on_announced(void *ctx, int rc, uint64_t end)
+{
+	gateway_t *gateway = ctx;
+
+	(void)end;
+	gateway->announce = NULL;
+	if (rc == 0)
+		return;
+	LOG_WARN("host_not_announced", "cause=%s", result_name(rc));
+	ev_timer_set(&gateway->announce_timer, ANNOUNCE_RETRY_S, 0);
+	ev_timer_start(gateway->params.loop, &gateway->announce_timer);
+}
+
+/* Writes or removes this host's record, by which new hosts find the fleet. */
+static void
+announce(gateway_t *gateway, bool removed)
+{
+	const gateway_settings_t *settings = gateway->params.settings;
+	store_t *store = gateway->params.store;
+	store_record_t record = {
+	    .key = str_of(settings->address),
+	    .value = str_of(settings->name),
+	    .removed = removed,
+	};
+
+	if (gateway->announce != NULL)
+		store->class->cancel(store, gateway->announce);
+	gateway->announce = store->class->append(
+	    store, &(store_append_t){
+		       .topic = gateway->params.dialect->hosts_topic,
+		       .records = &record,
+		       .count = 1,
+		       .at = STORE_ANY_END,
+		       .timeout = ANNOUNCE_TIMEOUT_S,
+		       .on_done = on_announced,
+		       .ctx = gateway,
+		   });
+}
+
+static void
+on_announce_timer(struct ev_loop *loop, ev_timer *timer, int events)
+{
+	gateway_t *gateway = timer->data;
+
+	(void)loop;
+	(void)events;
+	announce(gateway, gateway->draining);
+}
+
+/* Removes this host's record at a planned stop. */
+void
+gateway_withdraw_host(gateway_t *gateway)
+{
+	announce(gateway, true);
+}
+
+/* Announces this host and begins to follow the others. */
+int
+gateway_start_hosts(void *ctx)
+{
+	gateway_t *gateway = ctx;
+
+	ev_timer_init(&gateway->announce_timer, on_announce_timer, 0, 0);
+	gateway->announce_timer.data = gateway;
+	announce(gateway, false);
+	gateway->host_follower = follower_new(&(follower_params_t){
+	    .loop = gateway->params.loop,
+	    .store = gateway->params.store,
+	    .topic = gateway->params.dialect->hosts_topic,
+	    .wait = HOSTS_WAIT_S,
+	    .events = &host_events,
+	    .ctx = gateway,
+	});
+	return (0);
+}
+
+/* Stops following the other hosts. */
+void
+gateway_stop_hosts(void *ctx)
+{
+	gateway_t *gateway = ctx;
+	store_t *store = gateway->params.store;
+
+	ev_timer_stop(gateway->params.loop, &gateway->announce_timer);
+	if (gateway->announce != NULL)
+		store->class->cancel(store, gateway->announce);
+	gateway->announce = NULL;
+	follower_delete(gateway->host_follower);
+	gateway->host_follower = NULL;
+}
--- /dev/null
+++ b/src/header_list.h
@@ -0,0 +1,22 @@
+/* Headers of a message that is passed on. */
+#ifndef DAISYPIER_HEADER_LIST_H
+#define DAISYPIER_HEADER_LIST_H
+
+#include "str.h"
+
+/* "Name: value" lines with NULL at the end, as http_call_params_t takes. */
+typedef struct header_list_t {
+	char **lines;
+	size_t count;
+} header_list_t;
+
+void header_list_add(header_list_t *list, const char *name, str_t value);
+void header_list_add_number(
+    header_list_t *list, const char *name, uint64_t value);
+void header_list_exclude(header_list_t *list, const char *name);
+void header_list_copy(header_list_t *list, const header_list_t *from);
+bool header_list_has(const header_list_t *list, const char *name);
+void header_list_free(header_list_t *list);
+bool header_is_hop_by_hop(const char *name);
+
+#endif
--- a/src/httpc.c
+++ b/src/httpc.c
@@ -1,9 +1,12 @@
 /* HTTP client: libcurl's multi interface driven by a libev loop. */
 #include "httpc.h"
 
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/queue.h>
+#include <sys/socket.h>
 
 #include <curl/curl.h>
 
@@ -15,6 +18,14 @@
 #define MAX_IDLE_CONNECTIONS 512L
 /* An idle connection older than this is not reused, in seconds. */
 #define MAX_IDLE_AGE_S 20L
+/*
+ * A connection whose other end is gone without a word is dropped after an idle
+ * second and two unanswered probes, or when sent bytes stay unacknowledged.
+ */
+#define KEEPALIVE_IDLE_S     1
+#define KEEPALIVE_INTERVAL_S 1
+#define KEEPALIVE_PROBES     2
+#define UNACKNOWLEDGED_MS    2000
 
 typedef struct socket_watch_t {
 	ev_io io;
@@ -43,6 +54,11 @@
 	buf_t answer;
 	bool overflow;
 	ev_timer idle_timer;
+	bool send_once;
+	bool sent; /* libcurl began to send the request */
+	bool dropped;
+	bool any_status;
+	http_head_cb_t on_head;
 	http_data_cb_t on_data;
 	http_done_cb_t on_done;
 	void *ctx;
@@ -65,19 +81,6 @@
 	free(call);
 }
 
-/* True unless it is certain that no byte of the request was sent. */
-static bool
-call_sent(const http_call_t *call)
-{
-	curl_off_t pretransfer = 0;
-	long request_size = 0;
-
-	curl_easy_getinfo(
-	    call->easy, CURLINFO_PRETRANSFER_TIME_T, &pretransfer);
-	curl_easy_getinfo(call->easy, CURLINFO_REQUEST_SIZE, &request_size);
-	return (pretransfer != 0 || request_size != 0);
-}
-
 static int
 call_rc(const http_call_t *call, CURLcode code)
 {
@@ -89,10 +92,11 @@
 	case CURLE_COULDNT_CONNECT:
 		return (-RESULT_ENDPOINT_UNREACHABLE);
 	case CURLE_OPERATION_TIMEDOUT:
-		return (call_sent(call) ? -RESULT_TIMEOUT
-					: -RESULT_ENDPOINT_UNREACHABLE);
+		return (call->sent ? -RESULT_TIMEOUT
+				   : -RESULT_ENDPOINT_UNREACHABLE);
 	default:
-		return (-RESULT_BROKEN_ANSWER);
+		return (call->sent ? -RESULT_BROKEN_ANSWER
+				   : -RESULT_ENDPOINT_UNREACHABLE);
 	}
 }
 
@@ -101,7 +105,7 @@
 call_finish(http_call_t *call, int rc)
 {
 	long status = 0;
-	http_result_t result = {.rc = rc, .sent = call_sent(call)};
+	http_result_t result = {.rc = rc, .sent = call->sent};
 	http_done_cb_t on_done = call->on_done;
 	void *ctx = call->ctx;
 	buf_t answer = call->answer;
@@ -246,8 +250,8 @@
 	(void)loop;
 	(void)events;
 	ev_timer_stop(call->httpc->loop, &call->idle_timer);
-	call_finish(call, call_sent(call) ? -RESULT_ENDPOINT_SILENT
-					  : -RESULT_ENDPOINT_UNREACHABLE);
+	call_finish(call, call->sent ? -RESULT_ENDPOINT_SILENT
+				     : -RESULT_ENDPOINT_UNREACHABLE);
 }
 
 static void
@@ -268,11 +272,11 @@
 		return (0);
 	call_touch(call);
 	curl_easy_getinfo(call->easy, CURLINFO_RESPONSE_CODE, &status);
-	if (call->on_data != NULL && status == 200) {
+	if (call->on_data != NULL && (status == 200 || call->any_status)) {
 		call->httpc->in_callback = true;
 		call->on_data(call->ctx, (str_t){data, len});
 		call->httpc->in_callback = false;
-		return (call->cancelled ? 0 : len);
+		return (call->cancelled || call->dropped ? 0 : len);
 	}
 	if (call->answer.len + len > call->max_body) {
 		call->overflow = true;
@@ -282,6 +286,72 @@
 	return (len);
 }
 
+/*
+ * Runs before each time that libcurl sends the request. libcurl sends it again
+ * by itself when a reused connection turns out to be closed; a request that
+ * must not run twice is stopped there.
+ */
+static int
+on_curl_send(void *ctx, char *remote, char *local, int remote_port,
+    int local_port)
+{
+	http_call_t *call = ctx;
+
+	(void)remote;
+	(void)local;
+	(void)remote_port;
+	(void)local_port;
+	if (call->sent && call->send_once)
+		return (CURL_PREREQFUNC_ABORT);
+	call->sent = true;
+	return (CURL_PREREQFUNC_OK);
+}
+
+static size_t
+on_curl_header(char *data, size_t size, size_t count, void *ctx)
+{
+	http_call_t *call = ctx;
+	size_t len = size * count;
+	long status = 0;
+
+	if (call->cancelled)
+		return (0);
+	call_touch(call);
+	if (call->on_head == NULL || len > 2 || data[0] != '\r')
+		return (len);
+	curl_easy_getinfo(call->easy, CURLINFO_RESPONSE_CODE, &status);
+	if (status < 200)
+		return (len);
+	call->httpc->in_callback = true;
+	if (!call->on_head(call->ctx, (int)status))
+		call->dropped = true;
+	call->httpc->in_callback = false;
+	return (call->cancelled || call->dropped ? 0 : len);
+}
+
+static int
+on_curl_socket_open(void *ctx, curl_socket_t fd, curlsocktype purpose)
+{
+	const int on = 1;
+	const int idle = KEEPALIVE_IDLE_S;
+	const int interval = KEEPALIVE_INTERVAL_S;
+	const int probes = KEEPALIVE_PROBES;
+	const unsigned unacknowledged = UNACKNOWLEDGED_MS;
+
+	(void)ctx;
+	(void)purpose;
+	/* A kernel without one of these only notices a dead peer later. */
+	(void)setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
+	(void)setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &idle, sizeof(idle));
+	(void)setsockopt(
+	    fd, IPPROTO_TCP, TCP_KEEPINTVL, &interval, sizeof(interval));
+	(void)setsockopt(
+	    fd, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof(probes));
+	(void)setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &unacknowledged,
+	    sizeof(unacknowledged));
+	return (CURL_SOCKOPT_OK);
+}
+
 /* Makes a client without open calls. */
 httpc_t *
 httpc_new(struct ev_loop *loop)
@@ -331,7 +401,12 @@
 	CURL *easy = call->easy;
 
 	curl_easy_setopt(easy, CURLOPT_URL, params->url);
-	curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, params->method);
+	if (params->target != NULL)
+		curl_easy_setopt(easy, CURLOPT_REQUEST_TARGET, params->target);
+	if (strcmp(params->method, "HEAD") == 0)
+		curl_easy_setopt(easy, CURLOPT_NOBODY, 1L);
+	else
+		curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, params->method);
 	/* libcurl would wait for "100 Continue" with large bodies. */
 	call->headers = curl_slist_append(NULL, "Expect:");
 	for (size_t i = 0;
@@ -362,11 +437,6 @@
 	curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
 	curl_easy_setopt(easy, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
 	curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN, MAX_IDLE_AGE_S);
-	curl_easy_setopt(easy, CURLOPT_TCP_KEEPALIVE, 1L);
-	/*
-	 * libcurl repeats a request by itself when a reused connection turns
-	 * out to be closed, which could run a request twice.
-	 */
 	if (params->fresh_connection) {
 		curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
 		curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, 1L);
@@ -388,6 +458,15 @@
 	    params->max_body > 0 ? params->max_body : DEFAULT_MAX_BODY;
 	call_set_request(call, params);
 	call_set_limits(call, params);
+	call->send_once = params->send_once || params->fresh_connection;
+	call->any_status = params->any_status;
+	call->on_head = params->on_head;
+	curl_easy_setopt(call->easy, CURLOPT_PREREQFUNCTION, on_curl_send);
+	curl_easy_setopt(call->easy, CURLOPT_PREREQDATA, call);
+	curl_easy_setopt(call->easy, CURLOPT_HEADERFUNCTION, on_curl_header);
+	curl_easy_setopt(call->easy, CURLOPT_HEADERDATA, call);
+	curl_easy_setopt(
+	    call->easy, CURLOPT_SOCKOPTFUNCTION, on_curl_socket_open);
 	curl_easy_setopt(call->easy, CURLOPT_WRITEFUNCTION, on_curl_data);
 	curl_easy_setopt(call->easy, CURLOPT_WRITEDATA, call);
 	curl_easy_setopt(call->easy, CURLOPT_PRIVATE, call);
@@ -418,6 +497,16 @@
 	httpc_reap_soon(httpc);
 }
 
+/*
+ * Ends a call from within on_data: its connection is closed and on_done gets
+ * -RESULT_BROKEN_ANSWER.
+ */
+void
+http_call_drop(http_call_t *call)
+{
+	call->dropped = true;
+}
+
 /* Changes the time without a byte after which the call fails. */
 void
 http_call_set_idle_timeout(http_call_t *call, double seconds)
@@ -425,3 +514,27 @@
 	call->idle_timer.repeat = seconds;
 	ev_timer_again(call->httpc->loop, &call->idle_timer);
 }
+
+/* Returns a header of the final answer, or NULL; valid until the next call. */
+const char *
+http_call_header(http_call_t *call, const char *name)
+{
+	struct curl_header *header;
+
+	if (curl_easy_header(call->easy, name, 0, CURLH_HEADER, -1, &header) !=
+	    CURLHE_OK)
+		return (NULL);
+	return (header->value);
+}
+
+/* Passes each header of the final answer to a callback, in order. */
+void
+http_call_each_header(
+    http_call_t *call, http_header_cb_t on_header, void *ctx)
+{
+	struct curl_header *header = NULL;
+
+	while ((header = curl_easy_nextheader(
+		    call->easy, CURLH_HEADER, -1, header)) != NULL)
+		on_header(ctx, header->name, header->value);
+}
--- a/src/httpd.c
+++ b/src/httpd.c
@@ -23,7 +23,7 @@
  * libmicrohttpd does not watch the socket of a suspended connection, so a
  * caller that went away is found by this sweep.
  */
-#define CLOSE_SWEEP_S 0.5
+#define CLOSE_SWEEP_S 0.1
 
 struct httpd_t {
 	struct ev_loop *loop;
@@ -49,7 +49,8 @@
 struct http_request_t {
 	httpd_t *httpd;
 	struct MHD_Connection *connection;
-	char *path;
+	char *target; /* as received */
+	char *path;   /* decoded; NULL until all headers have arrived */
 	const char *method;
 	char client[INET6_ADDRSTRLEN];
 	buf_t body;
@@ -116,6 +117,8 @@
 		return;
 	request->suspended = true;
 	MHD_suspend_connection(request->connection);
+	if (!ev_is_active(&request->httpd->sweep))
+		ev_timer_again(request->httpd->loop, &request->httpd->sweep);
 }
 
 static void
@@ -162,8 +165,9 @@
 	httpd_t *httpd = timer->data;
 	http_request_t *request = LIST_FIRST(&httpd->requests);
 
-	(void)loop;
 	(void)events;
+	if (request == NULL)
+		ev_timer_stop(loop, timer);
 	while (request != NULL) {
 		http_request_t *next = LIST_NEXT(request, entry);
 
@@ -182,9 +186,9 @@
 {
 	LIST_REMOVE(request, entry);
 	request->httpd->open--;
-	for (size_t i = 0; i < request->header_count * 2; i++)
-		free(request->headers[i]);
+	http_request_clear_headers(request);
 	free(request->headers);
+	free(request->target);
 	free(request->path);
 	buf_free(&request->body);
 	buf_free(&request->stream);
@@ -224,16 +228,17 @@
 	inet_ntop(AF_INET, &in->sin_addr, out, (socklen_t)size);
 }
 
-static http_request_t *
-request_new(httpd_t *httpd, struct MHD_Connection *connection, const char *url,
-    const char *method)
+/* Makes the request when its first line was read: MHD_OPTION_URI_LOG_CALLBACK.
+ */
+static void *
+on_target(void *ctx, const char *target, struct MHD_Connection *connection)
 {
+	httpd_t *httpd = ctx;
 	http_request_t *request = xcalloc(1, sizeof(*request));
 
 	request->httpd = httpd;
 	request->connection = connection;
-	request->path = xstrdup(url);
-	request->method = method;
+	request->target = xstrdup(target);
 	client_address(connection, request->client, sizeof(request->client));
 	LIST_INSERT_HEAD(&httpd->requests, request, entry);
 	httpd->open++;
@@ -286,8 +291,10 @@
 	http_request_t *request = *slot;
 
 	(void)version;
-	if (request == NULL) {
-		*slot = request_new(httpd, connection, url, method);
+	(void)connection;
+	if (request->path == NULL) {
+		request->path = xstrdup(url);
+		request->method = method;
 		return (MHD_YES);
 	}
 	if (*size > 0) {
@@ -330,7 +337,8 @@
 	    idle > 0 ? idle : DEFAULT_IDLE_TIMEOUT_S,
 	    MHD_OPTION_CONNECTION_LIMIT,
 	    max > 0 ? max : DEFAULT_MAX_CONNECTIONS,
-	    MHD_OPTION_NOTIFY_COMPLETED, on_completed, NULL, MHD_OPTION_END);
+	    MHD_OPTION_NOTIFY_COMPLETED, on_completed, NULL,
+	    MHD_OPTION_URI_LOG_CALLBACK, on_target, httpd, MHD_OPTION_END);
 	if (httpd->daemon == NULL) {
 		free(httpd);
 		return (-EADDRINUSE);
@@ -342,12 +350,11 @@
 		->epoll_fd,
 	    EV_READ);
 	ev_timer_init(&httpd->timer, on_timer, 0, 0);
-	ev_timer_init(&httpd->sweep, on_sweep, CLOSE_SWEEP_S, CLOSE_SWEEP_S);
+	ev_timer_init(&httpd->sweep, on_sweep, 0, CLOSE_SWEEP_S);
 	httpd->io.data = httpd;
 	httpd->timer.data = httpd;
 	httpd->sweep.data = httpd;
 	ev_io_start(loop, &httpd->io);
-	ev_timer_start(loop, &httpd->sweep);
 	*out = httpd;
 	return (0);
 }
@@ -416,6 +423,13 @@
 	return (request->path);
 }
 
+/* Returns the path and query as received, or an absolute URL. */
+const char *
+http_request_target(const http_request_t *request)
+{
+	return (request->target);
+}
+
 /* Returns a query argument, or NULL. */
 const char *
 http_request_query(const http_request_t *request, const char *name)
@@ -432,6 +446,34 @@
 	    request->connection, MHD_HEADER_KIND, name));
 }
 
+typedef struct each_header_t {
+	void (*on_header)(void *ctx, const char *name, const char *value);
+	void *ctx;
+} each_header_t;
+
+static enum MHD_Result
+on_each_header(
+    void *ctx, enum MHD_ValueKind kind, const char *name, const char *value)
+{
+	const each_header_t *each = ctx;
+
+	(void)kind;
+	each->on_header(each->ctx, name, value != NULL ? value : "");
+	return (MHD_YES);
+}
+
+/* Passes each request header to a callback, in order. */
+void
+http_request_each_header(const http_request_t *request,
+    void (*on_header)(void *ctx, const char *name, const char *value),
+    void *ctx)
+{
+	each_header_t each = {.on_header = on_header, .ctx = ctx};
+
+	MHD_get_connection_values(
+	    request->connection, MHD_HEADER_KIND, on_each_header, &each);
+}
+
 /* Returns the caller's IP number as text. */
 const char *
 http_request_client(const http_request_t *request)
@@ -454,15 +496,23 @@
 http_request_set_header(
     http_request_t *request, const char *name, const char *value)
 {
-	size_t i;
-
-	for (i = 0; i < request->header_count * 2; i += 2) {
+	for (size_t i = 0; i < request->header_count * 2; i += 2) {
 		if (strcmp(request->headers[i], name) == 0) {
 			free(request->headers[i + 1]);
 			request->headers[i + 1] = xstrdup(value);
 			return;
 		}
 	}
+	http_request_add_header(request, name, value);
+}
+
+/* Adds a header to the answer, also beside others of that name. */
+void
+http_request_add_header(
+    http_request_t *request, const char *name, const char *value)
+{
+	size_t i = request->header_count * 2;
+
 	request->header_count++;
 	request->headers =
 	    xrealloc(request->headers, (i + 2) * sizeof(*request->headers));
@@ -470,7 +520,16 @@
 	request->headers[i + 1] = xstrdup(value);
 }
 
-/* Answers with a whole body, which is copied. */
+/* Removes all headers that were set or added. */
+void
+http_request_clear_headers(http_request_t *request)
+{
+	for (size_t i = 0; i < request->header_count * 2; i++)
+		free(request->headers[i]);
+	request->header_count = 0;
+}
+
+/* Answers with a whole body, which is copied; content_type may be NULL. */
 void
 http_request_reply(
     http_request_t *request, int status, const char *content_type, str_t body)
@@ -480,8 +539,9 @@
 	request->status = status;
 	request->response = MHD_create_response_from_buffer(
 	    body.len, xmemdup(body.data, body.len), MHD_RESPMEM_MUST_FREE);
-	MHD_add_response_header(
-	    request->response, MHD_HTTP_HEADER_CONTENT_TYPE, content_type);
+	if (content_type != NULL)
+		MHD_add_response_header(request->response,
+		    MHD_HTTP_HEADER_CONTENT_TYPE, content_type);
 	request_resume(request);
 }
 
@@ -526,7 +586,7 @@
 	return (0);
 }
 
-/* Begins an answer whose body is written piece by piece. */
+/* Begins an answer whose body follows in pieces; content_type may be NULL. */
 void
 http_request_stream_begin(
     http_request_t *request, int status, const char *content_type)
@@ -535,8 +595,9 @@
 	request->stream_state = STREAM_OPEN;
 	request->response = MHD_create_response_from_callback(
 	    MHD_SIZE_UNKNOWN, STREAM_BLOCK_SIZE, stream_read, request, NULL);
-	MHD_add_response_header(
-	    request->response, MHD_HTTP_HEADER_CONTENT_TYPE, content_type);
+	if (content_type != NULL)
+		MHD_add_response_header(request->response,
+		    MHD_HTTP_HEADER_CONTENT_TYPE, content_type);
 	request_resume(request);
 }
 
--- a/src/httpd.h
+++ b/src/httpd.h
@@ -36,14 +36,21 @@
 
 const char *http_request_method(const http_request_t *request);
 const char *http_request_path(const http_request_t *request);
+const char *http_request_target(const http_request_t *request);
 const char *http_request_query(const http_request_t *request, const char *name);
 const char *http_request_header(
     const http_request_t *request, const char *name);
+void http_request_each_header(const http_request_t *request,
+    void (*on_header)(void *ctx, const char *name, const char *value),
+    void *ctx);
 const char *http_request_client(const http_request_t *request);
 str_t http_request_body(const http_request_t *request);
 
 void http_request_set_header(
     http_request_t *request, const char *name, const char *value);
+void http_request_add_header(
+    http_request_t *request, const char *name, const char *value);
+void http_request_clear_headers(http_request_t *request);
 void http_request_reply(
     http_request_t *request, int status, const char *content_type, str_t body);
 void http_request_reply_error(
--- /dev/null
+++ b/src/job.h
@@ -0,0 +1,63 @@
+/* A job of many items and its results. */
+#ifndef DAISYPIER_JOB_H
+#define DAISYPIER_JOB_H
+
+#include "str.h"
+
+/* Room for the identifier of a request, job or item, terminated by NUL. */
+#define JOB_ID_SIZE 96
+
+typedef struct job_header_t {
+	str_t name;
+	str_t value;
+} job_header_t;
+
+/* One request of a job; all strings belong to the job. */
+typedef struct job_item_t {
+	str_t id;
+	str_t target;
+	job_header_t *headers;
+	size_t header_count;
+	str_t body;
+	unsigned tokens; /* prompt and output at most */
+} job_item_t;
+
+/* A job as its caller submitted it. */
+typedef struct job_t {
+	str_t id;
+	str_t host;
+	str_t target;	   /* where it was submitted */
+	double submitted;  /* wall clock seconds */
+	job_item_t *items;
+	size_t item_count;
+	/* Memory behind the strings above. */
+	char **blocks;
+	size_t block_count;
+} job_t;
+
+typedef enum job_outcome_t {
+	JOB_ITEM_DONE,
+	JOB_ITEM_DEAD, /* given up */
+} job_outcome_t;
+
+/* One listed result. */
+typedef struct job_result_t {
+	str_t item;
+	job_outcome_t outcome;
+	str_t output;
+} job_result_t;
+
+/* Part of a job's list of results. */
+typedef struct job_results_t {
+	size_t total; /* items of the job */
+	uint64_t next; /* position after the last result below */
+	const job_result_t *results;
+	size_t count;
+} job_results_t;
+
+str_t job_keep(job_t *job, str_t s);
+void job_pack(const job_t *job, buf_t *out);
+int job_unpack(str_t data, job_t *out);
+void job_free(job_t *job);
+
+#endif
--- /dev/null
+++ b/src/job_partition.c
@@ -0,0 +1,603 @@
+/* One partition of jobs at the host that owns it. */
+#include "job_partition.h"
+
+#include <math.h>
+#include <stdlib.h>
+#include <sys/queue.h>
+
+#include "clock.h"
+#include "follower.h"
+#include "logger.h"
+#include "result.h"
+
+/* A read of the store without a new record is answered after this, in seconds.
+ */
+#define FOLLOW_WAIT_S 0.5
+/*
+ * What is not here may be elsewhere: without contact for this long, a missing
+ * job or result is not reported as missing, in seconds.
+ */
+#define FRESH_S 0.85
+/* A read that needs a fresh state waits at most this long for it. */
+#define MAX_SYNC_WAIT_S 0.8
+#define READ_TICK_S	0.05
+/* Pause before results are appended once more, in seconds. */
+#define APPEND_RETRY_S	 0.15
+#define APPEND_TIMEOUT_S 1.5
+/* Bytes of results in one append and in one answer. */
+#define MAX_APPEND_BYTES 1000000
+#define MAX_ANSWER_BYTES 900000
+/* Jobs are checked for their end of life this often, in seconds. */
+#define FORGET_INTERVAL_S 10.0
+
+/* A result that waits to be stored. */
+typedef struct finished_item_t {
+	char job[JOB_ID_SIZE];
+	char item[JOB_ID_SIZE];
+	job_outcome_t outcome;
+	buf_t output;
+	TAILQ_ENTRY(finished_item_t) entry;
+} finished_item_t;
+
+TAILQ_HEAD(finished_list_t, finished_item_t);
+
+struct job_partition_t {
+	job_partition_params_t params;
+	follower_t *follower;
+	job_table_t *table;
+	job_runner_t *runner;
+	struct finished_list_t finished;
+	store_call_t *append;
+	LIST_HEAD(, job_read_t) reads;
+	ev_timer read_tick;
+	ev_timer append_timer;
+	ev_timer forget_timer;
+};
+
+struct job_read_t {
+	job_partition_t *partition;
+	job_call_t call;
+	double arrived;
+	double until; /* an empty list of results is the answer then */
+	job_read_cb_t on_done;
+	void *ctx;
+	LIST_ENTRY(job_read_t) entry;
+};
+
+static void partition_append(job_partition_t *partition);
+
+/* Packs the results from a position on, as many as one answer holds. */
+void
+job_results_pack(buf_t *out, const stored_job_t *job, uint64_t position)
+{
+	msgpack_packer packer;
+	size_t bytes = 0;
+	size_t count = 0;
+
+	while (position + count < job->listed &&
+	       (count == 0 || bytes < MAX_ANSWER_BYTES))
+		bytes += job->results[position + count++].output.len;
+	/* The last one may exceed the bound by itself only. */
+	if (count > 1 && bytes > MAX_ANSWER_BYTES)
+		count--;
+	wire_packer_init(&packer, out);
+	msgpack_pack_array(&packer, 3);
+	msgpack_pack_uint64(&packer, job->job.item_count);
+	msgpack_pack_uint64(&packer, position + count);
+	msgpack_pack_array(&packer, count * 3);
+	for (size_t i = 0; i < count; i++) {
+		const listed_result_t *result = &job->results[position + i];
+
+		wire_pack_str(&packer, result->item);
+		msgpack_pack_uint64(&packer, result->outcome);
+		wire_pack_bin(&packer, result->output);
+	}
+}
+
+/* Reads packed results. Returns 0 or -RESULT_BAD_REQUEST. */
+int
+job_results_unpack(str_t data, job_results_message_t *out)
+{
+	wire_reader_t reader;
+	wire_reader_t rows;
+
+	*out = (job_results_message_t){0};
+	if (wire_message_decode(&out->message, data) != 0)
+		return (-RESULT_BAD_REQUEST);
+	reader = wire_reader(wire_message_root(&out->message));
+	out->results.total = wire_read_u64(&reader);
+	out->results.next = wire_read_u64(&reader);
+	rows = wire_read_array(&reader);
+	out->items = xcalloc(rows.left / 3 + 1, sizeof(*out->items));
+	while (rows.left >= 3) {
+		job_result_t *result = &out->items[out->results.count++];
+
+		result->item = wire_read_str(&rows);
+		result->outcome = (job_outcome_t)wire_read_u64(&rows);
+		result->output = wire_read_str(&rows);
+	}
+	out->results.results = out->items;
+	if (!reader.fault && !rows.fault)
+		return (0);
+	job_results_free(out);
+	return (-RESULT_BAD_REQUEST);
+}
+
+/* Frees unpacked results. */
+void
+job_results_free(job_results_message_t *message)
+{
+	free(message->items);
+	wire_message_free(&message->message);
+}
+
+static void
+read_end(job_read_t *read, int rc, str_t body)
+{
+	job_read_cb_t on_done = read->on_done;
+	void *ctx = read->ctx;
+
+	LIST_REMOVE(read, entry);
+	free(read);
+	on_done(ctx, rc, body);
+}
+
+static const job_item_t *
+item_find(const stored_job_t *job, str_t id)
+{
+	for (size_t i = 0; i < job->job.item_count; i++)
+		if (str_equal(job->job.items[i].id, id))
+			return (&job->job.items[i]);
+	return (NULL);
+}
+
+/* Answers a read of an item's body; true when it was answered. */
+static bool
+read_item(job_read_t *read, const stored_job_t *job)
+{
+	str_t id = str_of(read->call.item);
+	const job_item_t *item = item_find(job, id);
+
+	if (item == NULL || stored_job_is_listed(job, id))
+		read_end(read, -RESULT_NOT_FOUND, (str_t){0});
+	else
+		read_end(read, 0, item->body);
+	return (true);
+}
+
+/* Answers a read of results if it can be now. */
+static bool
+read_results(job_read_t *read, const stored_job_t *job, double now)
+{
+	const follower_t *follower = read->partition->follower;
+	double synced = follower_synced_at(follower);
+	buf_t body = {0};
+	bool empty = read->call.position >= job->listed;
+
+	if (empty && now < read->until && job->listed < job->job.item_count)
+		return (false);
+	if (empty && now - synced > FRESH_S && job->listed < job->job.item_count)
+		return (false);
+	job_results_pack(&body, job, read->call.position);
+	read_end(read, 0, str_buf(&body));
+	buf_free(&body);
+	return (true);
+}
+
+/* Answers a read if that is possible now. */
+static void
+read_try(job_read_t *read, double now)
+{
+	const job_partition_t *partition = read->partition;
+	const stored_job_t *job =
+	    job_table_find(partition->table, str_of(read->call.job));
+	double synced = follower_synced_at(partition->follower);
+
+	if (job != NULL && job->accepted) {
+		if (read->call.kind == JOB_CALL_ITEM) {
+			read_item(read, job);
+			return;
+		}
+		if (read_results(read, job, now))
+			return;
+	} else if (follower_loaded(partition->follower) &&
+		   synced >= read->arrived) {
+		read_end(read, -RESULT_NOT_FOUND, (str_t){0});
+		return;
+	}
+	if (now >= fmax(read->until, read->arrived + MAX_SYNC_WAIT_S))
+		read_end(read, -RESULT_NOT_OWNER, (str_t){0});
+}
+
+static void
+reads_try(job_partition_t *partition)
+{
+	job_read_t *read = LIST_FIRST(&partition->reads);
+	double now = clock_monotonic();
+
+	while (read != NULL) {
+		job_read_t *next = LIST_NEXT(read, entry);
+
+		read_try(read, now);
+		read = next;
+	}
+	if (LIST_EMPTY(&partition->reads))
+		ev_timer_stop(partition->params.loop, &partition->read_tick);
+}
+
+static void
+on_read_tick(struct ev_loop *loop, ev_timer *timer, int events)
+{
+	(void)loop;
+	(void)events;
+	reads_try(timer->data);
+}
+
+/*
+ * Reads results or an item's body. The answer comes when there is a result at
+ * the position, at the latest after the time that the call states.
+ */
+job_read_t *
+job_partition_read(job_partition_t *partition, const job_call_t *call,
+    job_read_cb_t on_done, void *ctx)
+{
+	job_read_t *read = xcalloc(1, sizeof(*read));
+	const stored_job_t *job =
+	    job_table_find(partition->table, str_of(call->job));
+
+	read->partition = partition;
+	read->call = *call;
+	read->arrived = clock_monotonic();
+	read->until = read->arrived + call->wait;
+	read->on_done = on_done;
+	read->ctx = ctx;
+	LIST_INSERT_HEAD(&partition->reads, read, entry);
+	if (job == NULL || !job->accepted)
+		follower_read_now(partition->follower);
+	/* The caller gets its answer from the loop, never from in here. */
+	partition->read_tick.repeat = READ_TICK_S;
+	if (!ev_is_active(&partition->read_tick)) {
+		ev_timer_set(&partition->read_tick, 0, READ_TICK_S);
+		ev_timer_start(partition->params.loop, &partition->read_tick);
+	} else if (job != NULL) {
+		ev_feed_event(
+		    partition->params.loop, &partition->read_tick, EV_TIMER);
+	}
+	return (read);
+}
+
+/* Drops a read; its callback does not run. */
+void
+job_read_cancel(job_read_t *read)
+{
+	LIST_REMOVE(read, entry);
+	free(read);
+}
+
+static void
+finished_free(job_partition_t *partition, finished_item_t *finished)
+{
+	TAILQ_REMOVE(&partition->finished, finished, entry);
+	buf_free(&finished->output);
+	free(finished);
+}
+
+/* Drops what need not be stored any more. */
+static void
+finished_prune(job_partition_t *partition)
+{
+	finished_item_t *finished = TAILQ_FIRST(&partition->finished);
+
+	while (finished != NULL) {
+		finished_item_t *next = TAILQ_NEXT(finished, entry);
+		const stored_job_t *job = job_table_find(
+		    partition->table, str_of(finished->job));
+
+		if (job == NULL ||
+		    stored_job_is_listed(job, str_of(finished->item)))
+			finished_free(partition, finished);
+		finished = next;
+	}
+}
+
+static void
+append_later(job_partition_t *partition, double delay)
+{
+	ev_timer_stop(partition->params.loop, &partition->append_timer);
+	ev_timer_set(&partition->append_timer, delay, 0);
+	ev_timer_start(partition->params.loop, &partition->append_timer);
+}
+
+static void
+on_append_timer(struct ev_loop *loop, ev_timer *timer, int events)
+{
+	(void)loop;
+	(void)events;
+	partition_append(timer->data);
+}
+
+static void
+on_appended(void *ctx, int rc, uint64_t end)
+{
+	job_partition_t *partition = ctx;
+
+	partition->append = NULL;
+	if (rc != 0)
+		LOG_INFO("results_not_stored",
+		    "partition=%u cause=%s at=%llu end=%llu",
+		    partition->params.partition, result_name(rc),
+		    (unsigned long long)follower_end(partition->follower),
+		    (unsigned long long)end);
+	/* What took effect is known only from reading it. */
+	follower_read_now(partition->follower);
+	if (rc != 0 && rc != -RESULT_CONFLICT)
+		append_later(partition, APPEND_RETRY_S);
+}
+
+/* Position of a result: after the listed ones and those before it in the queue.
+ */
+static uint64_t
+next_position(const stored_job_t *job, const finished_item_t *last)
+{
+	uint64_t position = job->listed;
+	const finished_item_t *finished = last;
+
+	while ((finished = TAILQ_PREV(
+		    finished, finished_list_t, entry)) != NULL)
+		position += str_equal(str_of(finished->job), str_of(job->id));
+	return (position);
+}
+
+/*
+ * Appends results that wait. The append counts only when the partition ends
+ * where this host has read to, so that each position is given once, whichever
+ * host writes.
+ */
+static void
+partition_append(job_partition_t *partition)
+{
+	store_t *store = partition->params.store;
+	job_records_t records = {0};
+	const finished_item_t *finished;
+
+	if (partition->append != NULL ||
+	    !follower_loaded(partition->follower))
+		return;
+	finished_prune(partition);
+	TAILQ_FOREACH (finished, &partition->finished, entry) {
+		const stored_job_t *job = job_table_find(
+		    partition->table, str_of(finished->job));
+		job_result_t result = {
+		    .item = str_of(finished->item),
+		    .outcome = finished->outcome,
+		    .output = str_buf(&finished->output),
+		};
+
+		if (records.bytes > 0 && records.bytes + result.output.len >
+					     MAX_APPEND_BYTES)
+			break;
+		job_records_result(&records, str_of(job->id),
+		    next_position(job, finished), &result);
+	}
+	if (records.count > 0)
+		partition->append = store->class->append(
+		    store, &(store_append_t){
+			       .topic = partition->params.topic,
+			       .partition = partition->params.partition,
+			       .records = records.records,
+			       .count = records.count,
+			       .at = follower_end(partition->follower),
+			       .timeout = APPEND_TIMEOUT_S,
+			       .on_done = on_appended,
+			       .ctx = partition,
+			   });
+	job_records_free(&records);
+}
+
+static void
+on_finished(
+    void *ctx, const stored_job_t *job, const job_result_t *result)
+{
+	job_partition_t *partition = ctx;
+	finished_item_t *finished = xcalloc(1, sizeof(*finished));
+
+	str_copy(finished->job, sizeof(finished->job), str_of(job->id));
+	str_copy(finished->item, sizeof(finished->item), result->item);
+	finished->outcome = result->outcome;
+	buf_append(&finished->output, result->output);
+	TAILQ_INSERT_TAIL(&partition->finished, finished, entry);
+	/* Results of the same moment go into one append. */
+	if (!ev_is_active(&partition->append_timer))
+		append_later(partition, 0);
+}
+
+static void
+on_change(void *ctx, stored_job_t *job, job_change_t change)
+{
+	job_partition_t *partition = ctx;
+
+	switch (change) {
+	case JOB_CHANGE_ACCEPTED:
+		LOG_INFO("job_known", "job=%s partition=%u items=%zu listed=%zu",
+		    job->id, partition->params.partition,
+		    job->job.item_count, job->listed);
+		job_runner_add(partition->runner, job);
+		break;
+	case JOB_CHANGE_LISTED:
+		job_runner_listed(partition->runner, job);
+		break;
+	case JOB_CHANGE_ENDED:
+		LOG_INFO("job_ended", "job=%s partition=%u listed=%zu", job->id,
+		    partition->params.partition, job->listed);
+		job_runner_remove(partition->runner, job);
+		break;
+	case JOB_CHANGE_FORGOTTEN:
+		job_runner_remove(partition->runner, job);
+		break;
+	case JOB_CHANGE_NONE:
+	case JOB_CHANGE_FAULT:
+		break;
+	}
+}
+
+static void
+on_reload(void *ctx)
+{
+	job_table_reload(((job_partition_t *)ctx)->table);
+}
+
+static void
+on_record(void *ctx, const store_record_t *record)
+{
+	job_table_apply(((job_partition_t *)ctx)->table, record);
+}
+
+static void
+on_loaded(void *ctx)
+{
+	job_partition_t *partition = ctx;
+
+	job_table_loaded(partition->table);
+	LOG_INFO("partition_loaded", "partition=%u jobs=%zu end=%llu",
+	    partition->params.partition, job_table_count(partition->table),
+	    (unsigned long long)follower_end(partition->follower));
+	job_runner_set_paused(partition->runner, false);
+}
+
+static void
+on_synced(void *ctx)
+{
+	job_partition_t *partition = ctx;
+
+	reads_try(partition);
+	if (!TAILQ_EMPTY(&partition->finished) &&
+	    !ev_is_active(&partition->append_timer))
+		partition_append(partition);
+}
+
+static void
+on_contact(void *ctx, bool in_contact)
+{
+	const job_partition_t *partition = ctx;
+
+	LOG_INFO(in_contact ? "store_regained" : "store_lost",
+	    "follower=jobs partition=%u jobs=%zu", partition->params.partition,
+	    job_table_count(partition->table));
+}
+
+static const follower_events_t follower_events = {
+    .on_reload = on_reload,
+    .on_record = on_record,
+    .on_loaded = on_loaded,
+    .on_synced = on_synced,
+    .on_contact = on_contact,
+};
+
+/* Whether nobody may ask for a job any more. */
+static bool
+may_forget(const job_partition_t *partition, const stored_job_t *job)
+{
+	return (job->accepted && partition->params.keep > 0 &&
+		clock_wall() > job->submitted + partition->params.keep &&
+		(job->ended || job->listed >= job->job.item_count));
+}
+
+static void
+on_forget_timer(struct ev_loop *loop, ev_timer *timer, int events)
+{
+	job_partition_t *partition = timer->data;
+	store_t *store = partition->params.store;
+	job_records_t records = {0};
+	const stored_job_t *job;
+
+	(void)loop;
+	(void)events;
+	if (partition->append != NULL || !follower_loaded(partition->follower))
+		return;
+	for (job = job_table_first(partition->table); job != NULL;
+	     job = TAILQ_NEXT(job, entry)) {
+		if (!may_forget(partition, job))
+			continue;
+		LOG_INFO("job_forgotten", "job=%s partition=%u", job->id,
+		    partition->params.partition);
+		job_records_forget(&records, job);
+		break; /* one an interval keeps the appends small */
+	}
+	if (records.count > 0)
+		partition->append = store->class->append(
+		    store, &(store_append_t){
+			       .topic = partition->params.topic,
+			       .partition = partition->params.partition,
+			       .records = records.records,
+			       .count = records.count,
+			       .at = follower_end(partition->follower),
+			       .timeout = APPEND_TIMEOUT_S,
+			       .on_done = on_appended,
+			       .ctx = partition,
+			   });
+	job_records_free(&records);
+}
+
+/* At a planned stop no item begins here any more. */
+void
+job_partition_drain(job_partition_t *partition)
+{
+	job_runner_set_paused(partition->runner, true);
+}
+
+/* Begins to own a partition: its jobs are read, then run. */
+job_partition_t *
+job_partition_new(const job_partition_params_t *params)
+{
+	job_partition_t *partition = xcalloc(1, sizeof(*partition));
+	job_runner_params_t runner = params->runner;
+
+	partition->params = *params;
+	TAILQ_INIT(&partition->finished);
+	LIST_INIT(&partition->reads);
+	runner.on_finished = on_finished;
+	runner.finished_ctx = partition;
+	partition->runner = job_runner_new(&runner);
+	job_runner_set_paused(partition->runner, true);
+	partition->table = job_table_new(on_change, partition);
+	ev_timer_init(&partition->read_tick, on_read_tick, 0, READ_TICK_S);
+	ev_timer_init(&partition->append_timer, on_append_timer, 0, 0);
+	ev_timer_init(&partition->forget_timer, on_forget_timer,
+	    FORGET_INTERVAL_S, FORGET_INTERVAL_S);
+	partition->read_tick.data = partition;
+	partition->append_timer.data = partition;
+	partition->forget_timer.data = partition;
+	ev_timer_start(params->loop, &partition->forget_timer);
+	partition->follower = follower_new(&(follower_params_t){
+	    .loop = params->loop,
+	    .store = params->store,
+	    .topic = params->topic,
+	    .partition = params->partition,
+	    .wait = FOLLOW_WAIT_S,
+	    .events = &follower_events,
+	    .ctx = partition,
+	});
+	return (partition);
+}
+
+/* Gives the partition up: its work is cancelled and its reads fail. */
+void
+job_partition_delete(job_partition_t *partition)
+{
+	const job_partition_params_t *params = &partition->params;
+
+	while (!LIST_EMPTY(&partition->reads))
+		read_end(LIST_FIRST(&partition->reads), -RESULT_NOT_OWNER,
+		    (str_t){0});
+	ev_timer_stop(params->loop, &partition->read_tick);
+	ev_timer_stop(params->loop, &partition->append_timer);
+	ev_timer_stop(params->loop, &partition->forget_timer);
+	if (partition->append != NULL)
+		params->store->class->cancel(params->store, partition->append);
+	follower_delete(partition->follower);
+	job_table_delete(partition->table);
+	job_runner_delete(partition->runner);
+	while (!TAILQ_EMPTY(&partition->finished))
+		finished_free(partition, TAILQ_FIRST(&partition->finished));
+	free(partition);
+}
--- /dev/null
+++ b/src/job_partition.h
@@ -0,0 +1,46 @@
+/* One partition of jobs at the host that owns it. */
+#ifndef DAISYPIER_JOB_PARTITION_H
+#define DAISYPIER_JOB_PARTITION_H
+
+#include "job_run.h"
+#include "wire.h"
+
+typedef struct job_partition_t job_partition_t;
+typedef struct job_read_t job_read_t;
+
+typedef struct job_partition_params_t {
+	struct ev_loop *loop;
+	store_t *store;
+	const char *topic;
+	unsigned partition;
+	double keep; /* seconds after its submission that a job is kept */
+	job_runner_params_t runner; /* on_finished is set by it */
+} job_partition_params_t;
+
+/*
+ * The answer to a read: rc 0 and the packed results or the item's body,
+ * -RESULT_NOT_FOUND when the job or item certainly does not exist, or
+ * -RESULT_NOT_OWNER when this host cannot be sure.
+ */
+typedef void (*job_read_cb_t)(void *ctx, int rc, str_t body);
+
+job_partition_t *job_partition_new(const job_partition_params_t *params);
+void job_partition_delete(job_partition_t *partition);
+void job_partition_drain(job_partition_t *partition);
+job_read_t *job_partition_read(job_partition_t *partition,
+    const job_call_t *call, job_read_cb_t on_done, void *ctx);
+void job_read_cancel(job_read_t *read);
+
+void job_results_pack(buf_t *out, const stored_job_t *job, uint64_t position);
+
+/* Unpacked results; the strings belong to the message. */
+typedef struct job_results_message_t {
+	wire_message_t message;
+	job_results_t results;
+	job_result_t *items;
+} job_results_message_t;
+
+int job_results_unpack(str_t data, job_results_message_t *out);
+void job_results_free(job_results_message_t *message);
+
+#endif
--- /dev/null
+++ b/src/job_run.c
@@ -0,0 +1,595 @@
+/* Runs the items of one partition's jobs on endpoints. */
+#include "job_run.h"
+
+#include <math.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/queue.h>
+
+#include "attempt.h"
+#include "clock.h"
+#include "counter.h"
+#include "job_plan.h"
+#include "logger.h"
+#include "result.h"
+
+/* Slots that one partition asks for at a time. */
+#define MAX_ASKS 16
+/* A slot is asked for this long before the request is made anew, in seconds. */
+#define ASK_TIME_S 20.0
+/* An answer is silent for longer only when its endpoint is gone. */
+#define FIRST_SILENCE_S 3.0
+#define SILENCE_S	2.0
+/* Retries and expiry are looked at this often, in seconds. */
+#define TICK_S 0.1
+/* Bytes of output after which an item counts as one that cannot be done. */
+#define MAX_OUTPUT_BYTES (8U << 20)
+
+typedef enum item_run_state_t {
+	ITEM_WAITING,
+	ITEM_RUNNING,
+	ITEM_FINISHED, /* its result waits to be stored */
+	ITEM_LISTED,
+} item_run_state_t;
+
+typedef struct job_run_t job_run_t;
+
+typedef struct item_run_t {
+	job_run_t *run;
+	const job_item_t *item;
+	item_run_state_t state;
+	unsigned tries; /* without progress */
+	unsigned failures;
+	bool impossible;
+	double not_before; /* monotonic */
+	double no_route_since;
+	buf_t output;
+	unsigned events;
+	event_relay_t relay;
+	struct item_slot_t *slot; /* while it runs */
+	attempt_t *attempt;
+	header_list_t headers;
+	char *target;
+	char endpoint[64];
+} item_run_t;
+
+struct job_run_t {
+	job_runner_t *runner;
+	stored_job_t *job;
+	item_run_t *items;
+	size_t left;   /* items without a result */
+	size_t marked; /* listed results that were taken in */
+	TAILQ_ENTRY(job_run_t) entry;
+};
+
+/* A slot: asked for by whichever item is next by then, or in use by one. */
+typedef struct item_slot_t {
+	job_runner_t *runner;
+	grant_t *grant;
+	char pool[64];
+	item_run_t *item; /* NULL: asked for */
+	LIST_ENTRY(item_slot_t) entry;
+} item_slot_t;
+
+typedef struct runner_counters_t {
+	counter_t *attempts;
+	counter_t *done;
+	counter_t *dead;
+	counter_t *yielded;
+	counter_t *broken;
+} runner_counters_t;
+
+struct job_runner_t {
+	job_runner_params_t params;
+	TAILQ_HEAD(, job_run_t) runs;
+	LIST_HEAD(, item_slot_t) slots;
+	size_t asks; /* slots without an item */
+	bool paused;
+	ev_timer tick;
+	runner_counters_t counters;
+};
+
+static void runner_ask(job_runner_t *runner);
+
+static const request_route_t *
+item_route(const item_run_t *item)
+{
+	const job_runner_params_t *params = &item->run->runner->params;
+	const routing_table_t *table = params->routes(params->ctx);
+
+	if (table == NULL)
+		return (NULL);
+	return (routing_table_match(
+	    table, item->run->job->job.host, item->item->target));
+}
+
+static item_plan_t
+item_plan(const item_run_t *item)
+{
+	const request_route_t *route = item_route(item);
+	item_plan_t plan = {
+	    .submitted = item->run->job->submitted,
+	    .progress = item->events,
+	    .failures = item->failures,
+	    .impossible = item->impossible,
+	    .no_route_since = item->no_route_since,
+	};
+
+	if (route == NULL)
+		return (plan);
+	plan.window = route->completion_window;
+	plan.retention = route->retention;
+	plan.max_failures = route->max_attempts;
+	return (plan);
+}
+
+static void
+slot_free(item_slot_t *slot)
+{
+	LIST_REMOVE(slot, entry);
+	if (slot->item == NULL)
+		slot->runner->asks--;
+	else
+		slot->item->slot = NULL;
+	free(slot);
+}
+
+/* Ends what an item does on an endpoint. */
+static void
+item_stop(item_run_t *item, const grant_report_t *report)
+{
+	if (item->attempt != NULL)
+		attempt_cancel(item->attempt);
+	item->attempt = NULL;
+	if (item->slot == NULL)
+		return;
+	grant_release(item->slot->grant, report);
+	slot_free(item->slot);
+}
+
+static void
+item_finish(item_run_t *item, job_outcome_t outcome, const char *cause)
+{
+	job_run_t *run = item->run;
+	job_runner_t *runner = run->runner;
+	job_result_t result = {
+	    .item = item->item->id,
+	    .outcome = outcome,
+	};
+
+	if (outcome == JOB_ITEM_DONE)
+		result.output = str_buf(&item->output);
+	item->state = ITEM_FINISHED;
+	run->left--;
+	counter_add(outcome == JOB_ITEM_DONE ? runner->counters.done
+					     : runner->counters.dead,
+	    1);
+	LOG_INFO("item_finished",
+	    "item=" STR_FMT " job=%s outcome=%s cause=%s endpoint=%s "
+	    "failures=%u tries=%u events=%u age_s=%.1f",
+	    STR_ARG(item->item->id), run->job->id,
+	    outcome == JOB_ITEM_DONE ? "done" : "dead", cause, item->endpoint,
+	    item->failures, item->tries, item->events,
+	    clock_wall() - run->job->submitted);
+	runner->params.on_finished(
+	    runner->params.finished_ctx, run->job, &result);
+	buf_free(&item->output);
+	event_relay_free(&item->relay);
+}
+
+static void
+item_wait(item_run_t *item, double delay)
+{
+	item->state = ITEM_WAITING;
+	item->not_before = clock_monotonic() + delay;
+	event_relay_resume(&item->relay);
+}
+
+static bool
+on_event(void *ctx, const relay_event_t *event)
+{
+	item_run_t *item = ctx;
+
+	if (item->events++ > 0)
+		buf_append_char(&item->output, '\n');
+	relay_event_data(event, &item->output);
+	item->tries = 0;
+	return (item->output.len <= MAX_OUTPUT_BYTES);
+}
+
+static void
+on_attempt_done(void *ctx, const attempt_result_t *result)
+{
+	item_run_t *item = ctx;
+	job_runner_t *runner = item->run->runner;
+	grant_report_t report = {
+	    .rc = result->rc,
+	    .first_token_seconds = result->first_event_seconds,
+	};
+
+	item->attempt = NULL;
+	item_stop(item, &report);
+	if (result->outcome == ATTEMPT_COMPLETE && result->status == 200) {
+		item_finish(item, JOB_ITEM_DONE, "complete");
+		runner_ask(runner);
+		return;
+	}
+	counter_add(runner->counters.broken, 1);
+	LOG_INFO("item_attempt_failed",
+	    "item=" STR_FMT " job=%s endpoint=%s cause=%s status=%d "
+	    "failures=%u tries=%u events=%u",
+	    STR_ARG(item->item->id), item->run->job->id, item->endpoint,
+	    result_name(result->rc), result->status, item->failures,
+	    item->tries, item->events);
+	if (result->outcome == ATTEMPT_COMPLETE && result->status == 422)
+		item->impossible = true;
+	else if (result->outcome == ATTEMPT_COMPLETE && result->status == 500)
+		item->failures++;
+	item->tries++;
+	item_wait(item, item_plan_retry_delay(item->tries));
+	if (item->impossible)
+		item_finish(item, JOB_ITEM_DEAD, "refused_by_endpoint");
+	runner_ask(runner);
+}
+
+static void
+item_headers(item_run_t *item)
+{
+	const dialect_t *dialect = item->run->runner->params.dialect;
+	const job_item_t *source = item->item;
+
+	if (item->headers.count > 0)
+		return;
+	for (size_t i = 0; i < source->header_count; i++) {
+		char *name = str_dup(source->headers[i].name);
+
+		if (!header_is_hop_by_hop(name))
+			header_list_add(
+			    &item->headers, name, source->headers[i].value);
+		free(name);
+	}
+	header_list_add(&item->headers, "Host", item->run->job->job.host);
+	header_list_add(
+	    &item->headers, dialect->request_id_header, source->id);
+	item->target = str_dup(source->target);
+}
+
+static void
+item_start(
+    item_run_t *item, item_slot_t *slot, const grant_endpoint_t *endpoint)
+{
+	const job_runner_params_t *params = &item->run->runner->params;
+	char id[JOB_ID_SIZE];
+
+	item_headers(item);
+	str_copy(id, sizeof(id), item->item->id);
+	str_copy(
+	    item->endpoint, sizeof(item->endpoint), str_of(endpoint->name));
+	item->slot = slot;
+	slot->item = item;
+	slot->runner->asks--;
+	item->state = ITEM_RUNNING;
+	counter_add(item->run->runner->counters.attempts, 1);
+	LOG_INFO("item_attempt", "item=%s job=%s endpoint=%s events=%u", id,
+	    item->run->job->id, endpoint->name, item->events);
+	item->attempt = attempt_start(&(attempt_params_t){
+	    .httpc = params->httpc,
+	    .dialect = params->dialect,
+	    .endpoint = endpoint,
+	    .method = "POST",
+	    .target = item->target,
+	    .headers = &item->headers,
+	    .body = item->item->body,
+	    .request_id = item->item->id.data,
+	    .resumes = item->relay.numbered,
+	    .last_event = item->relay.last_id,
+	    .first_silence = FIRST_SILENCE_S,
+	    .silence = SILENCE_S,
+	    .relay = &item->relay,
+	    .on_event = on_event,
+	    .on_done = on_attempt_done,
+	    .ctx = item,
+	});
+}
+
+/* Returns the item that should run next in a pool; any pool when NULL. */
+static item_run_t *
+runner_next(job_runner_t *runner, const char *pool, const char **item_pool)
+{
+	double now = clock_monotonic();
+	double wall = clock_wall();
+	item_run_t *best = NULL;
+	item_plan_t best_plan = {0};
+	job_run_t *run;
+
+	TAILQ_FOREACH (run, &runner->runs, entry) {
+		for (size_t i = 0; run->left > 0 && i < run->job->job.item_count;
+		     i++) {
+			item_run_t *item = &run->items[i];
+			const request_route_t *route;
+			const char *name;
+			item_plan_t plan;
+
+			if (item->state != ITEM_WAITING ||
+			    item->not_before > now)
+				continue;
+			route = item_route(item);
+			if (route == NULL)
+				continue;
+			name = request_route_pool(route,
+			    str_hash(item->item->id, 0));
+			if (name == NULL ||
+			    (pool != NULL && strcmp(name, pool) != 0))
+				continue;
+			plan = item_plan(item);
+			if (best != NULL &&
+			    item_plan_compare(&plan, &best_plan, wall) >= 0)
+				continue;
+			best = item;
+			best_plan = plan;
+			*item_pool = name;
+		}
+	}
+	return (best);
+}
+
+static void
+on_revoke(void *ctx, grant_t *grant)
+{
+	item_slot_t *slot = ctx;
+	job_runner_t *runner = slot->runner;
+	item_run_t *item = slot->item;
+
+	(void)grant;
+	counter_add(runner->counters.yielded, 1);
+	LOG_INFO("item_yielded", "item=" STR_FMT " job=%s endpoint=%s events=%u",
+	    STR_ARG(item->item->id), item->run->job->id, item->endpoint,
+	    item->events);
+	item_stop(item, NULL);
+	item_wait(item, 0);
+	runner_ask(runner);
+}
+
+static void
+on_grant(void *ctx, grant_t *grant, int rc, const grant_endpoint_t *endpoint)
+{
+	item_slot_t *slot = ctx;
+	job_runner_t *runner = slot->runner;
+	const char *pool;
+	item_run_t *item = NULL;
+
+	if (rc != 0) {
+		slot_free(slot);
+		return;
+	}
+	if (!runner->paused)
+		item = runner_next(runner, slot->pool, &pool);
+	if (item == NULL) {
+		grant_release(grant, NULL);
+		slot_free(slot);
+		return;
+	}
+	item_start(item, slot, endpoint);
+	runner_ask(runner);
+}
+
+static size_t
+runner_waiting(const job_runner_t *runner)
+{
+	const job_run_t *run;
+	double now = clock_monotonic();
+	size_t waiting = 0;
+
+	TAILQ_FOREACH (run, &runner->runs, entry)
+		for (size_t i = 0; run->left > 0 && i < run->job->job.item_count;
+		     i++)
+			waiting += run->items[i].state == ITEM_WAITING &&
+				   run->items[i].not_before <= now;
+	return (waiting);
+}
+
+/* Asks for a slot for each waiting item, within the bound. */
+static void
+runner_ask(job_runner_t *runner)
+{
+	const job_runner_params_t *params = &runner->params;
+	size_t wanted = runner_waiting(runner);
+
+	if (runner->paused)
+		return;
+	if (wanted > MAX_ASKS)
+		wanted = MAX_ASKS;
+	while (runner->asks < wanted) {
+		const char *pool = NULL;
+		item_run_t *item = runner_next(runner, NULL, &pool);
+		item_slot_t *slot;
+
+		if (item == NULL)
+			return;
+		slot = xcalloc(1, sizeof(*slot));
+		slot->runner = runner;
+		str_copy(slot->pool, sizeof(slot->pool), str_of(pool));
+		LIST_INSERT_HEAD(&runner->slots, slot, entry);
+		runner->asks++;
+		slot->grant = grants_ask(params->grants,
+		    &(grant_params_t){
+			.pool = slot->pool,
+			.class = GRANT_BATCH,
+			.org = item_route(item)->name,
+			.deadline = clock_monotonic() + ASK_TIME_S,
+			.avoid_endpoint = "",
+			.on_grant = on_grant,
+			.on_revoke = on_revoke,
+			.ctx = slot,
+		    });
+	}
+}
+
+static void
+run_expire(job_run_t *run, double wall)
+{
+	for (size_t i = 0; run->left > 0 && i < run->job->job.item_count; i++) {
+		item_run_t *item = &run->items[i];
+		item_plan_t plan;
+
+		if (item->state != ITEM_WAITING && item->state != ITEM_RUNNING)
+			continue;
+		if (item_route(item) != NULL)
+			item->no_route_since = 0;
+		else if (item->no_route_since <= 0)
+			item->no_route_since = wall;
+		plan = item_plan(item);
+		if (!item_plan_dead(&plan, wall))
+			continue;
+		item_stop(item, NULL);
+		item_finish(item, JOB_ITEM_DEAD,
+		    plan.no_route_since > 0	       ? "route_removed"
+		    : plan.failures >= plan.max_failures ? "failed_too_often"
+							 : "retention_over");
+	}
+}
+
+static void
+on_tick(struct ev_loop *loop, ev_timer *timer, int events)
+{
+	job_runner_t *runner = timer->data;
+	job_run_t *run;
+	double wall = clock_wall();
+
+	(void)loop;
+	(void)events;
+	if (runner->params.routes(runner->params.ctx) == NULL)
+		return;
+	TAILQ_FOREACH (run, &runner->runs, entry)
+		run_expire(run, wall);
+	runner_ask(runner);
+}
+
+/* Takes in the results that were stored since the last call. */
+void
+job_runner_listed(job_runner_t *runner, stored_job_t *job)
+{
+	job_run_t *run = job->run;
+
+	(void)runner;
+	if (run == NULL)
+		return;
+	for (; run->marked < job->listed; run->marked++) {
+		str_t id = job->results[run->marked].item;
+
+		for (size_t i = 0; i < job->job.item_count; i++) {
+			item_run_t *item = &run->items[i];
+
+			if (item->state == ITEM_LISTED ||
+			    !str_equal(item->item->id, id))
+				continue;
+			if (item->state != ITEM_FINISHED)
+				run->left--;
+			item_stop(item, NULL);
+			item->state = ITEM_LISTED;
+			break;
+		}
+	}
+}
+
+/* Begins to run the items of an accepted job that have no result. */
+void
+job_runner_add(job_runner_t *runner, stored_job_t *job)
+{
+	job_run_t *run;
+
+	if (job->run != NULL || !job->accepted || job->ended)
+		return;
+	run = xcalloc(1, sizeof(*run));
+	run->runner = runner;
+	run->job = job;
+	run->left = job->job.item_count;
+	run->items = xcalloc(job->job.item_count + 1, sizeof(*run->items));
+	for (size_t i = 0; i < job->job.item_count; i++) {
+		run->items[i].run = run;
+		run->items[i].item = &job->job.items[i];
+	}
+	job->run = run;
+	TAILQ_INSERT_TAIL(&runner->runs, run, entry);
+	job_runner_listed(runner, job);
+	runner_ask(runner);
+}
+
+/* Stops all work for a job. */
+void
+job_runner_remove(job_runner_t *runner, stored_job_t *job)
+{
+	job_run_t *run = job->run;
+
+	if (run == NULL)
+		return;
+	for (size_t i = 0; i < job->job.item_count; i++) {
+		item_run_t *item = &run->items[i];
+
+		item_stop(item, NULL);
+		buf_free(&item->output);
+		event_relay_free(&item->relay);
+		header_list_free(&item->headers);
+		free(item->target);
+	}
+	TAILQ_REMOVE(&runner->runs, run, entry);
+	free(run->items);
+	free(run);
+	job->run = NULL;
+}
+
+/* While paused no item begins; those that run go on. */
+void
+job_runner_set_paused(job_runner_t *runner, bool paused)
+{
+	runner->paused = paused;
+	if (!paused)
+		runner_ask(runner);
+}
+
+static void
+counters_init(runner_counters_t *counters)
+{
+	counters->attempts = counter_get("daisypier_item_attempts_total",
+	    "Attempts to run items of jobs");
+	counters->done = counter_get(
+	    "daisypier_items_done_total", "Items that were completed");
+	counters->dead = counter_get(
+	    "daisypier_items_dead_total", "Items that were given up");
+	counters->yielded = counter_get("daisypier_items_yielded_total",
+	    "Attempts that gave their slot to online requests");
+	counters->broken = counter_get("daisypier_item_attempts_failed_total",
+	    "Attempts that ended without the item's whole output");
+}
+
+/* Makes a runner without jobs. */
+job_runner_t *
+job_runner_new(const job_runner_params_t *params)
+{
+	job_runner_t *runner = xcalloc(1, sizeof(*runner));
+
+	runner->params = *params;
+	TAILQ_INIT(&runner->runs);
+	LIST_INIT(&runner->slots);
+	counters_init(&runner->counters);
+	ev_timer_init(&runner->tick, on_tick, TICK_S, TICK_S);
+	runner->tick.data = runner;
+	ev_timer_start(params->loop, &runner->tick);
+	return (runner);
+}
+
+/* Stops all work and frees the runner; the jobs stay. */
+void
+job_runner_delete(job_runner_t *runner)
+{
+	item_slot_t *slot;
+
+	ev_timer_stop(runner->params.loop, &runner->tick);
+	while (!TAILQ_EMPTY(&runner->runs))
+		job_runner_remove(runner, TAILQ_FIRST(&runner->runs)->job);
+	while ((slot = LIST_FIRST(&runner->slots)) != NULL) {
+		grant_release(slot->grant, NULL);
+		slot_free(slot);
+	}
+	free(runner);
+}
--- /dev/null
+++ b/src/job_run.h
@@ -0,0 +1,35 @@
+/* Runs the items of one partition's jobs on endpoints. */
+#ifndef DAISYPIER_JOB_RUN_H
+#define DAISYPIER_JOB_RUN_H
+
+#include <ev.h>
+
+#include "dialect.h"
+#include "grants.h"
+#include "httpc.h"
+#include "job_table.h"
+
+typedef struct job_runner_t job_runner_t;
+
+typedef struct job_runner_params_t {
+	struct ev_loop *loop;
+	httpc_t *httpc;
+	grants_t *grants;
+	const dialect_t *dialect;
+	/* The routes in force; NULL until the first are known. */
+	routing_table_t *(*routes)(void *ctx);
+	/* An item has its result, which is not stored yet. */
+	void (*on_finished)(
+	    void *ctx, const stored_job_t *job, const job_result_t *result);
+	void *finished_ctx;
+	void *ctx; /* of routes */
+} job_runner_params_t;
+
+job_runner_t *job_runner_new(const job_runner_params_t *params);
+void job_runner_delete(job_runner_t *runner);
+void job_runner_add(job_runner_t *runner, stored_job_t *job);
+void job_runner_listed(job_runner_t *runner, stored_job_t *job);
+void job_runner_remove(job_runner_t *runner, stored_job_t *job);
+void job_runner_set_paused(job_runner_t *runner, bool paused);
+
+#endif
--- /dev/null
+++ b/src/jobs.h
@@ -0,0 +1,39 @@
+/* Jobs of many items at a gateway host: acceptance, ownership and reads. */
+#ifndef DAISYPIER_JOBS_H
+#define DAISYPIER_JOBS_H
+
+#include <ev.h>
+
+#include "dialect.h"
+#include "grants.h"
+#include "httpc.h"
+#include "membership.h"
+#include "peer.h"
+#include "store.h"
+
+typedef struct jobs_t jobs_t;
+
+typedef struct jobs_params_t {
+	struct ev_loop *loop;
+	store_t *store;
+	peer_t *peer;
+	grants_t *grants;
+	httpc_t *httpc;
+	const dialect_t *dialect;
+	const char *host; /* own name */
+	double keep;	  /* seconds after its submission that a job is kept */
+	size_t (*members)(void *ctx, const member_t **out);
+	routing_table_t *(*table)(void *ctx);
+	void *ctx;
+} jobs_params_t;
+
+jobs_t *jobs_new(const jobs_params_t *params);
+void jobs_delete(jobs_t *jobs);
+void jobs_members_changed(jobs_t *jobs);
+void jobs_drain(jobs_t *jobs);
+void jobs_submit(jobs_t *jobs, http_request_t *request, routing_table_t *table,
+    const request_route_t *route);
+void jobs_call(
+    jobs_t *jobs, http_request_t *request, const job_call_t *call);
+
+#endif
--- a/src/logger.c
+++ b/src/logger.c
@@ -88,6 +88,14 @@
 	return (0);
 }
 
+/* Changes the least severe level that is logged. */
+void
+logger_set_level(log_level_t level)
+{
+	if (category != NULL)
+		log4c_category_set_priority(category, levels[level].priority);
+}
+
 /* Parses a level's name. Returns 0, or -EINVAL when it is not one. */
 int
 logger_level_parse(const char *text, log_level_t *out)
--- a/src/logger.h
+++ b/src/logger.h
@@ -10,6 +10,7 @@
 } log_level_t;
 
 int logger_init(const char *name, log_level_t level);
+void logger_set_level(log_level_t level);
 int logger_level_parse(const char *text, log_level_t *out);
 void logger_close(void);
 
--- a/src/peer.h
+++ b/src/peer.h
@@ -27,6 +27,7 @@
 	PEER_INTENT = 24,
 	PEER_OUTCOME = 25,
 	PEER_SHARD_OFFER = 26,
+	PEER_JOB_READ = 27,
 	PEER_CONFIG_GET = 30,
 	PEER_WHERE = 40,
 	PEER_TYPE_MAX = 64,
--- a/src/result.h
+++ b/src/result.h
@@ -37,6 +37,8 @@
 	    "the log service is unavailable; nothing was recorded")            \
 	X(LOG_UNCERTAIN, 16, 503, UNKNOWN,                                     \
 	    "the log service did not answer; resend with the same key")        \
+	X(LOG_EXPIRED, 17, 410, FAILED, "the log no longer has these records") \
+	X(NO_ROUTE, 18, 404, NOT_RUN, "no route for this host and path")       \
 	X(NOT_OWNER, 20, 503, NOT_RUN, "this host does not own the shard")     \
 	X(OWNER_UNREACHABLE, 21, 503, UNKNOWN,                                 \
 	    "the owner did not answer; resend with the same key")              \
--- /dev/null
+++ b/src/routing_table.c
@@ -0,0 +1,120 @@
+/* The routes in force: which requests go to which pool and how. */
+#include "routing_table.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+
+/* Makes a table with room for routes and pools, all zero, with one reference.
+ */
+routing_table_t *
+routing_table_new(size_t routes, size_t pools)
+{
+	routing_table_t *table = xcalloc(1, sizeof(*table));
+
+	table->refs = 1;
+	table->routes = xcalloc(routes + 1, sizeof(*table->routes));
+	table->pools = xcalloc(pools + 1, sizeof(*table->pools));
+	return (table);
+}
+
+/* Adds a reference. */
+routing_table_t *
+routing_table_ref(routing_table_t *table)
+{
+	table->refs++;
+	return (table);
+}
+
+static void
+route_free(request_route_t *route)
+{
+	for (size_t i = 0; i < route->share_count; i++)
+		free(route->shares[i].pool);
+	free(route->shares);
+	free(route->name);
+	free(route->host);
+	free(route->prefix);
+}
+
+/* Drops a reference; the last one frees the table. NULL is ignored. */
+void
+routing_table_unref(routing_table_t *table)
+{
+	if (table == NULL || --table->refs > 0)
+		return;
+	for (size_t i = 0; i < table->route_count; i++)
+		route_free(&table->routes[i]);
+	for (size_t i = 0; i < table->pool_count; i++)
+		free(table->pools[i].name);
+	free(table->routes);
+	free(table->pools);
+	free(table);
+}
+
+/*
+ * Returns the route of the host with the longest prefix that begins the target,
+ * or NULL. A port after the host and the case of its letters do not matter.
+ */
+const request_route_t *
+routing_table_match(const routing_table_t *table, str_t host, str_t target)
+{
+	const request_route_t *best = NULL;
+	const char *colon = memchr(host.data, ':', host.len);
+	size_t best_len = 0;
+
+	if (colon != NULL)
+		host.len = (size_t)(colon - host.data);
+	for (size_t i = 0; i < table->route_count; i++) {
+		const request_route_t *route = &table->routes[i];
+		size_t len = strlen(route->prefix);
+
+		if (len < best_len || strlen(route->host) != host.len ||
+		    strncasecmp(route->host, host.data, host.len) != 0 ||
+		    !str_has_prefix(target, str_of(route->prefix)))
+			continue;
+		best = route;
+		best_len = len;
+	}
+	return (best);
+}
+
+/* Returns a route by its name, or NULL. */
+const request_route_t *
+routing_table_find(const routing_table_t *table, str_t name)
+{
+	for (size_t i = 0; i < table->route_count; i++)
+		if (str_equal(str_of(table->routes[i].name), name))
+			return (&table->routes[i]);
+	return (NULL);
+}
+
+/*
+ * Chooses a pool of the route by weight; equal hashes get the same pool. NULL
+ * when the route has none.
+ */
+const char *
+request_route_pool(const request_route_t *route, uint64_t hash)
+{
+	uint64_t total = 0;
+
+	for (size_t i = 0; i < route->share_count; i++)
+		total += route->shares[i].weight;
+	if (total == 0)
+		return (route->share_count > 0 ? route->shares[0].pool : NULL);
+	hash %= total;
+	for (size_t i = 0; i < route->share_count; i++) {
+		if (hash < route->shares[i].weight)
+			return (route->shares[i].pool);
+		hash -= route->shares[i].weight;
+	}
+	return (NULL);
+}
+
+/* Returns whether a request of the route may run more than once. */
+bool
+request_route_repeatable(const request_route_t *route)
+{
+	return (route->kind == REQUEST_SAFE || route->kind == REQUEST_BATCH ||
+		(route->kind == REQUEST_STREAM && route->resumable));
+}
