--- a/src/forward.c
+++ b/src/forward.c
@@ -121,6 +121,8 @@
 forward_refuse(forward_t *f, int rc, double retry_after)
 {
 	counter_add(f->forwarder->counters.refused, 1);
+	/* An endpoint whose answer broke off may have left its headers. */
+	http_request_clear_headers(f->request);
 	http_request_refuse(f->request, rc, retry_after, NULL);
 	forward_end(f, "refused", result_http_status(rc), rc);
 }
@@ -129,6 +131,7 @@
 forward_fail(forward_t *f, int rc)
 {
 	counter_add(f->forwarder->counters.failed, 1);
+	http_request_clear_headers(f->request);
 	http_request_reply_error(f->request, rc, NULL);
 	forward_end(f, "failed", result_http_status(rc), rc);
 }
