Keep leaving endpoints out by each holder's own view; leave batch headroom

Change: a holder declines a granted endpoint that it knows to be leaving, and reports it, which ejects it at once. Batch leaves 1.5 square roots of the running online requests free.

--- a/src/admission_schedule.c
+++ b/src/admission_schedule.c
@@ -9,6 +9,14 @@
 /* Time in which a holder usually gives a revoked slot back, in seconds. */
 #define USUAL_REVOKE_S 0.05
 
+/*
+ * Slots that batch leaves free for each square root of the online requests that
+ * run. Their number varies by about its square root from one moment to the
+ * next; without the margin each small rise takes a slot back from batch and each
+ * small fall gives it out again.
+ */
+#define HEADROOM_PER_ROOT 1.5
+
 /* Returns how many requests an endpoint may run at a time now. */
 unsigned
 slot_endpoint_capacity(const slot_endpoint_t *endpoint, double now)
@@ -268,6 +276,18 @@
 	}
 }
 
+/* Slots that must stay free after a batch request got one. */
+static unsigned
+batch_headroom(const admission_t *a)
+{
+	double root = sqrt(a->held[GRANT_ONLINE]);
+	unsigned varying = (unsigned)lround(HEADROOM_PER_ROOT * root);
+
+	return (varying > a->settings.online_reserve
+		    ? varying
+		    : a->settings.online_reserve);
+}
+
 /* Grants and revokes whatever the present state calls for. */
 void
 admission_schedule(admission_t *a, double now)
@@ -276,7 +296,7 @@
 
 	schedule_class(a, GRANT_ONLINE, 0, now);
 	if (!restricted && a->waiting[GRANT_ONLINE] == 0)
-		schedule_class(a, GRANT_BATCH, a->settings.online_reserve, now);
+		schedule_class(a, GRANT_BATCH, batch_headroom(a), now);
 	if (TAILQ_EMPTY(&a->batch_held))
 		return;
 	if (!restricted)
--- a/src/ejector.c
+++ b/src/ejector.c
@@ -20,6 +20,7 @@
 	case RESULT_ENDPOINT_FAILED:
 	case RESULT_ENDPOINT_SILENT:
 	case RESULT_BROKEN_ANSWER:
+	case RESULT_STOPPING:
 		return (true);
 	default:
 		return (false);
@@ -49,8 +50,12 @@
 	if (!ejector_counts(rc) || now < ejector->ejected_until)
 		return (false);
 	ejector->failures++;
-	/* A returning endpoint has no credit: one failure ejects it again. */
-	if (ejector->allowed == 0 && ejector->failures < FAILURES_TO_EJECT)
+	/*
+	 * A returning endpoint has no credit: one failure ejects it again. One
+	 * that is leaving, as a holder knows, gets nothing more at once.
+	 */
+	if (ejector->allowed == 0 && ejector->failures < FAILURES_TO_EJECT &&
+	    rc != -RESULT_STOPPING)
 		return (false);
 	ejector->next_ejection = fmax(ejector->next_ejection, MIN_EJECTION_S);
 	ejector->ejected_until = now + ejector->next_ejection;
--- a/src/endpoint_set.c
+++ b/src/endpoint_set.c
@@ -245,6 +245,20 @@
 	return (endpoint != NULL ? &endpoint->entry : NULL);
 }
 
+/*
+ * Returns whether a request may be sent to an endpoint that another host chose.
+ * Without contact to the store the other host may know better.
+ */
+bool
+endpoint_set_usable(const endpoint_set_t *set, str_t id)
+{
+	const known_endpoint_t *endpoint = find(set, id);
+
+	if (endpoint == NULL)
+		return (!set->in_contact);
+	return (!endpoint->entry.draining);
+}
+
 /* Orders structs whose first member is their name, as config_pool() expects. */
 static int
 compare_names(const void *a, const void *b)
--- a/src/forward.c
+++ b/src/forward.c
@@ -288,13 +288,36 @@
 	});
 }
 
+/*
+ * Gives back a slot on an endpoint that is leaving, which the admitting host
+ * does not know yet, and asks for another.
+ */
+static void
+forward_decline(forward_t *f, const grant_endpoint_t *endpoint)
+{
+	attempt_result_t result = {.rc = -RESULT_STOPPING};
+
+	LOG_INFO("grant_declined", "request=%s endpoint=%s cause=STOPPING",
+	    f->info.id, endpoint->name);
+	str_copy(f->endpoint, sizeof(f->endpoint), str_of(endpoint->name));
+	f->state.unreached++;
+	grant_give_back(f, &result);
+	forward_ask(f);
+}
+
 static void
 on_grant(
     void *ctx, grant_t *grant, int rc, const grant_endpoint_t *endpoint)
 {
 	forward_t *f = ctx;
+	const forwarder_params_t *params = &f->forwarder->params;
 	double retry_after;
 
+	if (rc == 0 && !params->endpoint_usable(params->ctx, endpoint->name) &&
+	    f->state.unreached < FORWARD_MAX_UNREACHED) {
+		forward_decline(f, endpoint);
+		return;
+	}
 	if (rc == 0) {
 		if (f->granted <= 0) {
 			f->granted = clock_monotonic();
--- a/src/forward.h
+++ b/src/forward.h
@@ -13,6 +13,9 @@
 	httpc_t *httpc;
 	grants_t *grants;
 	const dialect_t *dialect;
+	/* Whether this host may send to an endpoint that was granted. */
+	bool (*endpoint_usable)(void *ctx, const char *endpoint);
+	void *ctx;
 } forwarder_params_t;
 
 forwarder_t *forwarder_new(const forwarder_params_t *params);
--- a/src/forward_plan.c
+++ b/src/forward_plan.c
@@ -3,8 +3,6 @@
 
 #include <math.h>
 
-/* Endpoints that may turn out to be unreachable before a request is refused. */
-#define MAX_UNREACHED 4
 /* Another attempt is of no use when less time is left, in seconds. */
 #define MIN_ATTEMPT_S 0.15
 /*
@@ -19,7 +17,7 @@
 may_retry(const forward_state_t *state, double now)
 {
 	return (state->sent < state->max_attempts &&
-		state->unreached < MAX_UNREACHED &&
+		state->unreached < FORWARD_MAX_UNREACHED &&
 		now + MIN_ATTEMPT_S < state->expires);
 }
 
--- a/src/forward_plan.h
+++ b/src/forward_plan.h
@@ -5,6 +5,9 @@
 #include "attempt.h"
 #include "routing_table.h"
 
+/* Endpoints that may be leaving or unreachable before a request is refused. */
+#define FORWARD_MAX_UNREACHED 4
+
 /* State of a request that the decisions depend on. */
 typedef struct forward_state_t {
 	bool repeatable;   /* it may run more than once */
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -47,6 +47,14 @@
 	return (entry == NULL || entry->draining);
 }
 
+static bool
+endpoint_usable(void *ctx, const char *endpoint)
+{
+	const gateway_t *gateway = ctx;
+
+	return (endpoint_set_usable(gateway->endpoints, str_of(endpoint)));
+}
+
 /* Lets callers come, or not, as the present state permits. */
 void
 gateway_update_ready(gateway_t *gateway)
@@ -191,6 +199,8 @@
 	    .httpc = gateway->params.httpc,
 	    .grants = gateway->grants,
 	    .dialect = gateway->params.dialect,
+	    .endpoint_usable = endpoint_usable,
+	    .ctx = gateway,
 	});
 	return (0);
 }
@@ -226,6 +236,7 @@
 	    .keep = gateway->params.settings->results_keep_s,
 	    .members = members_of,
 	    .table = table_of,
+	    .endpoint_usable = endpoint_usable,
 	    .ctx = gateway,
 	});
 	return (0);
--- a/src/job_run.c
+++ b/src/job_run.c
@@ -362,6 +362,13 @@
 		slot_free(slot);
 		return;
 	}
+	if (!runner->params.endpoint_usable(
+		runner->params.ctx, endpoint->name)) {
+		grant_release(
+		    grant, &(grant_report_t){.rc = -RESULT_STOPPING});
+		slot_free(slot);
+		return;
+	}
 	if (!runner->paused)
 		item = runner_next(runner, slot->pool, &pool);
 	if (item == NULL) {
--- a/src/job_run.h
+++ b/src/job_run.h
@@ -22,7 +22,9 @@
 	void (*on_finished)(
 	    void *ctx, const stored_job_t *job, const job_result_t *result);
 	void *finished_ctx;
-	void *ctx; /* of routes */
+	/* Whether this host may send to an endpoint that was granted. */
+	bool (*endpoint_usable)(void *ctx, const char *endpoint);
+	void *ctx; /* of routes and endpoint_usable */
 } job_runner_params_t;
 
 job_runner_t *job_runner_new(const job_runner_params_t *params);
--- a/src/jobs.c
+++ b/src/jobs.c
@@ -86,6 +86,14 @@
 	return (jobs->params.table(jobs->params.ctx));
 }
 
+static bool
+endpoint_usable(void *ctx, const char *endpoint)
+{
+	const jobs_t *jobs = ctx;
+
+	return (jobs->params.endpoint_usable(jobs->params.ctx, endpoint));
+}
+
 static void
 partition_open(jobs_t *jobs, unsigned partition)
 {
@@ -106,6 +114,7 @@
 			.grants = params->grants,
 			.dialect = params->dialect,
 			.routes = table_of,
+			.endpoint_usable = endpoint_usable,
 			.ctx = jobs,
 		    },
 	    });
--- a/src/jobs.h
+++ b/src/jobs.h
@@ -24,6 +24,7 @@
 	double keep;	  /* seconds after its submission that a job is kept */
 	size_t (*members)(void *ctx, const member_t **out);
 	routing_table_t *(*table)(void *ctx);
+	bool (*endpoint_usable)(void *ctx, const char *endpoint);
 	void *ctx;
 } jobs_params_t;
 
