--- a/src/admission_schedule.c
+++ b/src/admission_schedule.c
@@ -12,8 +12,8 @@
 /*
  * Slots that batch leaves free for each square root of the online requests that
  * run. Their number varies by about its square root from one moment to the
- * next; without the margin each small rise takes a slot back from batch and each
- * small fall gives it out again.
+ * next; without the margin each small rise takes a slot back from batch and
+ * each small fall gives it out again.
  */
 #define HEADROOM_PER_ROOT 1.5
 
--- a/src/attempt.c
+++ b/src/attempt.c
@@ -18,8 +18,8 @@
 	double started;
 	double first_event;
 	int status;
-	bool streams; /* events are passed on as they arrive */
-	bool refused; /* the endpoint states that it did not run it */
+	bool streams;  /* events are passed on as they arrive */
+	bool refused;  /* the endpoint states that it did not run it */
 	bool mismatch; /* the answer belongs to another request */
 	bool bad_event;
 	bool stopped; /* by on_event */
@@ -56,9 +56,8 @@
 	attempt->mismatch = !answer_is_own(attempt);
 	if (attempt->mismatch)
 		return (false);
-	if (status == 421 ||
-	    http_call_header(
-		attempt->call, params->dialect->not_run_header) != NULL) {
+	if (status == 421 || http_call_header(attempt->call,
+				 params->dialect->not_run_header) != NULL) {
 		attempt->refused = true;
 		return (true);
 	}
@@ -172,21 +171,21 @@
 	attempt->started = clock_monotonic();
 	attempt_headers(params, &headers);
 	snprintf(url, sizeof(url), "http://%s/", params->endpoint->address);
-	attempt->call = http_call_start(
-	    params->httpc, &(http_call_params_t){
-			       .method = params->method,
-			       .url = url,
-			       .target = params->target,
-			       .headers = (const char *const *)headers.lines,
-			       .body = params->body,
-			       .connect_timeout = CONNECT_TIMEOUT_S,
-			       .idle_timeout = params->first_silence,
-			       .send_once = true,
-			       .on_head = on_head,
-			       .on_data = params->relay != NULL ? on_data : NULL,
-			       .on_done = on_done,
-			       .ctx = attempt,
-			   });
+	attempt->call = http_call_start(params->httpc,
+	    &(http_call_params_t){
+		.method = params->method,
+		.url = url,
+		.target = params->target,
+		.headers = (const char *const *)headers.lines,
+		.body = params->body,
+		.connect_timeout = CONNECT_TIMEOUT_S,
+		.idle_timeout = params->first_silence,
+		.send_once = true,
+		.on_head = on_head,
+		.on_data = params->relay != NULL ? on_data : NULL,
+		.on_done = on_done,
+		.ctx = attempt,
+	    });
 	header_list_free(&headers);
 	return (attempt);
 }
@@ -201,8 +200,7 @@
 
 /* Passes the answer's headers that concern more than one connection. */
 void
-attempt_each_header(
-    attempt_t *attempt, http_header_cb_t on_header, void *ctx)
+attempt_each_header(attempt_t *attempt, http_header_cb_t on_header, void *ctx)
 {
 	http_call_each_header(attempt->call, on_header, ctx);
 }
--- a/src/attempt.h
+++ b/src/attempt.h
@@ -19,9 +19,9 @@
 
 typedef struct attempt_result_t {
 	attempt_outcome_t outcome;
-	int rc;	      /* 0 or negative; for the log and the grant's report */
-	int status;   /* 0: none arrived */
-	str_t body;   /* of a complete answer that is no event stream */
+	int rc;	    /* 0 or negative; for the log and the grant's report */
+	int status; /* 0: none arrived */
+	str_t body; /* of a complete answer that is no event stream */
 	double first_event_seconds; /* since the start; 0: none */
 } attempt_result_t;
 
--- a/src/dialect.h
+++ b/src/dialect.h
@@ -12,10 +12,10 @@
 	char id[JOB_ID_SIZE]; /* of this try of the caller */
 	double patience;      /* seconds the caller waits; 0: not stated */
 	unsigned prompt_tokens;
-	unsigned output_tokens;	  /* at most */
-	uint64_t prefix_hash;	  /* of the shared parts of the prompt; 0: none */
-	bool resumes;		  /* an earlier answer that broke off */
-	uint64_t last_event;	  /* that the caller has, when it resumes */
+	unsigned output_tokens; /* at most */
+	uint64_t prefix_hash;	/* of the shared parts of the prompt; 0: none */
+	bool resumes;		/* an earlier answer that broke off */
+	uint64_t last_event;	/* that the caller has, when it resumes */
 } request_info_t;
 
 /* What callers ask of a job that was accepted. */
@@ -58,9 +58,8 @@
 	int (*read_routes)(str_t text, routing_table_t **out);
 	int (*read_endpoint)(str_t id, str_t text, endpoint_entry_t *out);
 	void (*write_results)(buf_t *out, const job_results_t *results);
-	void (*write_entries)(
-	    buf_t *out, const char *const *addresses, size_t count,
-	    double keep_s);
+	void (*write_entries)(buf_t *out, const char *const *addresses,
+	    size_t count, double keep_s);
 } dialect_t;
 
 #endif
--- a/src/endpoint_set.c
+++ b/src/endpoint_set.c
@@ -28,8 +28,8 @@
 
 typedef struct known_endpoint_t {
 	endpoint_entry_t entry;
-	bool seen;	/* since the last reload */
-	bool removed;	/* its entry is gone; kept for a while */
+	bool seen;    /* since the last reload */
+	bool removed; /* its entry is gone; kept for a while */
 	double removed_at;
 	LIST_ENTRY(known_endpoint_t) link;
 } known_endpoint_t;
@@ -90,8 +90,7 @@
 
 /* Takes in an endpoint's entry. Returns whether anything changed. */
 bool
-endpoint_set_put(
-    endpoint_set_t *set, const endpoint_entry_t *entry, double now)
+endpoint_set_put(endpoint_set_t *set, const endpoint_entry_t *entry, double now)
 {
 	known_endpoint_t *endpoint = find(set, str_of(entry->id));
 	bool changed = true;
@@ -118,8 +117,8 @@
 }
 
 static unsigned
-removed_lately(const endpoint_set_t *set, const known_endpoint_t *of,
-    unsigned *total)
+removed_lately(
+    const endpoint_set_t *set, const known_endpoint_t *of, unsigned *total)
 {
 	const known_endpoint_t *endpoint;
 	unsigned removed = 0;
@@ -311,8 +310,8 @@
 			if (strcmp(view->endpoints[k].pool, pool->name) == 0)
 				pool->endpoints[pool->endpoint_count++] = k;
 	}
-	qsort(view->pools, view->pool_count, sizeof(*view->pools),
-	    compare_names);
+	qsort(
+	    view->pools, view->pool_count, sizeof(*view->pools), compare_names);
 }
 
 static void
--- a/src/event_relay.c
+++ b/src/event_relay.c
@@ -44,8 +44,8 @@
 
 /* Passes on the event that ends at len; false when its number is not next. */
 static bool
-event_end(event_relay_t *relay, size_t len, relay_event_cb_t on_event,
-    void *ctx)
+event_end(
+    event_relay_t *relay, size_t len, relay_event_cb_t on_event, void *ctx)
 {
 	relay_event_t event = event_parse((str_t){relay->pending.data, len});
 
@@ -64,8 +64,8 @@
  * event is too long, or when the callback returned false.
  */
 bool
-event_relay_feed(event_relay_t *relay, str_t bytes, relay_event_cb_t on_event,
-    void *ctx)
+event_relay_feed(
+    event_relay_t *relay, str_t bytes, relay_event_cb_t on_event, void *ctx)
 {
 	buf_t *pending = &relay->pending;
 
--- a/src/follower.c
+++ b/src/follower.c
@@ -72,8 +72,9 @@
 read_failed(follower_t *follower, int rc)
 {
 	if (rc == -RESULT_LOG_EXPIRED) {
-		LOG_WARN("store_history_lost", "topic=%s partition=%u from=%llu",
-		    follower->params.topic, follower->params.partition,
+		LOG_WARN("store_history_lost",
+		    "topic=%s partition=%u from=%llu", follower->params.topic,
+		    follower->params.partition,
 		    (unsigned long long)follower->next);
 		begin_load(follower);
 		schedule(follower, 0);
--- a/src/forward.c
+++ b/src/forward.c
@@ -306,8 +306,7 @@
 }
 
 static void
-on_grant(
-    void *ctx, grant_t *grant, int rc, const grant_endpoint_t *endpoint)
+on_grant(void *ctx, grant_t *grant, int rc, const grant_endpoint_t *endpoint)
 {
 	forward_t *f = ctx;
 	const forwarder_params_t *params = &f->forwarder->params;
@@ -467,8 +466,9 @@
 		"Requests whose caller left before the answer");
 	counters->timeouts = counter_get("daisypier_forward_timeouts_total",
 	    "Requests that ran out of time");
-	counters->admission = histogram_get("daisypier_forward_admission_seconds",
-	    "Time until a request got a slot");
+	counters->admission =
+	    histogram_get("daisypier_forward_admission_seconds",
+		"Time until a request got a slot");
 	counters->first_event =
 	    histogram_get("daisypier_forward_first_event_seconds",
 		"Time until the first event of an answer");
--- a/src/forward_plan.c
+++ b/src/forward_plan.c
@@ -39,8 +39,8 @@
 
 /* Decides how a request goes on after an attempt ended. */
 forward_step_t
-forward_plan(const forward_state_t *state, const attempt_result_t *result,
-    double now)
+forward_plan(
+    const forward_state_t *state, const attempt_result_t *result, double now)
 {
 	bool retry = may_retry(state, now);
 
--- a/src/forward_plan.h
+++ b/src/forward_plan.h
@@ -10,11 +10,11 @@
 
 /* State of a request that the decisions depend on. */
 typedef struct forward_state_t {
-	bool repeatable;   /* it may run more than once */
-	bool resumable;	   /* a stream that another endpoint can go on with */
-	bool answered;	   /* part of the answer is on its way to the caller */
-	bool may_have_run; /* on some endpoint */
-	unsigned sent;	   /* endpoints that got it */
+	bool repeatable;    /* it may run more than once */
+	bool resumable;	    /* a stream that another endpoint can go on with */
+	bool answered;	    /* part of the answer is on its way to the caller */
+	bool may_have_run;  /* on some endpoint */
+	unsigned sent;	    /* endpoints that got it */
 	unsigned unreached; /* endpoints that could not be reached */
 	unsigned max_attempts;
 	double expires; /* when the caller's or the route's time is over */
@@ -28,8 +28,8 @@
 	FORWARD_ABORT,	/* break the answer off */
 } forward_step_t;
 
-forward_step_t forward_plan(const forward_state_t *state,
-    const attempt_result_t *result, double now);
+forward_step_t forward_plan(
+    const forward_state_t *state, const attempt_result_t *result, double now);
 double forward_queue_until(
     const request_route_t *route, double patience, double now);
 
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -69,8 +69,7 @@
 	if (ready == gateway->ready)
 		return;
 	gateway->ready = ready;
-	LOG_INFO("readiness", "ready=%d draining=%d", ready,
-	    gateway->draining);
+	LOG_INFO("readiness", "ready=%d draining=%d", ready, gateway->draining);
 	if (gateway->membership != NULL)
 		membership_set_ready(gateway_members(gateway), ready);
 }
@@ -135,8 +134,8 @@
 	    },
 	    &gateway->membership);
 	if (rc == 0)
-		membership_on_change(gateway_members(gateway),
-		    on_members_changed, gateway);
+		membership_on_change(
+		    gateway_members(gateway), on_members_changed, gateway);
 	return (rc);
 }
 
@@ -155,8 +154,8 @@
 	const gateway_t *gateway = ctx;
 
 	/* After a planned stop the socket is closed on purpose. */
-	return (gateway->quiesced ||
-		membership_net_listening(gateway->membership));
+	return (
+	    gateway->quiesced || membership_net_listening(gateway->membership));
 }
 
 static int
@@ -300,8 +299,7 @@
 		return;
 	gateway->draining = true;
 	gateway->drain_began = clock_monotonic();
-	LOG_INFO("draining", "open=%zu",
-	    httpd_open_requests(gateway->callers));
+	LOG_INFO("draining", "open=%zu", httpd_open_requests(gateway->callers));
 	gateway_update_ready(gateway);
 	membership_set_leaving(gateway_members(gateway), true);
 	httpd_set_closing(gateway->callers);
--- a/src/gateway_http.c
+++ b/src/gateway_http.c
@@ -108,8 +108,8 @@
 	    },
 	    picked);
 	for (size_t i = 0; i < count; i++) {
-		snprintf(text[i], sizeof(text[i]), "%s%s", picked[i]->address,
-		    port);
+		snprintf(
+		    text[i], sizeof(text[i]), "%s%s", picked[i]->address, port);
 		addresses[i] = text[i];
 	}
 	free(members);
--- a/src/gateway_settings.c
+++ b/src/gateway_settings.c
@@ -11,19 +11,19 @@
 /* Shorter secrets could be guessed from one recorded frame. */
 #define MIN_KEY_BYTES 16
 
-#define TEXT(member, type_, initial_, choices_, text)                         \
-	{                                                                     \
-		.name = #member, .type = (type_), .initial = (initial_),      \
-		.choices = (choices_),                                        \
-		.offset = offsetof(gateway_settings_t, member),               \
-		.description = (text)                                         \
+#define TEXT(member, type_, initial_, choices_, text)                    \
+	{                                                                \
+		.name = #member, .type = (type_), .initial = (initial_), \
+		.choices = (choices_),                                   \
+		.offset = offsetof(gateway_settings_t, member),          \
+		.description = (text)                                    \
 	}
-#define NUMBER(member, type_, unit_, initial_, min_, max_, text)              \
-	{                                                                     \
-		.name = #member, .type = (type_), .unit = (unit_),            \
-		.initial = (initial_), .min = (min_), .max = (max_),          \
-		.offset = offsetof(gateway_settings_t, member),               \
-		.description = (text)                                         \
+#define NUMBER(member, type_, unit_, initial_, min_, max_, text)     \
+	{                                                            \
+		.name = #member, .type = (type_), .unit = (unit_),   \
+		.initial = (initial_), .min = (min_), .max = (max_), \
+		.offset = offsetof(gateway_settings_t, member),      \
+		.description = (text)                                \
 	}
 
 static const schema_key_t gateway_keys[] = {
--- a/src/gateway_settings.h
+++ b/src/gateway_settings.h
@@ -11,17 +11,17 @@
 	char *address; /* IPv4 number for other hosts and metrics */
 	char *zone;
 	char *site;
-	char *store;	 /* URL */
-	char *callers;	 /* "IP:PORT" of each service below */
+	char *store;   /* URL */
+	char *callers; /* "IP:PORT" of each service below */
 	char *readiness;
 	char *directory;
 	unsigned peer_port; /* other hosts, TCP and UDP */
 	unsigned metrics_port;
-	char *key; /* secret that all hosts share */
-	unsigned period_ms; /* of membership probes */
-	double keep_s; /* how long callers keep the list of hosts */
+	char *key;	       /* secret that all hosts share */
+	unsigned period_ms;    /* of membership probes */
+	double keep_s;	       /* how long callers keep the list of hosts */
 	double results_keep_s; /* after a job's submission; 0: for ever */
-	double stop_s; /* until a planned stop must be over */
+	double stop_s;	       /* until a planned stop must be over */
 	unsigned max_body_bytes;
 	char *log_level_name;
 	log_level_t log_level;
--- a/src/gateway_state.h
+++ b/src/gateway_state.h
@@ -27,7 +27,7 @@
 	follower_t *config_follower;
 	follower_t *endpoint_follower;
 	follower_t *host_follower;
-	routing_table_t *table;	 /* NULL before the first */
+	routing_table_t *table; /* NULL before the first */
 	endpoint_set_t *endpoints;
 	fleet_config_t *view; /* of both, for admission; NULL before both */
 	store_call_t *announce;
--- a/src/gateway_store.c
+++ b/src/gateway_store.c
@@ -16,7 +16,7 @@
 #define ENDPOINTS_PAUSE_S 0.45
 #define HOSTS_WAIT_S	  5.0
 /* Pause before this host announces itself again after a failure. */
-#define ANNOUNCE_RETRY_S 0.5
+#define ANNOUNCE_RETRY_S   0.5
 #define ANNOUNCE_TIMEOUT_S 2.0
 
 /* Gives admission the present routes and endpoints. */
@@ -175,8 +175,7 @@
 {
 	gateway_t *gateway = ctx;
 
-	endpoint_set_contact(
-	    gateway->endpoints, in_contact, clock_monotonic());
+	endpoint_set_contact(gateway->endpoints, in_contact, clock_monotonic());
 	LOG_INFO(in_contact ? "store_regained" : "store_lost",
 	    "follower=endpoints count=%zu",
 	    endpoint_set_count(gateway->endpoints));
@@ -227,8 +226,7 @@
 	char address[48];
 
 	if (record->removed ||
-	    str_equal(
-		record->key, str_of(gateway->params.settings->address)))
+	    str_equal(record->key, str_of(gateway->params.settings->address)))
 		return;
 	str_copy(address, sizeof(address), record->key);
 	membership_add_seed(gateway_members(gateway), address);
--- a/src/httpc.c
+++ b/src/httpc.c
@@ -292,8 +292,8 @@
  * must not run twice is stopped there.
  */
 static int
-on_curl_send(void *ctx, char *remote, char *local, int remote_port,
-    int local_port)
+on_curl_send(
+    void *ctx, char *remote, char *local, int remote_port, int local_port)
 {
 	http_call_t *call = ctx;
 
@@ -345,8 +345,7 @@
 	(void)setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &idle, sizeof(idle));
 	(void)setsockopt(
 	    fd, IPPROTO_TCP, TCP_KEEPINTVL, &interval, sizeof(interval));
-	(void)setsockopt(
-	    fd, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof(probes));
+	(void)setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof(probes));
 	(void)setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &unacknowledged,
 	    sizeof(unacknowledged));
 	return (CURL_SOCKOPT_OK);
@@ -529,8 +528,7 @@
 
 /* Passes each header of the final answer to a callback, in order. */
 void
-http_call_each_header(
-    http_call_t *call, http_header_cb_t on_header, void *ctx)
+http_call_each_header(http_call_t *call, http_header_cb_t on_header, void *ctx)
 {
 	struct curl_header *header = NULL;
 
--- a/src/httpd.c
+++ b/src/httpd.c
@@ -330,15 +330,15 @@
 	 * Without MHD_OPTION_LISTENING_ADDRESS_REUSE, which sets SO_REUSEPORT:
 	 * two processes would share a port and each get some of the requests.
 	 */
-	httpd->daemon = MHD_start_daemon(
-	    MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, 0, NULL, NULL, on_access,
-	    httpd, MHD_OPTION_SOCK_ADDR, (struct sockaddr *)&address,
-	    MHD_OPTION_CONNECTION_TIMEOUT,
-	    idle > 0 ? idle : DEFAULT_IDLE_TIMEOUT_S,
-	    MHD_OPTION_CONNECTION_LIMIT,
-	    max > 0 ? max : DEFAULT_MAX_CONNECTIONS,
-	    MHD_OPTION_NOTIFY_COMPLETED, on_completed, NULL,
-	    MHD_OPTION_URI_LOG_CALLBACK, on_target, httpd, MHD_OPTION_END);
+	httpd->daemon =
+	    MHD_start_daemon(MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, 0, NULL,
+		NULL, on_access, httpd, MHD_OPTION_SOCK_ADDR,
+		(struct sockaddr *)&address, MHD_OPTION_CONNECTION_TIMEOUT,
+		idle > 0 ? idle : DEFAULT_IDLE_TIMEOUT_S,
+		MHD_OPTION_CONNECTION_LIMIT,
+		max > 0 ? max : DEFAULT_MAX_CONNECTIONS,
+		MHD_OPTION_NOTIFY_COMPLETED, on_completed, NULL,
+		MHD_OPTION_URI_LOG_CALLBACK, on_target, httpd, MHD_OPTION_END);
 	if (httpd->daemon == NULL) {
 		free(httpd);
 		return (-EADDRINUSE);
--- a/src/job.h
+++ b/src/job.h
@@ -26,8 +26,8 @@
 typedef struct job_t {
 	str_t id;
 	str_t host;
-	str_t target;	   /* where it was submitted */
-	double submitted;  /* wall clock seconds */
+	str_t target;	  /* where it was submitted */
+	double submitted; /* wall clock seconds */
 	job_item_t *items;
 	size_t item_count;
 	/* Memory behind the strings above. */
@@ -49,7 +49,7 @@
 
 /* Part of a job's list of results. */
 typedef struct job_results_t {
-	size_t total; /* items of the job */
+	size_t total;  /* items of the job */
 	uint64_t next; /* position after the last result below */
 	const job_result_t *results;
 	size_t count;
--- a/src/job_partition.c
+++ b/src/job_partition.c
@@ -176,7 +176,8 @@
 
 	if (empty && now < read->until && job->listed < job->job.item_count)
 		return (false);
-	if (empty && now - synced > FRESH_S && job->listed < job->job.item_count)
+	if (empty && now - synced > FRESH_S &&
+	    job->listed < job->job.item_count)
 		return (false);
 	job_results_pack(&body, job, read->call.position);
 	read_end(read, 0, str_buf(&body));
@@ -290,8 +291,8 @@
 
 	while (finished != NULL) {
 		finished_item_t *next = TAILQ_NEXT(finished, entry);
-		const stored_job_t *job = job_table_find(
-		    partition->table, str_of(finished->job));
+		const stored_job_t *job =
+		    job_table_find(partition->table, str_of(finished->job));
 
 		if (job == NULL ||
 		    stored_job_is_listed(job, str_of(finished->item)))
@@ -342,8 +343,8 @@
 	uint64_t position = job->listed;
 	const finished_item_t *finished = last;
 
-	while ((finished = TAILQ_PREV(
-		    finished, finished_list_t, entry)) != NULL)
+	while (
+	    (finished = TAILQ_PREV(finished, finished_list_t, entry)) != NULL)
 		position += str_equal(str_of(finished->job), str_of(job->id));
 	return (position);
 }
@@ -360,21 +361,20 @@
 	job_records_t records = {0};
 	const finished_item_t *finished;
 
-	if (partition->append != NULL ||
-	    !follower_loaded(partition->follower))
+	if (partition->append != NULL || !follower_loaded(partition->follower))
 		return;
 	finished_prune(partition);
 	TAILQ_FOREACH (finished, &partition->finished, entry) {
-		const stored_job_t *job = job_table_find(
-		    partition->table, str_of(finished->job));
+		const stored_job_t *job =
+		    job_table_find(partition->table, str_of(finished->job));
 		job_result_t result = {
 		    .item = str_of(finished->item),
 		    .outcome = finished->outcome,
 		    .output = str_buf(&finished->output),
 		};
 
-		if (records.bytes > 0 && records.bytes + result.output.len >
-					     MAX_APPEND_BYTES)
+		if (records.bytes > 0 &&
+		    records.bytes + result.output.len > MAX_APPEND_BYTES)
 			break;
 		job_records_result(&records, str_of(job->id),
 		    next_position(job, finished), &result);
@@ -395,8 +395,7 @@
 }
 
 static void
-on_finished(
-    void *ctx, const stored_job_t *job, const job_result_t *result)
+on_finished(void *ctx, const stored_job_t *job, const job_result_t *result)
 {
 	job_partition_t *partition = ctx;
 	finished_item_t *finished = xcalloc(1, sizeof(*finished));
@@ -418,9 +417,10 @@
 
 	switch (change) {
 	case JOB_CHANGE_ACCEPTED:
-		LOG_INFO("job_known", "job=%s partition=%u items=%zu listed=%zu",
-		    job->id, partition->params.partition,
-		    job->job.item_count, job->listed);
+		LOG_INFO("job_known",
+		    "job=%s partition=%u items=%zu listed=%zu", job->id,
+		    partition->params.partition, job->job.item_count,
+		    job->listed);
 		job_runner_add(partition->runner, job);
 		break;
 	case JOB_CHANGE_LISTED:
--- a/src/job_plan.c
+++ b/src/job_plan.c
@@ -23,10 +23,11 @@
 		now - item->no_route_since >= NO_ROUTE_S);
 }
 
+/* Whether an item that begins now cannot be ready when it is due. */
 static bool
 is_late(const item_plan_t *item, double now)
 {
-	return (now > item->submitted + item->window);
+	return (now + item->run_time > item->submitted + item->window);
 }
 
 /*
--- a/src/job_run.c
+++ b/src/job_run.c
@@ -22,6 +22,11 @@
 #define SILENCE_S	2.0
 /* Retries and expiry are looked at this often, in seconds. */
 #define TICK_S 0.1
+/* Running time of an item before one was measured, in seconds. */
+#define FIRST_RUN_TIME_S   5.0
+#define RUN_TIME_SMOOTHING 0.1
+/* An item that runs longer than usual still needs some time, in seconds. */
+#define MIN_RUN_TIME_S 0.3
 /* Bytes of output after which an item counts as one that cannot be done. */
 #define MAX_OUTPUT_BYTES (8U << 20)
 
@@ -42,6 +47,8 @@
 	unsigned failures;
 	bool impossible;
 	double not_before; /* monotonic */
+	double started;	   /* monotonic, of the attempt in progress */
+	double run_time;   /* seconds of the attempts that brought progress */
 	double no_route_since;
 	buf_t output;
 	unsigned events;
@@ -85,6 +92,7 @@
 	LIST_HEAD(, item_slot_t) slots;
 	size_t asks; /* slots without an item */
 	bool paused;
+	double run_time; /* usual, of a whole item, in seconds */
 	ev_timer tick;
 	runner_counters_t counters;
 };
@@ -109,6 +117,8 @@
 	const request_route_t *route = item_route(item);
 	item_plan_t plan = {
 	    .submitted = item->run->job->submitted,
+	    .run_time = fmax(
+		MIN_RUN_TIME_S, item->run->runner->run_time - item->run_time),
 	    .progress = item->events,
 	    .failures = item->failures,
 	    .impossible = item->impossible,
@@ -143,6 +153,7 @@
 	item->attempt = NULL;
 	if (item->slot == NULL)
 		return;
+	item->run_time += clock_monotonic() - item->started;
 	grant_release(item->slot->grant, report);
 	slot_free(item->slot);
 }
@@ -210,6 +221,8 @@
 	item->attempt = NULL;
 	item_stop(item, &report);
 	if (result->outcome == ATTEMPT_COMPLETE && result->status == 200) {
+		runner->run_time +=
+		    RUN_TIME_SMOOTHING * (item->run_time - runner->run_time);
 		item_finish(item, JOB_ITEM_DONE, "complete");
 		runner_ask(runner);
 		return;
@@ -249,8 +262,7 @@
 		free(name);
 	}
 	header_list_add(&item->headers, "Host", item->run->job->job.host);
-	header_list_add(
-	    &item->headers, dialect->request_id_header, source->id);
+	header_list_add(&item->headers, dialect->request_id_header, source->id);
 	item->target = str_dup(source->target);
 }
 
@@ -268,6 +280,7 @@
 	item->slot = slot;
 	slot->item = item;
 	slot->runner->asks--;
+	item->started = clock_monotonic();
 	item->state = ITEM_RUNNING;
 	counter_add(item->run->runner->counters.attempts, 1);
 	LOG_INFO("item_attempt", "item=%s job=%s endpoint=%s events=%u", id,
@@ -303,8 +316,8 @@
 	job_run_t *run;
 
 	TAILQ_FOREACH (run, &runner->runs, entry) {
-		for (size_t i = 0; run->left > 0 && i < run->job->job.item_count;
-		     i++) {
+		for (size_t i = 0;
+		     run->left > 0 && i < run->job->job.item_count; i++) {
 			item_run_t *item = &run->items[i];
 			const request_route_t *route;
 			const char *name;
@@ -316,8 +329,8 @@
 			route = item_route(item);
 			if (route == NULL)
 				continue;
-			name = request_route_pool(route,
-			    str_hash(item->item->id, 0));
+			name = request_route_pool(
+			    route, str_hash(item->item->id, 0));
 			if (name == NULL ||
 			    (pool != NULL && strcmp(name, pool) != 0))
 				continue;
@@ -342,7 +355,8 @@
 
 	(void)grant;
 	counter_add(runner->counters.yielded, 1);
-	LOG_INFO("item_yielded", "item=" STR_FMT " job=%s endpoint=%s events=%u",
+	LOG_INFO("item_yielded",
+	    "item=" STR_FMT " job=%s endpoint=%s events=%u",
 	    STR_ARG(item->item->id), item->run->job->id, item->endpoint,
 	    item->events);
 	item_stop(item, NULL);
@@ -364,8 +378,7 @@
 	}
 	if (!runner->params.endpoint_usable(
 		runner->params.ctx, endpoint->name)) {
-		grant_release(
-		    grant, &(grant_report_t){.rc = -RESULT_STOPPING});
+		grant_release(grant, &(grant_report_t){.rc = -RESULT_STOPPING});
 		slot_free(slot);
 		return;
 	}
@@ -388,8 +401,8 @@
 	size_t waiting = 0;
 
 	TAILQ_FOREACH (run, &runner->runs, entry)
-		for (size_t i = 0; run->left > 0 && i < run->job->job.item_count;
-		     i++)
+		for (size_t i = 0;
+		     run->left > 0 && i < run->job->job.item_count; i++)
 			waiting += run->items[i].state == ITEM_WAITING &&
 				   run->items[i].not_before <= now;
 	return (waiting);
@@ -450,7 +463,7 @@
 			continue;
 		item_stop(item, NULL);
 		item_finish(item, JOB_ITEM_DEAD,
-		    plan.no_route_since > 0	       ? "route_removed"
+		    plan.no_route_since > 0		 ? "route_removed"
 		    : plan.failures >= plan.max_failures ? "failed_too_often"
 							 : "retention_over");
 	}
@@ -557,8 +570,8 @@
 static void
 counters_init(runner_counters_t *counters)
 {
-	counters->attempts = counter_get("daisypier_item_attempts_total",
-	    "Attempts to run items of jobs");
+	counters->attempts = counter_get(
+	    "daisypier_item_attempts_total", "Attempts to run items of jobs");
 	counters->done = counter_get(
 	    "daisypier_items_done_total", "Items that were completed");
 	counters->dead = counter_get(
@@ -576,6 +589,7 @@
 	job_runner_t *runner = xcalloc(1, sizeof(*runner));
 
 	runner->params = *params;
+	runner->run_time = FIRST_RUN_TIME_S;
 	TAILQ_INIT(&runner->runs);
 	LIST_INIT(&runner->slots);
 	counters_init(&runner->counters);
--- a/src/job_table.c
+++ b/src/job_table.c
@@ -208,8 +208,8 @@
 		if (job->pieces[i].data == NULL)
 			return (JOB_CHANGE_NONE);
 	for (size_t i = 0; i < job->piece_count; i++)
-		buf_append(&whole,
-		    (str_t){job->pieces[i].data, job->pieces[i].len});
+		buf_append(
+		    &whole, (str_t){job->pieces[i].data, job->pieces[i].len});
 	rc = job_unpack(str_buf(&whole), &job->job);
 	buf_free(&whole);
 	if (rc != 0)
@@ -281,9 +281,9 @@
 	}
 	result = &job->results[position];
 	result->item = wire_read_str(&reader);
-	result->outcome =
-	    wire_read_u64(&reader) == JOB_ITEM_DONE ? JOB_ITEM_DONE
-						    : JOB_ITEM_DEAD;
+	result->outcome = wire_read_u64(&reader) == JOB_ITEM_DONE
+			      ? JOB_ITEM_DONE
+			      : JOB_ITEM_DEAD;
 	result->output = wire_read_str(&reader);
 	if (!reader.fault) {
 		size_t item_len = result->item.len;
@@ -382,8 +382,8 @@
 	store_record_t *record;
 
 	buf_printf(&key, "%c" STR_FMT "%s", letter, STR_ARG(job), suffix);
-	out->records = xrealloc(
-	    out->records, (out->count + 1) * sizeof(*out->records));
+	out->records =
+	    xrealloc(out->records, (out->count + 1) * sizeof(*out->records));
 	record = &out->records[out->count++];
 	*record = (store_record_t){.removed = value == NULL};
 	record->key = records_keep(out, &key);
@@ -418,9 +418,9 @@
 	msgpack_pack_array(&packer, 3);
 	msgpack_pack_uint64(&packer, pieces);
 	msgpack_pack_double(&packer, job->submitted);
-	wire_pack_bin(&packer,
-	    (str_t){packed.data,
-		packed.len < MAX_PIECE ? packed.len : MAX_PIECE});
+	wire_pack_bin(
+	    &packer, (str_t){packed.data,
+			 packed.len < MAX_PIECE ? packed.len : MAX_PIECE});
 	records_add(out, KEY_JOB, job->id, "", &value);
 	buf_free(&packed);
 }
@@ -439,8 +439,7 @@
 	wire_pack_str(&packer, result->item);
 	msgpack_pack_uint64(&packer, result->outcome);
 	wire_pack_bin(&packer, result->output);
-	snprintf(
-	    suffix, sizeof(suffix), "/%llu", (unsigned long long)position);
+	snprintf(suffix, sizeof(suffix), "/%llu", (unsigned long long)position);
 	records_add(out, KEY_RESULT, job, suffix, &value);
 }
 
--- a/src/job_write.c
+++ b/src/job_write.c
@@ -18,7 +18,7 @@
  * The store may refuse this host and serve others, so a caller is sent on soon
  * when nothing of its job can have been stored.
  */
-#define MAX_REFUSALS	     3
+#define MAX_REFUSALS	      3
 #define REFUSAL_RETRY_AFTER_S 0.3
 
 struct job_write_t {
@@ -70,10 +70,8 @@
 	if (write->may_be_stored)
 		http_request_reply_error(request, -RESULT_TIMEOUT, NULL);
 	else
-		http_request_refuse(
-		    request, rc, REFUSAL_RETRY_AFTER_S, NULL);
-	write_end(
-	    write, write->may_be_stored ? "uncertain" : "refused", rc);
+		http_request_refuse(request, rc, REFUSAL_RETRY_AFTER_S, NULL);
+	write_end(write, write->may_be_stored ? "uncertain" : "refused", rc);
 }
 
 static void
@@ -136,18 +134,17 @@
 		count++;
 	}
 	write->sending = count;
-	write->call = params->store->class->append(
-	    params->store, &(store_append_t){
-			       .topic = params->topic,
-			       .partition =
-				   job_partition_of(str_of(params->job)),
-			       .records = records->records + write->stored,
-			       .count = count,
-			       .at = STORE_ANY_END,
-			       .timeout = fmin(left, APPEND_TIMEOUT_S),
-			       .on_done = on_appended,
-			       .ctx = write,
-			   });
+	write->call = params->store->class->append(params->store,
+	    &(store_append_t){
+		.topic = params->topic,
+		.partition = job_partition_of(str_of(params->job)),
+		.records = records->records + write->stored,
+		.count = count,
+		.at = STORE_ANY_END,
+		.timeout = fmin(left, APPEND_TIMEOUT_S),
+		.on_done = on_appended,
+		.ctx = write,
+	    });
 }
 
 static void
--- a/src/job_write.h
+++ b/src/job_write.h
@@ -18,7 +18,7 @@
 	const char *what;      /* for the log: "accept" or "end" */
 	job_records_t records; /* taken over */
 	int status;	       /* of the answer when the store has them */
-	double time;	       /* seconds until the caller gets a final answer */
+	double time; /* seconds until the caller gets a final answer */
 	void (*on_end)(void *ctx, job_write_t *write);
 	void *ctx;
 } job_write_params_t;
--- a/src/jobs.c
+++ b/src/jobs.c
@@ -22,7 +22,7 @@
 /* Time for another host's answer beyond the wait it was asked to do. */
 #define READ_TIMEOUT_S 1.2
 /* Longest wait for a result that a caller may ask for, in seconds. */
-#define MAX_READ_WAIT_S 5.0
+#define MAX_READ_WAIT_S	   5.0
 #define READ_RETRY_AFTER_S 0.2
 
 typedef struct jobs_counters_t {
@@ -221,10 +221,9 @@
 	(void)table;
 	(void)route;
 	jobs->params.dialect->read_request(request, &info);
-	rc = info.id[0] == '\0'
-		 ? -RESULT_BAD_REQUEST
-		 : jobs->params.dialect->read_job(
-		       http_request_body(request), &job);
+	rc = info.id[0] == '\0' ? -RESULT_BAD_REQUEST
+				: jobs->params.dialect->read_job(
+				      http_request_body(request), &job);
 	if (rc != 0) {
 		http_request_reply_error(request, rc, "the job is malformed");
 		return;
@@ -310,8 +309,7 @@
 		reader = wire_reader(reply->body);
 		body = wire_read_str(&reader);
 		if (reader.fault) {
-			query_answer(
-			    query, -RESULT_BROKEN_ANSWER, (str_t){0});
+			query_answer(query, -RESULT_BROKEN_ANSWER, (str_t){0});
 			return;
 		}
 	}
@@ -360,8 +358,8 @@
 	http_request_on_close(request, on_caller_gone, query);
 	counter_add(jobs->counters.reads, 1);
 	if (jobs->partitions[partition] != NULL)
-		query->read = job_partition_read(jobs->partitions[partition],
-		    &query->call, on_read, query);
+		query->read = job_partition_read(
+		    jobs->partitions[partition], &query->call, on_read, query);
 	else if (owner != NULL && strcmp(owner->name, jobs->params.host) != 0)
 		query_ask_owner(query, owner);
 	else
@@ -436,7 +434,8 @@
 	serve->jobs = jobs;
 	serve->request = request;
 	LIST_INSERT_HEAD(&jobs->serves, serve, entry);
-	serve->read = job_partition_read(partition, &call, on_serve_read, serve);
+	serve->read =
+	    job_partition_read(partition, &call, on_serve_read, serve);
 }
 
 static void
--- a/src/jobs.h
+++ b/src/jobs.h
@@ -34,7 +34,6 @@
 void jobs_drain(jobs_t *jobs);
 void jobs_submit(jobs_t *jobs, http_request_t *request, routing_table_t *table,
     const request_route_t *route);
-void jobs_call(
-    jobs_t *jobs, http_request_t *request, const job_call_t *call);
+void jobs_call(jobs_t *jobs, http_request_t *request, const job_call_t *call);
 
 #endif
--- a/src/routing_table.h
+++ b/src/routing_table.h
@@ -23,7 +23,7 @@
 	char *prefix; /* begins and ends with a slash */
 	request_kind_t kind;
 	bool resumable;
-	bool has_prompt; /* its requests state the parts of a prompt */
+	bool has_prompt;   /* its requests state the parts of a prompt */
 	unsigned priority; /* 0 is the most urgent */
 	unsigned max_attempts;
 	double timeout;	       /* seconds that a request may be kept waiting */
--- /dev/null
+++ b/tests/test_forward_plan.c
@@ -0,0 +1,103 @@
+/* Tests of what follows an attempt, and of the waiting time for a slot. */
+#include "suite.h"
+
+#include "forward_plan.h"
+
+static const forward_state_t once = {.max_attempts = 1, .expires = 105};
+static const forward_state_t resumable = {
+    .repeatable = true, .resumable = true, .max_attempts = 2, .expires = 105};
+
+static forward_step_t
+step(forward_state_t state, attempt_outcome_t outcome, int status)
+{
+	attempt_result_t result = {.outcome = outcome, .status = status};
+
+	/* As the forwarder counts before it asks for the plan. */
+	if (outcome == ATTEMPT_UNREACHED)
+		state.unreached++;
+	else
+		state.sent++;
+	state.may_have_run |=
+	    outcome == ATTEMPT_BROKEN || outcome == ATTEMPT_COMPLETE;
+	return (forward_plan(&state, &result, 100));
+}
+
+/* Guards against "not run" for a request that may have run. */
+static void
+test_refusal_is_true(void)
+{
+	CU_ASSERT(step(once, ATTEMPT_REFUSED, 503) == FORWARD_REFUSE);
+	CU_ASSERT(step(once, ATTEMPT_BROKEN, 0) == FORWARD_FAIL);
+	forward_state_t ran = resumable;
+
+	ran.may_have_run = true;
+	ran.sent = 1;
+	CU_ASSERT(step(ran, ATTEMPT_REFUSED, 503) == FORWARD_FAIL);
+}
+
+/* Guards against a second run of what may run once. */
+static void
+test_no_second_run(void)
+{
+	forward_state_t state = once;
+
+	state.max_attempts = 3;
+	CU_ASSERT(step(state, ATTEMPT_BROKEN, 0) == FORWARD_FAIL);
+	CU_ASSERT(step(state, ATTEMPT_COMPLETE, 500) == FORWARD_PASS);
+	CU_ASSERT(step(state, ATTEMPT_REFUSED, 503) == FORWARD_RETRY);
+	CU_ASSERT(step(state, ATTEMPT_UNREACHED, 0) == FORWARD_RETRY);
+	state.answered = true;
+	CU_ASSERT(step(state, ATTEMPT_BROKEN, 200) == FORWARD_ABORT);
+}
+
+/* Guards against more endpoints than the route permits. */
+static void
+test_attempts_are_bounded(void)
+{
+	forward_state_t state = resumable;
+
+	CU_ASSERT(step(state, ATTEMPT_BROKEN, 0) == FORWARD_RETRY);
+	state.sent = 1;
+	CU_ASSERT(step(state, ATTEMPT_BROKEN, 0) == FORWARD_FAIL);
+	state.answered = true;
+	CU_ASSERT(step(state, ATTEMPT_BROKEN, 200) == FORWARD_ABORT);
+	state.sent = 0;
+	state.unreached = FORWARD_MAX_UNREACHED;
+	CU_ASSERT(step(state, ATTEMPT_UNREACHED, 0) == FORWARD_ABORT);
+}
+
+/* Guards against a stream that breaks off although another can go on. */
+static void
+test_stream_goes_on(void)
+{
+	forward_state_t state = resumable;
+
+	state.answered = true;
+	CU_ASSERT(step(state, ATTEMPT_BROKEN, 200) == FORWARD_RETRY);
+	CU_ASSERT(step(state, ATTEMPT_COMPLETE, 200) == FORWARD_PASS);
+	CU_ASSERT(step(state, ATTEMPT_COMPLETE, 500) == FORWARD_RETRY);
+	CU_ASSERT(step(state, ATTEMPT_COMPLETE, 404) == FORWARD_ABORT);
+	state.expires = 100.1;
+	CU_ASSERT(step(state, ATTEMPT_BROKEN, 200) == FORWARD_ABORT);
+}
+
+/* Guards against requests that are held until their time is over. */
+static void
+test_queue_ends_before_the_deadline(void)
+{
+	request_route_t route = {.timeout = 5};
+
+	CU_ASSERT(forward_queue_until(&route, 0, 100) < 104);
+	CU_ASSERT(forward_queue_until(&route, 2, 100) < 102);
+	CU_ASSERT(forward_queue_until(&route, 60, 100) < 104);
+}
+
+static const suite_test_t tests[] = {
+    {"a refusal is true", test_refusal_is_true},
+    {"no second run", test_no_second_run},
+    {"attempts are bounded", test_attempts_are_bounded},
+    {"a stream goes on", test_stream_goes_on},
+    {"the queue ends before the deadline", test_queue_ends_before_the_deadline},
+};
+
+SUITE_MAIN("forward_plan", tests)
--- /dev/null
+++ b/tests/test_job_table.c
@@ -0,0 +1,204 @@
+/* Tests of jobs in the store: records in any order, repeats, removal. */
+#include "suite.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "job_table.h"
+
+#define BODY_SIZE 150000
+
+typedef struct changes_t {
+	unsigned count[JOB_CHANGE_FAULT + 1];
+} changes_t;
+
+static void
+on_change(void *ctx, stored_job_t *job, job_change_t change)
+{
+	(void)job;
+	((changes_t *)ctx)->count[change]++;
+}
+
+static job_t
+make_job(size_t items)
+{
+	job_t job = {0};
+	char *body = xmalloc(BODY_SIZE);
+
+	memset(body, 'b', BODY_SIZE);
+	job.id = job_keep(&job, STR("job1"));
+	job.host = job_keep(&job, STR("a.example"));
+	job.target = job_keep(&job, STR("/x/job1"));
+	job.submitted = 1000.5;
+	job.items = xcalloc(items + 1, sizeof(*job.items));
+	for (size_t i = 0; i < items; i++) {
+		char id[2] = {(char)('a' + (char)i), '\0'};
+		job_item_t *item = &job.items[job.item_count++];
+
+		item->id = job_keep(&job, str_of(id));
+		item->target = job_keep(&job, STR("/x/1"));
+		item->body = job_keep(&job, (str_t){body, BODY_SIZE});
+		item->headers = xcalloc(1, sizeof(*item->headers));
+		item->headers[item->header_count++] = (job_header_t){
+		    job_keep(&job, STR("Model")), job_keep(&job, STR("m"))};
+	}
+	free(body);
+	return (job);
+}
+
+static void
+apply_all(job_table_t *table, const job_records_t *records, bool backwards)
+{
+	for (size_t i = 0; i < records->count; i++)
+		job_table_apply(table,
+		    &records->records[backwards ? records->count - 1 - i : i]);
+}
+
+/* Guards against a large job that is lost or cut, whatever the order. */
+static void
+test_pieces_in_any_order(void)
+{
+	for (int backwards = 0; backwards < 2; backwards++) {
+		changes_t changes = {0};
+		job_table_t *table = job_table_new(on_change, &changes);
+		job_t job = make_job(5);
+		job_records_t records = {0};
+		const stored_job_t *stored;
+
+		job_records_accept(&records, &job);
+		CU_ASSERT(records.count >= 4);
+		for (size_t i = 0; i < records.count; i++)
+			CU_ASSERT(records.records[i].value.len < 262144);
+		apply_all(table, &records, backwards);
+		apply_all(table, &records, backwards);
+		CU_ASSERT(changes.count[JOB_CHANGE_ACCEPTED] == 1);
+		stored = job_table_find(table, STR("job1"));
+		CU_ASSERT_PTR_NOT_NULL_FATAL(stored);
+		CU_ASSERT(stored->job.item_count == 5);
+		CU_ASSERT(stored->job.submitted == 1000.5);
+		CU_ASSERT(
+		    str_equal(stored->job.items[4].body, job.items[4].body));
+		CU_ASSERT(
+		    str_equal(stored->job.items[2].headers[0].value, STR("m")));
+		job_records_free(&records);
+		job_free(&job);
+		job_table_delete(table);
+	}
+}
+
+static void
+apply_result(job_table_t *table, const char *item, uint64_t position)
+{
+	job_records_t records = {0};
+
+	job_records_result(&records, STR("job1"), position,
+	    &(job_result_t){.item = str_of(item), .output = STR("text")});
+	apply_all(table, &records, false);
+	job_records_free(&records);
+}
+
+/* Guards against a position that shows before those ahead of it, or changes. */
+static void
+test_positions_are_contiguous(void)
+{
+	changes_t changes = {0};
+	job_table_t *table = job_table_new(on_change, &changes);
+	stored_job_t *job;
+
+	apply_result(table, "b", 1);
+	job = job_table_find(table, STR("job1"));
+	CU_ASSERT_PTR_NOT_NULL_FATAL(job);
+	CU_ASSERT(job->listed == 0);
+	apply_result(table, "a", 0);
+	CU_ASSERT(job->listed == 2);
+	apply_result(table, "c", 1);
+	CU_ASSERT(str_equal(job->results[1].item, STR("b")));
+	CU_ASSERT(stored_job_is_listed(job, STR("a")));
+	CU_ASSERT(!stored_job_is_listed(job, STR("c")));
+	job_table_delete(table);
+}
+
+/* Guards against jobs that stay for ever, or come back after a reload. */
+static void
+test_forgetting(void)
+{
+	changes_t changes = {0};
+	job_table_t *table = job_table_new(on_change, &changes);
+	job_t job = make_job(2);
+	job_records_t records = {0};
+	job_records_t removal = {0};
+
+	job_records_accept(&records, &job);
+	apply_all(table, &records, false);
+	apply_result(table, "a", 0);
+	job_records_forget(&removal, job_table_find(table, STR("job1")));
+	for (size_t i = 0; i < removal.count; i++)
+		CU_ASSERT(removal.records[i].removed);
+	apply_all(table, &removal, false);
+	CU_ASSERT_PTR_NULL(job_table_find(table, STR("job1")));
+	CU_ASSERT(changes.count[JOB_CHANGE_FORGOTTEN] == 1);
+	apply_all(table, &records, false);
+	job_table_reload(table);
+	job_table_loaded(table);
+	CU_ASSERT(job_table_count(table) == 0);
+	job_records_free(&records);
+	job_records_free(&removal);
+	job_free(&job);
+	job_table_delete(table);
+}
+
+/* Guards against a crash or a wrong job from records of another writer. */
+static void
+test_unreadable_records(void)
+{
+	static const struct {
+		const char *key;
+		const char *value;
+	} bad[] = {
+	    {"", "x"},
+	    {"J", "x"},
+	    {"Jjob", "not msgpack"},
+	    {"Rjob/", "x"},
+	    {"Rjob/99999999999", "x"},
+	    {"Rjob/1", "\x93\x01"},
+	    {"Xjob", "x"},
+	    {"Pjob/abc", "x"},
+	};
+	changes_t changes = {0};
+	job_table_t *table = job_table_new(on_change, &changes);
+
+	for (size_t i = 0; i < sizeof(bad) / sizeof(bad[0]); i++)
+		job_table_apply(
+		    table, &(store_record_t){.key = str_of(bad[i].key),
+			       .value = str_of(bad[i].value)});
+	CU_ASSERT(changes.count[JOB_CHANGE_ACCEPTED] == 0);
+	CU_ASSERT(changes.count[JOB_CHANGE_LISTED] == 0);
+	job_table_delete(table);
+}
+
+/* Guards against an end that is told twice or forgotten. */
+static void
+test_end(void)
+{
+	changes_t changes = {0};
+	job_table_t *table = job_table_new(on_change, &changes);
+	job_records_t records = {0};
+
+	job_records_end(&records, STR("job1"));
+	apply_all(table, &records, false);
+	apply_all(table, &records, false);
+	CU_ASSERT(changes.count[JOB_CHANGE_ENDED] == 1);
+	CU_ASSERT(job_table_find(table, STR("job1"))->ended);
+	job_records_free(&records);
+	job_table_delete(table);
+}
+
+static const suite_test_t tests[] = {
+    {"pieces in any order", test_pieces_in_any_order},
+    {"positions are contiguous", test_positions_are_contiguous},
+    {"forgetting", test_forgetting},
+    {"unreadable records", test_unreadable_records},
+    {"end", test_end},
+};
+
+SUITE_MAIN("job_table", tests)
