Test gateway hosts as processes under failures, with stand-ins of the platform

Change: stand-ins of the users' store (lost and late appends, outages, forgotten history) and of their model servers (streams that break off, refusals), and a test program over real processes. The log goes to standard output, never blocks and has a budget of 100 kB/s.

--- a/Makefile
+++ b/Makefile
@@ -32,10 +32,11 @@
 MAINS = daisypierd daisypier daisyload standin_platform standin_engine \
     standin_service faultproxy
 MAIN_SRCS = $(wildcard $(MAINS:%=src/%.c))
-PROGRAMS = $(foreach p,$(MAIN_SRCS:src/%.c=%),$(BUILD)/$(subst _,-,$(p))) \
-    $(GATEWAY)
+PROGRAMS = $(foreach p,$(MAIN_SRCS:src/%.c=%) $(PLATFORM_MAINS), \
+    $(BUILD)/$(subst _,-,$(p)))
 GATEWAY = $(BUILD)/daisypier-gateway
-PLATFORM_SRCS = $(filter-out platform/daisypier_gateway.c, \
+PLATFORM_MAINS = daisypier_gateway standin_users_store standin_users_engine
+PLATFORM_SRCS = $(filter-out $(PLATFORM_MAINS:%=platform/%.c), \
     $(wildcard platform/*.c))
 PLATFORM_OBJS = $(PLATFORM_SRCS:platform/%.c=$(BUILD)/obj/platform/%.o)
 LIB_SRCS = $(filter-out $(MAIN_SRCS),$(wildcard src/*.c))
@@ -67,8 +68,11 @@
 	@mkdir -p $(@D)
 	$(CC) $(CPPFLAGS) $(CFLAGS) -c -o $@ $<
 
-$(GATEWAY): $(BUILD)/obj/platform/daisypier_gateway.o $(PLATFORM_OBJS) $(LIB)
-	$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS)
+define PLATFORM_RULE
+$(BUILD)/$(subst _,-,$(1)): $(BUILD)/obj/platform/$(1).o $(PLATFORM_OBJS) $(LIB)
+	$(CC) $(LDFLAGS) -o $$@ $$^ $(LDLIBS)
+endef
+$(foreach p,$(PLATFORM_MAINS),$(eval $(call PLATFORM_RULE,$(p))))
 
 gateway: $(GATEWAY)
 
--- a/src/logger.c
+++ b/src/logger.c
@@ -2,18 +2,39 @@
 #include "logger.h"
 
 #include <errno.h>
+#include <fcntl.h>
+#include <math.h>
 #include <stdarg.h>
+#include <stdbool.h>
+#include <stdint.h>
 #include <stdio.h>
 #include <string.h>
 #include <time.h>
+#include <unistd.h>
 
 #include <log4c.h>
 
+#include "clock.h"
+
 /* Longest log line in bytes; longer ones are truncated. */
 #define LINE_SIZE 1024
+/* Bytes a second that a process may write for long, and at once. */
+#define BYTES_PER_S 100000.0
+#define BURST_BYTES 500000.0
+/* Share of the burst that is kept for warnings and errors. */
+#define KEPT_FOR_WARNINGS 0.3
 
 static log4c_category_t *category;
 
+/* What may be written now, and what was not. */
+static struct {
+	int fd;
+	double tokens; /* bytes */
+	double updated;
+	uint64_t dropped; /* lines since the last one that says so */
+	uint64_t dropped_total;
+} output = {.fd = STDERR_FILENO, .tokens = BURST_BYTES};
+
 static const struct {
 	const char *name;
 	int priority;
@@ -48,12 +69,57 @@
     .format = line_format,
 };
 
+/* Whether a line fits the budget; warnings may use all of it. */
+static bool
+budget_take(size_t bytes, int priority)
+{
+	double now = clock_monotonic();
+	double keep = priority <= LOG4C_PRIORITY_WARN
+			  ? 0
+			  : BURST_BYTES * KEPT_FOR_WARNINGS;
+
+	output.tokens = fmin(
+	    BURST_BYTES, output.tokens + (now - output.updated) * BYTES_PER_S);
+	output.updated = now;
+	if (output.tokens - (double)bytes < keep)
+		return (false);
+	output.tokens -= (double)bytes;
+	return (true);
+}
+
+static bool
+write_line(const char *line, size_t len)
+{
+	return (write(output.fd, line, len) == (ssize_t)len);
+}
+
+static void
+report_dropped(void)
+{
+	char line[160];
+	int len = snprintf(line, sizeof(line),
+	    "log_lines_dropped count=%llu total=%llu\n",
+	    (unsigned long long)output.dropped,
+	    (unsigned long long)output.dropped_total);
+
+	if (write_line(line, (size_t)len))
+		output.dropped = 0;
+}
+
 /* Writes a line as it is; log4c's own types put their name before it. */
 static int
 line_append(log4c_appender_t *appender, const log4c_logging_event_t *event)
 {
+	const char *line = event->evt_rendered_msg;
+	size_t len = strlen(line);
+
 	(void)appender;
-	fputs(event->evt_rendered_msg, stderr);
+	if (!budget_take(len, event->evt_priority) || !write_line(line, len)) {
+		output.dropped++;
+		output.dropped_total++;
+	} else if (output.dropped > 0) {
+		report_dropped();
+	}
 	return (0);
 }
 
@@ -88,6 +154,23 @@
 	return (0);
 }
 
+/* Chooses where lines go; standard error is the default. */
+void
+logger_set_output(log_output_t where)
+{
+	int flags;
+
+	if (where == LOG_OUTPUT_STDERR) {
+		output.fd = STDERR_FILENO;
+		return;
+	}
+	output.fd = STDOUT_FILENO;
+	flags = fcntl(output.fd, F_GETFL);
+	/* Without the flag a reader that stopped would stop this process. */
+	if (flags >= 0 && fcntl(output.fd, F_SETFL, flags | O_NONBLOCK) != 0)
+		LOG_WARN("log_may_block", "cause=\"%s\"", strerror(errno));
+}
+
 /* Changes the least severe level that is logged. */
 void
 logger_set_level(log_level_t level)
--- a/src/logger.h
+++ b/src/logger.h
@@ -9,7 +9,15 @@
 	LOG_LEVEL_DEBUG,
 } log_level_t;
 
+/* Where lines go, and how many. */
+typedef enum log_output_t {
+	LOG_OUTPUT_STDERR,
+	/* Never blocks: lines that the reader does not take are dropped. */
+	LOG_OUTPUT_STDOUT,
+} log_output_t;
+
 int logger_init(const char *name, log_level_t level);
+void logger_set_output(log_output_t output);
 void logger_set_level(log_level_t level);
 int logger_level_parse(const char *text, log_level_t *out);
 void logger_close(void);
--- /dev/null
+++ b/tests/harness_gateways.c
@@ -0,0 +1,470 @@
+/* A fleet of gateway hosts with stand-ins of the users' store and engines. */
+#include "harness_gateways.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <jansson.h>
+#include <sodium.h>
+
+#include "clock.h"
+
+#define STORE_ADDRESS	 "127.0.0.1"
+#define READY_TIMEOUT_S	 20
+#define TOKENS_PER_EVENT 8
+
+static void
+host_address(unsigned host, char *out, size_t size)
+{
+	snprintf(out, size, "127.0.0.%u", 21 + host);
+}
+
+static void
+engine_address(unsigned engine, char *out, size_t size)
+{
+	snprintf(out, size, "127.0.0.%u", 121 + engine);
+}
+
+static const char *
+zone_of(unsigned i)
+{
+	return (i % 2 == 0 ? "east" : "west");
+}
+
+/* Writes "http://IP:PORT" of a host's callers' interface. */
+void
+gateways_caller_url(
+    const gateways_t *fleet, unsigned host, char *out, size_t size)
+{
+	char ip[32];
+
+	host_address(host, ip, sizeof(ip));
+	snprintf(out, size, "http://%s:%u", ip, fleet->callers_port);
+}
+
+/* Starts a host that is not running. */
+void
+gateways_start_host(gateways_t *fleet, unsigned host)
+{
+	char ip[32];
+	char name[32];
+	char path[512];
+	char text[1024];
+
+	host_address(host, ip, sizeof(ip));
+	snprintf(name, sizeof(name), "host-%u", host);
+	snprintf(text, sizeof(text),
+	    "[gateway]\nname = %s\naddress = %s\nzone = %s\nsite = here\n"
+	    "store = http://%s\ncallers = %s:%u\nreadiness = %s:%u\n"
+	    "directory = %s:%u\npeer_port = %u\nperiod_ms = 200\n"
+	    "key = a-key-for-tests-only\nkeep_s = 0.5\nstop_s = 4\n",
+	    name, ip, zone_of(host), harness_address(fleet->store), ip,
+	    fleet->callers_port, ip, fleet->readiness_port, ip,
+	    fleet->directory_port, fleet->peer_port);
+	harness_write_file(name, text, path, sizeof(path));
+	fleet->hosts[host] = harness_start("daisypier-gateway",
+	    (const char *const[]){"--settings", path, NULL});
+}
+
+/* Starts an engine that is not running, under a new id. */
+void
+gateways_start_engine(gateways_t *fleet, unsigned engine)
+{
+	char ip[32];
+	char id[32];
+	char port[16];
+	char slots[16];
+	char event[16];
+	char store[96];
+
+	engine_address(engine, ip, sizeof(ip));
+	snprintf(
+	    id, sizeof(id), "e%u-%u", engine, fleet->engine_starts[engine]++);
+	snprintf(port, sizeof(port), "%u", fleet->engine_port);
+	snprintf(slots, sizeof(slots), "%u", fleet->params.slots);
+	snprintf(event, sizeof(event), "%u", fleet->params.event_ms);
+	snprintf(
+	    store, sizeof(store), "http://%s", harness_address(fleet->store));
+	fleet->engines[engine] = harness_start("standin-users-engine",
+	    (const char *const[]){"--address", ip, "--port", port, "--store",
+		store, "--service", "m", "--zone", zone_of(engine), "--id", id,
+		"--slots", slots, "--event-ms", event, NULL});
+}
+
+static void
+put_record(buf_t *out, const char *key, const char *value)
+{
+	size_t len = 1 + strlen(key) + strlen(value);
+
+	for (int shift = 24; shift >= 0; shift -= 8)
+		buf_append_char(out, (char)(len >> shift));
+	buf_append_char(out, (char)strlen(key));
+	buf_append(out, str_of(key));
+	buf_append(out, str_of(value));
+}
+
+/* Writes the next configuration; extra_routes may be empty. */
+void
+gateways_configure(gateways_t *fleet, const char *extra_routes)
+{
+	static const char common[] =
+	    "\"host\":\"" GATEWAYS_HOST "\",\"service\":\"m\","
+	    "\"timeout-ms\":5000,\"target-latency-ms\":300,\"priority\":0,"
+	    "\"sticky\":true,\"gap-aim-ms\":500";
+	buf_t text = {0};
+	buf_t body = {0};
+
+	fleet->config_version += 3;
+	buf_printf(&text,
+	    "{\"version\":%llu,\"services\":[{\"name\":\"m\","
+	    "\"max-connections\":250,\"engine\":{\"slots\":8,"
+	    "\"kv-capacity\":100000}}],\"routes\":["
+	    "{\"name\":\"once\",\"path-prefix\":\"/once/\",\"type\":\"stream\","
+	    "\"max-attempts\":1,\"resumable\":false,%s},"
+	    "{\"name\":\"resume\",\"path-prefix\":\"/resume/\","
+	    "\"type\":\"stream\",\"max-attempts\":4,\"resumable\":true,%s},"
+	    "{\"name\":\"jobs\",\"path-prefix\":\"/jobs/\",\"type\":\"batch\","
+	    "\"max-attempts\":3,\"resumable\":true,"
+	    "\"completion-window-ms\":18000,\"retention-s\":60,%s}%s]}",
+	    (unsigned long long)fleet->config_version, common, common, common,
+	    extra_routes);
+	put_record(&body, "config", text.data);
+	harness_post(NULL, str_buf(&body),
+	    "http://%s/-/log-append?topic=keyed.op&part=0",
+	    harness_address(fleet->store));
+	buf_free(&text);
+	buf_free(&body);
+}
+
+/* Sets the faults of the store; an empty query ends them. */
+void
+gateways_store_faults(gateways_t *fleet, const char *query)
+{
+	harness_post(NULL, (str_t){0}, "http://%s/admin/faults?%s",
+	    harness_address(fleet->store), query);
+}
+
+/* Sets the faults of an engine; an empty query ends them. */
+void
+gateways_engine_faults(gateways_t *fleet, unsigned engine, const char *query)
+{
+	harness_post(NULL, (str_t){0}, "http://%s/admin/faults?%s",
+	    harness_address(fleet->engines[engine]), query);
+}
+
+/* Returns how often the running engines ran a request. */
+unsigned
+gateways_runs(gateways_t *fleet, const char *id, bool *working)
+{
+	unsigned runs = 0;
+
+	*working = false;
+	for (unsigned i = 0; i < fleet->params.engines; i++) {
+		buf_t body = {0};
+		json_t *root;
+		json_t *row;
+
+		if (fleet->engines[i] == NULL)
+			continue;
+		harness_get(&body, "http://%s/admin/runs",
+		    harness_address(fleet->engines[i]));
+		root = json_loadb(body.data, body.len, 0, NULL);
+		row = json_object_get(root, id);
+		runs += (unsigned)json_integer_value(json_array_get(row, 0));
+		*working |= json_is_true(json_array_get(row, 2));
+		json_decref(root);
+		buf_free(&body);
+	}
+	return (runs);
+}
+
+typedef struct ready_wait_t {
+	const gateways_t *fleet;
+	unsigned host;
+} ready_wait_t;
+
+static bool
+is_ready(void *ctx)
+{
+	const ready_wait_t *wait = ctx;
+	char ip[32];
+
+	host_address(wait->host, ip, sizeof(ip));
+	return (harness_get(NULL, "http://%s:%u/-/ready", ip,
+		    wait->fleet->readiness_port) == 200);
+}
+
+/* Waits until a host says that it is ready. */
+bool
+gateways_wait_ready(gateways_t *fleet, unsigned host)
+{
+	ready_wait_t wait = {fleet, host};
+
+	return (harness_wait(is_ready, &wait, READY_TIMEOUT_S));
+}
+
+/* Starts the whole fleet and waits until every host is ready. */
+void
+gateways_start(gateways_t *fleet, const gateways_params_t *params)
+{
+	static const char *const host_ips[] = {"127.0.0.21", "127.0.0.22",
+	    "127.0.0.23", "127.0.0.24", "127.0.0.25", "127.0.0.26",
+	    "127.0.0.27", "127.0.0.28"};
+	static const char *const engine_ips[] = {"127.0.0.121", "127.0.0.122",
+	    "127.0.0.123", "127.0.0.124", "127.0.0.125", "127.0.0.126",
+	    "127.0.0.127", "127.0.0.128"};
+
+	*fleet = (gateways_t){.params = *params};
+	if (fleet->params.hosts == 0)
+		fleet->params.hosts = 3;
+	if (fleet->params.engines == 0)
+		fleet->params.engines = 2;
+	if (fleet->params.slots == 0)
+		fleet->params.slots = 8;
+	if (fleet->params.event_ms == 0)
+		fleet->params.event_ms = 10;
+	fleet->callers_port = harness_free_port(host_ips, GATEWAYS_MAX_HOSTS);
+	fleet->readiness_port = harness_free_port(host_ips, GATEWAYS_MAX_HOSTS);
+	fleet->directory_port = harness_free_port(host_ips, GATEWAYS_MAX_HOSTS);
+	fleet->peer_port = harness_free_port(host_ips, GATEWAYS_MAX_HOSTS);
+	fleet->engine_port =
+	    harness_free_port(engine_ips, GATEWAYS_MAX_ENGINES);
+	fleet->store = harness_start("standin-users-store",
+	    (const char *const[]){"--address", STORE_ADDRESS, NULL});
+	gateways_configure(fleet, "");
+	for (unsigned i = 0; i < fleet->params.engines; i++)
+		gateways_start_engine(fleet, i);
+	for (unsigned i = 0; i < fleet->params.hosts; i++)
+		gateways_start_host(fleet, i);
+	for (unsigned i = 0; i < fleet->params.hosts; i++)
+		gateways_wait_ready(fleet, i);
+	/* Engines write their entries after their ready line. */
+	harness_sleep(1);
+}
+
+static void
+stop(harness_process_t **process)
+{
+	if (*process != NULL)
+		harness_kill(*process);
+	*process = NULL;
+}
+
+/* Kills all processes of the fleet. */
+void
+gateways_end(gateways_t *fleet)
+{
+	for (unsigned i = 0; i < fleet->params.hosts; i++)
+		stop(&fleet->hosts[i]);
+	for (unsigned i = 0; i < fleet->params.engines; i++)
+		stop(&fleet->engines[i]);
+	stop(&fleet->store);
+}
+
+/* Returns whether a body holds exactly the events of a request. */
+static bool
+events_are_right(str_t body, const char *id, unsigned events)
+{
+	buf_t expected = {0};
+	bool right;
+
+	for (unsigned i = 0; i < events; i++)
+		buf_printf(&expected, "id: %u\ndata: %s.%u\n\n", i, id, i);
+	right = str_equal(body, str_buf(&expected));
+	buf_free(&expected);
+	return (right);
+}
+
+/* Asks one host for a stream and checks the answer. */
+gateways_stream_t
+gateways_stream(gateways_t *fleet, unsigned host, const char *prefix,
+    const char *id, unsigned events, double timeout)
+{
+	gateways_stream_t result = {.retry_after = -1};
+	harness_response_t response;
+	char base[64];
+	char url[160];
+	char id_header[160];
+	char tokens[96];
+	char patience[96];
+	char *retry;
+
+	gateways_caller_url(fleet, host, base, sizeof(base));
+	snprintf(url, sizeof(url), "%s%s%s", base, prefix, id);
+	snprintf(
+	    id_header, sizeof(id_header), "X-Daisypier-Request-Id: %s", id);
+	snprintf(tokens, sizeof(tokens), "X-Daisypier-Token-Usage: 100,%u",
+	    events * TOKENS_PER_EVENT);
+	snprintf(patience, sizeof(patience), "X-Daisypier-Deadline-Ms: %.0f",
+	    timeout * 1000);
+	harness_http(
+	    &(harness_request_t){
+		.method = "POST",
+		.url = url,
+		.headers = (const char *const[]){"Host: " GATEWAYS_HOST,
+		    id_header, tokens, patience, "Expect:", NULL},
+		.body = STR("prompt"),
+		.timeout = timeout,
+	    },
+	    &response);
+	result.whole = response.error == 0 && response.status != 0;
+	result.status = response.status;
+	result.right = response.status == 200 &&
+		       events_are_right(str_buf(&response.body), id, events);
+	retry = harness_header(&response, "Retry-After");
+	if (retry != NULL)
+		result.retry_after = strtod(retry, NULL);
+	free(retry);
+	harness_response_free(&response);
+	return (result);
+}
+
+/* Submits a job; item K has the id JOB-K. Returns the status. */
+int
+gateways_submit(gateways_t *fleet, unsigned host, const char *job,
+    unsigned items, unsigned events)
+{
+	harness_response_t response;
+	buf_t body = {0};
+	char base[64];
+	char url[160];
+	char id_header[160];
+	int status;
+
+	gateways_caller_url(fleet, host, base, sizeof(base));
+	snprintf(url, sizeof(url), "%s" GATEWAYS_JOBS "%s", base, job);
+	snprintf(
+	    id_header, sizeof(id_header), "X-Daisypier-Request-Id: %s", job);
+	buf_append(&body, STR("{\"items\":["));
+	for (unsigned i = 0; i < items; i++)
+		buf_printf(&body,
+		    "%s{\"id\":\"%s-%u\",\"path\":\"" GATEWAYS_JOBS
+		    "%u\",\"headers\":{\"X-Daisypier-Token-Usage\":\"10,%u\"},"
+		    "\"body\":\"cHJvbXB0\",\"tokens\":%u}",
+		    i > 0 ? "," : "", job, i, i, events * TOKENS_PER_EVENT,
+		    events * TOKENS_PER_EVENT);
+	buf_append(&body, STR("]}"));
+	harness_http(
+	    &(harness_request_t){
+		.method = "POST",
+		.url = url,
+		.headers =
+		    (const char *const[]){"Host: " GATEWAYS_HOST, id_header,
+			"Content-Type: application/json", "Expect:", NULL},
+		.body = str_buf(&body),
+		.timeout = 5,
+	    },
+	    &response);
+	status = response.error == 0 ? response.status : 0;
+	harness_response_free(&response);
+	buf_free(&body);
+	return (status);
+}
+
+/* Reads results from a position on. Returns the status; 0: no answer. */
+int
+gateways_results(gateways_t *fleet, unsigned host, const char *job,
+    unsigned after, buf_t *body)
+{
+	harness_response_t response;
+	char base[64];
+	char url[200];
+	int status;
+
+	gateways_caller_url(fleet, host, base, sizeof(base));
+	snprintf(url, sizeof(url), "%s/-/lots/%s?after=%u", base, job, after);
+	harness_http(
+	    &(harness_request_t){
+		.url = url,
+		.headers = (const char *const[]){"Host: " GATEWAYS_HOST,
+		    "X-Daisypier-Wait-Ms: 300", NULL},
+		.timeout = 4,
+	    },
+	    &response);
+	status = response.error == 0 ? response.status : 0;
+	if (status == 200)
+		buf_append(body, str_buf(&response.body));
+	harness_response_free(&response);
+	return (status);
+}
+
+/* Checks one result's text. */
+static bool
+result_is_right(json_t *row, unsigned events)
+{
+	const char *id = json_string_value(json_object_get(row, "id"));
+	const char *state = json_string_value(json_object_get(row, "state"));
+	const char *text = json_string_value(json_object_get(row, "output"));
+	buf_t expected = {0};
+	bool right;
+
+	if (id == NULL || state == NULL || text == NULL)
+		return (false);
+	for (unsigned i = 0; i < events; i++)
+		buf_printf(&expected, "%s%s.%u", i > 0 ? "\n" : "", id, i);
+	right = strcmp(state, "done") == 0 &&
+		str_equal(str_of(text), str_buf(&expected));
+	buf_free(&expected);
+	return (right);
+}
+
+/*
+ * Reads a job at all hosts in turn until every item has its result. Returns
+ * whether each item is listed once with its whole text, and no position ever
+ * changed.
+ */
+bool
+gateways_wait_job(gateways_t *fleet, const char *job, unsigned items,
+    unsigned events, double timeout)
+{
+	double end = clock_monotonic() + timeout;
+	char(*seen)[96] = xcalloc(items + 1, sizeof(*seen));
+	unsigned known = 0;
+	bool right = true;
+
+	for (unsigned turn = 0; right && clock_monotonic() < end; turn++) {
+		unsigned host = turn % fleet->params.hosts;
+		unsigned after = turn % 3 == 0 ? 0 : known;
+		buf_t body = {0};
+		json_t *root;
+		json_t *rows;
+		json_t *row;
+		size_t i;
+
+		if (fleet->hosts[host] == NULL ||
+		    gateways_results(fleet, host, job, after, &body) != 200) {
+			harness_sleep(0.05);
+			buf_free(&body);
+			continue;
+		}
+		root = json_loadb(body.data, body.len, 0, NULL);
+		rows = json_object_get(root, "results");
+		json_array_foreach(rows, i, row)
+		{
+			const char *id =
+			    json_string_value(json_object_get(row, "id"));
+			size_t at = after + i;
+
+			right &=
+			    result_is_right(row, events) && at < items &&
+			    (seen[at][0] == '\0' || strcmp(seen[at], id) == 0);
+			if (!right)
+				break;
+			str_copy(seen[at], sizeof(seen[at]), str_of(id));
+			if (at + 1 > known)
+				known = (unsigned)at + 1;
+		}
+		right &=
+		    json_integer_value(json_object_get(root, "total")) == items;
+		json_decref(root);
+		buf_free(&body);
+		if (known == items)
+			break;
+	}
+	for (unsigned i = 0; i < known; i++)
+		for (unsigned k = i + 1; k < known; k++)
+			right &= strcmp(seen[i], seen[k]) != 0;
+	free(seen);
+	return (right && known == items);
+}
--- /dev/null
+++ b/tests/harness_gateways.h
@@ -0,0 +1,67 @@
+/* A fleet of gateway hosts with stand-ins of the users' store and engines. */
+#ifndef DAISYPIER_TESTS_HARNESS_GATEWAYS_H
+#define DAISYPIER_TESTS_HARNESS_GATEWAYS_H
+
+#include "harness.h"
+
+#define GATEWAYS_MAX_HOSTS   8
+#define GATEWAYS_MAX_ENGINES 8
+/* Host name of the routes of the fleet's configuration. */
+#define GATEWAYS_HOST "calls.example"
+/* Prefixes of its routes. */
+#define GATEWAYS_ONCE	"/once/"   /* streams that run at most once */
+#define GATEWAYS_RESUME "/resume/" /* streams that may be resumed */
+#define GATEWAYS_JOBS	"/jobs/"   /* jobs */
+
+typedef struct gateways_params_t {
+	unsigned hosts;	   /* 0: 3 */
+	unsigned engines;  /* 0: 2 */
+	unsigned slots;	   /* of an engine; 0: 8 */
+	unsigned event_ms; /* between events; 0: 10 */
+} gateways_params_t;
+
+typedef struct gateways_t {
+	gateways_params_t params;
+	harness_process_t *store;
+	harness_process_t *hosts[GATEWAYS_MAX_HOSTS];
+	harness_process_t *engines[GATEWAYS_MAX_ENGINES];
+	unsigned engine_starts[GATEWAYS_MAX_ENGINES];
+	uint16_t engine_port;
+	uint16_t callers_port;
+	uint16_t readiness_port;
+	uint16_t directory_port;
+	uint16_t peer_port;
+	uint64_t config_version;
+} gateways_t;
+
+void gateways_start(gateways_t *fleet, const gateways_params_t *params);
+void gateways_end(gateways_t *fleet);
+void gateways_start_host(gateways_t *fleet, unsigned host);
+void gateways_start_engine(gateways_t *fleet, unsigned engine);
+bool gateways_wait_ready(gateways_t *fleet, unsigned host);
+void gateways_configure(gateways_t *fleet, const char *extra_routes);
+void gateways_store_faults(gateways_t *fleet, const char *query);
+void gateways_engine_faults(
+    gateways_t *fleet, unsigned engine, const char *query);
+unsigned gateways_runs(gateways_t *fleet, const char *id, bool *working);
+void gateways_caller_url(
+    const gateways_t *fleet, unsigned host, char *out, size_t size);
+
+/* One stream; events is how many it should have. */
+typedef struct gateways_stream_t {
+	int status;	    /* 0: none */
+	bool whole;	    /* the answer ended as complete */
+	bool right;	    /* all events in order, none missing */
+	double retry_after; /* seconds; negative: none */
+} gateways_stream_t;
+
+gateways_stream_t gateways_stream(gateways_t *fleet, unsigned host,
+    const char *prefix, const char *id, unsigned events, double timeout);
+int gateways_submit(gateways_t *fleet, unsigned host, const char *job,
+    unsigned items, unsigned events);
+int gateways_results(gateways_t *fleet, unsigned host, const char *job,
+    unsigned after, buf_t *body);
+bool gateways_wait_job(gateways_t *fleet, const char *job, unsigned items,
+    unsigned events, double timeout);
+
+#endif
--- /dev/null
+++ b/tests/test_fail_gateway.c
@@ -0,0 +1,235 @@
+/* Gateway hosts as processes, with stand-ins, under failures. */
+#include "suite.h"
+
+#include <pthread.h>
+#include <signal.h>
+#include <stdio.h>
+
+#include "clock.h"
+#include "harness_gateways.h"
+
+static gateways_t fleet;
+
+/* Guards against streams that are changed, cut or joined on the way. */
+static void
+test_streams_arrive_whole(void)
+{
+	char id[32];
+
+	gateways_start(&fleet, &(gateways_params_t){0});
+	for (unsigned i = 0; i < 20; i++) {
+		gateways_stream_t s;
+
+		snprintf(id, sizeof(id), "a%u", i);
+		s = gateways_stream(&fleet, i % 3,
+		    i % 2 == 0 ? GATEWAYS_ONCE : GATEWAYS_RESUME, id, 12, 5);
+		CU_ASSERT(s.status == 200 && s.whole && s.right);
+	}
+	gateways_end(&fleet);
+}
+
+/*
+ * Guards against a second run of what may run once, and against a resumable
+ * stream that ends or has a gap when its engine breaks off.
+ */
+static void
+test_engines_break_off(void)
+{
+	unsigned resumed = 0;
+	char id[32];
+	bool working;
+
+	gateways_start(&fleet, &(gateways_params_t){0});
+	for (unsigned i = 0; i < 2; i++)
+		gateways_engine_faults(&fleet, i, "break=0.5");
+	for (unsigned i = 0; i < 30; i++) {
+		gateways_stream_t s;
+
+		snprintf(id, sizeof(id), "b%u", i);
+		s = gateways_stream(&fleet, i % 3, GATEWAYS_RESUME, id, 12, 5);
+		CU_ASSERT(!(s.whole && s.status == 200) || s.right);
+		resumed += s.right && gateways_runs(&fleet, id, &working) > 1;
+		snprintf(id, sizeof(id), "c%u", i);
+		s = gateways_stream(&fleet, i % 3, GATEWAYS_ONCE, id, 12, 5);
+		CU_ASSERT(!(s.whole && s.status == 200) || s.right);
+		CU_ASSERT(gateways_runs(&fleet, id, &working) <= 1);
+		CU_ASSERT((s.status != 503 && s.status != 429) ||
+			  gateways_runs(&fleet, id, &working) == 0);
+	}
+	CU_ASSERT(resumed >= 5);
+	gateways_end(&fleet);
+}
+
+/* Guards against a lost or doubled item when the owner of its job dies. */
+static void
+test_job_survives_its_hosts(void)
+{
+	gateways_start(&fleet, &(gateways_params_t){.event_ms = 20});
+	CU_ASSERT(gateways_submit(&fleet, 0, "job-k", 24, 30) == 202);
+	harness_sleep(0.5);
+	for (unsigned i = 0; i < 3; i++) {
+		harness_kill(fleet.hosts[i]);
+		fleet.hosts[i] = NULL;
+		harness_sleep(0.3);
+		gateways_start_host(&fleet, i);
+	}
+	CU_ASSERT(gateways_wait_job(&fleet, "job-k", 24, 30, 60));
+	gateways_end(&fleet);
+}
+
+/* Guards against a job accepted twice or not at all when answers are lost. */
+static void
+test_job_through_lost_answers(void)
+{
+	int status;
+
+	gateways_start(&fleet, &(gateways_params_t){0});
+	gateways_store_faults(&fleet, "lose=0.4&late=2");
+	status = gateways_submit(&fleet, 0, "job-l", 10, 12);
+	CU_ASSERT(status == 202 || status == 504);
+	if (status != 202)
+		CU_ASSERT(gateways_submit(&fleet, 1, "job-l", 10, 12) != 0);
+	harness_sleep(2);
+	gateways_store_faults(&fleet, "");
+	CU_ASSERT(gateways_submit(&fleet, 2, "job-l", 10, 12) == 202);
+	CU_ASSERT(gateways_wait_job(&fleet, "job-l", 10, 12, 60));
+	gateways_end(&fleet);
+}
+
+/*
+ * Guards against promises that the store did not give, against online requests
+ * that depend on the store, and against "no such job" from a host that cannot
+ * know.
+ */
+static void
+test_store_outage(void)
+{
+	gateways_stream_t s;
+	buf_t body = {0};
+
+	gateways_start(&fleet, &(gateways_params_t){0});
+	gateways_store_faults(&fleet, "silent=1");
+	CU_ASSERT(gateways_submit(&fleet, 0, "job-o", 3, 4) != 202);
+	harness_sleep(1.5);
+	s = gateways_stream(&fleet, 1, GATEWAYS_ONCE, "o1", 8, 5);
+	CU_ASSERT(s.right);
+	CU_ASSERT(gateways_results(&fleet, 1, "job-none", 0, &body) == 503);
+	gateways_store_faults(&fleet, "busy=1");
+	harness_sleep(1.5);
+	CU_ASSERT(gateways_submit(&fleet, 1, "job-p", 3, 4) == 503);
+	gateways_store_faults(&fleet, "");
+	CU_ASSERT(gateways_wait_ready(&fleet, 0));
+	harness_sleep(1.5);
+	CU_ASSERT(gateways_results(&fleet, 1, "job-none", 0, &body) == 404);
+	CU_ASSERT(gateways_submit(&fleet, 2, "job-o", 3, 4) == 202);
+	CU_ASSERT(gateways_wait_job(&fleet, "job-o", 3, 4, 30));
+	buf_free(&body);
+	gateways_end(&fleet);
+}
+
+/* Guards against a host that stops following after its history expired. */
+static void
+test_forgotten_history(void)
+{
+	gateways_stream_t s;
+
+	gateways_start(&fleet, &(gateways_params_t){0});
+	gateways_store_faults(&fleet, "silent=1");
+	harness_sleep(0.3);
+	gateways_store_faults(&fleet, "forget=1");
+	gateways_configure(&fleet,
+	    ",{\"name\":\"new\",\"host\":\"" GATEWAYS_HOST
+	    "\",\"path-prefix\":\"/new/\",\"type\":\"stream\",\"service\":"
+	    "\"m\",\"max-attempts\":1,\"timeout-ms\":5000}");
+	harness_sleep(2);
+	for (unsigned i = 0; i < 3; i++) {
+		char id[16];
+
+		snprintf(id, sizeof(id), "f%u", i);
+		s = gateways_stream(&fleet, i, "/new/", id, 5, 5);
+		CU_ASSERT(s.right);
+	}
+	gateways_end(&fleet);
+}
+
+/* Guards against an engine that works on for a caller who has left. */
+static void
+test_caller_leaves(void)
+{
+	bool working = true;
+
+	gateways_start(&fleet, &(gateways_params_t){.event_ms = 100});
+	gateways_stream(&fleet, 0, GATEWAYS_ONCE, "g1", 100, 0.4);
+	harness_sleep(0.5);
+	CU_ASSERT(gateways_runs(&fleet, "g1", &working) == 1);
+	CU_ASSERT(!working);
+	gateways_end(&fleet);
+}
+
+/* Streams that run while hosts stop as planned. */
+typedef struct callers_t {
+	unsigned first;
+	unsigned cut;
+	unsigned served;
+	volatile bool stop;
+} callers_t;
+
+static void *
+call_all_the_time(void *ctx)
+{
+	callers_t *callers = ctx;
+	char id[32];
+
+	for (unsigned i = 0; !callers->stop; i++) {
+		/* Like a caller with a fresh list: not the leaving host 0. */
+		unsigned host = callers->first == 0 ? 0 : 1 + i % 2;
+		gateways_stream_t s;
+
+		snprintf(id, sizeof(id), "s%u-%u", callers->first, i);
+		s = gateways_stream(&fleet, host, GATEWAYS_ONCE, id, 20, 5);
+		callers->served += s.right;
+		if (callers->first == 0)
+			break;
+		callers->cut += !s.right;
+	}
+	return (NULL);
+}
+
+/* Guards against requests that a planned stop cuts off. */
+static void
+test_planned_stop(void)
+{
+	callers_t callers[3] = {{.first = 0}, {.first = 1}, {.first = 2}};
+	pthread_t threads[3];
+
+	gateways_start(&fleet, &(gateways_params_t){.event_ms = 50});
+	for (unsigned i = 0; i < 3; i++)
+		pthread_create(
+		    &threads[i], NULL, call_all_the_time, &callers[i]);
+	harness_sleep(0.4);
+	harness_signal(fleet.hosts[0], SIGTERM);
+	CU_ASSERT(harness_wait_exit(fleet.hosts[0], 8) == 0);
+	fleet.hosts[0] = NULL;
+	harness_sleep(1);
+	for (unsigned i = 0; i < 3; i++)
+		callers[i].stop = true;
+	for (unsigned i = 0; i < 3; i++)
+		pthread_join(threads[i], NULL);
+	CU_ASSERT(callers[0].served == 1);
+	CU_ASSERT(callers[1].cut == 0 && callers[1].served > 0);
+	CU_ASSERT(callers[2].cut == 0 && callers[2].served > 0);
+	gateways_end(&fleet);
+}
+
+static const suite_test_t tests[] = {
+    {"streams arrive whole", test_streams_arrive_whole},
+    {"engines break off", test_engines_break_off},
+    {"a job survives its hosts", test_job_survives_its_hosts},
+    {"a job through lost answers", test_job_through_lost_answers},
+    {"store outage", test_store_outage},
+    {"forgotten history", test_forgotten_history},
+    {"a caller leaves", test_caller_leaves},
+    {"planned stop", test_planned_stop},
+};
+
+SUITE_MAIN("fail_gateway", tests)
