Hand unfinished items to the next owner and hold partitions at a start

Change: PEER_JOB_HANDOVER carries the output, last event and failures of items; a starting host takes a partition only when placement named it for 1.5 s.

--- a/src/job_partition.c
+++ b/src/job_partition.c
@@ -27,6 +27,8 @@
 /* Bytes of results in one append and in one answer. */
 #define MAX_APPEND_BYTES 1000000
 #define MAX_ANSWER_BYTES 900000
+/* What was handed over is of use for this long, in seconds. */
+#define HANDED_KEEP_S 10.0
 /* Jobs are checked for their end of life this often, in seconds. */
 #define FORGET_INTERVAL_S 10.0
 
@@ -41,12 +43,23 @@
 
 TAILQ_HEAD(finished_list_t, finished_item_t);
 
+/* What the last owner told of an item whose job is not known here yet. */
+typedef struct handed_item_t {
+	char job[JOB_ID_SIZE];
+	char item[JOB_ID_SIZE];
+	buf_t output;
+	item_progress_t progress;
+	double arrived;
+	TAILQ_ENTRY(handed_item_t) entry;
+} handed_item_t;
+
 struct job_partition_t {
 	job_partition_params_t params;
 	follower_t *follower;
 	job_table_t *table;
 	job_runner_t *runner;
 	struct finished_list_t finished;
+	TAILQ_HEAD(, handed_item_t) handed;
 	store_call_t *append;
 	LIST_HEAD(, job_read_t) reads;
 	ev_timer read_tick;
@@ -65,6 +78,7 @@
 };
 
 static void partition_append(job_partition_t *partition);
+static void handed_apply(job_partition_t *partition, const stored_job_t *job);
 
 /* Packs the results from a position on, as many as one answer holds. */
 void
@@ -422,6 +436,7 @@
 		    partition->params.partition, job->job.item_count,
 		    job->listed);
 		job_runner_add(partition->runner, job);
+		handed_apply(partition, job);
 		break;
 	case JOB_CHANGE_LISTED:
 		job_runner_listed(partition->runner, job);
@@ -538,11 +553,81 @@
 	job_records_free(&records);
 }
 
-/* At a planned stop no item begins here any more. */
+static void
+on_progress(void *ctx, const item_progress_t *progress)
+{
+	job_handover_add(ctx, progress);
+}
+
+/* Stops all work and writes down what the next owner can go on with. */
 void
-job_partition_drain(job_partition_t *partition)
+job_partition_export(job_partition_t *partition, job_handover_t *handover)
 {
+	const finished_item_t *finished;
+
 	job_runner_set_paused(partition->runner, true);
+	finished_prune(partition);
+	handover->partition = partition->params.partition;
+	TAILQ_FOREACH (finished, &partition->finished, entry)
+		job_handover_add(
+		    handover, &(item_progress_t){
+				  .job = str_of(finished->job),
+				  .item = str_of(finished->item),
+				  .stage = ITEM_STAGE_FINISHED,
+				  .outcome = finished->outcome,
+				  .output = str_buf(&finished->output),
+			      });
+	job_runner_export(partition->runner, on_progress, handover);
+}
+
+static void
+handed_free(job_partition_t *partition, handed_item_t *handed)
+{
+	TAILQ_REMOVE(&partition->handed, handed, entry);
+	buf_free(&handed->output);
+	free(handed);
+}
+
+/* Takes over what the last owner knew of an item, now or once it is known. */
+void
+job_partition_import(
+    job_partition_t *partition, const item_progress_t *progress)
+{
+	const stored_job_t *job =
+	    job_table_find(partition->table, progress->job);
+	handed_item_t *handed;
+
+	if (job != NULL && job_runner_import(partition->runner, job, progress))
+		return;
+	handed = xcalloc(1, sizeof(*handed));
+	handed->progress = *progress;
+	str_copy(handed->job, sizeof(handed->job), progress->job);
+	str_copy(handed->item, sizeof(handed->item), progress->item);
+	buf_append(&handed->output, progress->output);
+	handed->progress.job = str_of(handed->job);
+	handed->progress.item = str_of(handed->item);
+	handed->progress.output = str_buf(&handed->output);
+	handed->arrived = clock_monotonic();
+	TAILQ_INSERT_TAIL(&partition->handed, handed, entry);
+}
+
+/* Uses what was handed over before the job was known. */
+static void
+handed_apply(job_partition_t *partition, const stored_job_t *job)
+{
+	handed_item_t *handed = TAILQ_FIRST(&partition->handed);
+	double now = clock_monotonic();
+
+	while (handed != NULL) {
+		handed_item_t *next = TAILQ_NEXT(handed, entry);
+		bool taken = str_equal(handed->progress.job, str_of(job->id)) &&
+			     job_runner_import(
+				 partition->runner, job, &handed->progress);
+
+		if (taken || now - handed->arrived > HANDED_KEEP_S)
+			handed_free(partition, handed);
+		handed = next;
+	}
 }
 
 /* Begins to own a partition: its jobs are read, then run. */
@@ -554,6 +639,7 @@
 
 	partition->params = *params;
 	TAILQ_INIT(&partition->finished);
+	TAILQ_INIT(&partition->handed);
 	LIST_INIT(&partition->reads);
 	runner.on_finished = on_finished;
 	runner.finished_ctx = partition;
@@ -599,5 +685,7 @@
 	job_runner_delete(partition->runner);
 	while (!TAILQ_EMPTY(&partition->finished))
 		finished_free(partition, TAILQ_FIRST(&partition->finished));
+	while (!TAILQ_EMPTY(&partition->handed))
+		handed_free(partition, TAILQ_FIRST(&partition->handed));
 	free(partition);
 }
--- a/src/job_partition.h
+++ b/src/job_partition.h
@@ -26,7 +26,9 @@
 
 job_partition_t *job_partition_new(const job_partition_params_t *params);
 void job_partition_delete(job_partition_t *partition);
-void job_partition_drain(job_partition_t *partition);
+void job_partition_export(job_partition_t *partition, job_handover_t *handover);
+void job_partition_import(
+    job_partition_t *partition, const item_progress_t *progress);
 job_read_t *job_partition_read(job_partition_t *partition,
     const job_call_t *call, job_read_cb_t on_done, void *ctx);
 void job_read_cancel(job_read_t *read);
--- a/src/job_run.h
+++ b/src/job_run.h
@@ -7,6 +7,7 @@
 #include "dialect.h"
 #include "grants.h"
 #include "httpc.h"
+#include "job_handover.h"
 #include "job_table.h"
 
 typedef struct job_runner_t job_runner_t;
@@ -32,6 +33,10 @@
 void job_runner_add(job_runner_t *runner, stored_job_t *job);
 void job_runner_listed(job_runner_t *runner, stored_job_t *job);
 void job_runner_remove(job_runner_t *runner, stored_job_t *job);
+void job_runner_export(
+    job_runner_t *runner, item_progress_cb_t on_progress, void *ctx);
+bool job_runner_import(job_runner_t *runner, const stored_job_t *job,
+    const item_progress_t *progress);
 void job_runner_set_paused(job_runner_t *runner, bool paused);
 
 #endif
--- a/src/jobs.c
+++ b/src/jobs.c
@@ -15,10 +15,19 @@
 #include "placement.h"
 #include "result.h"
 
+/*
+ * A host that has just started does not know the others yet and would take all
+ * partitions; later a short hold keeps a partition from moving twice, in
+ * seconds.
+ */
+#define TAKE_HOLD_AT_START_S 1.5
+#define TAKE_HOLD_S	     0.1
+#define STARTING_S	     3.0
+#define HANDOVER_TIMEOUT_S   2.0
 /* Until a caller gets a final answer to a job or its end, in seconds. */
 #define WRITE_TIME_S 3.2
 /* Ownership follows placement at the latest after this, in seconds. */
-#define PLACE_INTERVAL_S 0.5
+#define PLACE_INTERVAL_S 0.25
 /* Time for another host's answer beyond the wait it was asked to do. */
 #define READ_TIMEOUT_S 1.2
 /* Longest wait for a result that a caller may ask for, in seconds. */
@@ -35,6 +44,9 @@
 struct jobs_t {
 	jobs_params_t params;
 	job_partition_t *partitions[STORE_PARTITIONS]; /* NULL: not owned */
+	/* Monotonic time since when placement names this host; 0: another. */
+	double named_since[STORE_PARTITIONS];
+	double started;
 	LIST_HEAD(, job_query_t) queries;
 	LIST_HEAD(, job_serve_t) serves;
 	LIST_HEAD(, job_write_link_t) writes;
@@ -121,17 +133,49 @@
 }
 
 static void
-partition_close(jobs_t *jobs, unsigned partition)
+on_handed_over(void *ctx, const peer_reply_t *reply)
 {
-	LOG_INFO("partition_given_up", "partition=%u", partition);
+	(void)ctx;
+	if (reply->rc != 0)
+		LOG_WARN("handover_failed", "cause=%s", result_name(reply->rc));
+}
+
+/* Gives a partition up and tells the next owner what it can go on with. */
+static void
+partition_close(jobs_t *jobs, unsigned partition, const member_t *owner)
+{
+	job_handover_t handover = {0};
+	buf_t body = {0};
+
+	job_partition_export(jobs->partitions[partition], &handover);
+	LOG_INFO("partition_given_up", "partition=%u owner=%s items=%zu",
+	    partition, owner != NULL ? owner->name : "", handover.count);
+	if (owner != NULL && handover.count > 0) {
+		job_handover_pack(&handover, &body);
+		peer_call(jobs->params.peer, owner->address, PEER_JOB_HANDOVER,
+		    str_buf(&body), HANDOVER_TIMEOUT_S, on_handed_over, NULL);
+	}
+	buf_free(&body);
+	job_handover_free(&handover);
 	job_partition_delete(jobs->partitions[partition]);
 	jobs->partitions[partition] = NULL;
 }
 
+/* Whether placement has named this host for long enough. */
+static bool
+may_take(const jobs_t *jobs, unsigned partition, double now)
+{
+	double hold = now - jobs->started < STARTING_S ? TAKE_HOLD_AT_START_S
+						       : TAKE_HOLD_S;
+
+	return (now - jobs->named_since[partition] >= hold);
+}
+
 /* Takes and gives up partitions as placement says. */
 static void
 jobs_place(jobs_t *jobs)
 {
+	double now = clock_monotonic();
 	size_t owned = 0;
 
 	for (unsigned i = 0; i < STORE_PARTITIONS; i++) {
@@ -139,15 +183,54 @@
 		bool own = owner != NULL &&
 			   strcmp(owner->name, jobs->params.host) == 0;
 
-		if (own && jobs->partitions[i] == NULL)
+		if (!own)
+			jobs->named_since[i] = 0;
+		else if (jobs->named_since[i] <= 0)
+			jobs->named_since[i] = now;
+		if (own && jobs->partitions[i] == NULL &&
+		    may_take(jobs, i, now))
 			partition_open(jobs, i);
 		else if (!own && owner != NULL && jobs->partitions[i] != NULL)
-			partition_close(jobs, i);
+			partition_close(jobs, i, owner);
 		owned += jobs->partitions[i] != NULL;
 	}
 	gauge_set(jobs->counters.owned, (double)owned);
 }
 
+static void
+on_item_handed(void *ctx, const item_progress_t *progress)
+{
+	jobs_t *jobs = ctx;
+	unsigned partition = job_partition_of(progress->job);
+
+	if (jobs->partitions[partition] != NULL)
+		job_partition_import(jobs->partitions[partition], progress);
+}
+
+/* Another host gives a partition up and names this one as the next owner. */
+static void
+on_peer_handover(void *ctx, peer_request_t *request, const msgpack_object *body)
+{
+	jobs_t *jobs = ctx;
+	unsigned partition = 0;
+	int rc;
+
+	wire_reader_t reader = wire_reader(body);
+
+	partition = (unsigned)wire_read_u64(&reader);
+	if (reader.fault || partition >= STORE_PARTITIONS) {
+		peer_request_reply(request, -RESULT_BAD_REQUEST, (str_t){0});
+		return;
+	}
+	/* The other host knows earlier that it is this one's turn. */
+	if (jobs->partitions[partition] == NULL && !jobs->draining)
+		partition_open(jobs, partition);
+	rc = job_handover_read(body, &partition, on_item_handed, jobs);
+	LOG_INFO("partition_handed_over", "partition=%u from=%s cause=%s",
+	    partition, peer_request_address(request), result_name(rc));
+	peer_request_reply(request, rc, (str_t){0});
+}
+
 static void
 on_place_timer(struct ev_loop *loop, ev_timer *timer, int events)
 {
@@ -169,9 +252,7 @@
 jobs_drain(jobs_t *jobs)
 {
 	jobs->draining = true;
-	for (unsigned i = 0; i < STORE_PARTITIONS; i++)
-		if (jobs->partitions[i] != NULL)
-			job_partition_drain(jobs->partitions[i]);
+	jobs_place(jobs);
 }
 
 static void
@@ -466,7 +547,9 @@
 	    PLACE_INTERVAL_S);
 	jobs->place_timer.data = jobs;
 	ev_timer_start(params->loop, &jobs->place_timer);
+	jobs->started = clock_monotonic();
 	peer_handle(params->peer, PEER_JOB_READ, on_peer_read, jobs);
+	peer_handle(params->peer, PEER_JOB_HANDOVER, on_peer_handover, jobs);
 	return (jobs);
 }
 
@@ -477,6 +560,7 @@
 	job_write_link_t *link;
 
 	peer_handle(jobs->params.peer, PEER_JOB_READ, NULL, NULL);
+	peer_handle(jobs->params.peer, PEER_JOB_HANDOVER, NULL, NULL);
 	ev_timer_stop(jobs->params.loop, &jobs->place_timer);
 	while (!LIST_EMPTY(&jobs->queries)) {
 		job_query_t *query = LIST_FIRST(&jobs->queries);
@@ -486,7 +570,7 @@
 	}
 	for (unsigned i = 0; i < STORE_PARTITIONS; i++)
 		if (jobs->partitions[i] != NULL)
-			partition_close(jobs, i);
+			partition_close(jobs, i, NULL);
 	while ((link = LIST_FIRST(&jobs->writes)) != NULL) {
 		job_write_cancel(link->write);
 		LIST_REMOVE(link, entry);
--- a/tests/harness_gateways.c
+++ b/tests/harness_gateways.c
@@ -153,13 +153,18 @@
 	    harness_address(fleet->engines[engine]), query);
 }
 
-/* Returns how often the running engines ran a request. */
-unsigned
-gateways_runs(gateways_t *fleet, const char *id, bool *working)
+static unsigned
+field(json_t *row, size_t index)
 {
-	unsigned runs = 0;
+	return ((unsigned)json_integer_value(json_array_get(row, index)));
+}
+
+/* Returns what the running engines did for a request. */
+gateways_runs_t
+gateways_runs(gateways_t *fleet, const char *id)
+{
+	gateways_runs_t total = {0};
 
-	*working = false;
 	for (unsigned i = 0; i < fleet->params.engines; i++) {
 		buf_t body = {0};
 		json_t *root;
@@ -171,12 +176,14 @@
 		    harness_address(fleet->engines[i]));
 		root = json_loadb(body.data, body.len, 0, NULL);
 		row = json_object_get(root, id);
-		runs += (unsigned)json_integer_value(json_array_get(row, 0));
-		*working |= json_is_true(json_array_get(row, 2));
+		total.runs += field(row, 0);
+		total.complete += field(row, 1);
+		total.working |= json_is_true(json_array_get(row, 2));
+		total.resumed += field(row, 3);
 		json_decref(root);
 		buf_free(&body);
 	}
-	return (runs);
+	return (total);
 }
 
 typedef struct ready_wait_t {
--- a/tests/harness_gateways.h
+++ b/tests/harness_gateways.h
@@ -43,7 +43,15 @@
 void gateways_store_faults(gateways_t *fleet, const char *query);
 void gateways_engine_faults(
     gateways_t *fleet, unsigned engine, const char *query);
-unsigned gateways_runs(gateways_t *fleet, const char *id, bool *working);
+/* What the running engines did for one request. */
+typedef struct gateways_runs_t {
+	unsigned runs;
+	unsigned complete;
+	unsigned resumed; /* runs that went on after an event */
+	bool working;
+} gateways_runs_t;
+
+gateways_runs_t gateways_runs(gateways_t *fleet, const char *id);
 void gateways_caller_url(
     const gateways_t *fleet, unsigned host, char *out, size_t size);
 
--- a/tests/test_fail_gateway.c
+++ b/tests/test_fail_gateway.c
@@ -37,7 +37,6 @@
 {
 	unsigned resumed = 0;
 	char id[32];
-	bool working;
 
 	gateways_start(&fleet, &(gateways_params_t){0});
 	for (unsigned i = 0; i < 2; i++)
@@ -48,13 +47,13 @@
 		snprintf(id, sizeof(id), "b%u", i);
 		s = gateways_stream(&fleet, i % 3, GATEWAYS_RESUME, id, 12, 5);
 		CU_ASSERT(!(s.whole && s.status == 200) || s.right);
-		resumed += s.right && gateways_runs(&fleet, id, &working) > 1;
+		resumed += s.right && gateways_runs(&fleet, id).runs > 1;
 		snprintf(id, sizeof(id), "c%u", i);
 		s = gateways_stream(&fleet, i % 3, GATEWAYS_ONCE, id, 12, 5);
 		CU_ASSERT(!(s.whole && s.status == 200) || s.right);
-		CU_ASSERT(gateways_runs(&fleet, id, &working) <= 1);
+		CU_ASSERT(gateways_runs(&fleet, id).runs <= 1);
 		CU_ASSERT((s.status != 503 && s.status != 429) ||
-			  gateways_runs(&fleet, id, &working) == 0);
+			  gateways_runs(&fleet, id).runs == 0);
 	}
 	CU_ASSERT(resumed >= 5);
 	gateways_end(&fleet);
@@ -156,13 +155,14 @@
 static void
 test_caller_leaves(void)
 {
-	bool working = true;
+	gateways_runs_t runs;
 
 	gateways_start(&fleet, &(gateways_params_t){.event_ms = 100});
 	gateways_stream(&fleet, 0, GATEWAYS_ONCE, "g1", 100, 0.4);
 	harness_sleep(0.5);
-	CU_ASSERT(gateways_runs(&fleet, "g1", &working) == 1);
-	CU_ASSERT(!working);
+	runs = gateways_runs(&fleet, "g1");
+	CU_ASSERT(runs.runs == 1);
+	CU_ASSERT(!runs.working);
 	gateways_end(&fleet);
 }
 
@@ -221,6 +221,37 @@
 	gateways_end(&fleet);
 }
 
+/*
+ * Guards against items that begin anew when the owner of their job stops as
+ * planned: without the hand-over every run starts at the first event.
+ */
+static void
+test_planned_stop_hands_items_over(void)
+{
+	unsigned resumed = 0;
+	unsigned complete = 0;
+	char id[32];
+
+	gateways_start(&fleet, &(gateways_params_t){.event_ms = 40});
+	CU_ASSERT(gateways_submit(&fleet, 0, "job-h", 8, 100) == 202);
+	for (unsigned i = 0; i < 3; i++) {
+		harness_sleep(0.5);
+		harness_signal(fleet.hosts[i], SIGTERM);
+		CU_ASSERT(harness_wait_exit(fleet.hosts[i], 8) == 0);
+		gateways_start_host(&fleet, i);
+		CU_ASSERT(gateways_wait_ready(&fleet, i));
+	}
+	CU_ASSERT(gateways_wait_job(&fleet, "job-h", 8, 100, 60));
+	for (unsigned i = 0; i < 8; i++) {
+		snprintf(id, sizeof(id), "job-h-%u", i);
+		resumed += gateways_runs(&fleet, id).resumed;
+		complete += gateways_runs(&fleet, id).complete;
+	}
+	CU_ASSERT(resumed >= 8);
+	CU_ASSERT(complete == 8);
+	gateways_end(&fleet);
+}
+
 static const suite_test_t tests[] = {
     {"streams arrive whole", test_streams_arrive_whole},
     {"engines break off", test_engines_break_off},
@@ -230,6 +261,7 @@
     {"forgotten history", test_forgotten_history},
     {"a caller leaves", test_caller_leaves},
     {"planned stop", test_planned_stop},
+    {"a planned stop hands items over", test_planned_stop_hands_items_over},
 };
 
 SUITE_MAIN("fail_gateway", tests)
--- /dev/null
+++ b/tests/test_platform_formats.c
@@ -0,0 +1,146 @@
+/* Tests of the formats of the users' platform. */
+#include "suite.h"
+
+#include <stdlib.h>
+
+#include "platform_dialect.h"
+#include "result.h"
+
+static const char good_entry[] =
+    "{\"service\":\"s\",\"address\":\"10.1.2.3:80\",\"zone\":\"z\","
+    "\"version\":\"v1\",\"slots\":8,\"state\":\"ready\","
+    "\"warmup-left-ms\":0,\"seq\":4,\"born\":1700000000000}";
+
+/* Guards against requests to what another writer put among the entries. */
+static void
+test_unreadable_entries_name_no_endpoint(void)
+{
+	static const char *const bad[] = {
+	    "",
+	    "not json",
+	    "[]",
+	    "{}",
+	    "{\"service\":1,\"address\":\"10.1.2.3:80\",\"zone\":\"z\","
+	    "\"slots\":8,\"state\":\"ready\"}",
+	    "{\"service\":\"s\",\"address\":\"nowhere\",\"zone\":\"z\","
+	    "\"slots\":8,\"state\":\"ready\"}",
+	    "{\"service\":\"s\",\"address\":\"10.1.2.3:80\",\"zone\":\"z\","
+	    "\"slots\":\"8\",\"state\":\"ready\"}",
+	    "{\"service\":\"s\",\"address\":\"10.1.2.3:80\",\"zone\":\"z\","
+	    "\"slots\":8,\"state\":\"sleeping\"}",
+	    "{\"service\":\"s\",\"address\":\"10.1.2.3:80\",\"zone\":\"z\","
+	    "\"slots\":8}",
+	};
+	endpoint_entry_t entry;
+
+	for (size_t i = 0; i < sizeof(bad) / sizeof(bad[0]); i++)
+		CU_ASSERT(platform_read_endpoint(STR("e"), str_of(bad[i]),
+			      &entry) == -RESULT_BAD_REQUEST);
+	CU_ASSERT(
+	    platform_read_endpoint(STR("e"), STR(good_entry), &entry) == 0);
+	CU_ASSERT_STRING_EQUAL(entry.address, "10.1.2.3:80");
+	CU_ASSERT(entry.slots == 8 && !entry.draining);
+	CU_ASSERT(entry.born_ms == 1700000000000ULL);
+}
+
+/* Guards against routes that are read wrong or half. */
+static void
+test_routes(void)
+{
+	static const char text[] =
+	    "{\"version\":7,\"routes\":[{\"name\":\"a\",\"host\":\"h\","
+	    "\"path-prefix\":\"/p/\",\"type\":\"stream\",\"timeout-ms\":5000,"
+	    "\"target-latency-ms\":300,\"priority\":1,\"service\":\"s\","
+	    "\"max-attempts\":2,\"resumable\":true,\"gap-aim-ms\":500},"
+	    "{\"name\":\"b\",\"host\":\"h\",\"path-prefix\":\"/q/\","
+	    "\"type\":\"unsafe\",\"backends\":[{\"service\":\"s\",\"weight\":"
+	    "90},{\"service\":\"t\",\"weight\":10}]}],"
+	    "\"services\":[{\"name\":\"s\",\"engine\":{\"slots\":8,"
+	    "\"kv-capacity\":1000}}]}";
+	routing_table_t *table;
+
+	CU_ASSERT_FATAL(platform_read_routes(STR(text), &table) == 0);
+	CU_ASSERT(table->version == 7 && table->route_count == 2);
+	CU_ASSERT(table->routes[0].kind == REQUEST_STREAM);
+	CU_ASSERT(table->routes[0].resumable);
+	CU_ASSERT(table->routes[0].timeout == 5);
+	CU_ASSERT(table->routes[0].target_latency == 0.3);
+	CU_ASSERT(table->routes[0].max_attempts == 2);
+	CU_ASSERT(table->routes[1].kind == REQUEST_UNSAFE);
+	CU_ASSERT(table->routes[1].share_count == 2);
+	CU_ASSERT(table->routes[1].shares[0].weight == 90);
+	CU_ASSERT(table->pools[0].memory_tokens == 1000);
+	routing_table_unref(table);
+	CU_ASSERT(platform_read_routes(STR("{\"version\":8}"), &table) != 0);
+	CU_ASSERT(platform_read_routes(
+		      STR("{\"version\":8,\"services\":[],\"routes\":[{}]}"),
+		      &table) != 0);
+}
+
+/* Guards against jobs that are accepted although they cannot be kept right. */
+static void
+test_jobs(void)
+{
+	static const char *const bad[] = {
+	    "",
+	    "{}",
+	    "{\"items\":[]}",
+	    "{\"items\":[{\"id\":\"a\"}]}",
+	    "{\"items\":[{\"id\":\"a\",\"path\":\"/x\",\"body\":\"*\"}]}",
+	    "{\"items\":[{\"id\":\"a\",\"path\":\"x\",\"body\":\"\"}]}",
+	    "{\"items\":[{\"id\":\"a\",\"path\":\"/x\",\"body\":\"\"},"
+	    "{\"id\":\"a\",\"path\":\"/y\",\"body\":\"\"}]}",
+	    "{\"items\":[{\"id\":\"a\",\"path\":\"/x\",\"body\":\"\","
+	    "\"headers\":{\"A\":1}}]}",
+	};
+	static const char good[] =
+	    "{\"items\":[{\"id\":\"a\",\"path\":\"/x/1\",\"headers\":{\"A\":"
+	    "\"b\"},\"body\":\"q83vEjRWeJA=\",\"tokens\":940}]}";
+	job_t job;
+
+	for (size_t i = 0; i < sizeof(bad) / sizeof(bad[0]); i++)
+		CU_ASSERT(platform_read_job(str_of(bad[i]), &job) ==
+			  -RESULT_BAD_REQUEST);
+	CU_ASSERT_FATAL(platform_read_job(STR(good), &job) == 0);
+	CU_ASSERT(job.item_count == 1 && job.items[0].tokens == 940);
+	CU_ASSERT(str_equal(
+	    job.items[0].body, STR("\xab\xcd\xef\x12\x34\x56\x78\x90")));
+	CU_ASSERT(str_equal(job.items[0].headers[0].value, STR("b")));
+	job_free(&job);
+}
+
+/* Guards against results that callers cannot read. */
+static void
+test_results(void)
+{
+	job_result_t rows[] = {
+	    {.item = STR("a"), .output = STR("one\n\"two\"")},
+	    {.item = STR("b"), .outcome = JOB_ITEM_DEAD, .output = STR("")},
+	};
+	buf_t out = {0};
+
+	platform_write_results(
+	    &out, &(job_results_t){
+		      .total = 5, .next = 4, .results = rows, .count = 2});
+	CU_ASSERT(str_equal(str_buf(&out),
+	    STR("{\"total\":5,\"next-token\":4,\"results\":[{\"id\":\"a\","
+		"\"state\":\"done\",\"output\":\"one\\n\\\"two\\\"\"},"
+		"{\"id\":\"b\",\"state\":\"dead\",\"output\":\"\"}]}")));
+	buf_clear(&out);
+	platform_write_entries(
+	    &out, (const char *const[]){"10.0.0.1:1", "10.0.0.2:1"}, 2, 2);
+	CU_ASSERT(str_equal(
+	    str_buf(&out), STR("{\"addresses\":[\"10.0.0.1:1\",\"10.0.0.2:1\"],"
+			       "\"ttl-s\":2}")));
+	buf_free(&out);
+}
+
+static const suite_test_t tests[] = {
+    {"unreadable entries name no endpoint",
+	test_unreadable_entries_name_no_endpoint},
+    {"routes", test_routes},
+    {"jobs", test_jobs},
+    {"results", test_results},
+};
+
+SUITE_MAIN("platform_formats", tests)
