Let hosts that start together find each other at once

Change: a host contacts the addresses that it reads from the store at once. Tried and not kept: a larger slack of the adaptive limit. It made test_admission 'slow endpoint gets fewer requests' fail and did not cure the cause.

--- a/src/gateway_store.c
+++ b/src/gateway_store.c
@@ -230,6 +230,7 @@
 		return;
 	str_copy(address, sizeof(address), record->key);
 	membership_add_seed(gateway_members(gateway), address);
+	membership_contact(gateway_members(gateway), address);
 }
 
 static const follower_events_t host_events = {
--- a/src/grants_admit.c
+++ b/src/grants_admit.c
@@ -11,6 +11,8 @@
 #define TAKEOVER_S 1.5
 /* A pool that nobody asks for any more is forgotten after this, in seconds. */
 #define FORGET_S 10.0
+/* Requests that wait are logged this often, in seconds. */
+#define STATE_LOG_S 0.5
 
 static grants_host_t *
 host_find(grants_t *grants, str_t name)
@@ -388,6 +390,28 @@
 	}
 }
 
+/* Says at intervals why requests wait, for whoever explains a late answer. */
+static void
+pool_log_state(grants_pool_t *pool, double now)
+{
+	admission_stats_t stats;
+
+	if (now - pool->state_logged < STATE_LOG_S)
+		return;
+	admission_stats(pool->admission, now, &stats);
+	if (stats.online_waiting == 0)
+		return;
+	pool->state_logged = now;
+	LOG_INFO("pool_state",
+	    "pool=%s capacity=%u online=%u batch=%u revoking=%u "
+	    "online_waiting=%u batch_waiting=%u self=%d revoke_timeouts=%llu "
+	    "reclaimed=%llu",
+	    pool->name, stats.capacity, stats.online, stats.batch,
+	    stats.revoking, stats.online_waiting, stats.batch_waiting,
+	    pool->self, (unsigned long long)stats.revoke_timeouts,
+	    (unsigned long long)stats.reclaimed);
+}
+
 /* Applies the passage of time and changes of the configuration. */
 void
 grants_admit_tick(grants_t *grants, double now)
@@ -403,6 +427,7 @@
 			pool_configure(pool, now);
 		admission_tick(pool->admission, now);
 		pool_dispatch(pool, (str_t){0}, 0, NULL);
+		pool_log_state(pool, now);
 	}
 }
 
--- a/src/grants_state.h
+++ b/src/grants_state.h
@@ -34,6 +34,7 @@
 	admission_t *admission;
 	const fleet_config_t *configured;
 	double last_asked;
+	double state_logged;
 	LIST_ENTRY(grants_pool_t) entry;
 } grants_pool_t;
 
--- a/src/membership.c
+++ b/src/membership.c
@@ -17,6 +17,8 @@
 #define FORGET_S	    3600.0
 /* Addresses that a host without a living peer contacts in each period. */
 #define LONE_CONTACTS 3
+/* Addresses that are contacted as soon as they are known. */
+#define CONTACTS_AT_ONCE 24
 /* Time to collect news before they are passed on, as a share of the period. */
 #define PUSH_DELAY 0.2
 /* Members that hear of news or of a change of the own record at once. */
@@ -238,6 +240,18 @@
 		m->seed_count++;
 }
 
+/*
+ * Contacts an address at once, for the first few addresses only: while hosts
+ * that start together know only some of the others, each of them takes a part
+ * that one should have.
+ */
+void
+membership_contact(membership_t *m, const char *address)
+{
+	if (m->contacted_at_once++ < CONTACTS_AT_ONCE)
+		membership_send_digest(m, address, false, NULL);
+}
+
 static void
 sync_with_member(membership_t *m, bool living)
 {
--- a/src/membership.h
+++ b/src/membership.h
@@ -72,6 +72,7 @@
 void membership_receive(
     membership_t *m, double now, const char *from, str_t datagram);
 void membership_add_seed(membership_t *m, const char *address);
+void membership_contact(membership_t *m, const char *address);
 void membership_leave(membership_t *m);
 membership_stats_t membership_stats(const membership_t *m);
 
--- a/src/membership_state.h
+++ b/src/membership_state.h
@@ -53,6 +53,7 @@
 	char seeds[MEMBERSHIP_SEEDS][48];
 	size_t seed_count;
 	size_t next_seed;
+	size_t contacted_at_once;
 	membership_send_cb_t send;
 	void *send_ctx;
 	void (*on_change)(void *ctx);
