Add a fault soak over real gateway processes

Random, overlapping faults from outside, in a seeded order: hosts killed, frozen, stopped as planned and reloaded; engines killed, replaced, breaking off and refusing; links to engines and to the store silent, cut, one-way and slow through faultproxy; the store busy, silent, losing answers, forgetting, refusing one host.

--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,6 @@
 # make          builds the library and all programs into build/
 # make check    builds with sanitizers and runs every test program
+# make soak     runs the seeds of soak/seeds under random faults
 # make demo     runs the whole path from one command
 # make model    runs the model checker
 # make bench    measures; results go to bench/results/
@@ -100,6 +101,14 @@
 	@mkdir -p $(@D)
 	$(CC) $(LDFLAGS) -o $@ $^ -lcunit $(LDLIBS)
 
+$(BUILD)/obj/soak/%.o: soak/%.c
+	@mkdir -p $(@D)
+	$(CC) $(CPPFLAGS) -Itests $(CFLAGS) -c -o $@ $<
+
+$(BUILD)/soak: $(BUILD)/obj/soak/soak.o $(TEST_SUPPORT_OBJS) \
+    $(PLATFORM_OBJS) $(LIB)
+	$(CC) $(LDFLAGS) -o $@ $^ -lcunit $(LDLIBS)
+
 $(BUILD)/bench/%: $(BUILD)/obj/bench/%.o $(LIB)
 	@mkdir -p $(@D)
 	$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS)
@@ -118,6 +127,13 @@
 	$(MAKE) SANITIZE=1 all tests
 	sh tests/run.sh build/san
 
+# SEEDS and SOAK_SECONDS choose what is run.
+SEEDS ?= $(shell cat soak/seeds)
+SOAK_SECONDS ?= 15
+soak: deps
+	$(MAKE) all $(BUILD)/soak
+	sh soak/run.sh $(BUILD) $(SOAK_SECONDS) $(SEEDS)
+
 demo: deps
 	$(MAKE) all
 	sh demo/demo.sh build
@@ -129,7 +145,7 @@
 	$(MAKE) all $(BENCHES)
 	sh bench/run.sh build
 
-C_FILES = $(wildcard src/*.[ch] platform/*.[ch] tests/*.[ch] bench/*.[ch] examples/*.[ch])
+C_FILES = $(wildcard src/*.[ch] platform/*.[ch] soak/*.[ch] tests/*.[ch] bench/*.[ch] examples/*.[ch])
 format: lint-deps
 	clang-format -i $(C_FILES)
 
@@ -154,8 +170,8 @@
 clean:
 	rm -rf build target
 
-.PHONY: all gateway tests deps lint-deps check demo model bench format lint install clean
+.PHONY: all gateway soak tests deps lint-deps check demo model bench format lint install clean
 .SECONDARY:
 
 -include $(wildcard $(BUILD)/obj/*.d $(BUILD)/obj/tests/*.d \
-    $(BUILD)/obj/platform/*.d)
+    $(BUILD)/obj/platform/*.d $(BUILD)/obj/soak/*.d)
--- a/tests/harness_gateways.c
+++ b/tests/harness_gateways.c
@@ -14,6 +14,13 @@
 #define READY_TIMEOUT_S	 20
 #define TOKENS_PER_EVENT 8
 
+/* Address by which hosts reach the store or an engine through the proxy. */
+static void
+proxy_address(unsigned forward, char *out, size_t size)
+{
+	snprintf(out, size, "127.0.0.%u", 221 + forward);
+}
+
 static void
 host_address(unsigned host, char *out, size_t size)
 {
@@ -43,25 +50,39 @@
 	snprintf(out, size, "http://%s:%u", ip, fleet->callers_port);
 }
 
+/* Writes "IP:PORT" by which hosts reach the store. */
+static void
+store_address(const gateways_t *fleet, char *out, size_t size)
+{
+	char ip[32];
+
+	proxy_address(0, ip, sizeof(ip));
+	if (fleet->proxy != NULL)
+		snprintf(out, size, "%s:%u", ip, fleet->proxy_port);
+	else
+		snprintf(out, size, "%s", harness_address(fleet->store));
+}
+
 /* Starts a host that is not running. */
 void
 gateways_start_host(gateways_t *fleet, unsigned host)
 {
 	char ip[32];
 	char name[32];
+	char store[64];
 	char path[512];
 	char text[1024];
 
 	host_address(host, ip, sizeof(ip));
+	store_address(fleet, store, sizeof(store));
 	snprintf(name, sizeof(name), "host-%u", host);
 	snprintf(text, sizeof(text),
 	    "[gateway]\nname = %s\naddress = %s\nzone = %s\nsite = here\n"
 	    "store = http://%s\ncallers = %s:%u\nreadiness = %s:%u\n"
 	    "directory = %s:%u\npeer_port = %u\nperiod_ms = 200\n"
 	    "key = a-key-for-tests-only\nkeep_s = 0.5\nstop_s = 4\n",
-	    name, ip, zone_of(host), harness_address(fleet->store), ip,
-	    fleet->callers_port, ip, fleet->readiness_port, ip,
-	    fleet->directory_port, fleet->peer_port);
+	    name, ip, zone_of(host), store, ip, fleet->callers_port, ip,
+	    fleet->readiness_port, ip, fleet->directory_port, fleet->peer_port);
 	harness_write_file(name, text, path, sizeof(path));
 	fleet->hosts[host] = harness_start("daisypier-gateway",
 	    (const char *const[]){"--settings", path, NULL});
@@ -77,8 +98,16 @@
 	char slots[16];
 	char event[16];
 	char store[96];
+	char proxy[32];
+	char advertise[64];
+	const char *args[32] = {NULL};
+	size_t count = 0;
 
 	engine_address(engine, ip, sizeof(ip));
+	proxy_address(engine + 1, proxy, sizeof(proxy));
+	snprintf(advertise, sizeof(advertise), "%s:%u",
+	    fleet->proxy != NULL ? proxy : ip,
+	    fleet->proxy != NULL ? fleet->proxy_port : fleet->engine_port);
 	snprintf(
 	    id, sizeof(id), "e%u-%u", engine, fleet->engine_starts[engine]++);
 	snprintf(port, sizeof(port), "%u", fleet->engine_port);
@@ -86,10 +115,17 @@
 	snprintf(event, sizeof(event), "%u", fleet->params.event_ms);
 	snprintf(
 	    store, sizeof(store), "http://%s", harness_address(fleet->store));
-	fleet->engines[engine] = harness_start("standin-users-engine",
-	    (const char *const[]){"--address", ip, "--port", port, "--store",
-		store, "--service", "m", "--zone", zone_of(engine), "--id", id,
-		"--slots", slots, "--event-ms", event, NULL});
+	const char *const fixed[] = {"--address", ip, "--port", port, "--store",
+	    store, "--service", "m", "--zone", zone_of(engine), "--id", id,
+	    "--slots", slots, "--event-ms", event, "--advertise", advertise};
+
+	for (; count < sizeof(fixed) / sizeof(fixed[0]); count++)
+		args[count] = fixed[count];
+	if (fleet->params.journal != NULL) {
+		args[count++] = "--journal";
+		args[count++] = fleet->params.journal;
+	}
+	fleet->engines[engine] = harness_start("standin-users-engine", args);
 }
 
 static void
@@ -145,6 +181,14 @@
 	    harness_address(fleet->store), query);
 }
 
+/* Sets a fault of the proxy. */
+void
+gateways_proxy_fault(gateways_t *fleet, const char *query)
+{
+	harness_post(NULL, (str_t){0}, "http://%s/fault?%s",
+	    harness_address(fleet->proxy), query);
+}
+
 /* Sets the faults of an engine; an empty query ends them. */
 void
 gateways_engine_faults(gateways_t *fleet, unsigned engine, const char *query)
@@ -211,6 +255,41 @@
 	return (harness_wait(is_ready, &wait, READY_TIMEOUT_S));
 }
 
+static void
+start_proxy(gateways_t *fleet)
+{
+	char ips[GATEWAYS_MAX_ENGINES + 1][32];
+	const char *addresses[GATEWAYS_MAX_ENGINES + 1];
+	char forwards[GATEWAYS_MAX_ENGINES + 1][512];
+	const char *args[2 * (GATEWAYS_MAX_ENGINES + 1) + 1] = {NULL};
+
+	for (unsigned i = 0; i <= fleet->params.engines; i++) {
+		proxy_address(i, ips[i], sizeof(ips[i]));
+		addresses[i] = ips[i];
+	}
+	fleet->proxy_port =
+	    harness_free_port(addresses, fleet->params.engines + 1);
+	for (unsigned i = 0; i <= fleet->params.engines; i++) {
+		char target[64];
+
+		if (i == 0) {
+			snprintf(target, sizeof(target), "%s",
+			    harness_address(fleet->store));
+		} else {
+			char ip[32];
+
+			engine_address(i - 1, ip, sizeof(ip));
+			snprintf(target, sizeof(target), "%s:%u", ip,
+			    fleet->engine_port);
+		}
+		snprintf(forwards[i], sizeof(forwards[i]), "%s:%u=%s", ips[i],
+		    fleet->proxy_port, target);
+		args[i * 2] = "--forward";
+		args[i * 2 + 1] = forwards[i];
+	}
+	fleet->proxy = harness_start("faultproxy", args);
+}
+
 /* Starts the whole fleet and waits until every host is ready. */
 void
 gateways_start(gateways_t *fleet, const gateways_params_t *params)
@@ -239,6 +318,8 @@
 	    harness_free_port(engine_ips, GATEWAYS_MAX_ENGINES);
 	fleet->store = harness_start("standin-users-store",
 	    (const char *const[]){"--address", STORE_ADDRESS, NULL});
+	if (fleet->params.proxied)
+		start_proxy(fleet);
 	gateways_configure(fleet, "");
 	for (unsigned i = 0; i < fleet->params.engines; i++)
 		gateways_start_engine(fleet, i);
@@ -266,6 +347,7 @@
 		stop(&fleet->hosts[i]);
 	for (unsigned i = 0; i < fleet->params.engines; i++)
 		stop(&fleet->engines[i]);
+	stop(&fleet->proxy);
 	stop(&fleet->store);
 }
 
--- a/tests/harness_gateways.h
+++ b/tests/harness_gateways.h
@@ -18,15 +18,21 @@
 	unsigned engines;  /* 0: 2 */
 	unsigned slots;	   /* of an engine; 0: 8 */
 	unsigned event_ms; /* between events; 0: 10 */
+	/* Hosts reach the store and the engines through a fault proxy. */
+	bool proxied;
+	const char
+	    *journal; /* file that gets a line for each run; NULL: none */
 } gateways_params_t;
 
 typedef struct gateways_t {
 	gateways_params_t params;
 	harness_process_t *store;
+	harness_process_t *proxy; /* NULL unless proxied */
 	harness_process_t *hosts[GATEWAYS_MAX_HOSTS];
 	harness_process_t *engines[GATEWAYS_MAX_ENGINES];
 	unsigned engine_starts[GATEWAYS_MAX_ENGINES];
 	uint16_t engine_port;
+	uint16_t proxy_port;
 	uint16_t callers_port;
 	uint16_t readiness_port;
 	uint16_t directory_port;
@@ -41,6 +47,8 @@
 bool gateways_wait_ready(gateways_t *fleet, unsigned host);
 void gateways_configure(gateways_t *fleet, const char *extra_routes);
 void gateways_store_faults(gateways_t *fleet, const char *query);
+/* Forward 0 of the proxy is the store, forward N + 1 engine N. */
+void gateways_proxy_fault(gateways_t *fleet, const char *query);
 void gateways_engine_faults(
     gateways_t *fleet, unsigned engine, const char *query);
 /* What the running engines did for one request. */
