Refuse what waits for a slot before a planned stop ends; split the job files

With all hosts being restarted under load, a request that came 5.5 s after SIGTERM waited for a slot until the exit cut it off 2 s later.

--- a/src/forward.c
+++ b/src/forward.c
@@ -40,6 +40,8 @@
 	forwarder_params_t params;
 	LIST_HEAD(, forward_t) forwards;
 	size_t open;
+	ev_timer drain; /* when it fires, nothing waits for a slot any more */
+	bool closed;
 	forward_counters_t counters;
 };
 
@@ -288,6 +290,18 @@
 	});
 }
 
+/* Ends a request that is on no endpoint, with what may be promised. */
+static void
+forward_give_up(forward_t *f, int rc, double retry_after)
+{
+	if (f->state.answered)
+		forward_abort(f, rc);
+	else if (f->state.may_have_run)
+		forward_fail(f, forward_failure(rc));
+	else
+		forward_refuse(f, rc, retry_after);
+}
+
 /*
  * Gives back a slot on an endpoint that is leaving, which the admitting host
  * does not know yet, and asks for another.
@@ -310,7 +324,6 @@
 {
 	forward_t *f = ctx;
 	const forwarder_params_t *params = &f->forwarder->params;
-	double retry_after;
 
 	if (rc == 0 && !params->endpoint_usable(params->ctx, endpoint->name) &&
 	    f->state.unreached < FORWARD_MAX_UNREACHED) {
@@ -327,13 +340,7 @@
 		return;
 	}
 	f->grant = NULL;
-	retry_after = grant_retry_after(grant);
-	if (f->state.answered)
-		forward_abort(f, rc);
-	else if (f->state.may_have_run)
-		forward_fail(f, -RESULT_BROKEN_ANSWER);
-	else
-		forward_refuse(f, rc, retry_after);
+	forward_give_up(f, rc, grant_retry_after(grant));
 }
 
 static void
@@ -379,12 +386,14 @@
 	(void)loop;
 	(void)events;
 	counter_add(f->forwarder->counters.timeouts, 1);
-	if (f->state.answered)
-		forward_abort(f, -RESULT_TIMEOUT);
-	else if (f->state.may_have_run || f->attempt != NULL)
+	if (f->attempt != NULL && !f->state.answered)
 		forward_fail(f, -RESULT_TIMEOUT);
 	else
-		forward_refuse(f, -RESULT_OVERLOADED, 0);
+		forward_give_up(f,
+		    f->state.answered || f->state.may_have_run
+			? -RESULT_TIMEOUT
+			: -RESULT_OVERLOADED,
+		    0);
 }
 
 static void
@@ -436,7 +445,41 @@
 	ev_timer_init(&f->expiry, on_expiry, time, 0);
 	f->expiry.data = f;
 	ev_timer_start(forwarder->params.loop, &f->expiry);
-	forward_ask(f);
+	if (forwarder->closed)
+		forward_give_up(f, -RESULT_STOPPING, 0);
+	else
+		forward_ask(f);
+}
+
+/* Refuses what still waits; requests on endpoints go on. */
+static void
+on_drain(struct ev_loop *loop, ev_timer *timer, int events)
+{
+	forwarder_t *forwarder = timer->data;
+	forward_t *f = LIST_FIRST(&forwarder->forwards);
+
+	(void)loop;
+	(void)events;
+	forwarder->closed = true;
+	while (f != NULL) {
+		forward_t *next = LIST_NEXT(f, entry);
+
+		if (f->attempt == NULL)
+			forward_give_up(f, -RESULT_STOPPING, 0);
+		f = next;
+	}
+}
+
+/*
+ * At a planned stop: after queue_seconds no request waits for a slot, because
+ * what begins later would be cut off by the exit. Such callers are told at once
+ * to go elsewhere.
+ */
+void
+forwarder_drain(forwarder_t *forwarder, double queue_seconds)
+{
+	ev_timer_set(&forwarder->drain, queue_seconds, 0);
+	ev_timer_start(forwarder->params.loop, &forwarder->drain);
 }
 
 /* Returns how many requests have no final answer yet. */
@@ -484,6 +527,8 @@
 
 	forwarder->params = *params;
 	LIST_INIT(&forwarder->forwards);
+	ev_timer_init(&forwarder->drain, on_drain, 0, 0);
+	forwarder->drain.data = forwarder;
 	counters_init(&forwarder->counters);
 	return (forwarder);
 }
@@ -494,6 +539,7 @@
 {
 	forward_t *f;
 
+	ev_timer_stop(forwarder->params.loop, &forwarder->drain);
 	while ((f = LIST_FIRST(&forwarder->forwards)) != NULL) {
 		if (f->request != NULL)
 			http_request_on_close(f->request, NULL, NULL);
--- a/src/forward.h
+++ b/src/forward.h
@@ -22,6 +22,7 @@
 void forwarder_delete(forwarder_t *forwarder);
 void forwarder_take(forwarder_t *forwarder, http_request_t *request,
     routing_table_t *table, const request_route_t *route);
+void forwarder_drain(forwarder_t *forwarder, double queue_seconds);
 size_t forwarder_open(const forwarder_t *forwarder);
 void http_request_refuse(
     http_request_t *request, int rc, double retry_after, const char *detail);
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -15,6 +15,11 @@
 /* Time before the end of a planned stop that the exit itself needs. */
 #define EXIT_MARGIN_S 0.5
 #define DRAIN_CHECK_S 0.05
+/*
+ * Requests that get a slot later than this before the end of a planned stop
+ * might not be finished by then, in seconds.
+ */
+#define LAST_START_S 2.2
 
 /* Returns the member table, which lives as long as the membership component. */
 membership_t *
@@ -305,6 +310,8 @@
 	httpd_set_closing(gateway->callers);
 	gateway_withdraw_host(gateway);
 	jobs_drain(gateway->jobs);
+	forwarder_drain(gateway->forwarder,
+	    fmax(0, gateway->params.settings->stop_s - LAST_START_S));
 	ev_timer_init(&gateway->drain_timer, on_drain_timer, DRAIN_CHECK_S,
 	    DRAIN_CHECK_S);
 	gateway->drain_timer.data = gateway;
--- a/src/job_partition.c
+++ b/src/job_partition.c
@@ -7,6 +7,7 @@
 
 #include "clock.h"
 #include "follower.h"
+#include "job_results.h"
 #include "logger.h"
 #include "result.h"
 
@@ -24,9 +25,8 @@
 /* Pause before results are appended once more, in seconds. */
 #define APPEND_RETRY_S	 0.15
 #define APPEND_TIMEOUT_S 1.5
-/* Bytes of results in one append and in one answer. */
+/* Bytes of results in one append. */
 #define MAX_APPEND_BYTES 1000000
-#define MAX_ANSWER_BYTES 900000
 /* What was handed over is of use for this long, in seconds. */
 #define HANDED_KEEP_S 10.0
 /* Jobs are checked for their end of life this often, in seconds. */
@@ -80,71 +80,6 @@
 static void partition_append(job_partition_t *partition);
 static void handed_apply(job_partition_t *partition, const stored_job_t *job);
 
-/* Packs the results from a position on, as many as one answer holds. */
-void
-job_results_pack(buf_t *out, const stored_job_t *job, uint64_t position)
-{
-	msgpack_packer packer;
-	size_t bytes = 0;
-	size_t count = 0;
-
-	while (position + count < job->listed &&
-	       (count == 0 || bytes < MAX_ANSWER_BYTES))
-		bytes += job->results[position + count++].output.len;
-	/* The last one may exceed the bound by itself only. */
-	if (count > 1 && bytes > MAX_ANSWER_BYTES)
-		count--;
-	wire_packer_init(&packer, out);
-	msgpack_pack_array(&packer, 3);
-	msgpack_pack_uint64(&packer, job->job.item_count);
-	msgpack_pack_uint64(&packer, position + count);
-	msgpack_pack_array(&packer, count * 3);
-	for (size_t i = 0; i < count; i++) {
-		const listed_result_t *result = &job->results[position + i];
-
-		wire_pack_str(&packer, result->item);
-		msgpack_pack_uint64(&packer, result->outcome);
-		wire_pack_bin(&packer, result->output);
-	}
-}
-
-/* Reads packed results. Returns 0 or -RESULT_BAD_REQUEST. */
-int
-job_results_unpack(str_t data, job_results_message_t *out)
-{
-	wire_reader_t reader;
-	wire_reader_t rows;
-
-	*out = (job_results_message_t){0};
-	if (wire_message_decode(&out->message, data) != 0)
-		return (-RESULT_BAD_REQUEST);
-	reader = wire_reader(wire_message_root(&out->message));
-	out->results.total = wire_read_u64(&reader);
-	out->results.next = wire_read_u64(&reader);
-	rows = wire_read_array(&reader);
-	out->items = xcalloc(rows.left / 3 + 1, sizeof(*out->items));
-	while (rows.left >= 3) {
-		job_result_t *result = &out->items[out->results.count++];
-
-		result->item = wire_read_str(&rows);
-		result->outcome = (job_outcome_t)wire_read_u64(&rows);
-		result->output = wire_read_str(&rows);
-	}
-	out->results.results = out->items;
-	if (!reader.fault && !rows.fault)
-		return (0);
-	job_results_free(out);
-	return (-RESULT_BAD_REQUEST);
-}
-
-/* Frees unpacked results. */
-void
-job_results_free(job_results_message_t *message)
-{
-	free(message->items);
-	wire_message_free(&message->message);
-}
-
 static void
 read_end(job_read_t *read, int rc, str_t body)
 {
@@ -349,6 +284,30 @@
 		append_later(partition, APPEND_RETRY_S);
 }
 
+/*
+ * Appends records. They count only when the partition ends where this host has
+ * read to, so that whichever host writes has seen what was written before.
+ */
+static void
+partition_write(job_partition_t *partition, const job_records_t *records)
+{
+	store_t *store = partition->params.store;
+
+	if (records->count == 0)
+		return;
+	partition->append = store->class->append(
+	    store, &(store_append_t){
+		       .topic = partition->params.topic,
+		       .partition = partition->params.partition,
+		       .records = records->records,
+		       .count = records->count,
+		       .at = follower_end(partition->follower),
+		       .timeout = APPEND_TIMEOUT_S,
+		       .on_done = on_appended,
+		       .ctx = partition,
+		   });
+}
+
 /* Position of a result: after the listed ones and those before it in the queue.
  */
 static uint64_t
@@ -363,15 +322,10 @@
 	return (position);
 }
 
-/*
- * Appends results that wait. The append counts only when the partition ends
- * where this host has read to, so that each position is given once, whichever
- * host writes.
- */
+/* Appends results that wait; each position is given once. */
 static void
 partition_append(job_partition_t *partition)
 {
-	store_t *store = partition->params.store;
 	job_records_t records = {0};
 	const finished_item_t *finished;
 
@@ -393,18 +347,7 @@
 		job_records_result(&records, str_of(job->id),
 		    next_position(job, finished), &result);
 	}
-	if (records.count > 0)
-		partition->append = store->class->append(
-		    store, &(store_append_t){
-			       .topic = partition->params.topic,
-			       .partition = partition->params.partition,
-			       .records = records.records,
-			       .count = records.count,
-			       .at = follower_end(partition->follower),
-			       .timeout = APPEND_TIMEOUT_S,
-			       .on_done = on_appended,
-			       .ctx = partition,
-			   });
+	partition_write(partition, &records);
 	job_records_free(&records);
 }
 
@@ -521,7 +464,6 @@
 on_forget_timer(struct ev_loop *loop, ev_timer *timer, int events)
 {
 	job_partition_t *partition = timer->data;
-	store_t *store = partition->params.store;
 	job_records_t records = {0};
 	const stored_job_t *job;
 
@@ -538,18 +480,7 @@
 		job_records_forget(&records, job);
 		break; /* one an interval keeps the appends small */
 	}
-	if (records.count > 0)
-		partition->append = store->class->append(
-		    store, &(store_append_t){
-			       .topic = partition->params.topic,
-			       .partition = partition->params.partition,
-			       .records = records.records,
-			       .count = records.count,
-			       .at = follower_end(partition->follower),
-			       .timeout = APPEND_TIMEOUT_S,
-			       .on_done = on_appended,
-			       .ctx = partition,
-			   });
+	partition_write(partition, &records);
 	job_records_free(&records);
 }
 
--- a/src/job_partition.h
+++ b/src/job_partition.h
@@ -3,7 +3,6 @@
 #define DAISYPIER_JOB_PARTITION_H
 
 #include "job_run.h"
-#include "wire.h"
 
 typedef struct job_partition_t job_partition_t;
 typedef struct job_read_t job_read_t;
@@ -33,16 +32,4 @@
     const job_call_t *call, job_read_cb_t on_done, void *ctx);
 void job_read_cancel(job_read_t *read);
 
-void job_results_pack(buf_t *out, const stored_job_t *job, uint64_t position);
-
-/* Unpacked results; the strings belong to the message. */
-typedef struct job_results_message_t {
-	wire_message_t message;
-	job_results_t results;
-	job_result_t *items;
-} job_results_message_t;
-
-int job_results_unpack(str_t data, job_results_message_t *out);
-void job_results_free(job_results_message_t *message);
-
 #endif
--- a/src/job_run.c
+++ b/src/job_run.c
@@ -1,12 +1,10 @@
 /* Runs the items of one partition's jobs on endpoints. */
-#include "job_run.h"
+#include "job_run_state.h"
 
 #include <math.h>
 #include <stdlib.h>
 #include <string.h>
-#include <sys/queue.h>
 
-#include "attempt.h"
 #include "clock.h"
 #include "counter.h"
 #include "job_plan.h"
@@ -30,75 +28,6 @@
 /* Bytes of output after which an item counts as one that cannot be done. */
 #define MAX_OUTPUT_BYTES (8U << 20)
 
-typedef enum item_run_state_t {
-	ITEM_WAITING,
-	ITEM_RUNNING,
-	ITEM_FINISHED, /* its result waits to be stored */
-	ITEM_LISTED,
-} item_run_state_t;
-
-typedef struct job_run_t job_run_t;
-
-typedef struct item_run_t {
-	job_run_t *run;
-	const job_item_t *item;
-	item_run_state_t state;
-	unsigned tries; /* without progress */
-	unsigned failures;
-	bool impossible;
-	double not_before; /* monotonic */
-	double started;	   /* monotonic, of the attempt in progress */
-	double run_time;   /* seconds of the attempts that brought progress */
-	double no_route_since;
-	buf_t output;
-	unsigned events;
-	event_relay_t relay;
-	struct item_slot_t *slot; /* while it runs */
-	attempt_t *attempt;
-	header_list_t headers;
-	char *target;
-	char endpoint[64];
-} item_run_t;
-
-struct job_run_t {
-	job_runner_t *runner;
-	stored_job_t *job;
-	item_run_t *items;
-	size_t left;   /* items without a result */
-	size_t marked; /* listed results that were taken in */
-	TAILQ_ENTRY(job_run_t) entry;
-};
-
-/* A slot: asked for by whichever item is next by then, or in use by one. */
-typedef struct item_slot_t {
-	job_runner_t *runner;
-	grant_t *grant;
-	char pool[64];
-	item_run_t *item; /* NULL: asked for */
-	LIST_ENTRY(item_slot_t) entry;
-} item_slot_t;
-
-typedef struct runner_counters_t {
-	counter_t *attempts;
-	counter_t *done;
-	counter_t *dead;
-	counter_t *yielded;
-	counter_t *broken;
-} runner_counters_t;
-
-struct job_runner_t {
-	job_runner_params_t params;
-	TAILQ_HEAD(, job_run_t) runs;
-	LIST_HEAD(, item_slot_t) slots;
-	size_t asks; /* slots without an item */
-	bool paused;
-	double run_time; /* usual, of a whole item, in seconds */
-	ev_timer tick;
-	runner_counters_t counters;
-};
-
-static void runner_ask(job_runner_t *runner);
-
 static const request_route_t *
 item_route(const item_run_t *item)
 {
@@ -145,7 +74,7 @@
 }
 
 /* Ends what an item does on an endpoint. */
-static void
+void
 item_stop(item_run_t *item, const grant_report_t *report)
 {
 	if (item->attempt != NULL)
@@ -158,7 +87,8 @@
 	slot_free(item->slot);
 }
 
-static void
+/* Reports an item's result, which is not stored yet. */
+void
 item_finish(item_run_t *item, job_outcome_t outcome, const char *cause)
 {
 	job_run_t *run = item->run;
@@ -188,7 +118,8 @@
 	event_relay_free(&item->relay);
 }
 
-static void
+/* Lets an item wait for another slot, after a delay in seconds. */
+void
 item_wait(item_run_t *item, double delay)
 {
 	item->state = ITEM_WAITING;
@@ -409,7 +340,7 @@
 }
 
 /* Asks for a slot for each waiting item, within the bound. */
-static void
+void
 runner_ask(job_runner_t *runner)
 {
 	const job_runner_params_t *params = &runner->params;
@@ -558,91 +489,6 @@
 	job->run = NULL;
 }
 
-/*
- * Stops all items and tells what is known of those without a result, so that
- * another host can go on with them.
- */
-void
-job_runner_export(
-    job_runner_t *runner, item_progress_cb_t on_progress, void *ctx)
-{
-	job_run_t *run;
-
-	TAILQ_FOREACH (run, &runner->runs, entry) {
-		for (size_t i = 0; i < run->job->job.item_count; i++) {
-			item_run_t *item = &run->items[i];
-
-			if (item->state == ITEM_RUNNING) {
-				item_stop(item, NULL);
-				item_wait(item, 0);
-			}
-			if (item->state != ITEM_WAITING ||
-			    (item->events == 0 && item->failures == 0))
-				continue;
-			on_progress(ctx, &(item_progress_t){
-					     .job = str_of(run->job->id),
-					     .item = item->item->id,
-					     .stage = ITEM_STAGE_BEGUN,
-					     .output = str_buf(&item->output),
-					     .events = item->events,
-					     .numbered = item->relay.numbered,
-					     .last_id = item->relay.last_id,
-					     .failures = item->failures,
-					     .run_time = item->run_time,
-					 });
-		}
-	}
-}
-
-static void
-item_import(item_run_t *item, const item_progress_t *progress)
-{
-	item->failures = progress->failures > item->failures
-			     ? progress->failures
-			     : item->failures;
-	if (progress->events <= item->events)
-		return;
-	/* What began here anew is behind what another host has. */
-	item_stop(item, NULL);
-	item_wait(item, 0);
-	buf_clear(&item->output);
-	buf_append(&item->output, progress->output);
-	item->events = progress->events;
-	item->relay.numbered = progress->numbered;
-	item->relay.last_id = progress->last_id;
-	item->run_time = progress->run_time;
-}
-
-/* Takes over what another host knows of an item; false when it is unknown. */
-bool
-job_runner_import(job_runner_t *runner, const stored_job_t *job,
-    const item_progress_t *progress)
-{
-	job_run_t *run = job->run;
-
-	if (run == NULL)
-		return (false);
-	for (size_t i = 0; i < job->job.item_count; i++) {
-		item_run_t *item = &run->items[i];
-
-		if (!str_equal(item->item->id, progress->item))
-			continue;
-		if (item->state != ITEM_WAITING && item->state != ITEM_RUNNING)
-			return (true);
-		if (progress->stage == ITEM_STAGE_FINISHED) {
-			item_stop(item, NULL);
-			buf_clear(&item->output);
-			buf_append(&item->output, progress->output);
-			item_finish(item, progress->outcome, "handed_over");
-		} else {
-			item_import(item, progress);
-		}
-		runner_ask(runner);
-		return (true);
-	}
-	return (false);
-}
-
 /* While paused no item begins; those that run go on. */
 void
 job_runner_set_paused(job_runner_t *runner, bool paused)
--- a/src/jobs.c
+++ b/src/jobs.c
@@ -10,6 +10,7 @@
 #include "counter.h"
 #include "forward.h"
 #include "job_partition.h"
+#include "job_results.h"
 #include "job_write.h"
 #include "logger.h"
 #include "placement.h"
--- a/tests/test_fail_gateway.c
+++ b/tests/test_fail_gateway.c
@@ -221,6 +221,51 @@
 	gateways_end(&fleet);
 }
 
+typedef struct waiter_t {
+	const char *id;
+	gateways_stream_t result;
+} waiter_t;
+
+static void *
+call_and_wait(void *ctx)
+{
+	waiter_t *waiter = ctx;
+
+	waiter->result =
+	    gateways_stream(&fleet, 0, GATEWAYS_ONCE, waiter->id, 80, 10);
+	return (NULL);
+}
+
+/*
+ * Guards against a request that waits for a slot until the exit cuts it off
+ * (hunt of kovac-polnilnica, mix, seed 626509912156). It is refused in time.
+ */
+static void
+test_planned_stop_refuses_the_queue(void)
+{
+	waiter_t running = {.id = "q1"};
+	waiter_t waiting = {.id = "q2"};
+	pthread_t threads[2];
+
+	gateways_start(
+	    &fleet, &(gateways_params_t){
+			.hosts = 1, .engines = 1, .slots = 1, .event_ms = 100});
+	pthread_create(&threads[0], NULL, call_and_wait, &running);
+	harness_sleep(0.3);
+	harness_signal(fleet.hosts[0], SIGTERM);
+	/* Like a caller with an old list of hosts. */
+	harness_sleep(1.2);
+	pthread_create(&threads[1], NULL, call_and_wait, &waiting);
+	for (unsigned i = 0; i < 2; i++)
+		pthread_join(threads[i], NULL);
+	CU_ASSERT(waiting.result.whole);
+	CU_ASSERT(waiting.result.status == 503);
+	CU_ASSERT(waiting.result.retry_after >= 0);
+	CU_ASSERT(gateways_runs(&fleet, "q2").runs == 0);
+	fleet.hosts[0] = NULL;
+	gateways_end(&fleet);
+}
+
 /*
  * Guards against items that begin anew when the owner of their job stops as
  * planned: without the hand-over every run starts at the first event.
@@ -261,6 +306,7 @@
     {"forgotten history", test_forgotten_history},
     {"a caller leaves", test_caller_leaves},
     {"planned stop", test_planned_stop},
+    {"a planned stop refuses the queue", test_planned_stop_refuses_the_queue},
     {"a planned stop hands items over", test_planned_stop_hands_items_over},
 };
 
--- a/tests/test_job_partition.c
+++ b/tests/test_job_partition.c
@@ -7,6 +7,7 @@
 #include "clock.h"
 #include "harness_store.h"
 #include "job_partition.h"
+#include "job_results.h"
 #include "result.h"
 
 #define TOPIC "keyed.j"
