Reuse idle connections to endpoints for under three seconds

The proxy's kernel answers keep-alive probes, so only the request's own time showed it, and the age limit of 20 s let it be reused. Change: the age limit is 2 whole seconds, so that a connection is reused for under 3 s after its last use. test_fail_gateway, "idle connections go silent", fails before (test_fail_gateway.c:186 - s.right) and passes after.

--- a/src/httpc.c
+++ b/src/httpc.c
@@ -16,8 +16,11 @@
 #define DEFAULT_MAX_BODY	  (16U << 20)
 /* Idle connections kept for reuse, for all servers together. */
 #define MAX_IDLE_CONNECTIONS 512L
-/* An idle connection older than this is not reused, in seconds. */
-#define MAX_IDLE_AGE_S 20L
+/*
+ * Connections that were idle for longer are not reused, in whole seconds. One
+ * that went silent meanwhile would keep the request until its time is over.
+ */
+#define MAX_IDLE_AGE_S 2L
 /*
  * A connection whose other end is gone without a word is dropped after an idle
  * second and two unanswered probes, or when sent bytes stay unacknowledged.
--- a/tests/test_fail_gateway.c
+++ b/tests/test_fail_gateway.c
@@ -166,6 +166,27 @@
 	gateways_end(&fleet);
 }
 
+/*
+ * Guards against a request that may run once and is sent on a connection that
+ * went silent while nobody used it (soak seed 7): nothing shows the silence but
+ * the request's own time, and another attempt is not allowed.
+ */
+static void
+test_idle_connections_go_silent(void)
+{
+	gateways_stream_t s;
+
+	gateways_start(&fleet,
+	    &(gateways_params_t){.hosts = 1, .engines = 1, .proxied = true});
+	s = gateways_stream(&fleet, 0, GATEWAYS_ONCE, "i1", 8, 5);
+	CU_ASSERT(s.right);
+	gateways_proxy_fault(&fleet, "forward=1&mode=freeze&only_open=1");
+	harness_sleep(3.5);
+	s = gateways_stream(&fleet, 0, GATEWAYS_ONCE, "i2", 8, 5);
+	CU_ASSERT(s.right);
+	gateways_end(&fleet);
+}
+
 /* Streams that run while hosts stop as planned. */
 typedef struct callers_t {
 	unsigned first;
@@ -305,6 +326,7 @@
     {"store outage", test_store_outage},
     {"forgotten history", test_forgotten_history},
     {"a caller leaves", test_caller_leaves},
+    {"idle connections go silent", test_idle_connections_go_silent},
     {"planned stop", test_planned_stop},
     {"a planned stop refuses the queue", test_planned_stop_refuses_the_queue},
     {"a planned stop hands items over", test_planned_stop_hands_items_over},
