Let a started host use endpoints whose entries may be missing; log ejections

The new lines show four endpoints ejected with cause STOPPING within 2 ms: a host that had started while the entries had lapsed declined the grants for them, and such a report ejects an endpoint for all hosts. Change: until 1.7 s after the first load, as after an outage, a host does not decline an endpoint that it does not know. endpoint_ejected and endpoint_limit_lowered say what admission believes and why. test_endpoint_set, "unknown endpoint after a start", fails without the change.

--- a/src/admission.c
+++ b/src/admission.c
@@ -5,6 +5,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "logger.h"
 #include "result.h"
 
 /* Weight of a new sample of the time that online grants are held. */
@@ -441,6 +442,19 @@
 	return (out * 2 > usable);
 }
 
+/* An endpoint was ejected; too many at once are let in again. */
+static void
+endpoint_ejected(admission_t *a, slot_endpoint_t *e, int rc, double now)
+{
+	bool readmitted = too_many_out(a, now);
+
+	LOG_INFO("endpoint_ejected",
+	    "endpoint=%s cause=%s for_s=%.1f readmitted=%d", e->id.name,
+	    result_name(rc), e->ejector.ejected_until - now, readmitted);
+	if (readmitted)
+		ejector_readmit(&e->ejector, now);
+}
+
 /* Takes in how a request on an endpoint went. */
 void
 admission_report(admission_t *a, const char *endpoint,
@@ -450,10 +464,15 @@
 
 	if (e == NULL || report == NULL)
 		return;
-	limiter_report(&e->limiter, report->first_token_seconds, now);
-	if (ejector_report(&e->ejector, report->rc, now) &&
-	    too_many_out(a, now))
-		ejector_readmit(&e->ejector, now);
+	if (limiter_report(&e->limiter, report->first_token_seconds, now))
+		LOG_INFO("endpoint_limit_lowered",
+		    "endpoint=%s limit=%u slots=%u latency_ms=%.0f "
+		    "smoothed_ms=%.0f best_ms=%.0f",
+		    e->id.name, limiter_limit(&e->limiter), e->slots,
+		    report->first_token_seconds * 1e3,
+		    e->limiter.smoothed * 1e3, e->limiter.best * 1e3);
+	if (ejector_report(&e->ejector, report->rc, now))
+		endpoint_ejected(a, e, report->rc, now);
 }
 
 /*
--- a/src/endpoint_set.c
+++ b/src/endpoint_set.c
@@ -38,6 +38,7 @@
 
 struct endpoint_set_t {
 	LIST_HEAD(, known_endpoint_t) endpoints;
+	double loaded_at; /* for the first time; infinite: not yet */
 	bool in_contact;
 	double contact_changed; /* lost or regained */
 };
@@ -51,6 +52,7 @@
 	LIST_INIT(&set->endpoints);
 	set->in_contact = true;
 	set->contact_changed = -INFINITY;
+	set->loaded_at = -INFINITY;
 	return (set);
 }
 
@@ -188,6 +190,8 @@
 	known_endpoint_t *endpoint;
 	bool changed = false;
 
+	if (isinf(set->loaded_at))
+		set->loaded_at = now;
 	LIST_FOREACH (endpoint, &set->endpoints, link)
 		if (!endpoint->seen)
 			changed |= endpoint_set_remove(
@@ -248,15 +252,19 @@
 
 /*
  * Returns whether a request may be sent to an endpoint that another host chose.
- * Without contact to the store the other host may know better.
+ * Without contact to the store the other host may know better; so it may just
+ * after a start or an outage, when the entries of living endpoints can be
+ * missing.
  */
 bool
-endpoint_set_usable(const endpoint_set_t *set, str_t id)
+endpoint_set_usable(const endpoint_set_t *set, str_t id, double now)
 {
 	const known_endpoint_t *endpoint = find(set, id);
 
 	if (endpoint == NULL)
-		return (!set->in_contact);
+		return (!set->in_contact ||
+			now - set->contact_changed < LAPSE_GRACE_S ||
+			now - set->loaded_at < LAPSE_GRACE_S);
 	return (!endpoint->entry.draining);
 }
 
--- a/src/endpoint_set.h
+++ b/src/endpoint_set.h
@@ -31,7 +31,7 @@
 
 size_t endpoint_set_count(const endpoint_set_t *set);
 const endpoint_entry_t *endpoint_set_find(const endpoint_set_t *set, str_t id);
-bool endpoint_set_usable(const endpoint_set_t *set, str_t id);
+bool endpoint_set_usable(const endpoint_set_t *set, str_t id, double now);
 fleet_config_t *endpoint_set_view(
     const endpoint_set_t *set, const routing_table_t *table);
 
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -57,7 +57,8 @@
 {
 	const gateway_t *gateway = ctx;
 
-	return (endpoint_set_usable(gateway->endpoints, str_of(endpoint)));
+	return (endpoint_set_usable(
+	    gateway->endpoints, str_of(endpoint), clock_monotonic()));
 }
 
 /* Lets callers come, or not, as the present state permits. */
--- a/src/limiter.c
+++ b/src/limiter.c
@@ -52,14 +52,17 @@
 	limiter->window_start = now;
 }
 
-/* Takes in one first-token latency, in seconds. */
-void
+/*
+ * Takes in one first-token latency, in seconds. Returns whether it lowered the
+ * limit.
+ */
+bool
 limiter_report(limiter_t *limiter, double latency, double now)
 {
 	double best;
 
 	if (latency <= 0)
-		return;
+		return (false);
 	limiter_roll_window(limiter, now);
 	limiter->smoothed =
 	    limiter->smoothed > 0
@@ -73,13 +76,14 @@
 	if (limiter->smoothed <= best * TOLERANCE + SLACK_S) {
 		limiter->limit =
 		    fmin(limiter->slots, limiter->limit + 1 / limiter->limit);
-		return;
+		return (false);
 	}
 	if (now - limiter->last_decrease < DECREASE_INTERVAL_S)
-		return;
+		return (false);
 	limiter->last_decrease = now;
 	limiter->limit = fmax(
 	    fmax(1, limiter->slots * MIN_SHARE), limiter->limit * DECREASE);
+	return (true);
 }
 
 /* Returns how many requests may run at a time; at least 1 with any slot. */
--- a/src/limiter.h
+++ b/src/limiter.h
@@ -2,6 +2,8 @@
 #ifndef DAISYPIER_LIMITER_H
 #define DAISYPIER_LIMITER_H
 
+#include <stdbool.h>
+
 /*
  * Additive increase, multiplicative decrease: the limit falls when the smoothed
  * first-token latency is far above the best one seen recently, which shows that
@@ -19,7 +21,7 @@
 
 void limiter_init(limiter_t *limiter, unsigned slots, double now);
 void limiter_set_slots(limiter_t *limiter, unsigned slots);
-void limiter_report(limiter_t *limiter, double latency, double now);
+bool limiter_report(limiter_t *limiter, double latency, double now);
 unsigned limiter_limit(const limiter_t *limiter);
 
 #endif
--- a/tests/test_endpoint_set.c
+++ b/tests/test_endpoint_set.c
@@ -55,12 +55,12 @@
 
 	put(set, 0, true, 101);
 	CU_ASSERT(in_use(set) == POOL_SIZE - 1);
-	CU_ASSERT(!endpoint_set_usable(set, STR("e0")));
+	CU_ASSERT(!endpoint_set_usable(set, STR("e0"), 101));
 	CU_ASSERT(endpoint_set_remove(set, STR("e1"), 101));
 	CU_ASSERT(endpoint_set_tick(set, 101));
 	CU_ASSERT(in_use(set) == POOL_SIZE - 2);
-	CU_ASSERT(!endpoint_set_usable(set, STR("e1")));
-	CU_ASSERT(endpoint_set_usable(set, STR("e2")));
+	CU_ASSERT(!endpoint_set_usable(set, STR("e1"), 101));
+	CU_ASSERT(endpoint_set_usable(set, STR("e2"), 101));
 	endpoint_set_delete(set);
 }
 
@@ -81,8 +81,8 @@
 	CU_ASSERT(!endpoint_set_tick(set, 115.6));
 	CU_ASSERT(endpoint_set_tick(set, 115.8));
 	CU_ASSERT(in_use(set) == POOL_SIZE - 1);
-	CU_ASSERT(endpoint_set_usable(set, STR("e2")));
-	CU_ASSERT(!endpoint_set_usable(set, STR("e1")));
+	CU_ASSERT(endpoint_set_usable(set, STR("e2"), 115.8));
+	CU_ASSERT(!endpoint_set_usable(set, STR("e1"), 115.8));
 	endpoint_set_delete(set);
 }
 
@@ -146,9 +146,28 @@
 {
 	endpoint_set_t *set = make_set(100);
 
-	CU_ASSERT(!endpoint_set_usable(set, STR("new")));
+	CU_ASSERT(!endpoint_set_usable(set, STR("new"), 105));
 	endpoint_set_contact(set, false, 110);
-	CU_ASSERT(endpoint_set_usable(set, STR("new")));
+	CU_ASSERT(endpoint_set_usable(set, STR("new"), 111));
+	endpoint_set_delete(set);
+}
+
+/*
+ * Guards against a host that starts while the entries of living endpoints are
+ * missing, declines the grants for them and so has them ejected for all hosts
+ * (wrexfield-tally trouble-2: 65 of 144 slots were left).
+ */
+static void
+test_unknown_endpoint_after_a_start(void)
+{
+	endpoint_set_t *set = make_set(100);
+
+	endpoint_set_loaded(set, 100);
+	CU_ASSERT(endpoint_set_usable(set, STR("new"), 101.6));
+	CU_ASSERT(!endpoint_set_usable(set, STR("new"), 101.8));
+	/* A later reload leaves nothing open. */
+	endpoint_set_loaded(set, 110);
+	CU_ASSERT(!endpoint_set_usable(set, STR("new"), 110.1));
 	endpoint_set_delete(set);
 }
 
@@ -159,6 +178,7 @@
     {"mass lapse", test_mass_lapse},
     {"reload", test_reload},
     {"unknown endpoint without contact", test_unknown_endpoint_without_contact},
+    {"unknown endpoint after a start", test_unknown_endpoint_after_a_start},
 };
 
 SUITE_MAIN("endpoint_set", tests)
