Give slots to the request that must start first to be on time

Cause: requests of a pool waited in the order in which they asked. Change: an ask states until when it is on time (route's target; due time less the remaining run). wait_queue keeps those that can be on time by that, late ones after them; batch gives back the slot with the most time to spare. The choice of a runner's next items moves to job_run_choose.c.

--- a/src/admission.c
+++ b/src/admission.c
@@ -53,7 +53,7 @@
 	org->weight = 1;
 	quota_init(&org->quota, 0, now);
 	for (size_t i = 0; i < ADMISSION_CLASSES; i++)
-		TAILQ_INIT(&org->queue[i]);
+		wait_queue_init(&org->queue[i]);
 	LIST_INSERT_HEAD(&a->orgs, org, entry);
 	return (org);
 }
@@ -80,6 +80,15 @@
 	return (NULL);
 }
 
+/* Returns the grant that waits in a queue, or NULL for NULL. */
+slot_grant_t *
+slot_grant_waiting(wait_link_t *link)
+{
+	if (link == NULL)
+		return (NULL);
+	return ((slot_grant_t *)((char *)link - offsetof(slot_grant_t, wait)));
+}
+
 /* Makes a grant that is in no queue yet. */
 slot_grant_t *
 slot_grant_new(admission_t *a, uint64_t id, slot_holder_t *holder,
@@ -91,6 +100,7 @@
 	grant->holder = holder;
 	grant->org = org;
 	grant->class = class;
+	grant->wait.start_by = INFINITY;
 	LIST_INSERT_HEAD(
 	    &a->buckets[id % ADMISSION_BUCKETS], grant, bucket_entry);
 	LIST_INSERT_HEAD(&holder->grants, grant, holder_entry);
@@ -104,8 +114,7 @@
 
 	switch (grant->state) {
 	case SLOT_WAITING:
-		TAILQ_REMOVE(&grant->org->queue[class], grant, order);
-		grant->org->waiting[class]--;
+		wait_queue_remove(&grant->org->queue[class], &grant->wait);
 		a->waiting[class]--;
 		return;
 	case SLOT_REVOKING:
@@ -296,7 +305,7 @@
 	slot_org_t *org;
 
 	LIST_FOREACH (org, &a->orgs, entry) {
-		double share = (double)org->waiting[GRANT_ONLINE] /
+		double share = (double)org->queue[GRANT_ONLINE].count /
 			       (org->weight > 0 ? org->weight : 1);
 
 		if (share > most) {
@@ -317,24 +326,24 @@
 		if (longest == NULL)
 			return;
 		grant_refuse(a,
-		    TAILQ_LAST(&longest->queue[GRANT_ONLINE], slot_queue_t),
+		    slot_grant_waiting(
+			wait_queue_last(&longest->queue[GRANT_ONLINE])),
 		    -RESULT_OVERLOADED, admission_estimate(a, longest, now));
 	}
 }
 
 static void
-grant_enqueue(admission_t *a, slot_grant_t *grant)
+grant_enqueue(admission_t *a, slot_grant_t *grant, double now)
 {
 	slot_org_t *org = grant->org;
 	grant_class_t class = grant->class;
 
 	/* An idle organisation does not save up its share. */
-	if (org->waiting[class] == 0)
+	if (org->queue[class].count == 0)
 		org->start[class] =
 		    fmax(org->start[class], a->virtual_time[class]);
 	grant->state = SLOT_WAITING;
-	TAILQ_INSERT_TAIL(&org->queue[class], grant, order);
-	org->waiting[class]++;
+	wait_queue_add(&org->queue[class], &grant->wait, now);
 	a->waiting[class]++;
 }
 
@@ -348,7 +357,7 @@
 		return (-RESULT_NO_ENDPOINT);
 	}
 	if (org->concurrency > 0 &&
-	    org->held[GRANT_ONLINE] + org->waiting[GRANT_ONLINE] >
+	    org->held[GRANT_ONLINE] + org->queue[GRANT_ONLINE].count >
 		org->concurrency) {
 		*wait = a->hold_seconds;
 		return (-RESULT_LIMITED);
@@ -403,10 +412,11 @@
 	    a, ask->id, slot_holder_get(a, ask->holder), org, ask->class);
 	grant->prefix_hash = ask->prefix_hash;
 	grant->deadline = ask->deadline;
+	grant->wait.start_by = ask->start_by > 0 ? ask->start_by : INFINITY;
 	grant->since = now;
 	str_copy(grant->zone, sizeof(grant->zone), str_of(ask->zone));
 	str_copy(grant->avoid, sizeof(grant->avoid), str_of(ask->avoid));
-	grant_enqueue(a, grant);
+	grant_enqueue(a, grant, now);
 	if (ask->class == GRANT_BATCH) {
 		if (a->waiting[GRANT_BATCH] > BATCH_QUEUE_LIMIT)
 			grant_refuse(a, grant, -RESULT_OVERLOADED, 1);
@@ -527,15 +537,15 @@
 	slot_org_t *org;
 
 	LIST_FOREACH (org, &a->orgs, entry) {
-		slot_grant_t *grant = TAILQ_FIRST(&org->queue[class]);
+		wait_link_t *link = wait_queue_first(&org->queue[class]);
 
-		while (grant != NULL) {
-			slot_grant_t *next = TAILQ_NEXT(grant, order);
+		while (link != NULL) {
+			slot_grant_t *grant = slot_grant_waiting(link);
 
+			link = wait_queue_next(link);
 			if (grant->deadline <= now)
 				grant_refuse(a, grant, -RESULT_OVERLOADED,
 				    admission_estimate(a, org, now));
-			grant = next;
 		}
 	}
 }
--- a/src/admission.h
+++ b/src/admission.h
@@ -33,6 +33,7 @@
 	unsigned concurrency;  /* 0: unlimited */
 	uint64_t prefix_hash;
 	double deadline;   /* same clock as now */
+	double start_by;   /* latest start that is on time; 0: not stated */
 	const char *avoid; /* NULL or empty: none */
 } admission_ask_t;
 
@@ -43,6 +44,7 @@
 	grant_class_t class;
 	str_t org;
 	str_t endpoint;
+	double slack; /* seconds that were to spare when it began */
 } admission_holding_t;
 
 typedef enum admission_kind_t {
--- a/src/admission_held.c
+++ b/src/admission_held.c
@@ -22,6 +22,7 @@
 	grant->state = SLOT_HELD;
 	grant->endpoint = endpoint;
 	grant->since = now;
+	grant->wait.start_by = now + holding->slack;
 	grant->listed = true;
 	endpoint->in_use++;
 	grant->org->held[grant->class]++;
--- a/src/admission_schedule.c
+++ b/src/admission_schedule.c
@@ -122,7 +122,7 @@
 	slot_org_t *org;
 
 	LIST_FOREACH (org, &a->orgs, entry) {
-		if (org->waiting[class] == 0 || org->skipped_in == a->round)
+		if (org->queue[class].count == 0 || org->skipped_in == a->round)
 			continue;
 		if (class == GRANT_BATCH && !org_may_batch(org, now))
 			continue;
@@ -139,8 +139,7 @@
 	slot_org_t *org = grant->org;
 	grant_class_t class = grant->class;
 
-	TAILQ_REMOVE(&org->queue[class], grant, order);
-	org->waiting[class]--;
+	wait_queue_remove(&org->queue[class], &grant->wait);
 	a->waiting[class]--;
 	org->held[class]++;
 	a->held[class]++;
@@ -162,9 +161,12 @@
 static bool
 org_grant_one(admission_t *a, slot_org_t *org, grant_class_t class, double now)
 {
-	slot_grant_t *grant;
+	wait_link_t *link;
 
-	TAILQ_FOREACH (grant, &org->queue[class], order) {
+	wait_queue_age(&org->queue[class], now);
+	for (link = wait_queue_first(&org->queue[class]); link != NULL;
+	     link = wait_queue_next(link)) {
+		slot_grant_t *grant = slot_grant_waiting(link);
 		slot_endpoint_t *endpoint = endpoint_for(a, grant, now);
 
 		if (endpoint != NULL) {
@@ -236,16 +238,47 @@
 	if (a->waiting[GRANT_ONLINE] != 1)
 		return ("");
 	LIST_FOREACH (org, &a->orgs, entry)
-		if (org->waiting[GRANT_ONLINE] > 0)
-			return (TAILQ_FIRST(&org->queue[GRANT_ONLINE])->avoid);
+		if (org->queue[GRANT_ONLINE].count > 0)
+			return (slot_grant_waiting(
+			    wait_queue_first(&org->queue[GRANT_ONLINE]))
+				    ->avoid);
 	return ("");
 }
 
+/* Time that a running batch request can lose and still be on time. */
+static double
+grant_slack(const slot_grant_t *grant)
+{
+	double slack = grant->wait.start_by - grant->since;
+
+	/* A late one loses nothing more. */
+	return (slack < 0 ? INFINITY : slack);
+}
+
+/*
+ * Returns the batch grant to revoke first, or NULL: the one with the most time
+ * to spare, the newest of equals. Slots of endpoints that are leaving or
+ * ejected are of no use to the waiting requests.
+ */
+static slot_grant_t *
+grant_to_revoke(const admission_t *a, const char *useless, double now)
+{
+	slot_grant_t *best = NULL;
+	slot_grant_t *grant;
+
+	TAILQ_FOREACH (grant, &a->batch_held, order) {
+		if (slot_endpoint_capacity(grant->endpoint, now) == 0 ||
+		    strcmp(grant->endpoint->id.name, useless) == 0)
+			continue;
+		if (best == NULL || grant_slack(grant) >= grant_slack(best))
+			best = grant;
+	}
+	return (best);
+}
+
 /*
  * Revokes one batch grant for each online request that still waits, and as many
- * as the reserve lacks, less those that are being given back. The newest grants
- * go first, because they lose the least work. Slots of endpoints that are
- * leaving or ejected are of no use to the waiting requests.
+ * as the reserve lacks, less those that are being given back.
  */
 static void
 revoke_for_online(admission_t *a, double now)
@@ -254,7 +287,7 @@
 	unsigned wanted = a->waiting[GRANT_ONLINE];
 	unsigned coming = 0;
 	const char *useless = useless_endpoint(a);
-	slot_grant_t *grant = TAILQ_LAST(&a->batch_held, slot_queue_t);
+	slot_grant_t *grant;
 
 	/* Under restriction requests may wait beside slots that are free. */
 	if (now < a->restricted_until)
@@ -264,15 +297,10 @@
 	for (size_t i = 0; i < a->endpoint_count; i++)
 		if (a->routes[i].capacity > 0)
 			coming += a->endpoints[i]->revoking;
-	while (coming < wanted && grant != NULL) {
-		slot_grant_t *older = TAILQ_PREV(grant, slot_queue_t, order);
-
-		if (slot_endpoint_capacity(grant->endpoint, now) > 0 &&
-		    strcmp(grant->endpoint->id.name, useless) != 0) {
-			grant_revoke(a, grant, now);
-			coming++;
-		}
-		grant = older;
+	while (coming < wanted &&
+	       (grant = grant_to_revoke(a, useless, now)) != NULL) {
+		grant_revoke(a, grant, now);
+		coming++;
 	}
 }
 
@@ -313,10 +341,10 @@
 	const slot_org_t *other;
 
 	LIST_FOREACH (other, &a->orgs, entry)
-		if (other == org || other->waiting[GRANT_ONLINE] > 0)
+		if (other == org || other->queue[GRANT_ONLINE].count > 0)
 			weights += other->weight > 0 ? other->weight : 1;
 	return (fmin(a->waiting[GRANT_ONLINE],
-	    org->waiting[GRANT_ONLINE] * weights / weight));
+	    (double)org->queue[GRANT_ONLINE].count * weights / weight));
 }
 
 /*
--- a/src/admission_state.h
+++ b/src/admission_state.h
@@ -10,6 +10,7 @@
 #include "limiter.h"
 #include "quota.h"
 #include "route.h"
+#include "wait_queue.h"
 
 #define ADMISSION_CLASSES 2
 #define ADMISSION_BUCKETS 1024
@@ -31,9 +32,8 @@
 	unsigned concurrency;
 	quota_t quota;
 	unsigned held[ADMISSION_CLASSES];
-	unsigned waiting[ADMISSION_CLASSES];
 	double start[ADMISSION_CLASSES]; /* virtual start of the next one */
-	struct slot_queue_t queue[ADMISSION_CLASSES];
+	wait_queue_t queue[ADMISSION_CLASSES];
 	unsigned skipped_in; /* scheduling round that found nothing to grant */
 	LIST_ENTRY(slot_org_t) entry;
 } slot_org_t;
@@ -69,7 +69,8 @@
 	double since;			 /* it was asked for, or granted */
 	double revoked;			 /* time */
 	bool listed;			 /* in the report being read */
-	TAILQ_ENTRY(slot_grant_t) order; /* organisation's queue, batch_held */
+	wait_link_t wait;		 /* organisation's queue */
+	TAILQ_ENTRY(slot_grant_t) order; /* batch_held, revoked */
 	LIST_ENTRY(slot_grant_t) bucket_entry;
 	LIST_ENTRY(slot_grant_t) holder_entry;
 };
@@ -104,6 +105,7 @@
 };
 
 /* admission.c */
+slot_grant_t *slot_grant_waiting(wait_link_t *link);
 slot_holder_t *slot_holder_get(admission_t *a, const char *name);
 slot_org_t *slot_org_get(admission_t *a, str_t name, double now);
 slot_endpoint_t *slot_endpoint_find(const admission_t *a, str_t name);
--- a/src/forward.c
+++ b/src/forward.c
@@ -362,6 +362,9 @@
 		.prefix_hash = f->info.prefix_hash,
 		.deadline = fmin(f->state.expires,
 		    forward_queue_until(f->route, f->info.patience, now)),
+		.start_by = grant_start_by(
+		    now, forward_slack(
+			     f->route, f->state.answered, now - f->arrived)),
 		.avoid_endpoint = f->endpoint,
 		.on_grant = on_grant,
 		.ctx = f,
--- a/src/forward_plan.c
+++ b/src/forward_plan.c
@@ -14,6 +14,8 @@
  * try once more.
  */
 #define QUEUE_SHARE 0.6
+/* Time from a slot to the first event at the caller, in seconds. */
+#define FIRST_EVENT_S 0.05
 
 static bool
 may_retry(const forward_state_t *state, double now)
@@ -91,3 +93,19 @@
 		time = fmin(time, patience);
 	return (now + time * QUEUE_SHARE);
 }
+
+/*
+ * Returns how long a request may wait for a slot and still be on time: its
+ * first event within the route's target, or the next one within the target for
+ * pauses when the stream has begun. Negative: it is late; infinite: the route
+ * states no target.
+ */
+double
+forward_slack(const request_route_t *route, bool answered, double waited)
+{
+	double target = answered ? route->target_gap : route->target_latency;
+
+	if (target <= 0)
+		return (INFINITY);
+	return (target - (answered ? 0 : waited) - FIRST_EVENT_S);
+}
--- a/src/forward_plan.h
+++ b/src/forward_plan.h
@@ -34,4 +34,7 @@
 double forward_queue_until(
     const request_route_t *route, double patience, double now);
 
+double forward_slack(
+    const request_route_t *route, bool answered, double waited);
+
 #endif
--- a/src/grants.c
+++ b/src/grants.c
@@ -1,6 +1,8 @@
 /* The asking side of grants: one for each request that needs a slot. */
 #include "grants_wire.h"
 
+#include <float.h>
+#include <math.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -123,8 +125,10 @@
 	grant->state = GRANT_STATE_READY;
 	grant->rc = rc;
 	grant->retry_after = retry_after;
-	if (rc == 0)
+	if (rc == 0) {
 		grant->endpoint = *endpoint;
+		grant->granted = clock_monotonic();
+	}
 	grant_defer(grant);
 }
 
@@ -328,6 +332,16 @@
 	}
 }
 
+/*
+ * Returns the latest start that is on time when slack seconds are left,
+ * negative ones too. It is never 0, which would mean that none is stated.
+ */
+double
+grant_start_by(double now, double slack)
+{
+	return (fmax(DBL_MIN, now + slack));
+}
+
 /* Asks for a slot of a pool; see grants.h. */
 grant_t *
 grants_ask(grants_t *grants, const grant_params_t *params)
--- a/src/grants.h
+++ b/src/grants.h
@@ -35,8 +35,9 @@
 	const char *pool;
 	grant_class_t class;
 	const char *org;
-	uint64_t prefix_hash;	    /* of the prompt's beginning; 0: none */
-	double deadline;	    /* clock_monotonic() seconds */
+	uint64_t prefix_hash; /* of the prompt's beginning; 0: none */
+	double deadline;      /* clock_monotonic() seconds */
+	double start_by;      /* latest start that is on time; 0: not stated */
 	const char *avoid_endpoint; /* that just failed; NULL: none */
 	grant_cb_t on_grant;
 	grant_revoke_cb_t on_revoke;
@@ -50,6 +51,7 @@
  */
 grant_t *grants_ask(grants_t *grants, const grant_params_t *params);
 void grant_release(grant_t *grant, const grant_report_t *report);
+double grant_start_by(double now, double slack);
 /* Seconds after which asking again makes sense; valid in on_grant, rc != 0. */
 double grant_retry_after(const grant_t *grant);
 
--- a/src/grants_admit.c
+++ b/src/grants_admit.c
@@ -163,6 +163,7 @@
 	    .org = grant->org,
 	    .prefix_hash = grant->params.prefix_hash,
 	    .deadline = grant->params.deadline,
+	    .start_by = grant->params.start_by,
 	    .avoid = grant->avoid,
 	};
 
@@ -203,6 +204,7 @@
 		holdings[count].waiting = grant->endpoint.name[0] == '\0';
 		holdings[count].class = grant->params.class;
 		holdings[count].org = str_of(grant->org);
+		holdings[count].slack = grant_slack_at(grant, grant->granted);
 		holdings[count++].endpoint = str_of(grant->endpoint.name);
 	}
 	n = admission_held(
@@ -277,6 +279,7 @@
 	ask.org = org;
 	ask.prefix_hash = m.prefix_hash;
 	ask.deadline = now + m.remaining;
+	ask.start_by = grant_start_by(now, m.slack);
 	ask.avoid = avoid;
 	pool_ask(pool, &ask, m.org, now);
 	answered = pool_dispatch(pool, m.holder, m.id, &action);
--- a/src/grants_state.h
+++ b/src/grants_state.h
@@ -60,6 +60,7 @@
 	int rc;
 	double retry_after;
 	grant_endpoint_t endpoint;
+	double granted; /* monotonic; of the answer */
 	bool revoke_ready;
 	bool revoked;
 	bool deferred;
--- a/src/grants_wire.c
+++ b/src/grants_wire.c
@@ -1,16 +1,33 @@
 /* The messages between hosts about grants. */
 #include "grants_wire.h"
 
+#include <math.h>
 #include <stdlib.h>
 
-/* GRANT_ASK; the deadline is sent as a duration, clocks differ. */
+/* Returns how long after a time the request would still start on time. */
+double
+grant_slack_at(const grant_t *grant, double time)
+{
+	double start_by = grant->params.start_by;
+
+	return (start_by > 0 ? start_by - time : INFINITY);
+}
+
+/* A host of an earlier version does not state it. */
+static double
+read_slack(wire_reader_t *reader)
+{
+	return (reader->left > 0 ? wire_read_double(reader) : INFINITY);
+}
+
+/* GRANT_ASK; times are sent as durations, clocks differ. */
 void
 grants_pack_ask(buf_t *out, const grant_t *grant, double now)
 {
 	msgpack_packer packer;
 
 	wire_packer_init(&packer, out);
-	msgpack_pack_array(&packer, 9);
+	msgpack_pack_array(&packer, 10);
 	msgpack_pack_uint64(&packer, grant->id);
 	wire_pack_str(&packer, str_of(grant->pool->name));
 	msgpack_pack_uint64(&packer, grant->params.class);
@@ -20,6 +37,7 @@
 	wire_pack_str(&packer, str_of(grant->avoid));
 	wire_pack_str(&packer, str_of(grant->grants->host));
 	wire_pack_str(&packer, str_of(grant->grants->zone));
+	msgpack_pack_double(&packer, grant_slack_at(grant, now));
 }
 
 static grant_class_t
@@ -44,6 +62,7 @@
 	out->avoid = wire_read_str(&reader);
 	out->holder = wire_read_str(&reader);
 	out->zone = wire_read_str(&reader);
+	out->slack = read_slack(&reader);
 	return (!reader.fault);
 }
 
@@ -155,12 +174,14 @@
 	wire_pack_str(&packer, str_of(pool->name));
 	msgpack_pack_array(&packer, count);
 	LIST_FOREACH (grant, &pool->held, pool_entry) {
-		msgpack_pack_array(&packer, 5);
+		msgpack_pack_array(&packer, 6);
 		msgpack_pack_uint64(&packer, grant->id);
 		wire_pack_bool(&packer, grant->endpoint.name[0] == '\0');
 		msgpack_pack_uint64(&packer, grant->params.class);
 		wire_pack_str(&packer, str_of(grant->org));
 		wire_pack_str(&packer, str_of(grant->endpoint.name));
+		msgpack_pack_double(
+		    &packer, grant_slack_at(grant, grant->granted));
 	}
 }
 
@@ -191,6 +212,7 @@
 		(*out)[i].class = read_class(&item);
 		(*out)[i].org = wire_read_str(&item);
 		(*out)[i].endpoint = wire_read_str(&item);
+		(*out)[i].slack = read_slack(&item);
 		if (item.fault)
 			return (i);
 	}
--- a/src/grants_wire.h
+++ b/src/grants_wire.h
@@ -13,6 +13,7 @@
 	str_t org;
 	uint64_t prefix_hash;
 	double remaining; /* seconds until the deadline */
+	double slack;	  /* seconds until it starts late; infinite: never */
 	str_t avoid;
 	str_t zone;
 	str_t endpoint;
@@ -22,6 +23,7 @@
 	grant_report_t report;
 } grants_message_t;
 
+double grant_slack_at(const grant_t *grant, double time);
 void grants_pack_ask(buf_t *out, const grant_t *grant, double now);
 bool grants_read_ask(const msgpack_object *body, grants_message_t *out);
 void grants_pack_release(
--- a/src/job_plan.c
+++ b/src/job_plan.c
@@ -23,11 +23,18 @@
 		now - item->no_route_since >= NO_ROUTE_S);
 }
 
+/* Returns in how many seconds an item must begin to be ready when it is due. */
+double
+item_plan_start_in(const item_plan_t *item, double now)
+{
+	return (item->submitted + item->window - item->run_time - now);
+}
+
 /* Whether an item that begins now cannot be ready when it is due. */
 static bool
 is_late(const item_plan_t *item, double now)
 {
-	return (now + item->run_time > item->submitted + item->window);
+	return (item_plan_start_in(item, now) < 0);
 }
 
 /*
--- a/src/job_plan.h
+++ b/src/job_plan.h
@@ -19,6 +19,7 @@
 
 bool item_plan_dead(const item_plan_t *item, double now);
 int item_plan_compare(const item_plan_t *a, const item_plan_t *b, double now);
+double item_plan_start_in(const item_plan_t *item, double now);
 double item_plan_retry_delay(unsigned tries);
 
 #endif
--- a/src/job_run.c
+++ b/src/job_run.c
@@ -7,7 +7,6 @@
 
 #include "clock.h"
 #include "counter.h"
-#include "job_plan.h"
 #include "logger.h"
 #include "result.h"
 
@@ -23,45 +22,9 @@
 /* Running time of an item before one was measured, in seconds. */
 #define FIRST_RUN_TIME_S   5.0
 #define RUN_TIME_SMOOTHING 0.1
-/* An item that runs longer than usual still needs some time, in seconds. */
-#define MIN_RUN_TIME_S 0.3
 /* Bytes of output after which an item counts as one that cannot be done. */
 #define MAX_OUTPUT_BYTES (8U << 20)
 
-static const request_route_t *
-item_route(const item_run_t *item)
-{
-	const job_runner_params_t *params = &item->run->runner->params;
-	const routing_table_t *table = params->routes(params->ctx);
-
-	if (table == NULL)
-		return (NULL);
-	return (routing_table_match(
-	    table, item->run->job->job.host, item->item->target));
-}
-
-static item_plan_t
-item_plan(const item_run_t *item)
-{
-	const request_route_t *route = item_route(item);
-	item_plan_t plan = {
-	    .submitted = item->run->job->submitted,
-	    .run_time = fmax(
-		MIN_RUN_TIME_S, item->run->runner->run_time - item->run_time),
-	    .progress = item->events,
-	    .failures = item->failures,
-	    .impossible = item->impossible,
-	    .no_route_since = item->no_route_since,
-	};
-
-	if (route == NULL)
-		return (plan);
-	plan.window = route->completion_window;
-	plan.retention = route->retention;
-	plan.max_failures = route->max_attempts;
-	return (plan);
-}
-
 static void
 slot_free(item_slot_t *slot)
 {
@@ -236,47 +199,6 @@
 	});
 }
 
-/* Returns the item that should run next in a pool; any pool when NULL. */
-static item_run_t *
-runner_next(job_runner_t *runner, const char *pool, const char **item_pool)
-{
-	double now = clock_monotonic();
-	double wall = clock_wall();
-	item_run_t *best = NULL;
-	item_plan_t best_plan = {0};
-	job_run_t *run;
-
-	TAILQ_FOREACH (run, &runner->runs, entry) {
-		for (size_t i = 0;
-		     run->left > 0 && i < run->job->job.item_count; i++) {
-			item_run_t *item = &run->items[i];
-			const request_route_t *route;
-			const char *name;
-			item_plan_t plan;
-
-			if (item->state != ITEM_WAITING ||
-			    item->not_before > now)
-				continue;
-			route = item_route(item);
-			if (route == NULL)
-				continue;
-			name = request_route_pool(
-			    route, str_hash(item->item->id, 0));
-			if (name == NULL ||
-			    (pool != NULL && strcmp(name, pool) != 0))
-				continue;
-			plan = item_plan(item);
-			if (best != NULL &&
-			    item_plan_compare(&plan, &best_plan, wall) >= 0)
-				continue;
-			best = item;
-			best_plan = plan;
-			*item_pool = name;
-		}
-	}
-	return (best);
-}
-
 static void
 on_revoke(void *ctx, grant_t *grant)
 {
@@ -300,8 +222,7 @@
 {
 	item_slot_t *slot = ctx;
 	job_runner_t *runner = slot->runner;
-	const char *pool;
-	item_run_t *item = NULL;
+	item_choice_t choice;
 
 	if (rc != 0) {
 		slot_free(slot);
@@ -313,67 +234,52 @@
 		slot_free(slot);
 		return;
 	}
-	if (!runner->paused)
-		item = runner_next(runner, slot->pool, &pool);
-	if (item == NULL) {
+	/* Whichever item comes first by now, not the one that was asked for. */
+	if (runner->paused ||
+	    runner_choose(runner, slot->pool, &choice, 1) == 0) {
 		grant_release(grant, NULL);
 		slot_free(slot);
 		return;
 	}
-	item_start(item, slot, endpoint);
+	item_start(choice.item, slot, endpoint);
 	runner_ask(runner);
 }
 
-static size_t
-runner_waiting(const job_runner_t *runner)
+static void
+slot_ask(job_runner_t *runner, const item_choice_t *choice)
 {
-	const job_run_t *run;
-	double now = clock_monotonic();
-	size_t waiting = 0;
-
-	TAILQ_FOREACH (run, &runner->runs, entry)
-		for (size_t i = 0;
-		     run->left > 0 && i < run->job->job.item_count; i++)
-			waiting += run->items[i].state == ITEM_WAITING &&
-				   run->items[i].not_before <= now;
-	return (waiting);
+	item_slot_t *slot = xcalloc(1, sizeof(*slot));
+
+	slot->runner = runner;
+	str_copy(slot->pool, sizeof(slot->pool), str_of(choice->pool));
+	LIST_INSERT_HEAD(&runner->slots, slot, entry);
+	runner->asks++;
+	slot->grant = grants_ask(runner->params.grants,
+	    &(grant_params_t){
+		.pool = slot->pool,
+		.class = GRANT_BATCH,
+		.org = item_route(choice->item)->name,
+		.deadline = clock_monotonic() + ASK_TIME_S,
+		.start_by = item_choice_start_by(choice),
+		.avoid_endpoint = "",
+		.on_grant = on_grant,
+		.on_revoke = on_revoke,
+		.ctx = slot,
+	    });
 }
 
 /* Asks for a slot for each waiting item, within the bound. */
 void
 runner_ask(job_runner_t *runner)
 {
-	const job_runner_params_t *params = &runner->params;
-	size_t wanted = runner_waiting(runner);
+	item_choice_t choices[MAX_ASKS];
+	size_t count;
 
-	if (runner->paused)
+	if (runner->paused || runner->asks >= MAX_ASKS)
 		return;
-	if (wanted > MAX_ASKS)
-		wanted = MAX_ASKS;
-	while (runner->asks < wanted) {
-		const char *pool = NULL;
-		item_run_t *item = runner_next(runner, NULL, &pool);
-		item_slot_t *slot;
-
-		if (item == NULL)
-			return;
-		slot = xcalloc(1, sizeof(*slot));
-		slot->runner = runner;
-		str_copy(slot->pool, sizeof(slot->pool), str_of(pool));
-		LIST_INSERT_HEAD(&runner->slots, slot, entry);
-		runner->asks++;
-		slot->grant = grants_ask(params->grants,
-		    &(grant_params_t){
-			.pool = slot->pool,
-			.class = GRANT_BATCH,
-			.org = item_route(item)->name,
-			.deadline = clock_monotonic() + ASK_TIME_S,
-			.avoid_endpoint = "",
-			.on_grant = on_grant,
-			.on_revoke = on_revoke,
-			.ctx = slot,
-		    });
-	}
+	count = runner_choose(runner, NULL, choices, MAX_ASKS);
+	for (size_t i = runner->asks; i < count; i++)
+		slot_ask(runner, &choices[i]);
 }
 
 static void
--- a/src/job_run_state.h
+++ b/src/job_run_state.h
@@ -6,6 +6,7 @@
 
 #include "attempt.h"
 #include "counter.h"
+#include "job_plan.h"
 #include "job_run.h"
 
 typedef enum item_run_state_t {
@@ -56,6 +57,13 @@
 	LIST_ENTRY(item_slot_t) entry;
 } item_slot_t;
 
+/* An item that may run next, and in which pool. */
+typedef struct item_choice_t {
+	item_run_t *item;
+	const char *pool;
+	item_plan_t plan;
+} item_choice_t;
+
 typedef struct runner_counters_t {
 	counter_t *attempts;
 	counter_t *done;
@@ -81,4 +89,11 @@
 void item_finish(item_run_t *item, job_outcome_t outcome, const char *cause);
 void runner_ask(job_runner_t *runner);
 
+/* job_run_choose.c */
+const request_route_t *item_route(const item_run_t *item);
+item_plan_t item_plan(const item_run_t *item);
+size_t runner_choose(const job_runner_t *runner, const char *pool,
+    item_choice_t *choices, size_t max);
+double item_choice_start_by(const item_choice_t *choice);
+
 #endif
--- a/tests/test_admission.c
+++ b/tests/test_admission.c
@@ -97,6 +97,31 @@
 	drain(t);
 }
 
+/*
+ * Guards against a slot that is taken from the item that is due first, while
+ * others have time to spare or are late anyway.
+ */
+static void
+test_revokes_what_has_time(void)
+{
+	pool_test_t t;
+	uint64_t ids[4];
+	const double slacks[] = {1, 9, -3, 5};
+
+	setup(&t, &settings, 1, 4);
+	for (int i = 0; i < 4; i++)
+		ids[i] = ask_full(&t, &(admission_ask_t){.class = GRANT_BATCH,
+					  .start_by = t.now + slacks[i]});
+	CU_ASSERT(t.granted == 4);
+	for (int i = 0; i < 3; i++)
+		ask(&t, GRANT_ONLINE);
+	CU_ASSERT(t.revoked == 3);
+	CU_ASSERT(t.revoked_ids[0] == ids[2]);
+	CU_ASSERT(t.revoked_ids[1] == ids[1]);
+	CU_ASSERT(t.revoked_ids[2] == ids[3]);
+	admission_delete(t.a);
+}
+
 /* Guards against an online request that waits behind batch work. */
 static void
 test_online_preempts_batch(void)
@@ -636,6 +661,7 @@
 }
 
 static const suite_test_t tests[] = {
+    {"revokes what has time", test_revokes_what_has_time},
     {"online preempts batch", test_online_preempts_batch},
     {"one revocation for each waiting request",
 	test_one_revocation_for_each_waiting_request},
--- a/tests/test_forward_plan.c
+++ b/tests/test_forward_plan.c
@@ -1,6 +1,8 @@
 /* Tests of what follows an attempt, and of the waiting time for a slot. */
 #include "suite.h"
 
+#include <math.h>
+
 #include "forward_plan.h"
 #include "result.h"
 
@@ -113,6 +115,20 @@
 	CU_ASSERT(forward_queue_until(&route, 60, 100) < 104);
 }
 
+/* Guards against a place in the queue that the route's targets do not give. */
+static void
+test_slack_follows_the_targets(void)
+{
+	request_route_t route = {.target_latency = 0.3, .target_gap = 0.5};
+	request_route_t none = {0};
+
+	CU_ASSERT(forward_slack(&route, false, 0) > 0.2);
+	CU_ASSERT(forward_slack(&route, false, 0) < 0.3);
+	CU_ASSERT(forward_slack(&route, false, 1) < 0);
+	CU_ASSERT(forward_slack(&route, true, 1) > 0.4);
+	CU_ASSERT(isinf(forward_slack(&none, false, 1)));
+}
+
 static const suite_test_t tests[] = {
     {"a refusal is true", test_refusal_is_true},
     {"a failure promises nothing", test_failure_promises_nothing},
@@ -120,6 +136,7 @@
     {"attempts are bounded", test_attempts_are_bounded},
     {"a stream goes on", test_stream_goes_on},
     {"the queue ends before the deadline", test_queue_ends_before_the_deadline},
+    {"slack follows the targets", test_slack_follows_the_targets},
 };
 
 SUITE_MAIN("forward_plan", tests)
