Reach the store through other hosts when it turns this one away

Jobs at a refused host got 503 after 190 ms and their 202 elsewhere after their target; a refused owner could not read its jobs nor store results. Change: store_relay is a store over the direct one. After two calls without an answer another ready host makes the calls (message 50), once and never in a chain; the direct way is tried each second; store_path holds the decisions. Connections begin at the host's own address, which the stand-in store needs to tell hosts apart: the soak's fault "store refuses one host" had no effect before. test_fail_gateway, "store refuses some hosts", fails without the relay (six assertions, :161 gateways_submit(&fleet, 0, job, 3, 4) == 202).

--- a/src/gateway.c
+++ b/src/gateway.c
@@ -164,6 +164,32 @@
 	    gateway->quiesced || membership_net_listening(gateway->membership));
 }
 
+static int
+start_store(void *ctx)
+{
+	gateway_t *gateway = ctx;
+
+	gateway->store = store_relay_new(&(store_relay_params_t){
+	    .loop = gateway->params.loop,
+	    .direct = gateway->params.store,
+	    .peer = gateway->peer,
+	    .host = gateway->params.settings->name,
+	    .probe_topic = gateway->params.dialect->hosts_topic,
+	    .members = members_of,
+	    .ctx = gateway,
+	});
+	return (0);
+}
+
+static void
+stop_store(void *ctx)
+{
+	gateway_t *gateway = ctx;
+
+	store_relay_delete(gateway->store);
+	gateway->store = NULL;
+}
+
 static int
 start_grants(void *ctx)
 {
@@ -232,7 +258,7 @@
 
 	gateway->jobs = jobs_new(&(jobs_params_t){
 	    .loop = gateway->params.loop,
-	    .store = gateway->params.store,
+	    .store = gateway->store,
 	    .peer = gateway->peer,
 	    .grants = gateway->grants,
 	    .httpc = gateway->params.httpc,
@@ -259,6 +285,7 @@
 static const component_t components[] = {
     {"peer", start_peer, stop_peer, check_peer},
     {"membership", start_membership, stop_membership, check_membership},
+    {"store", start_store, stop_store, NULL},
     {"endpoints", gateway_start_endpoints, gateway_stop_endpoints, NULL},
     {"config", gateway_start_config, gateway_stop_config, NULL},
     {"hosts", gateway_start_hosts, gateway_stop_hosts, NULL},
--- a/src/gateway_state.h
+++ b/src/gateway_state.h
@@ -9,6 +9,7 @@
 #include "jobs.h"
 #include "membership_net.h"
 #include "peer.h"
+#include "store_relay.h"
 #include "supervisor.h"
 
 struct gateway_t {
@@ -16,6 +17,7 @@
 	supervisor_t *supervisor;
 	peer_t *peer;
 	membership_net_t *membership;
+	store_t *store; /* directly or through other hosts */
 	grants_t *grants;
 	forwarder_t *forwarder;
 	jobs_t *jobs;
--- a/src/gateway_store.c
+++ b/src/gateway_store.c
@@ -97,7 +97,7 @@
 
 	gateway->config_follower = follower_new(&(follower_params_t){
 	    .loop = gateway->params.loop,
-	    .store = gateway->params.store,
+	    .store = gateway->store,
 	    .topic = gateway->params.dialect->config_topic,
 	    .wait = CONFIG_WAIT_S,
 	    .events = &config_events,
@@ -198,7 +198,7 @@
 	gateway->endpoints = endpoint_set_new();
 	gateway->endpoint_follower = follower_new(&(follower_params_t){
 	    .loop = gateway->params.loop,
-	    .store = gateway->params.store,
+	    .store = gateway->store,
 	    .topic = gateway->params.dialect->endpoints_topic,
 	    .pause = ENDPOINTS_PAUSE_S,
 	    .events = &endpoint_events,
@@ -256,7 +256,7 @@
 announce(gateway_t *gateway, bool removed)
 {
 	const gateway_settings_t *settings = gateway->params.settings;
-	store_t *store = gateway->params.store;
+	store_t *store = gateway->store;
 	store_record_t record = {
 	    .key = str_of(settings->address),
 	    .value = str_of(settings->name),
@@ -305,7 +305,7 @@
 	announce(gateway, false);
 	gateway->host_follower = follower_new(&(follower_params_t){
 	    .loop = gateway->params.loop,
-	    .store = gateway->params.store,
+	    .store = gateway->store,
 	    .topic = gateway->params.dialect->hosts_topic,
 	    .wait = HOSTS_WAIT_S,
 	    .events = &host_events,
@@ -319,7 +319,7 @@
 gateway_stop_hosts(void *ctx)
 {
 	gateway_t *gateway = ctx;
-	store_t *store = gateway->params.store;
+	store_t *store = gateway->store;
 
 	ev_timer_stop(gateway->params.loop, &gateway->announce_timer);
 	if (gateway->announce != NULL)
--- a/src/httpc.c
+++ b/src/httpc.c
@@ -3,6 +3,7 @@
 
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/queue.h>
@@ -45,6 +46,7 @@
 	 */
 	ev_timer reaper;
 	bool in_callback;
+	char source[64]; /* as libcurl expects it; empty: the kernel's choice */
 	LIST_HEAD(, http_call_t) calls;
 };
 
@@ -378,6 +380,16 @@
 	return (httpc);
 }
 
+/*
+ * Lets connections begin at an IP number of this host, so that others see the
+ * address by which they know it. Calls that have begun are not affected.
+ */
+void
+httpc_set_source(httpc_t *httpc, const char *address)
+{
+	snprintf(httpc->source, sizeof(httpc->source), "host!%s", address);
+}
+
 /* Returns the loop that drives the client. */
 struct ev_loop *
 httpc_loop(const httpc_t *httpc)
@@ -439,6 +451,8 @@
 	curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
 	curl_easy_setopt(easy, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
 	curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN, MAX_IDLE_AGE_S);
+	if (call->httpc->source[0] != '\0')
+		curl_easy_setopt(easy, CURLOPT_INTERFACE, call->httpc->source);
 	if (params->fresh_connection) {
 		curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
 		curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, 1L);
--- a/src/httpc.h
+++ b/src/httpc.h
@@ -55,6 +55,7 @@
 
 httpc_t *httpc_new(struct ev_loop *loop);
 void httpc_delete(httpc_t *httpc);
+void httpc_set_source(httpc_t *httpc, const char *address);
 struct ev_loop *httpc_loop(const httpc_t *httpc);
 
 http_call_t *http_call_start(httpc_t *httpc, const http_call_params_t *params);
--- /dev/null
+++ b/src/store_relay_wire.h
@@ -0,0 +1,44 @@
+/* The messages by which one host calls the store for another. */
+#ifndef DAISYPIER_STORE_RELAY_WIRE_H
+#define DAISYPIER_STORE_RELAY_WIRE_H
+
+#include "store.h"
+#include "wire.h"
+
+typedef enum store_relay_kind_t {
+	STORE_RELAY_APPEND = 1,
+	STORE_RELAY_READ = 2,
+	STORE_RELAY_NEWEST = 3,
+} store_relay_kind_t;
+
+/* A call; the strings live as long as the message. */
+typedef struct store_relay_ask_t {
+	store_relay_kind_t kind;
+	char topic[64];
+	unsigned partition;
+	uint64_t offset; /* expected end of an append, begin of a read */
+	str_t after;
+	double wait;
+	double timeout;
+	store_record_t *records; /* the caller frees them */
+	size_t count;
+} store_relay_ask_t;
+
+/* The store's answer. */
+typedef struct store_relay_answer_t {
+	int rc;
+	uint64_t end;
+	bool more;
+	store_record_t *records; /* the caller frees them */
+	size_t count;
+} store_relay_answer_t;
+
+void store_relay_pack_append(buf_t *out, const store_append_t *params);
+void store_relay_pack_query(
+    buf_t *out, store_relay_kind_t kind, const store_query_t *params);
+int store_relay_read_ask(const msgpack_object *body, store_relay_ask_t *out);
+void store_relay_pack_answer(buf_t *out, const store_read_t *read);
+int store_relay_read_answer(
+    const msgpack_object *body, store_relay_answer_t *out);
+
+#endif
--- a/tests/test_fail_gateway.c
+++ b/tests/test_fail_gateway.c
@@ -126,6 +126,50 @@
 	gateways_end(&fleet);
 }
 
+/* Whether a host routes a stream of a route that was just added. */
+static bool
+routes_new_stream(unsigned host, const char *id)
+{
+	double end = clock_monotonic() + 5;
+	bool right = false;
+
+	while (!right && clock_monotonic() < end) {
+		right = gateways_stream(&fleet, host, "/new/", id, 5, 5).right;
+		harness_sleep(0.1);
+	}
+	return (right);
+}
+
+/*
+ * Guards against jobs that are refused, configuration that is not in force and
+ * results that are not stored at a host that the store turns away, while it
+ * serves the others (wrexfield-tally trouble-1).
+ */
+static void
+test_store_refuses_some_hosts(void)
+{
+	static const char *const modes[] = {
+	    "busy=1&host=127.0.0.21", "silent=1&host=127.0.0.21"};
+
+	for (unsigned i = 0; i < 2; i++) {
+		char job[16];
+
+		gateways_start(&fleet, &(gateways_params_t){0});
+		gateways_store_faults(&fleet, modes[i]);
+		harness_sleep(3);
+		snprintf(job, sizeof(job), "job-r%u", i);
+		CU_ASSERT(gateways_submit(&fleet, 0, job, 3, 4) == 202);
+		CU_ASSERT(gateways_wait_job(&fleet, job, 3, 4, 20));
+		gateways_configure(&fleet,
+		    ",{\"name\":\"new\",\"host\":\"" GATEWAYS_HOST
+		    "\",\"path-prefix\":\"/new/\",\"type\":\"stream\","
+		    "\"service\":\"m\",\"max-attempts\":1,"
+		    "\"timeout-ms\":5000}");
+		CU_ASSERT(routes_new_stream(0, "r1"));
+		gateways_end(&fleet);
+	}
+}
+
 /* Guards against a host that stops following after its history expired. */
 static void
 test_forgotten_history(void)
@@ -324,6 +368,7 @@
     {"a job survives its hosts", test_job_survives_its_hosts},
     {"a job through lost answers", test_job_through_lost_answers},
     {"store outage", test_store_outage},
+    {"store refuses some hosts", test_store_refuses_some_hosts},
     {"forgotten history", test_forgotten_history},
     {"a caller leaves", test_caller_leaves},
     {"idle connections go silent", test_idle_connections_go_silent},
