Split the reads of jobs from their partition; read settings files in one place

Change: job_partition_read.c has the callers' reads, job_partition_state.h what both share; config_faults_read_file() serves both settings modules. No change in behaviour. Result: test_job_partition, test_settings and test_gateway_settings pass.

--- a/src/config_fault.c
+++ b/src/config_fault.c
@@ -5,6 +5,9 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "file.h"
+#include "result.h"
+
 /* Adds a fault; the text is formatted like printf. */
 void
 config_faults_add(config_faults_t *faults, const char *file, unsigned line,
@@ -68,3 +71,19 @@
 		buf_printf(out, "%s:%u: %s\n", faults->items[i].file,
 		    faults->items[i].line, faults->items[i].text);
 }
+
+/*
+ * Reads a whole file for a parser that reports faults. One that cannot be read
+ * is a fault in line 0. Returns 0 or -RESULT_INVALID_CONFIG.
+ */
+int
+config_faults_read_file(config_faults_t *faults, const char *path, buf_t *text)
+{
+	int rc = file_read(path, text);
+
+	*faults = (config_faults_t){0};
+	if (rc == 0)
+		return (0);
+	config_faults_add(faults, path, 0, "%s", strerror(-rc));
+	return (-RESULT_INVALID_CONFIG);
+}
--- a/src/config_fault.h
+++ b/src/config_fault.h
@@ -19,6 +19,8 @@
 void config_faults_add(config_faults_t *faults, const char *file, unsigned line,
     const char *fmt, ...) __attribute__((format(printf, 4, 5)));
 void config_faults_sort(config_faults_t *faults);
+int config_faults_read_file(
+    config_faults_t *faults, const char *path, buf_t *text);
 void config_faults_free(config_faults_t *faults);
 void config_faults_render(const config_faults_t *faults, buf_t *out);
 
--- a/src/gateway_settings.c
+++ b/src/gateway_settings.c
@@ -124,16 +124,11 @@
     const char *path, gateway_settings_t **out, config_faults_t *faults)
 {
 	buf_t text = {0};
-	int rc = file_read(path, &text);
+	int rc = config_faults_read_file(faults, path, &text);
 
 	*out = NULL;
-	if (rc != 0) {
-		*faults = (config_faults_t){0};
-		config_faults_add(faults, path, 0, "%s", strerror(-rc));
-		buf_free(&text);
-		return (-RESULT_INVALID_CONFIG);
-	}
-	rc = gateway_settings_parse(str_buf(&text), path, out, faults);
+	if (rc == 0)
+		rc = gateway_settings_parse(str_buf(&text), path, out, faults);
 	buf_free(&text);
 	return (rc);
 }
--- a/src/job_partition.c
+++ b/src/job_partition.c
@@ -1,27 +1,15 @@
 /* One partition of jobs at the host that owns it. */
-#include "job_partition.h"
+#include "job_partition_state.h"
 
-#include <math.h>
 #include <stdlib.h>
-#include <sys/queue.h>
 
 #include "clock.h"
-#include "follower.h"
-#include "job_results.h"
 #include "logger.h"
 #include "result.h"
 
 /* A read of the store without a new record is answered after this, in seconds.
  */
 #define FOLLOW_WAIT_S 0.5
-/*
- * What is not here may be elsewhere: without contact for this long, a missing
- * job or result is not reported as missing, in seconds.
- */
-#define FRESH_S 0.85
-/* A read that needs a fresh state waits at most this long for it. */
-#define MAX_SYNC_WAIT_S 0.8
-#define READ_TICK_S	0.05
 /* Pause before results are appended once more, in seconds. */
 #define APPEND_RETRY_S	 0.15
 #define APPEND_TIMEOUT_S 1.5
@@ -32,198 +20,9 @@
 /* Jobs are checked for their end of life this often, in seconds. */
 #define FORGET_INTERVAL_S 10.0
 
-/* A result that waits to be stored. */
-typedef struct finished_item_t {
-	char job[JOB_ID_SIZE];
-	char item[JOB_ID_SIZE];
-	job_outcome_t outcome;
-	buf_t output;
-	TAILQ_ENTRY(finished_item_t) entry;
-} finished_item_t;
-
-TAILQ_HEAD(finished_list_t, finished_item_t);
-
-/* What the last owner told of an item whose job is not known here yet. */
-typedef struct handed_item_t {
-	char job[JOB_ID_SIZE];
-	char item[JOB_ID_SIZE];
-	buf_t output;
-	item_progress_t progress;
-	double arrived;
-	TAILQ_ENTRY(handed_item_t) entry;
-} handed_item_t;
-
-struct job_partition_t {
-	job_partition_params_t params;
-	follower_t *follower;
-	job_table_t *table;
-	job_runner_t *runner;
-	struct finished_list_t finished;
-	TAILQ_HEAD(, handed_item_t) handed;
-	store_call_t *append;
-	LIST_HEAD(, job_read_t) reads;
-	ev_timer read_tick;
-	ev_timer append_timer;
-	ev_timer forget_timer;
-};
-
-struct job_read_t {
-	job_partition_t *partition;
-	job_call_t call;
-	double arrived;
-	double until; /* an empty list of results is the answer then */
-	job_read_cb_t on_done;
-	void *ctx;
-	LIST_ENTRY(job_read_t) entry;
-};
-
 static void partition_append(job_partition_t *partition);
 static void handed_apply(job_partition_t *partition, const stored_job_t *job);
 
-static void
-read_end(job_read_t *read, int rc, str_t body)
-{
-	job_read_cb_t on_done = read->on_done;
-	void *ctx = read->ctx;
-
-	LIST_REMOVE(read, entry);
-	free(read);
-	on_done(ctx, rc, body);
-}
-
-static const job_item_t *
-item_find(const stored_job_t *job, str_t id)
-{
-	for (size_t i = 0; i < job->job.item_count; i++)
-		if (str_equal(job->job.items[i].id, id))
-			return (&job->job.items[i]);
-	return (NULL);
-}
-
-/* Answers a read of an item's body; true when it was answered. */
-static bool
-read_item(job_read_t *read, const stored_job_t *job)
-{
-	str_t id = str_of(read->call.item);
-	const job_item_t *item = item_find(job, id);
-
-	if (item == NULL || stored_job_is_listed(job, id))
-		read_end(read, -RESULT_NOT_FOUND, (str_t){0});
-	else
-		read_end(read, 0, item->body);
-	return (true);
-}
-
-/* Answers a read of results if it can be now. */
-static bool
-read_results(job_read_t *read, const stored_job_t *job, double now)
-{
-	const follower_t *follower = read->partition->follower;
-	double synced = follower_synced_at(follower);
-	buf_t body = {0};
-	bool empty = read->call.position >= job->listed;
-
-	if (empty && now < read->until && job->listed < job->job.item_count)
-		return (false);
-	if (empty && now - synced > FRESH_S &&
-	    job->listed < job->job.item_count)
-		return (false);
-	job_results_pack(&body, job, read->call.position);
-	read_end(read, 0, str_buf(&body));
-	buf_free(&body);
-	return (true);
-}
-
-/* Answers a read if that is possible now. */
-static void
-read_try(job_read_t *read, double now)
-{
-	const job_partition_t *partition = read->partition;
-	const stored_job_t *job =
-	    job_table_find(partition->table, str_of(read->call.job));
-	double synced = follower_synced_at(partition->follower);
-
-	if (job != NULL && job->accepted) {
-		if (read->call.kind == JOB_CALL_ITEM) {
-			read_item(read, job);
-			return;
-		}
-		if (read_results(read, job, now))
-			return;
-	} else if (follower_loaded(partition->follower) &&
-		   synced >= read->arrived) {
-		read_end(read, -RESULT_NOT_FOUND, (str_t){0});
-		return;
-	}
-	if (now >= fmax(read->until, read->arrived + MAX_SYNC_WAIT_S))
-		read_end(read, -RESULT_NOT_OWNER, (str_t){0});
-}
-
-static void
-reads_try(job_partition_t *partition)
-{
-	job_read_t *read = LIST_FIRST(&partition->reads);
-	double now = clock_monotonic();
-
-	while (read != NULL) {
-		job_read_t *next = LIST_NEXT(read, entry);
-
-		read_try(read, now);
-		read = next;
-	}
-	if (LIST_EMPTY(&partition->reads))
-		ev_timer_stop(partition->params.loop, &partition->read_tick);
-}
-
-static void
-on_read_tick(struct ev_loop *loop, ev_timer *timer, int events)
-{
-	(void)loop;
-	(void)events;
-	reads_try(timer->data);
-}
-
-/*
- * Reads results or an item's body. The answer comes when there is a result at
- * the position, at the latest after the time that the call states.
- */
-job_read_t *
-job_partition_read(job_partition_t *partition, const job_call_t *call,
-    job_read_cb_t on_done, void *ctx)
-{
-	job_read_t *read = xcalloc(1, sizeof(*read));
-	const stored_job_t *job =
-	    job_table_find(partition->table, str_of(call->job));
-
-	read->partition = partition;
-	read->call = *call;
-	read->arrived = clock_monotonic();
-	read->until = read->arrived + call->wait;
-	read->on_done = on_done;
-	read->ctx = ctx;
-	LIST_INSERT_HEAD(&partition->reads, read, entry);
-	if (job == NULL || !job->accepted)
-		follower_read_now(partition->follower);
-	/* The caller gets its answer from the loop, never from in here. */
-	partition->read_tick.repeat = READ_TICK_S;
-	if (!ev_is_active(&partition->read_tick)) {
-		ev_timer_set(&partition->read_tick, 0, READ_TICK_S);
-		ev_timer_start(partition->params.loop, &partition->read_tick);
-	} else if (job != NULL) {
-		ev_feed_event(
-		    partition->params.loop, &partition->read_tick, EV_TIMER);
-	}
-	return (read);
-}
-
-/* Drops a read; its callback does not run. */
-void
-job_read_cancel(job_read_t *read)
-{
-	LIST_REMOVE(read, entry);
-	free(read);
-}
-
 static void
 finished_free(job_partition_t *partition, finished_item_t *finished)
 {
@@ -427,7 +226,7 @@
 {
 	job_partition_t *partition = ctx;
 
-	reads_try(partition);
+	partition_reads_try(partition);
 	if (!TAILQ_EMPTY(&partition->finished) &&
 	    !ev_is_active(&partition->append_timer))
 		partition_append(partition);
@@ -571,17 +370,15 @@
 	partition->params = *params;
 	TAILQ_INIT(&partition->finished);
 	TAILQ_INIT(&partition->handed);
-	LIST_INIT(&partition->reads);
+	partition_reads_init(partition);
 	runner.on_finished = on_finished;
 	runner.finished_ctx = partition;
 	partition->runner = job_runner_new(&runner);
 	job_runner_set_paused(partition->runner, true);
 	partition->table = job_table_new(on_change, partition);
-	ev_timer_init(&partition->read_tick, on_read_tick, 0, READ_TICK_S);
 	ev_timer_init(&partition->append_timer, on_append_timer, 0, 0);
 	ev_timer_init(&partition->forget_timer, on_forget_timer,
 	    FORGET_INTERVAL_S, FORGET_INTERVAL_S);
-	partition->read_tick.data = partition;
 	partition->append_timer.data = partition;
 	partition->forget_timer.data = partition;
 	ev_timer_start(params->loop, &partition->forget_timer);
@@ -603,10 +400,7 @@
 {
 	const job_partition_params_t *params = &partition->params;
 
-	while (!LIST_EMPTY(&partition->reads))
-		read_end(LIST_FIRST(&partition->reads), -RESULT_NOT_OWNER,
-		    (str_t){0});
-	ev_timer_stop(params->loop, &partition->read_tick);
+	partition_reads_end(partition);
 	ev_timer_stop(params->loop, &partition->append_timer);
 	ev_timer_stop(params->loop, &partition->forget_timer);
 	if (partition->append != NULL)
--- a/src/settings.c
+++ b/src/settings.c
@@ -180,16 +180,11 @@
 settings_load(const char *path, settings_t **out, config_faults_t *faults)
 {
 	buf_t text = {0};
-	int rc = file_read(path, &text);
+	int rc = config_faults_read_file(faults, path, &text);
 
 	*out = NULL;
-	if (rc != 0) {
-		*faults = (config_faults_t){0};
-		config_faults_add(faults, path, 0, "%s", strerror(-rc));
-		buf_free(&text);
-		return (-RESULT_INVALID_CONFIG);
-	}
-	rc = settings_parse(str_buf(&text), path, out, faults);
+	if (rc == 0)
+		rc = settings_parse(str_buf(&text), path, out, faults);
 	buf_free(&text);
 	return (rc);
 }
