--- a/src/admission_schedule.c
+++ b/src/admission_schedule.c
@@ -15,7 +15,7 @@
  * next; without the margin each small rise takes a slot back from batch and
  * each small fall gives it out again.
  */
-#define HEADROOM_PER_ROOT 1.5
+#define HEADROOM_PER_ROOT 0.3
 
 /* Returns how many requests an endpoint may run at a time now. */
 unsigned
