--- a/src/forward.c
+++ b/src/forward.c
@@ -414,12 +414,12 @@
 }
 
 /*
- * Takes over a request whose route is known; the table stays referenced until
- * the request has its answer.
+ * Takes over a request that arrived at a monotonic time and whose route is
+ * known; the table stays referenced until the request has its answer.
  */
 void
 forwarder_take(forwarder_t *forwarder, http_request_t *request,
-    routing_table_t *table, const request_route_t *route)
+    routing_table_t *table, const request_route_t *route, double arrived)
 {
 	forward_t *f = xcalloc(1, sizeof(*f));
 	double time = route->timeout;
@@ -428,7 +428,7 @@
 	f->request = request;
 	f->table = routing_table_ref(table);
 	f->route = route;
-	f->arrived = clock_monotonic();
+	f->arrived = arrived;
 	forwarder->params.dialect->read_request(request, &f->info);
 	if (f->info.patience > 0)
 		time = fmin(time, f->info.patience);
@@ -445,7 +445,8 @@
 	LIST_INSERT_HEAD(&forwarder->forwards, f, entry);
 	forwarder->open++;
 	counter_add(forwarder->counters.requests, 1);
-	ev_timer_init(&f->expiry, on_expiry, time, 0);
+	ev_timer_init(&f->expiry, on_expiry,
+	    fmax(0, f->state.expires - clock_monotonic()), 0);
 	f->expiry.data = f;
 	ev_timer_start(forwarder->params.loop, &f->expiry);
 	if (forwarder->closed)
--- a/src/forward.h
+++ b/src/forward.h
@@ -21,7 +21,7 @@
 forwarder_t *forwarder_new(const forwarder_params_t *params);
 void forwarder_delete(forwarder_t *forwarder);
 void forwarder_take(forwarder_t *forwarder, http_request_t *request,
-    routing_table_t *table, const request_route_t *route);
+    routing_table_t *table, const request_route_t *route, double arrived);
 void forwarder_drain(forwarder_t *forwarder, double queue_seconds);
 size_t forwarder_open(const forwarder_t *forwarder);
 void http_request_refuse(
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -78,6 +78,8 @@
 	LOG_INFO("readiness", "ready=%d draining=%d", ready, gateway->draining);
 	if (gateway->membership != NULL)
 		membership_set_ready(gateway_members(gateway), ready);
+	if (ready)
+		gateway_take_waiting(gateway);
 }
 
 static int
@@ -336,6 +338,7 @@
 	gateway_update_ready(gateway);
 	membership_set_leaving(gateway_members(gateway), true);
 	httpd_set_closing(gateway->callers);
+	gateway_refuse_waiting(gateway);
 	gateway_withdraw_host(gateway);
 	jobs_drain(gateway->jobs);
 	forwarder_drain(gateway->forwarder,
@@ -354,6 +357,7 @@
 	int rc;
 
 	gateway->params = *params;
+	TAILQ_INIT(&gateway->waiting);
 	gateway->supervisor = supervisor_new(params->loop);
 	for (size_t i = 0; i < sizeof(components) / sizeof(components[0]); i++)
 		supervisor_add(gateway->supervisor, &components[i], gateway);
--- a/src/gateway_http.c
+++ b/src/gateway_http.c
@@ -5,6 +5,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "clock.h"
 #include "counter.h"
 #include "entries.h"
 #include "logger.h"
@@ -14,22 +15,15 @@
 #define CALLERS_IDLE_S 300
 /* Hosts in one answer of the directory. */
 #define MAX_ENTRIES 64
-/* Until the first configuration is known, in seconds. */
-#define NO_CONFIG_RETRY_S 0.5
 
-static void
-handle_caller(void *ctx, http_request_t *request)
+/* Takes a request that arrived at a monotonic time; the routes are known. */
+void
+gateway_take(gateway_t *gateway, http_request_t *request, double arrived)
 {
-	gateway_t *gateway = ctx;
 	const char *host = http_request_header(request, "Host");
 	const request_route_t *route;
 	job_call_t call = {0};
 
-	if (gateway->table == NULL) {
-		http_request_refuse(
-		    request, -RESULT_NOT_READY, NO_CONFIG_RETRY_S, NULL);
-		return;
-	}
 	gateway->params.dialect->read_job_call(request, &call);
 	if (call.kind != JOB_CALL_NONE) {
 		jobs_call(gateway->jobs, request, &call);
@@ -47,11 +41,22 @@
 	} else if (route->kind == REQUEST_BATCH) {
 		jobs_submit(gateway->jobs, request, gateway->table, route);
 	} else {
-		forwarder_take(
-		    gateway->forwarder, request, gateway->table, route);
+		forwarder_take(gateway->forwarder, request, gateway->table,
+		    route, arrived);
 	}
 }
 
+static void
+handle_caller(void *ctx, http_request_t *request)
+{
+	gateway_t *gateway = ctx;
+
+	if (gateway->ready || gateway->table != NULL)
+		gateway_take(gateway, request, clock_monotonic());
+	else
+		gateway_wait(gateway, request);
+}
+
 static void
 handle_readiness(void *ctx, http_request_t *request)
 {
--- a/src/gateway_state.h
+++ b/src/gateway_state.h
@@ -2,6 +2,8 @@
 #ifndef DAISYPIER_GATEWAY_STATE_H
 #define DAISYPIER_GATEWAY_STATE_H
 
+#include <sys/queue.h>
+
 #include "endpoint_set.h"
 #include "follower.h"
 #include "forward.h"
@@ -12,6 +14,9 @@
 #include "store_relay.h"
 #include "supervisor.h"
 
+/* A caller's request that waits until the host is ready. */
+typedef struct waiting_caller_t waiting_caller_t;
+
 struct gateway_t {
 	gateway_params_t params;
 	supervisor_t *supervisor;
@@ -35,6 +40,8 @@
 	store_call_t *announce;
 	ev_timer announce_timer;
 	bool ready;
+	TAILQ_HEAD(, waiting_caller_t) waiting;
+	size_t waiting_count;
 	/* Planned stop. */
 	bool draining;
 	bool quiesced; /* no new connections */
@@ -55,7 +62,13 @@
 void gateway_refresh_view(gateway_t *gateway);
 void gateway_withdraw_host(gateway_t *gateway);
 
+/* gateway_waiting.c */
+void gateway_wait(gateway_t *gateway, http_request_t *request);
+void gateway_take_waiting(gateway_t *gateway);
+void gateway_refuse_waiting(gateway_t *gateway);
+
 /* gateway_http.c */
+void gateway_take(gateway_t *gateway, http_request_t *request, double arrived);
 int gateway_start_http(void *ctx);
 void gateway_stop_http(void *ctx);
 
--- a/tests/test_fail_gateway.c
+++ b/tests/test_fail_gateway.c
@@ -170,6 +170,41 @@
 	}
 }
 
+static void *
+stream_while_starting(void *ctx)
+{
+	*(gateways_stream_t *)ctx =
+	    gateways_stream(&fleet, 0, GATEWAYS_ONCE, "w1", 8, 5);
+	return (NULL);
+}
+
+/*
+ * Guards against callers who use up their tries at hosts that start while the
+ * store is away (kovac-polnilnica-grown trouble-1: 588 of 16,103 refused).
+ */
+static void
+test_callers_wait_for_a_starting_host(void)
+{
+	gateways_stream_t waited = {0};
+	gateways_stream_t refused;
+	pthread_t thread;
+
+	gateways_start(&fleet, &(gateways_params_t){.hosts = 1});
+	harness_kill(fleet.hosts[0]);
+	gateways_store_faults(&fleet, "busy=1");
+	gateways_start_host(&fleet, 0);
+	harness_sleep(0.5);
+	refused = gateways_stream(&fleet, 0, GATEWAYS_ONCE, "w0", 8, 1);
+	CU_ASSERT(refused.status == 503 && refused.retry_after >= 0);
+	pthread_create(&thread, NULL, stream_while_starting, &waited);
+	harness_sleep(0.7);
+	gateways_store_faults(&fleet, "");
+	pthread_join(thread, NULL);
+	CU_ASSERT(waited.right);
+	CU_ASSERT(gateways_runs(&fleet, "w0").runs == 0);
+	gateways_end(&fleet);
+}
+
 /* Guards against a host that stops following after its history expired. */
 static void
 test_forgotten_history(void)
@@ -369,6 +404,7 @@
     {"a job through lost answers", test_job_through_lost_answers},
     {"store outage", test_store_outage},
     {"store refuses some hosts", test_store_refuses_some_hosts},
+    {"callers wait for a starting host", test_callers_wait_for_a_starting_host},
     {"forgotten history", test_forgotten_history},
     {"a caller leaves", test_caller_leaves},
     {"idle connections go silent", test_idle_connections_go_silent},
