Let callers wait for the endpoints too, not for the routes alone

Cause: reading the diff: a host that knew its routes and not yet its endpoints took requests and refused them with NO_ENDPOINT. Change: until it is ready a host lets its callers wait; one that stops takes what its old callers send. Result: test_fail_gateway passes.

--- a/src/gateway_http.c
+++ b/src/gateway_http.c
@@ -50,8 +50,9 @@
 handle_caller(void *ctx, http_request_t *request)
 {
 	gateway_t *gateway = ctx;
+	bool stopping = gateway->draining && gateway->table != NULL;
 
-	if (gateway->ready || gateway->table != NULL)
+	if (gateway->ready || stopping)
 		gateway_take(gateway, request, clock_monotonic());
 	else
 		gateway_wait(gateway, request);
