Test for the routes where they are used

A host is ready only with routes. Change: the condition names the routes; what is taken and what waits is the same.

--- a/src/gateway_http.c
+++ b/src/gateway_http.c
@@ -50,9 +50,8 @@
 handle_caller(void *ctx, http_request_t *request)
 {
 	gateway_t *gateway = ctx;
-	bool stopping = gateway->draining && gateway->table != NULL;
 
-	if (gateway->ready || stopping)
+	if (gateway->table != NULL && (gateway->ready || gateway->draining))
 		gateway_take(gateway, request, clock_monotonic());
 	else
 		gateway_wait(gateway, request);
