Let reads leave a host that died while it called the store for this one

Change: when the direct way works again, open reads are made on it; a read through another host waits 0.3 s at most and is given up 0.65 s after that.

--- a/src/store_relay.c
+++ b/src/store_relay.c
@@ -14,9 +14,15 @@
 #include "store_relay_wire.h"
 
 /* Time for the way to another host and back, in seconds. */
-#define PEER_SLACK_S	0.25
-#define PROBE_TIMEOUT_S 0.9
-#define TICK_S		0.1
+#define PEER_SLACK_S 0.25
+/*
+ * A read through another host is short, so that a host that dies meanwhile
+ * costs less than a second, in seconds.
+ */
+#define PEER_READ_WAIT_S   0.3
+#define PEER_READ_ANSWER_S 0.4
+#define PROBE_TIMEOUT_S	   0.9
+#define TICK_S		   0.1
 /* Longest wait for a record that is made for another host, in seconds. */
 #define MAX_WAIT_S 5.0
 
@@ -28,7 +34,7 @@
 	peer_call_t *peer_call;
 	char peer[48]; /* address */
 	store_append_cb_t on_append;
-	store_read_cb_t on_read;
+	store_query_t query; /* of a read; lives as long as the caller's */
 	void *ctx;
 	LIST_ENTRY(relay_call_t) entry;
 } relay_call_t;
@@ -55,6 +61,8 @@
 	counter_t *served;
 } store_relay_t;
 
+static void query_direct(relay_call_t *call);
+
 static void
 call_free(relay_call_t *call)
 {
@@ -69,17 +77,34 @@
 	return (rc == 0 || rc == -RESULT_CONFLICT || rc == -RESULT_LOG_EXPIRED);
 }
 
+/* Lets open reads go the direct way; another host may never answer them. */
+static void
+reads_return(store_relay_t *relay)
+{
+	relay_call_t *call;
+
+	LIST_FOREACH (call, &relay->calls, entry) {
+		if (call->peer_call == NULL || call->kind == STORE_RELAY_APPEND)
+			continue;
+		peer_call_cancel(call->peer_call);
+		call->peer_call = NULL;
+		query_direct(call);
+	}
+}
+
 static void
 report_direct(store_relay_t *relay, int rc)
 {
 	if (!store_path_report_direct(
 		&relay->path, is_answer(rc), clock_monotonic()))
 		return;
-	if (relay->path.out_of_contact)
+	if (relay->path.out_of_contact) {
 		LOG_WARN("store_contact_lost", "cause=%s failures=%u",
 		    result_name(rc), relay->path.failures);
-	else
-		LOG_INFO("store_contact_regained", "peer=%s", relay->peer);
+		return;
+	}
+	LOG_INFO("store_contact_regained", "peer=%s", relay->peer);
+	reads_return(relay);
 }
 
 /* Picks a host to ask: the one that answered last, else a random one. */
@@ -127,7 +152,7 @@
 	if (copy.kind == STORE_RELAY_APPEND)
 		copy.on_append(copy.ctx, read->rc, read->end);
 	else
-		copy.on_read(copy.ctx, read);
+		copy.query.on_done(copy.ctx, read);
 }
 
 static void
@@ -144,10 +169,24 @@
 {
 	relay_call_t *call = ctx;
 
+	call->direct = NULL;
 	report_direct(call->relay, read->rc);
 	call_end(call, read);
 }
 
+static void
+query_direct(relay_call_t *call)
+{
+	store_t *store = call->relay->params.direct;
+	store_query_t query = call->query;
+
+	query.on_done = on_direct_read;
+	query.ctx = call;
+	call->direct = call->kind == STORE_RELAY_READ
+			   ? store->class->read(store, &query)
+			   : store->class->newest(store, &query);
+}
+
 /* The code for a call that another host did not answer. */
 static int
 unanswered(const relay_call_t *call, const peer_reply_t *reply)
@@ -238,25 +277,22 @@
 relay_query(store_t *base, store_relay_kind_t kind, const store_query_t *params)
 {
 	store_relay_t *relay = (store_relay_t *)base;
-	store_t *store = relay->params.direct;
 	relay_call_t *call = call_new(relay, kind, params->ctx);
-	store_query_t direct = *params;
+	store_query_t relayed = *params;
 	buf_t body = {0};
 	bool sent = false;
 
-	call->on_read = params->on_done;
+	call->query = *params;
 	if (goes_through_peer(relay)) {
-		store_relay_pack_query(&body, kind, params);
-		sent = call_relay(call, &body, params->timeout);
+		relayed.wait = fmin(params->wait, PEER_READ_WAIT_S);
+		relayed.timeout =
+		    fmin(params->timeout, relayed.wait + PEER_READ_ANSWER_S);
+		store_relay_pack_query(&body, kind, &relayed);
+		sent = call_relay(call, &body, relayed.timeout);
 		buf_free(&body);
 	}
-	if (!sent) {
-		direct.on_done = on_direct_read;
-		direct.ctx = call;
-		call->direct = kind == STORE_RELAY_READ
-				   ? store->class->read(store, &direct)
-				   : store->class->newest(store, &direct);
-	}
+	if (!sent)
+		query_direct(call);
 	return ((store_call_t *)call);
 }
 
--- a/tests/test_store_relay.c
+++ b/tests/test_store_relay.c
@@ -203,6 +203,55 @@
 	stop(&f);
 }
 
+/*
+ * Guards against a read that waits for a host that died while it made the call,
+ * although the store answers this host again: a configuration came in force
+ * 2.5 s late (wrexfield-tally trouble-3, seed 836791534704).
+ */
+static void
+test_reads_return_to_the_direct_way(void)
+{
+	fixture_t f;
+	heard_t heard = {0};
+
+	start(&f);
+	lose_contact(&f);
+	harness_store_faults(f.stores[1])->silent = true;
+	f.relays[0]->class->read(f.relays[0], &(store_query_t){
+						  .topic = TOPIC,
+						  .timeout = 5,
+						  .on_done = on_read,
+						  .ctx = &heard,
+					      });
+	harness_store_faults(f.stores[0])->outage = false;
+	harness_loop_for(f.loop, 1.3);
+	CU_ASSERT(heard.answers == 1 && heard.rc == 0);
+	stop(&f);
+}
+
+/* Guards against a dead host that is waited for as long as for the store. */
+static void
+test_dead_host_is_noticed(void)
+{
+	fixture_t f;
+	heard_t heard = {0};
+
+	start(&f);
+	lose_contact(&f);
+	harness_store_faults(f.stores[1])->silent = true;
+	f.relays[0]->class->read(f.relays[0], &(store_query_t){
+						  .topic = TOPIC,
+						  .wait = 4,
+						  .timeout = 5,
+						  .on_done = on_read,
+						  .ctx = &heard,
+					      });
+	harness_loop_for(f.loop, 1.6);
+	CU_ASSERT(heard.answers == 1);
+	CU_ASSERT(heard.rc == -RESULT_LOG_UNAVAILABLE);
+	stop(&f);
+}
+
 /* Guards against callbacks of calls that were dropped. */
 static void
 test_open_calls_are_dropped(void)
@@ -231,6 +280,8 @@
     {"calls go through another host", test_calls_go_through_another_host},
     {"no host reaches the store", test_no_host_reaches_the_store},
     {"uncertain stays uncertain", test_uncertain_stays_uncertain},
+    {"reads return to the direct way", test_reads_return_to_the_direct_way},
+    {"a dead host is noticed", test_dead_host_is_noticed},
     {"open calls are dropped", test_open_calls_are_dropped},
 };
 
