Judge endpoints by progress; bound answers that never end

Cause: any byte of an answer restarted the time for silence, so that a header, a comment or a byte now and then held an item of a job for ever. A resumable stream was cut by 1.0 s of silence even where its route allows no other endpoint. Change: only an answer's head and its events count as progress; silence ends an attempt only while another one is allowed. Comments wait for the next event, so that a stream that goes on elsewhere does not hold those of a lost endpoint. An output over its bound is dropped and the item begins anew.

--- a/src/attempt.c
+++ b/src/attempt.c
@@ -11,6 +11,8 @@
 
 /* A new connection to an endpoint takes a few round trips, in seconds. */
 #define CONNECT_TIMEOUT_S 0.6
+/* Body of an answer that should have been a stream of events, in bytes. */
+#define MAX_FAILURE_BODY (64U << 10)
 
 enum {
 	STATUS_MISDIRECTED = 421,
@@ -25,8 +27,7 @@
 	bool streams;  /* events are passed on as they arrive */
 	bool refused;  /* the endpoint states that it did not run it */
 	bool mismatch; /* the answer belongs to another request */
-	bool bad_event;
-	bool stopped; /* by on_event */
+	bool dropped;  /* for its events */
 };
 
 static bool
@@ -74,7 +75,7 @@
 	if (params->on_head != NULL)
 		params->on_head(params->ctx, attempt, status);
 	if (attempt->streams && params->silence > 0)
-		http_call_set_idle_timeout(attempt->call, params->silence);
+		http_call_progress(attempt->call, params->silence);
 	return (true);
 }
 
@@ -85,9 +86,9 @@
 
 	if (attempt->first_event <= 0)
 		attempt->first_event = clock_monotonic();
-	attempt->stopped =
-	    !attempt->params.on_event(attempt->params.ctx, event);
-	return (!attempt->stopped);
+	if (attempt->params.silence > 0)
+		http_call_progress(attempt->call, attempt->params.silence);
+	return (attempt->params.on_event(attempt->params.ctx, event));
 }
 
 static void
@@ -95,12 +96,11 @@
 {
 	attempt_t *attempt = ctx;
 
-	if (attempt->bad_event || attempt->stopped)
+	if (attempt->dropped)
 		return;
-	if (event_relay_feed(attempt->params.relay, data, on_event, attempt) ||
-	    attempt->stopped)
+	if (event_relay_feed(attempt->params.relay, data, on_event, attempt))
 		return;
-	attempt->bad_event = true;
+	attempt->dropped = true;
 	http_call_drop(attempt->call);
 }
 
@@ -117,6 +117,8 @@
 			  : -RESULT_OVERLOADED;
 		return (ATTEMPT_REFUSED);
 	}
+	if (http->rc == -RESULT_TOO_LARGE)
+		*rc = -RESULT_BROKEN_ANSWER;
 	if (http->rc != 0)
 		return (ATTEMPT_BROKEN);
 	if (attempt->streams && event_relay_partial(attempt->params.relay)) {
@@ -139,6 +141,8 @@
 	};
 
 	result.outcome = outcome_of(attempt, http, &result.rc);
+	if (attempt->streams)
+		result.body = event_relay_rest(params.relay);
 	if (attempt->first_event > 0)
 		result.first_event_seconds =
 		    attempt->first_event - attempt->started;
@@ -187,7 +191,8 @@
 		.headers = (const char *const *)headers.lines,
 		.body = params->body,
 		.connect_timeout = CONNECT_TIMEOUT_S,
-		.idle_timeout = params->first_silence,
+		.progress_timeout = params->first_silence,
+		.max_body = params->relay != NULL ? MAX_FAILURE_BODY : 0,
 		.send_once = true,
 		.on_head = on_head,
 		.on_data = params->relay != NULL ? on_data : NULL,
--- a/src/attempt.h
+++ b/src/attempt.h
@@ -21,7 +21,7 @@
 	attempt_outcome_t outcome;
 	int rc;	    /* 0 or negative; for the log and the grant's report */
 	int status; /* 0: none arrived */
-	str_t body; /* of a complete answer that is no event stream */
+	str_t body; /* of a complete answer, without the events passed on */
 	double first_event_seconds; /* since the start; 0: none */
 } attempt_result_t;
 
@@ -37,8 +37,8 @@
 	double patience; /* seconds that the endpoint gets; 0: not stated */
 	bool resumes;	 /* the endpoint goes on after last_event */
 	uint64_t last_event;
-	double first_silence; /* seconds until the first byte; 0: any */
-	double silence;	      /* seconds without a byte afterwards; 0: any */
+	double first_silence; /* seconds until the answer's head; 0: any */
+	double silence;	      /* seconds without an event afterwards; 0: any */
 	/* Takes the events of an answer with status 200; NULL: whole answers.
 	 */
 	event_relay_t *relay;
--- a/src/event_relay.c
+++ b/src/event_relay.c
@@ -27,35 +27,57 @@
 	return (true);
 }
 
-static relay_event_t
-event_parse(str_t raw)
+/* Reads an event; false when it has neither number nor data. */
+static bool
+event_parse(str_t raw, relay_event_t *event)
 {
-	relay_event_t event = {.raw = raw};
+	bool has_data = false;
 	str_t rest = raw;
 	str_t line;
 	str_t value;
 
-	while (str_split(&rest, '\n', &line))
-		if (line_field(line_strip(line), STR("id"), &value) &&
-		    str_to_u64(value, &event.id) == 0)
-			event.numbered = true;
-	return (event);
+	*event = (relay_event_t){.raw = raw};
+	while (str_split(&rest, '\n', &line)) {
+		line = line_strip(line);
+		if (line_field(line, STR("id"), &value) &&
+		    str_to_u64(value, &event->id) == 0)
+			event->numbered = true;
+		has_data |= line_field(line, STR("data"), &value);
+	}
+	return (event->numbered || has_data);
 }
 
-/* Passes on the event that ends at len; false when its number is not next. */
+/*
+ * Passes on the event that ends at len, or keeps an empty one until the next:
+ * it is no progress, and another endpoint may have to go on with the stream.
+ * False when the event's number is not next.
+ */
 static bool
 event_end(
     event_relay_t *relay, size_t len, relay_event_cb_t on_event, void *ctx)
 {
-	relay_event_t event = event_parse((str_t){relay->pending.data, len});
+	const char *data = relay->pending.data;
+	relay_event_t event;
+	bool passed;
 
+	if (!event_parse(
+		(str_t){data + relay->empty, len - relay->empty}, &event)) {
+		relay->empty = len;
+		return (true);
+	}
+	event.raw = (str_t){data, len};
 	if (event.numbered) {
 		if (relay->numbered && event.id != relay->last_id + 1)
 			return (false);
 		relay->numbered = true;
 		relay->last_id = event.id;
 	}
-	return (on_event(ctx, &event));
+	passed = on_event(ctx, &event);
+	buf_consume(&relay->pending, len);
+	relay->empty = 0;
+	relay->scanned = 0;
+	relay->line = 0;
+	return (passed);
 }
 
 /*
@@ -87,9 +109,6 @@
 			continue;
 		if (!event_end(relay, relay->scanned, on_event, ctx))
 			return (false);
-		buf_consume(pending, relay->scanned);
-		relay->scanned = 0;
-		relay->line = 0;
 	}
 	return (pending->len <= EVENT_RELAY_MAX_EVENT);
 }
@@ -98,7 +117,15 @@
 bool
 event_relay_partial(const event_relay_t *relay)
 {
-	return (relay->pending.len > 0);
+	return (relay->pending.len > relay->empty);
+}
+
+/* Returns the empty events that no other followed; valid until the next call.
+ */
+str_t
+event_relay_rest(const event_relay_t *relay)
+{
+	return ((str_t){relay->pending.data, relay->empty});
 }
 
 /* Forgets a partial event before the stream goes on from another endpoint. */
@@ -106,6 +133,7 @@
 event_relay_resume(event_relay_t *relay)
 {
 	buf_clear(&relay->pending);
+	relay->empty = 0;
 	relay->scanned = 0;
 	relay->line = 0;
 }
--- a/src/forward.c
+++ b/src/forward.c
@@ -16,11 +16,13 @@
 #include "result.h"
 
 /*
- * A resumable stream is silent for longer only when its connection or endpoint
- * is gone; it goes on elsewhere before the caller gives it up.
+ * A resumable stream that is silent for longer goes on elsewhere, as long as
+ * its route permits, before the caller gives it up.
  */
 #define FIRST_SILENCE_S 1.5
 #define SILENCE_S	1.0
+/* Bytes of a stream that a caller may leave untaken. */
+#define MAX_BACKLOG (512U << 10)
 
 typedef struct forward_counters_t {
 	counter_t *requests;
@@ -179,14 +181,17 @@
 		http_request_stream_begin(f->request, 200, NULL);
 	}
 	http_request_stream_write(f->request, event->raw);
-	return (true);
+	f->state.caller_stalled =
+	    http_request_stream_pending(f->request) > MAX_BACKLOG;
+	return (!f->state.caller_stalled);
 }
 
 static void
 grant_give_back(forward_t *f, const attempt_result_t *result)
 {
 	grant_report_t report = {
-	    .rc = result->rc,
+	    /* A caller that stalls says nothing about the endpoint. */
+	    .rc = f->state.caller_stalled ? -RESULT_CANCELLED : result->rc,
 	    .first_token_seconds = result->first_event_seconds,
 	};
 
@@ -198,6 +203,7 @@
 forward_pass(forward_t *f, const attempt_result_t *result)
 {
 	if (f->state.answered) {
+		http_request_stream_write(f->request, result->body);
 		http_request_stream_end(f->request);
 	} else {
 		f->first_event = clock_monotonic();
@@ -263,6 +269,7 @@
 {
 	forwarder_t *forwarder = f->forwarder;
 	bool stream = f->route->kind == REQUEST_STREAM;
+	bool may_move = forward_may_move(&f->state);
 	double now = clock_monotonic();
 
 	str_copy(f->endpoint, sizeof(f->endpoint), str_of(endpoint->name));
@@ -280,8 +287,8 @@
 			    : 0,
 	    .resumes = f->relay.numbered,
 	    .last_event = f->relay.last_id,
-	    .first_silence = f->state.resumable ? FIRST_SILENCE_S : 0,
-	    .silence = f->state.resumable ? SILENCE_S : 0,
+	    .first_silence = may_move ? FIRST_SILENCE_S : 0,
+	    .silence = may_move ? SILENCE_S : 0,
 	    .relay = stream ? &f->relay : NULL,
 	    .on_event = on_event,
 	    .on_head = on_head,
--- a/src/forward_plan.c
+++ b/src/forward_plan.c
@@ -20,7 +20,7 @@
 static bool
 may_retry(const forward_state_t *state, double now)
 {
-	return (state->sent < state->max_attempts &&
+	return (!state->caller_stalled && state->sent < state->max_attempts &&
 		state->unreached < FORWARD_MAX_UNREACHED &&
 		now + MIN_ATTEMPT_S < state->expires);
 }
@@ -32,6 +32,17 @@
 	return (state->answered ? state->resumable : state->repeatable);
 }
 
+/*
+ * Returns whether the request about to be sent may go on at one more endpoint
+ * afterwards. Silence ends the attempt only then: the last endpoint may be slow
+ * and sound, and its stream is all that the caller can get.
+ */
+bool
+forward_may_move(const forward_state_t *state)
+{
+	return (state->resumable && state->sent + 1 < state->max_attempts);
+}
+
 /* Without another attempt: what the caller may be told. */
 static forward_step_t
 give_up(const forward_state_t *state)
--- a/src/forward_plan.h
+++ b/src/forward_plan.h
@@ -10,12 +10,13 @@
 
 /* State of a request that the decisions depend on. */
 typedef struct forward_state_t {
-	bool repeatable;    /* it may run more than once */
-	bool resumable;	    /* a stream that another endpoint can go on with */
-	bool answered;	    /* part of the answer is on its way to the caller */
-	bool may_have_run;  /* on some endpoint */
-	unsigned sent;	    /* endpoints that got it */
-	unsigned unreached; /* endpoints that could not be reached */
+	bool repeatable;   /* it may run more than once */
+	bool resumable;	   /* a stream that another endpoint can go on with */
+	bool answered;	   /* part of the answer is on its way to the caller */
+	bool may_have_run; /* on some endpoint */
+	bool caller_stalled; /* it does not take its answer any more */
+	unsigned sent;	     /* endpoints that got it */
+	unsigned unreached;  /* endpoints that could not be reached */
 	unsigned max_attempts;
 	double expires; /* when the caller's or the route's time is over */
 } forward_state_t;
@@ -34,6 +35,7 @@
 double forward_queue_until(
     const request_route_t *route, double patience, double now);
 
+bool forward_may_move(const forward_state_t *state);
 double forward_slack(
     const request_route_t *route, bool answered, double waited);
 
--- a/src/httpc.c
+++ b/src/httpc.c
@@ -15,6 +15,8 @@
 
 #define DEFAULT_CONNECT_TIMEOUT_S 1.0
 #define DEFAULT_MAX_BODY	  (16U << 20)
+/* All heads of one answer, interim ones included, in bytes. */
+#define MAX_HEAD_BYTES (128U << 10)
 /* Idle connections kept for reuse, for all servers together. */
 #define MAX_IDLE_CONNECTIONS 512L
 /*
@@ -58,7 +60,8 @@
 	size_t max_body;
 	buf_t answer;
 	bool overflow;
-	ev_timer idle_timer;
+	size_t head_bytes; /* received, of all heads of the answer */
+	ev_timer progress_timer;
 	bool send_once;
 	bool sent; /* libcurl began to send the request */
 	bool dropped;
@@ -75,7 +78,7 @@
 static void
 call_free(http_call_t *call)
 {
-	ev_timer_stop(call->httpc->loop, &call->idle_timer);
+	ev_timer_stop(call->httpc->loop, &call->progress_timer);
 	LIST_REMOVE(call, entry);
 	if (!call->waiting)
 		curl_multi_remove_handle(call->httpc->multi, call->easy);
@@ -248,24 +251,16 @@
 }
 
 static void
-on_idle(struct ev_loop *loop, ev_timer *timer, int events)
+on_no_progress(struct ev_loop *loop, ev_timer *timer, int events)
 {
 	http_call_t *call = timer->data;
 
 	(void)loop;
 	(void)events;
-	ev_timer_stop(call->httpc->loop, &call->idle_timer);
 	call_finish(call, call->sent ? -RESULT_ENDPOINT_SILENT
 				     : -RESULT_ENDPOINT_UNREACHABLE);
 }
 
-static void
-call_touch(http_call_t *call)
-{
-	if (call->idle_timer.repeat > 0)
-		ev_timer_again(call->httpc->loop, &call->idle_timer);
-}
-
 static size_t
 on_curl_data(char *data, size_t size, size_t count, void *ctx)
 {
@@ -275,7 +270,6 @@
 
 	if (call->cancelled)
 		return (0);
-	call_touch(call);
 	curl_easy_getinfo(call->easy, CURLINFO_RESPONSE_CODE, &status);
 	if (call->on_data != NULL && (status == 200 || call->any_status)) {
 		call->httpc->in_callback = true;
@@ -321,7 +315,9 @@
 
 	if (call->cancelled)
 		return (0);
-	call_touch(call);
+	call->head_bytes += len;
+	if (call->head_bytes > MAX_HEAD_BYTES)
+		return (0);
 	if (call->on_head == NULL || len > 2 || data[0] != '\r')
 		return (len);
 	curl_easy_getinfo(call->easy, CURLINFO_RESPONSE_CODE, &status);
@@ -486,9 +482,9 @@
 	curl_easy_setopt(call->easy, CURLOPT_WRITEFUNCTION, on_curl_data);
 	curl_easy_setopt(call->easy, CURLOPT_WRITEDATA, call);
 	curl_easy_setopt(call->easy, CURLOPT_PRIVATE, call);
-	ev_timer_init(&call->idle_timer, on_idle, 0, params->idle_timeout);
-	call->idle_timer.data = call;
-	call_touch(call);
+	ev_timer_init(&call->progress_timer, on_no_progress, 0, 0);
+	call->progress_timer.data = call;
+	http_call_progress(call, params->progress_timeout);
 	LIST_INSERT_HEAD(&httpc->calls, call, entry);
 	call->waiting = httpc->in_callback;
 	if (call->waiting)
@@ -509,7 +505,7 @@
 		return;
 	}
 	call->cancelled = true;
-	ev_timer_stop(httpc->loop, &call->idle_timer);
+	ev_timer_stop(httpc->loop, &call->progress_timer);
 	httpc_reap_soon(httpc);
 }
 
@@ -523,12 +519,19 @@
 	call->dropped = true;
 }
 
-/* Changes the time without a byte after which the call fails. */
+/*
+ * Takes note that the answer made progress: the call fails unless this is
+ * called again within the given seconds; 0 sets no limit. Bytes alone are no
+ * progress, because a server in trouble may send some for ever.
+ */
 void
-http_call_set_idle_timeout(http_call_t *call, double seconds)
+http_call_progress(http_call_t *call, double seconds)
 {
-	call->idle_timer.repeat = seconds;
-	ev_timer_again(call->httpc->loop, &call->idle_timer);
+	ev_timer_stop(call->httpc->loop, &call->progress_timer);
+	if (seconds <= 0)
+		return;
+	ev_timer_set(&call->progress_timer, seconds, 0);
+	ev_timer_start(call->httpc->loop, &call->progress_timer);
 }
 
 /* Returns a header of the final answer, or NULL; valid until the next call. */
--- a/src/httpc.h
+++ b/src/httpc.h
@@ -42,7 +42,7 @@
 	str_t body;		    /* copied */
 	double connect_timeout;	    /* seconds; 0: 1 */
 	double timeout;		    /* seconds for the whole call; 0: none */
-	double idle_timeout;	    /* seconds without a byte; 0: none */
+	double progress_timeout;    /* until http_call_progress(); 0: none */
 	size_t max_body;	    /* bytes kept without on_data; 0: 16 MiB */
 	bool fresh_connection;	    /* never reuse or repeat */
 	bool send_once;		    /* reuse, but never repeat */
@@ -61,7 +61,7 @@
 http_call_t *http_call_start(httpc_t *httpc, const http_call_params_t *params);
 void http_call_cancel(http_call_t *call);
 void http_call_drop(http_call_t *call);
-void http_call_set_idle_timeout(http_call_t *call, double seconds);
+void http_call_progress(http_call_t *call, double seconds);
 const char *http_call_header(http_call_t *call, const char *name);
 void http_call_each_header(
     http_call_t *call, http_header_cb_t on_header, void *ctx);
--- a/src/job_run.c
+++ b/src/job_run.c
@@ -22,7 +22,7 @@
 /* Running time of an item before one was measured, in seconds. */
 #define FIRST_RUN_TIME_S   5.0
 #define RUN_TIME_SMOOTHING 0.1
-/* Bytes of output after which an item counts as one that cannot be done. */
+/* An output that is longer does not end; it is dropped, in bytes. */
 #define MAX_OUTPUT_BYTES (8U << 20)
 
 static void
@@ -102,6 +102,16 @@
 	return (item->output.len <= MAX_OUTPUT_BYTES);
 }
 
+/* Lets an item begin anew: what it has so far cannot be its output. */
+static void
+item_forget_output(item_run_t *item)
+{
+	buf_free(&item->output);
+	item->events = 0;
+	item->relay.numbered = false;
+	item->relay.last_id = 0;
+}
+
 static void
 on_attempt_done(void *ctx, const attempt_result_t *result)
 {
@@ -132,6 +142,8 @@
 		item->impossible = true;
 	else if (result->outcome == ATTEMPT_COMPLETE && result->status == 500)
 		item->failures++;
+	if (item->output.len > MAX_OUTPUT_BYTES)
+		item_forget_output(item);
 	item->tries++;
 	item_wait(item, item_plan_retry_delay(item->tries));
 	if (item->impossible)
--- a/tests/harness_gateways.c
+++ b/tests/harness_gateways.c
@@ -178,6 +178,40 @@
 	buf_free(&body);
 }
 
+static void
+put_entry(gateways_t *fleet, const char *id, const char *value)
+{
+	buf_t body = {0};
+
+	put_record(&body, id, value);
+	harness_post(NULL, str_buf(&body),
+	    "http://%s/-/log-append?topic=keyed.servers&part=0",
+	    harness_address(fleet->store));
+	buf_free(&body);
+}
+
+/* Writes the entry of an engine that the caller runs itself. */
+void
+gateways_register(
+    gateways_t *fleet, const char *id, const char *address, unsigned slots)
+{
+	char text[512];
+
+	snprintf(text, sizeof(text),
+	    "{\"service\":\"m\",\"address\":\"%s\",\"zone\":\"east\","
+	    "\"version\":\"v1\",\"slots\":%u,\"state\":\"ready\","
+	    "\"warmup-left-ms\":0,\"seq\":1}",
+	    address, slots);
+	put_entry(fleet, id, text);
+}
+
+/* Removes the entry of an engine. */
+void
+gateways_unregister(gateways_t *fleet, const char *id)
+{
+	put_entry(fleet, id, "");
+}
+
 /* Sets the faults of the store; an empty query ends them. */
 void
 gateways_store_faults(gateways_t *fleet, const char *query)
--- a/tests/harness_gateways.h
+++ b/tests/harness_gateways.h
@@ -47,6 +47,10 @@
 void gateways_start_engine(gateways_t *fleet, unsigned engine);
 bool gateways_wait_ready(gateways_t *fleet, unsigned host);
 void gateways_configure(gateways_t *fleet, const char *extra_routes);
+/* Registers an engine that is no process of the fleet, or removes it. */
+void gateways_register(
+    gateways_t *fleet, const char *id, const char *address, unsigned slots);
+void gateways_unregister(gateways_t *fleet, const char *id);
 void gateways_store_faults(gateways_t *fleet, const char *query);
 /* Forward 0 of the proxy is the store, forward N + 1 engine N. */
 void gateways_proxy_fault(gateways_t *fleet, const char *query);
--- /dev/null
+++ b/tests/harness_hostile.c
@@ -0,0 +1,336 @@
+/* A server in trouble: it answers requests with bytes that are no answer. */
+#include "harness_hostile.h"
+
+#include <arpa/inet.h>
+#include <pthread.h>
+#include <stdatomic.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "harness.h"
+
+#define MAX_CONNECTIONS 256
+/* Bytes of one write of an endless answer. */
+#define BLOCK_SIZE    8192
+#define SLOW_BYTE_S   0.05
+#define LATE_COPY_S   0.02
+#define TOKENS_HEADER "X-Daisypier-Token-Usage: "
+
+typedef struct connection_t {
+	hostile_t *hostile;
+	int fd;
+	pthread_t thread;
+	char request[8192];
+	buf_t answer; /* the last one on this connection */
+} connection_t;
+
+struct hostile_t {
+	hostile_mode_t mode;
+	bool slow;
+	int listener;
+	pthread_t thread;
+	atomic_bool ended;
+	atomic_uint answers;
+	atomic_uint copies;
+	connection_t connections[MAX_CONNECTIONS];
+	unsigned count;
+};
+
+/* How each endless answer begins, and what follows again and again. */
+static const struct {
+	const char *begin;
+	const char *repeat;
+	bool signed_head; /* begin follows the head of a success */
+} endless[HOSTILE_MODES] = {
+    [HOSTILE_STATUS_LINE] = {"HTTP/1.1 200 ", "x", false},
+    [HOSTILE_INTERIM] = {"", "HTTP/1.1 100 Continue\r\n\r\n", false},
+    [HOSTILE_HEADER_LINE] = {"HTTP/1.1 200 OK\r\nA: ", "x", false},
+    [HOSTILE_HEADERS] = {"HTTP/1.1 200 OK\r\n", "A: b\r\n", false},
+    [HOSTILE_CHUNK_SIZE] = {"Transfer-Encoding: chunked\r\n\r\n1;", "x", true},
+    [HOSTILE_EVENT] = {"\r\nid: 0\ndata: ", "x", true},
+    [HOSTILE_COMMENTS] = {"\r\n", ": x\n\n", true},
+    [HOSTILE_FAILURE_BODY] = {"HTTP/1.1 500 Failed\r\n\r\n", "x", false},
+    [HOSTILE_ENDLESS] = {"\r\n", "", true},
+};
+
+static bool
+send_all(int fd, str_t data)
+{
+	while (data.len > 0) {
+		ssize_t n = send(fd, data.data, data.len, MSG_NOSIGNAL);
+
+		if (n <= 0)
+			return (false);
+		data.data += n;
+		data.len -= (size_t)n;
+	}
+	return (true);
+}
+
+/* Copies what follows a header's name up to the end of its line. */
+static void
+header_value(const char *request, const char *name, char *out, size_t size)
+{
+	const char *at = strstr(request, name);
+	size_t len;
+
+	out[0] = '\0';
+	if (at == NULL)
+		return;
+	at += strlen(name);
+	len = strcspn(at, "\r");
+	str_copy(out, size, (str_t){at, len});
+}
+
+static void
+append_head(const connection_t *connection, buf_t *out)
+{
+	char id[128];
+
+	header_value(
+	    connection->request, "X-Daisypier-Request-Id: ", id, sizeof(id));
+	buf_printf(out,
+	    "HTTP/1.1 200 OK\r\nX-Daisypier-Request-Id: %s\r\n"
+	    "X-Daisypier-Response-Signature: h.%s\r\n"
+	    "Content-Type: text/event-stream\r\n",
+	    id, id);
+}
+
+/* Sends text again and again until the other end closes. */
+static void
+send_endless(const connection_t *connection, const char *text)
+{
+	size_t len = strlen(text);
+	buf_t block = {0};
+
+	while (block.len < BLOCK_SIZE)
+		buf_append(&block, str_of(text));
+	for (size_t i = 0; !connection->hostile->ended; i++) {
+		if (!connection->hostile->slow) {
+			if (!send_all(connection->fd, str_buf(&block)))
+				break;
+			continue;
+		}
+		if (!send_all(connection->fd, (str_t){text + i % len, 1}))
+			break;
+		harness_sleep(SLOW_BYTE_S);
+	}
+	buf_free(&block);
+}
+
+/* Sends numbered events until the other end closes. */
+static void
+send_events(const connection_t *connection)
+{
+	char last[32];
+	unsigned long next;
+	buf_t event = {0};
+	bool sent = true;
+
+	header_value(
+	    connection->request, "Last-Event-Id: ", last, sizeof(last));
+	next = last[0] != '\0' ? strtoul(last, NULL, 10) + 1 : 0;
+	while (sent && !connection->hostile->ended) {
+		buf_clear(&event);
+		while (event.len < BLOCK_SIZE)
+			buf_printf(
+			    &event, "id: %lu\ndata: %0200u\n\n", next++, 0U);
+		sent = send_all(connection->fd, str_buf(&event));
+	}
+	buf_free(&event);
+}
+
+static void
+answer_endless(const connection_t *connection)
+{
+	hostile_mode_t mode = connection->hostile->mode;
+	buf_t begin = {0};
+
+	if (endless[mode].signed_head)
+		append_head(connection, &begin);
+	buf_append(&begin, str_of(endless[mode].begin));
+	if (send_all(connection->fd, str_buf(&begin))) {
+		if (mode == HOSTILE_ENDLESS)
+			send_events(connection);
+		else
+			send_endless(connection, endless[mode].repeat);
+	}
+	buf_free(&begin);
+}
+
+/* Makes the right answer to the request of a connection. */
+static void
+append_answer(const connection_t *connection, buf_t *out)
+{
+	char id[128];
+	char tokens[32];
+	const char *comma;
+	unsigned events;
+	buf_t body = {0};
+
+	header_value(
+	    connection->request, "X-Daisypier-Request-Id: ", id, sizeof(id));
+	header_value(
+	    connection->request, TOKENS_HEADER, tokens, sizeof(tokens));
+	comma = strchr(tokens, ',');
+	events = comma != NULL ? (unsigned)strtoul(comma + 1, NULL, 10) / 8 : 0;
+	for (unsigned i = 0; i < events; i++)
+		buf_printf(&body, "id: %u\ndata: %s.%u\n\n", i, id, i);
+	append_head(connection, out);
+	buf_printf(out, "Content-Length: %zu\r\n\r\n", body.len);
+	buf_append(out, str_buf(&body));
+	buf_free(&body);
+}
+
+/* Answers a request rightly and sends the copy that the mode asks for. */
+static bool
+answer_with_copy(connection_t *connection)
+{
+	hostile_t *hostile = connection->hostile;
+	bool open = true;
+
+	if (hostile->mode == HOSTILE_SECOND_COPY &&
+	    connection->answer.len > 0) {
+		hostile->copies++;
+		open = send_all(connection->fd, str_buf(&connection->answer));
+	}
+	buf_clear(&connection->answer);
+	append_answer(connection, &connection->answer);
+	open = open && send_all(connection->fd, str_buf(&connection->answer));
+	if (open && hostile->mode == HOSTILE_LATE_COPY) {
+		harness_sleep(LATE_COPY_S);
+		hostile->copies++;
+		open = send_all(connection->fd, str_buf(&connection->answer));
+	}
+	return (open);
+}
+
+/* Reads a request with its body; false when the connection is closed. */
+static bool
+read_request(connection_t *connection)
+{
+	char length[16];
+	size_t have = 0;
+	const char *end = NULL;
+	size_t need = sizeof(connection->request) - 1;
+
+	while (have < need) {
+		ssize_t n = recv(connection->fd, connection->request + have,
+		    sizeof(connection->request) - 1 - have, 0);
+
+		if (n <= 0)
+			return (false);
+		have += (size_t)n;
+		connection->request[have] = '\0';
+		if (end == NULL) {
+			end = strstr(connection->request, "\r\n\r\n");
+			if (end == NULL)
+				continue;
+			header_value(connection->request,
+			    "Content-Length: ", length, sizeof(length));
+			need = (size_t)(end - connection->request) + 4 +
+			       strtoul(length, NULL, 10);
+		}
+	}
+	return (true);
+}
+
+static void *
+serve(void *ctx)
+{
+	connection_t *connection = ctx;
+	hostile_t *hostile = connection->hostile;
+	bool open = true;
+
+	while (open && read_request(connection)) {
+		hostile->answers++;
+		if (hostile->mode < HOSTILE_MODES) {
+			answer_endless(connection);
+			open = false;
+		} else {
+			open = answer_with_copy(connection);
+		}
+	}
+	shutdown(connection->fd, SHUT_RDWR);
+	buf_free(&connection->answer);
+	return (NULL);
+}
+
+static void *
+accept_all(void *ctx)
+{
+	hostile_t *hostile = ctx;
+
+	while (hostile->count < MAX_CONNECTIONS) {
+		connection_t *connection =
+		    &hostile->connections[hostile->count];
+		int fd = accept(hostile->listener, NULL, NULL);
+
+		if (fd < 0)
+			break;
+		connection->hostile = hostile;
+		connection->fd = fd;
+		pthread_create(&connection->thread, NULL, serve, connection);
+		hostile->count++;
+	}
+	return (NULL);
+}
+
+/* Begins to answer at an address; NULL when it cannot be bound. */
+hostile_t *
+hostile_start(const char *ip, uint16_t port, hostile_mode_t mode, bool slow)
+{
+	struct sockaddr_in address = {
+	    .sin_family = AF_INET, .sin_port = htons(port)};
+	hostile_t *hostile = xcalloc(1, sizeof(*hostile));
+	const int on = 1;
+
+	hostile->mode = mode;
+	hostile->slow = slow;
+	hostile->listener = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+	setsockopt(
+	    hostile->listener, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+	inet_pton(AF_INET, ip, &address.sin_addr);
+	if (bind(hostile->listener, (struct sockaddr *)&address,
+		sizeof(address)) != 0 ||
+	    listen(hostile->listener, MAX_CONNECTIONS) != 0) {
+		close(hostile->listener);
+		free(hostile);
+		return (NULL);
+	}
+	pthread_create(&hostile->thread, NULL, accept_all, hostile);
+	return (hostile);
+}
+
+/* Returns how many requests were read. */
+unsigned
+hostile_answers(const hostile_t *hostile)
+{
+	return (hostile->answers);
+}
+
+/* Returns how many copies of answers were sent. */
+unsigned
+hostile_copies(const hostile_t *hostile)
+{
+	return (hostile->copies);
+}
+
+/* Closes all connections and ends. */
+void
+hostile_end(hostile_t *hostile)
+{
+	hostile->ended = true;
+	shutdown(hostile->listener, SHUT_RDWR);
+	pthread_join(hostile->thread, NULL);
+	for (unsigned i = 0; i < hostile->count; i++) {
+		shutdown(hostile->connections[i].fd, SHUT_RDWR);
+		pthread_join(hostile->connections[i].thread, NULL);
+		close(hostile->connections[i].fd);
+	}
+	close(hostile->listener);
+	free(hostile);
+}
--- a/tests/test_event_relay.c
+++ b/tests/test_event_relay.c
@@ -128,7 +128,52 @@
 	event_relay_free(&relay);
 }
 
+/*
+ * Guards against a comment that counts as progress, and against one that a
+ * caller gets although another endpoint goes on with the stream.
+ */
+static void
+test_empty_events_wait(void)
+{
+	event_relay_t relay = {0};
+	seen_t seen = {0};
+
+	CU_ASSERT(feed(&relay, ": a\n\n\n: b\n\n", &seen));
+	CU_ASSERT(seen.count == 0);
+	CU_ASSERT(!event_relay_partial(&relay));
+	CU_ASSERT(str_equal(event_relay_rest(&relay), STR(": a\n\n\n: b\n\n")));
+	CU_ASSERT(feed(&relay, "id: 0\ndata: x\n\n", &seen));
+	CU_ASSERT(seen.count == 1);
+	CU_ASSERT(str_equal(
+	    str_buf(&seen.raw), STR(": a\n\n\n: b\n\nid: 0\ndata: x\n\n")));
+	CU_ASSERT(str_equal(str_buf(&seen.data), STR("x")));
+	CU_ASSERT(event_relay_rest(&relay).len == 0);
+	CU_ASSERT(feed(&relay, ": c\n\nid: 1", &seen));
+	CU_ASSERT(event_relay_partial(&relay));
+	event_relay_resume(&relay);
+	CU_ASSERT(event_relay_rest(&relay).len == 0);
+	seen_free(&seen);
+	event_relay_free(&relay);
+}
+
+/* Guards against unbounded memory for comments without an event. */
+static void
+test_empty_events_are_bounded(void)
+{
+	event_relay_t relay = {0};
+	seen_t seen = {0};
+	bool ok = true;
+
+	for (size_t i = 0; ok && i <= EVENT_RELAY_MAX_EVENT / 4; i++)
+		ok = feed(&relay, ": x\n\n", &seen);
+	CU_ASSERT(!ok);
+	CU_ASSERT(seen.count == 0);
+	event_relay_free(&relay);
+}
+
 static const suite_test_t tests[] = {
+    {"empty events wait for the next one", test_empty_events_wait},
+    {"empty events are bounded", test_empty_events_are_bounded},
     {"only whole events pass", test_only_whole_events_pass},
     {"the number must be the next one", test_number_must_be_next},
     {"resuming drops the partial event", test_resume_drops_the_partial_event},
--- a/tests/test_forward_plan.c
+++ b/tests/test_forward_plan.c
@@ -129,7 +129,33 @@
 	CU_ASSERT(isinf(forward_slack(&none, false, 1)));
 }
 
+/* Guards against silence that ends the last attempt a stream may have. */
+static void
+test_last_endpoint_may_be_slow(void)
+{
+	forward_state_t state = resumable;
+
+	CU_ASSERT(forward_may_move(&state));
+	state.sent = 1;
+	CU_ASSERT(!forward_may_move(&state));
+	CU_ASSERT(!forward_may_move(&once));
+}
+
+/* Guards against another run for a caller that does not read its answer. */
+static void
+test_stalled_caller_gets_no_other_run(void)
+{
+	forward_state_t state = resumable;
+
+	state.answered = true;
+	state.caller_stalled = true;
+	CU_ASSERT(step(state, ATTEMPT_BROKEN, 200) == FORWARD_ABORT);
+}
+
 static const suite_test_t tests[] = {
+    {"the last endpoint may be slow", test_last_endpoint_may_be_slow},
+    {"a stalled caller gets no other run",
+	test_stalled_caller_gets_no_other_run},
     {"a refusal is true", test_refusal_is_true},
     {"a failure promises nothing", test_failure_promises_nothing},
     {"no second run", test_no_second_run},
--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -101,7 +101,7 @@
 }
 
 static http_call_t *
-begin(http_test_t *test, const char *path, str_t body, double idle)
+begin(http_test_t *test, const char *path, str_t body, double progress)
 {
 	snprintf(test->url, sizeof(test->url), "http://127.0.0.1:%u%s",
 	    httpd_port(test->httpd), path);
@@ -110,7 +110,7 @@
 						 .method = "POST",
 						 .url = test->url,
 						 .body = body,
-						 .idle_timeout = idle,
+						 .progress_timeout = progress,
 						 .on_data = on_data,
 						 .on_done = on_done,
 						 .ctx = test,
