Make the cost of a grant independent of the size of the fleet

Cause: an ask or a release went through all endpoints several times, through all held batch, and through lists of holders, hosts and links: 27 to 34 us. While a takeover lasts, each pick ranked all hosts for each of 204 endpoints (3.7 ms), for each waiting request anew; hosts connected to the admitting host with their first requests only. Change: free slots are counted as they change, batch is kept in the order in which it is revoked, names are looked up by hash or in order; the hosts that share an endpoint are ranked once for a member table; a holder without room is passed over for 0.2 s. Hosts join a pool before its first request, and a takeover ends when all living hosts have reported. All waiting connections between hosts are accepted.

--- a/src/admission.c
+++ b/src/admission.c
@@ -13,12 +13,18 @@
 /* Batch requests that may wait; their owners ask for a few at a time. */
 #define BATCH_QUEUE_LIMIT 4096
 
+static size_t
+holder_bucket(const char *name)
+{
+	return (str_hash(str_of(name), 0) % ADMISSION_HOLDER_BUCKETS);
+}
+
 static slot_holder_t *
 holder_find(const admission_t *a, const char *name)
 {
 	slot_holder_t *holder;
 
-	LIST_FOREACH (holder, &a->holders, entry)
+	LIST_FOREACH (holder, &a->holders[holder_bucket(name)], entry)
 		if (strcmp(holder->name, name) == 0)
 			return (holder);
 	return (NULL);
@@ -35,7 +41,7 @@
 	holder = xcalloc(1, sizeof(*holder));
 	str_copy(holder->name, sizeof(holder->name), str_of(name));
 	LIST_INIT(&holder->grants);
-	LIST_INSERT_HEAD(&a->holders, holder, entry);
+	LIST_INSERT_HEAD(&a->holders[holder_bucket(name)], holder, entry);
 	return (holder);
 }
 
@@ -58,14 +64,30 @@
 	return (org);
 }
 
+static int
+compare_endpoints(const void *a, const void *b)
+{
+	const slot_endpoint_t *const *first = a;
+	const slot_endpoint_t *const *second = b;
+
+	return (strcmp((*first)->id.name, (*second)->id.name));
+}
+
 /* Returns the endpoint of that name, or NULL. */
 slot_endpoint_t *
 slot_endpoint_find(const admission_t *a, str_t name)
 {
-	for (size_t i = 0; i < a->endpoint_count; i++)
-		if (str_equal(str_of(a->endpoints[i]->id.name), name))
-			return (a->endpoints[i]);
-	return (NULL);
+	slot_endpoint_t key;
+	const slot_endpoint_t *wanted = &key;
+	slot_endpoint_t **found;
+
+	if (name.len >= sizeof(key.id.name) || a->endpoint_count == 0)
+		return (NULL);
+	str_copy(key.id.name, sizeof(key.id.name), name);
+	found = (slot_endpoint_t **)bsearch((const void *)&wanted,
+	    (const void *)a->endpoints, a->endpoint_count,
+	    sizeof(slot_endpoint_t *), compare_endpoints);
+	return (found != NULL ? *found : NULL);
 }
 
 /* Returns a holder's grant by its number, or NULL. */
@@ -127,7 +149,8 @@
 			TAILQ_REMOVE(&a->batch_held, grant, order);
 		break;
 	}
-	grant->endpoint->in_use--;
+	slot_route_use(a, grant->endpoint, -1);
+	grant->holder->no_room_until = 0;
 	grant->org->held[class]--;
 	a->held[class]--;
 }
@@ -178,25 +201,29 @@
 	TAILQ_INIT(&a->batch_held);
 	TAILQ_INIT(&a->revoked);
 	LIST_INIT(&a->orgs);
-	LIST_INIT(&a->holders);
 	STAILQ_INIT(&a->actions);
 	return (a);
 }
 
+static void
+holder_delete(admission_t *a, slot_holder_t *holder)
+{
+	while (!LIST_EMPTY(&holder->grants))
+		slot_grant_delete(a, LIST_FIRST(&holder->grants));
+	LIST_REMOVE(holder, entry);
+	free(holder);
+}
+
 /* Frees a pool's state; nobody is told. */
 void
 admission_delete(admission_t *a)
 {
-	slot_holder_t *holder;
 	slot_org_t *org;
 	slot_action_t *item;
 
-	while ((holder = LIST_FIRST(&a->holders)) != NULL) {
-		while (!LIST_EMPTY(&holder->grants))
-			slot_grant_delete(a, LIST_FIRST(&holder->grants));
-		LIST_REMOVE(holder, entry);
-		free(holder);
-	}
+	for (size_t i = 0; i < ADMISSION_HOLDER_BUCKETS; i++)
+		while (!LIST_EMPTY(&a->holders[i]))
+			holder_delete(a, LIST_FIRST(&a->holders[i]));
 	while ((org = LIST_FIRST(&a->orgs)) != NULL) {
 		LIST_REMOVE(org, entry);
 		free(org);
@@ -212,20 +239,58 @@
 	free(a);
 }
 
+/* Makes an endpoint; it is found by name once the endpoints are in order. */
 static slot_endpoint_t *
-endpoint_add(admission_t *a, const admission_endpoint_t *config, double now)
+endpoint_add(admission_t *a, size_t count, const admission_endpoint_t *config,
+    double now)
 {
 	slot_endpoint_t *endpoint = xcalloc(1, sizeof(*endpoint));
 
 	str_copy(
 	    endpoint->id.name, sizeof(endpoint->id.name), str_of(config->name));
 	limiter_init(&endpoint->limiter, config->slots, now);
-	a->endpoints = (slot_endpoint_t **)xrealloc((void *)a->endpoints,
-	    (a->endpoint_count + 1) * sizeof(slot_endpoint_t *));
-	a->endpoints[a->endpoint_count++] = endpoint;
+	a->endpoints = (slot_endpoint_t **)xrealloc(
+	    (void *)a->endpoints, (count + 1) * sizeof(slot_endpoint_t *));
+	a->endpoints[count] = endpoint;
 	return (endpoint);
 }
 
+/* Forgets endpoints that are neither configured nor in use. */
+static void
+endpoints_prune(admission_t *a)
+{
+	size_t kept = 0;
+
+	for (size_t i = 0; i < a->endpoint_count; i++) {
+		slot_endpoint_t *e = a->endpoints[i];
+
+		if (e->configured || e->in_use > 0)
+			a->endpoints[kept++] = e;
+		else
+			free(e);
+	}
+	a->endpoint_count = kept;
+	if (kept > 0)
+		qsort((void *)a->endpoints, kept, sizeof(slot_endpoint_t *),
+		    compare_endpoints);
+}
+
+static void
+routes_build(admission_t *a, double now)
+{
+	size_t count = a->endpoint_count;
+
+	a->routes = xrealloc(a->routes, (count + 1) * sizeof(*a->routes));
+	for (size_t i = 0; i < count; i++) {
+		a->endpoints[i]->route = i;
+		a->routes[i] = (route_endpoint_t){
+		    .name = a->endpoints[i]->id.name,
+		    .zone = a->endpoints[i]->zone,
+		};
+	}
+	slot_routes_refresh(a, now);
+}
+
 /*
  * Takes over settings and endpoints. An endpoint that is no longer configured
  * gets no new requests; it is forgotten once its last grant is released.
@@ -234,59 +299,73 @@
 admission_configure(admission_t *a, const admission_settings_t *settings,
     const admission_endpoint_t *endpoints, size_t count, double now)
 {
-	size_t kept = 0;
+	size_t total = a->endpoint_count;
 
 	a->settings = *settings;
-	for (size_t i = 0; i < a->endpoint_count; i++)
+	for (size_t i = 0; i < a->endpoint_count; i++) {
 		a->endpoints[i]->leaving = true;
+		a->endpoints[i]->configured = false;
+	}
 	for (size_t i = 0; i < count; i++) {
 		const admission_endpoint_t *config = &endpoints[i];
 		slot_endpoint_t *e =
 		    slot_endpoint_find(a, str_of(config->name));
 
 		if (e == NULL)
-			e = endpoint_add(a, config, now);
+			e = endpoint_add(a, total++, config, now);
 		str_copy(e->id.address, sizeof(e->id.address),
 		    str_of(config->address));
 		str_copy(e->zone, sizeof(e->zone), str_of(config->zone));
 		e->slots = config->slots;
 		e->leaving = config->leaving;
+		e->configured = true;
 		limiter_set_slots(&e->limiter, config->slots);
 	}
-	for (size_t i = 0; i < a->endpoint_count; i++) {
-		slot_endpoint_t *e = a->endpoints[i];
-		bool configured = false;
-
-		for (size_t k = 0; k < count && !configured; k++)
-			configured = strcmp(endpoints[k].name, e->id.name) == 0;
-		if (configured || e->in_use > 0)
-			a->endpoints[kept++] = e;
-		else
-			free(e);
-	}
-	a->endpoint_count = kept;
-	a->routes = xrealloc(a->routes, (kept + 1) * sizeof(*a->routes));
-	for (size_t i = 0; i < kept; i++) {
-		a->routes[i].name = a->endpoints[i]->id.name;
-		a->routes[i].zone = a->endpoints[i]->zone;
-	}
+	a->endpoint_count = total;
+	endpoints_prune(a);
+	routes_build(a, now);
 	admission_schedule(a, now);
 }
 
 /*
  * Until the given time the pool grants no batch, and online only within what a
  * holder may use without coordination: other grants may exist that this host
- * does not know.
+ * does not know. Reports of holders count from since on.
  */
 void
-admission_restrict(
-    admission_t *a, double until, admission_allowance_t allowance, void *ctx)
+admission_restrict(admission_t *a, double since, double until,
+    admission_allowance_t allowance, void *ctx)
 {
+	a->restricted_since = since;
 	a->restricted_until = until;
 	a->allowance = allowance;
 	a->allowance_ctx = ctx;
 }
 
+/* Returns whether the pool is restricted now. */
+bool
+admission_is_restricted(const admission_t *a, double now)
+{
+	return (now < a->restricted_until);
+}
+
+/* Returns whether a holder reported its grants since the restriction began. */
+bool
+admission_has_report(const admission_t *a, const char *holder_name)
+{
+	const slot_holder_t *holder = holder_find(a, holder_name);
+
+	return (holder != NULL && holder->reported >= a->restricted_since);
+}
+
+/* Ends a restriction: all grants are known. */
+void
+admission_permit(admission_t *a, double now)
+{
+	a->restricted_until = now;
+	admission_schedule(a, now);
+}
+
 static bool
 has_endpoint(const admission_t *a)
 {
@@ -465,15 +544,10 @@
 		ejector_readmit(&e->ejector, now);
 }
 
-/* Takes in how a request on an endpoint went. */
-void
-admission_report(admission_t *a, const char *endpoint,
+static void
+endpoint_report(admission_t *a, slot_endpoint_t *e,
     const grant_report_t *report, double now)
 {
-	slot_endpoint_t *e = slot_endpoint_find(a, str_of(endpoint));
-
-	if (e == NULL || report == NULL)
-		return;
 	if (limiter_report(&e->limiter, report->first_token_seconds, now))
 		LOG_INFO("endpoint_limit_lowered",
 		    "endpoint=%s limit=%u slots=%u latency_ms=%.0f "
@@ -483,6 +557,18 @@
 		    e->limiter.smoothed * 1e3, e->limiter.best * 1e3);
 	if (ejector_report(&e->ejector, report->rc, now))
 		endpoint_ejected(a, e, report->rc, now);
+	slot_route_refresh(a, e, now);
+}
+
+/* Takes in how a request on an endpoint went. */
+void
+admission_report(admission_t *a, const char *endpoint,
+    const grant_report_t *report, double now)
+{
+	slot_endpoint_t *e = slot_endpoint_find(a, str_of(endpoint));
+
+	if (e != NULL && report != NULL)
+		endpoint_report(a, e, report, now);
 }
 
 /*
@@ -498,7 +584,8 @@
 	if (grant == NULL)
 		return (false);
 	if (grant->endpoint != NULL) {
-		admission_report(a, grant->endpoint->id.name, report, now);
+		if (report != NULL)
+			endpoint_report(a, grant->endpoint, report, now);
 		if (grant->class == GRANT_ONLINE) {
 			double held = now - grant->since;
 
@@ -519,15 +606,13 @@
 admission_holder_gone(admission_t *a, const char *holder_name, double now)
 {
 	slot_holder_t *holder = holder_find(a, holder_name);
+	const slot_grant_t *grant;
 
 	if (holder == NULL)
 		return;
-	while (!LIST_EMPTY(&holder->grants)) {
+	LIST_FOREACH (grant, &holder->grants, holder_entry)
 		a->totals.reclaimed++;
-		slot_grant_delete(a, LIST_FIRST(&holder->grants));
-	}
-	LIST_REMOVE(holder, entry);
-	free(holder);
+	holder_delete(a, holder);
 	admission_schedule(a, now);
 }
 
@@ -559,6 +644,7 @@
 {
 	slot_grant_t *grant;
 
+	slot_routes_refresh(a, now);
 	expire_waiting(a, GRANT_ONLINE, now);
 	expire_waiting(a, GRANT_BATCH, now);
 	while ((grant = TAILQ_FIRST(&a->revoked)) != NULL &&
@@ -566,6 +652,8 @@
 		a->totals.revoke_timeouts++;
 		slot_grant_delete(a, grant);
 	}
+	if (now >= a->restricted_until)
+		admission_revoke_excess(a, now);
 	admission_schedule(a, now);
 }
 
--- a/src/admission.h
+++ b/src/admission.h
@@ -84,8 +84,11 @@
 void admission_delete(admission_t *a);
 void admission_configure(admission_t *a, const admission_settings_t *settings,
     const admission_endpoint_t *endpoints, size_t count, double now);
-void admission_restrict(
-    admission_t *a, double until, admission_allowance_t allowance, void *ctx);
+void admission_restrict(admission_t *a, double since, double until,
+    admission_allowance_t allowance, void *ctx);
+bool admission_is_restricted(const admission_t *a, double now);
+bool admission_has_report(const admission_t *a, const char *holder);
+void admission_permit(admission_t *a, double now);
 
 void admission_ask(admission_t *a, const admission_ask_t *ask, double now);
 bool admission_release(admission_t *a, const char *holder, uint64_t id,
--- a/src/admission_held.c
+++ b/src/admission_held.c
@@ -24,11 +24,11 @@
 	grant->since = now;
 	grant->wait.start_by = now + holding->slack;
 	grant->listed = true;
-	endpoint->in_use++;
+	slot_route_use(a, endpoint, 1);
 	grant->org->held[grant->class]++;
 	a->held[grant->class]++;
 	if (grant->class == GRANT_BATCH)
-		TAILQ_INSERT_TAIL(&a->batch_held, grant, order);
+		slot_batch_insert(a, grant);
 }
 
 /* Reclaims what a holder did not list and so no longer has or asks for. */
@@ -64,6 +64,7 @@
 	size_t unknown_count = 0;
 	slot_grant_t *grant;
 
+	holder->reported = now;
 	LIST_FOREACH (grant, &holder->grants, holder_entry)
 		grant->listed = false;
 	for (size_t i = 0; i < count; i++) {
--- a/src/admission_schedule.c
+++ b/src/admission_schedule.c
@@ -6,6 +6,8 @@
 
 /* Part of its request rate that an organisation's batch leaves to online. */
 #define QUOTA_KEEP_BATCH 0.5
+/* A holder without room looks again after this, in seconds. */
+#define NO_ROOM_S 0.2
 /* Time in which a holder usually gives a revoked slot back, in seconds. */
 #define USUAL_REVOKE_S 0.05
 
@@ -28,19 +30,51 @@
 }
 
 static unsigned
-routes_refresh(admission_t *a, double now)
+route_spare(const route_endpoint_t *route)
 {
-	unsigned spare = 0;
+	return (route->capacity > route->in_use
+		    ? route->capacity - route->in_use
+		    : 0);
+}
+
+/* Takes a slot of an endpoint into use, or out of it. */
+void
+slot_route_use(admission_t *a, slot_endpoint_t *endpoint, int change)
+{
+	route_endpoint_t *route = &a->routes[endpoint->route];
+
+	endpoint->in_use += (unsigned)change;
+	a->spare -= route_spare(route);
+	route->in_use = endpoint->in_use;
+	a->spare += route_spare(route);
+}
+
+/* Takes over how many requests an endpoint may run now. */
+void
+slot_route_refresh(admission_t *a, slot_endpoint_t *endpoint, double now)
+{
+	route_endpoint_t *route = &a->routes[endpoint->route];
 
+	a->spare -= route_spare(route);
+	route->capacity = slot_endpoint_capacity(endpoint, now);
+	a->spare += route_spare(route);
+}
+
+/*
+ * The same for all endpoints. An ejected one returns by the passage of time
+ * only, so this is due at each tick, and not at each request.
+ */
+void
+slot_routes_refresh(admission_t *a, double now)
+{
+	a->spare = 0;
 	for (size_t i = 0; i < a->endpoint_count; i++) {
 		route_endpoint_t *route = &a->routes[i];
 
 		route->in_use = a->endpoints[i]->in_use;
 		route->capacity = slot_endpoint_capacity(a->endpoints[i], now);
-		if (route->capacity > route->in_use)
-			spare += route->capacity - route->in_use;
+		a->spare += route_spare(route);
 	}
-	return (spare);
 }
 
 /* Batch does not count against the allowance, because it yields. */
@@ -56,7 +90,10 @@
 	return (n);
 }
 
-/* Lowers the capacities to what the holder may use by itself. */
+/*
+ * Lowers the capacities to what the holder may use by itself, until
+ * slot_routes_refresh().
+ */
 static void
 routes_restrict(admission_t *a, const slot_grant_t *grant)
 {
@@ -97,7 +134,7 @@
 		routes_restrict(a, grant);
 	i = route_pick(a->routes, a->endpoint_count, &params, &a->rng);
 	if (now < a->restricted_until)
-		routes_refresh(a, now);
+		slot_routes_refresh(a, now);
 	return (i == ROUTE_NONE ? NULL : a->endpoints[i]);
 }
 
@@ -148,15 +185,28 @@
 	org->start[class] += 1.0 / (org->weight > 0 ? org->weight : 1);
 	if (class == GRANT_BATCH) {
 		quota_take(&org->quota, now, QUOTA_KEEP_BATCH);
-		TAILQ_INSERT_TAIL(&a->batch_held, grant, order);
 	}
 	grant->state = SLOT_HELD;
 	grant->endpoint = endpoint;
 	grant->since = now;
-	endpoint->in_use++;
+	if (class == GRANT_BATCH)
+		slot_batch_insert(a, grant);
+	slot_route_use(a, endpoint, 1);
 	admission_emit(a, ADMISSION_GRANT, grant, 0, 0);
 }
 
+/*
+ * Whether a waiting request is worth a look: under restriction each holder has
+ * a few endpoints of its own, and one that found no room there need not look
+ * again for each of its requests.
+ */
+static bool
+holder_may_find(const admission_t *a, const slot_grant_t *grant, double now)
+{
+	return (
+	    now >= a->restricted_until || now >= grant->holder->no_room_until);
+}
+
 /* Grants one request of an organisation; false when none can run now. */
 static bool
 org_grant_one(admission_t *a, slot_org_t *org, grant_class_t class, double now)
@@ -167,12 +217,16 @@
 	for (link = wait_queue_first(&org->queue[class]); link != NULL;
 	     link = wait_queue_next(link)) {
 		slot_grant_t *grant = slot_grant_waiting(link);
-		slot_endpoint_t *endpoint = endpoint_for(a, grant, now);
+		slot_endpoint_t *endpoint;
 
+		if (!holder_may_find(a, grant, now))
+			continue;
+		endpoint = endpoint_for(a, grant, now);
 		if (endpoint != NULL) {
 			grant_give(a, grant, endpoint, now);
 			return (true);
 		}
+		grant->holder->no_room_until = now + NO_ROOM_S;
 	}
 	return (false);
 }
@@ -186,8 +240,7 @@
 	if (a->waiting[class] == 0)
 		return;
 	a->round++;
-	while (routes_refresh(a, now) > keep &&
-	       (org = org_next(a, class, now)) != NULL)
+	while (a->spare > keep && (org = org_next(a, class, now)) != NULL)
 		if (!org_grant_one(a, org, class, now))
 			org->skipped_in = a->round;
 }
@@ -209,20 +262,20 @@
  * Revokes batch grants on endpoints that run more than their limit, after the
  * limit fell or after two hosts granted the same slots for a while.
  */
-static void
-revoke_excess(admission_t *a, double now)
+void
+admission_revoke_excess(admission_t *a, double now)
 {
-	slot_grant_t *grant = TAILQ_LAST(&a->batch_held, slot_queue_t);
+	slot_grant_t *grant = TAILQ_FIRST(&a->batch_held);
 
 	while (grant != NULL) {
-		slot_grant_t *older = TAILQ_PREV(grant, slot_queue_t, order);
+		slot_grant_t *next = TAILQ_NEXT(grant, order);
 		const slot_endpoint_t *endpoint = grant->endpoint;
 
 		if (!endpoint->leaving &&
 		    endpoint->in_use - endpoint->revoking >
 			limiter_limit(&endpoint->limiter))
 			grant_revoke(a, grant, now);
-		grant = older;
+		grant = next;
 	}
 }
 
@@ -255,25 +308,35 @@
 	return (slack < 0 ? INFINITY : slack);
 }
 
+/* Puts a batch grant in its place: most time to spare first, newest first. */
+void
+slot_batch_insert(admission_t *a, slot_grant_t *grant)
+{
+	double slack = grant_slack(grant);
+	slot_grant_t *after = TAILQ_FIRST(&a->batch_held);
+
+	while (after != NULL && grant_slack(after) > slack)
+		after = TAILQ_NEXT(after, order);
+	if (after != NULL)
+		TAILQ_INSERT_BEFORE(after, grant, order);
+	else
+		TAILQ_INSERT_TAIL(&a->batch_held, grant, order);
+}
+
 /*
- * Returns the batch grant to revoke first, or NULL: the one with the most time
- * to spare, the newest of equals. Slots of endpoints that are leaving or
- * ejected are of no use to the waiting requests.
+ * Returns the batch grant to revoke first, or NULL. Slots of endpoints that are
+ * leaving or ejected are of no use to the waiting requests.
  */
 static slot_grant_t *
-grant_to_revoke(const admission_t *a, const char *useless, double now)
+grant_to_revoke(const admission_t *a, const char *useless)
 {
-	slot_grant_t *best = NULL;
 	slot_grant_t *grant;
 
-	TAILQ_FOREACH (grant, &a->batch_held, order) {
-		if (slot_endpoint_capacity(grant->endpoint, now) == 0 ||
-		    strcmp(grant->endpoint->id.name, useless) == 0)
-			continue;
-		if (best == NULL || grant_slack(grant) >= grant_slack(best))
-			best = grant;
-	}
-	return (best);
+	TAILQ_FOREACH (grant, &a->batch_held, order)
+		if (a->routes[grant->endpoint->route].capacity > 0 &&
+		    strcmp(grant->endpoint->id.name, useless) != 0)
+			return (grant);
+	return (NULL);
 }
 
 /*
@@ -283,7 +346,7 @@
 static void
 revoke_for_online(admission_t *a, double now)
 {
-	unsigned spare = routes_refresh(a, now);
+	unsigned spare = a->spare;
 	unsigned wanted = a->waiting[GRANT_ONLINE];
 	unsigned coming = 0;
 	const char *useless = useless_endpoint(a);
@@ -297,8 +360,8 @@
 	for (size_t i = 0; i < a->endpoint_count; i++)
 		if (a->routes[i].capacity > 0)
 			coming += a->endpoints[i]->revoking;
-	while (coming < wanted &&
-	       (grant = grant_to_revoke(a, useless, now)) != NULL) {
+	while (
+	    coming < wanted && (grant = grant_to_revoke(a, useless)) != NULL) {
 		grant_revoke(a, grant, now);
 		coming++;
 	}
@@ -325,11 +388,8 @@
 	schedule_class(a, GRANT_ONLINE, 0, now);
 	if (!restricted && a->waiting[GRANT_ONLINE] == 0)
 		schedule_class(a, GRANT_BATCH, batch_headroom(a), now);
-	if (TAILQ_EMPTY(&a->batch_held))
-		return;
-	if (!restricted)
-		revoke_excess(a, now);
-	revoke_for_online(a, now);
+	if (!TAILQ_EMPTY(&a->batch_held))
+		revoke_for_online(a, now);
 }
 
 /* Online requests that are served before a new one of the organisation. */
--- a/src/admission_state.h
+++ b/src/admission_state.h
@@ -12,8 +12,9 @@
 #include "route.h"
 #include "wait_queue.h"
 
-#define ADMISSION_CLASSES 2
-#define ADMISSION_BUCKETS 1024
+#define ADMISSION_CLASSES	 2
+#define ADMISSION_BUCKETS	 1024
+#define ADMISSION_HOLDER_BUCKETS 256
 
 typedef struct slot_grant_t slot_grant_t;
 
@@ -47,10 +48,15 @@
 	unsigned revoking;
 	limiter_t limiter;
 	ejector_t ejector;
+	size_t route; /* its index in the pool's endpoints and routes */
+	bool configured;
 } slot_endpoint_t;
 
 typedef struct slot_holder_t {
 	char name[64];
+	double reported; /* time of its last report; 0: none */
+	/* Under restriction: until then no endpoint has room for it. */
+	double no_room_until;
 	LIST_HEAD(, slot_grant_t) grants;
 	LIST_ENTRY(slot_holder_t) entry;
 } slot_holder_t;
@@ -83,9 +89,11 @@
 struct admission_t {
 	rng_t rng;
 	admission_settings_t settings;
-	slot_endpoint_t **endpoints;
+	slot_endpoint_t **endpoints; /* in order of name */
 	size_t endpoint_count;
-	route_endpoint_t *routes; /* scratch, one for each endpoint */
+	route_endpoint_t *routes; /* one for each endpoint */
+	unsigned spare;		  /* free slots of all routes */
+	double restricted_since;
 	double restricted_until;
 	admission_allowance_t allowance;
 	void *allowance_ctx;
@@ -95,10 +103,10 @@
 	double hold_seconds; /* smoothed, of online grants */
 	unsigned round;
 	unsigned revoking;
-	struct slot_queue_t batch_held; /* oldest first */
+	struct slot_queue_t batch_held; /* most time to spare first */
 	struct slot_queue_t revoked;	/* oldest first */
 	LIST_HEAD(, slot_org_t) orgs;
-	LIST_HEAD(, slot_holder_t) holders;
+	LIST_HEAD(, slot_holder_t) holders[ADMISSION_HOLDER_BUCKETS];
 	LIST_HEAD(, slot_grant_t) buckets[ADMISSION_BUCKETS];
 	STAILQ_HEAD(, slot_action_t) actions;
 	admission_stats_t totals;
@@ -117,6 +125,11 @@
 
 /* admission_schedule.c */
 unsigned slot_endpoint_capacity(const slot_endpoint_t *endpoint, double now);
+void slot_route_use(admission_t *a, slot_endpoint_t *endpoint, int change);
+void slot_route_refresh(admission_t *a, slot_endpoint_t *endpoint, double now);
+void slot_routes_refresh(admission_t *a, double now);
+void slot_batch_insert(admission_t *a, slot_grant_t *grant);
+void admission_revoke_excess(admission_t *a, double now);
 void admission_emit(admission_t *a, admission_kind_t kind,
     const slot_grant_t *grant, int rc, double retry_after);
 void admission_schedule(admission_t *a, double now);
--- a/src/allowance.h
+++ b/src/allowance.h
@@ -2,21 +2,15 @@
 #ifndef DAISYPIER_ALLOWANCE_H
 #define DAISYPIER_ALLOWANCE_H
 
-#include "placement.h"
+#include "membership.h"
 
-#define ALLOWANCE_CACHE_SIZE 4096
+typedef struct allowance_t allowance_t;
 
-/* Remembers results for one state of the member table. */
-typedef struct allowance_t {
-	struct {
-		uint64_t key;
-		unsigned slots;
-		unsigned value;
-	} cache[ALLOWANCE_CACHE_SIZE];
-} allowance_t;
-
-void allowance_clear(allowance_t *allowance);
-unsigned allowance_get(allowance_t *allowance, const member_t *members,
-    size_t count, const char *host, const char *endpoint, unsigned slots);
+allowance_t *allowance_new(void);
+void allowance_delete(allowance_t *allowance);
+void allowance_refresh(
+    allowance_t *allowance, const member_t *members, size_t count);
+unsigned allowance_get(allowance_t *allowance, const char *host,
+    const char *endpoint, unsigned slots);
 
 #endif
--- a/src/endpoint_set.c
+++ b/src/endpoint_set.c
@@ -28,16 +28,20 @@
 /* Online requests of one pool that may wait for a slot. */
 #define QUEUE_LIMIT 4096
 
+#define ENDPOINT_BUCKETS 1024
+
 typedef struct known_endpoint_t {
 	endpoint_entry_t entry;
 	bool seen;    /* since the last reload */
 	bool removed; /* its entry is gone; kept for a while */
 	double removed_at;
 	LIST_ENTRY(known_endpoint_t) link;
+	LIST_ENTRY(known_endpoint_t) bucket_link;
 } known_endpoint_t;
 
 struct endpoint_set_t {
 	LIST_HEAD(, known_endpoint_t) endpoints;
+	LIST_HEAD(, known_endpoint_t) buckets[ENDPOINT_BUCKETS]; /* by id */
 	double loaded_at; /* for the first time; infinite: not yet */
 	bool in_contact;
 	double contact_changed; /* lost or regained */
@@ -60,6 +64,7 @@
 endpoint_forget(known_endpoint_t *endpoint)
 {
 	LIST_REMOVE(endpoint, link);
+	LIST_REMOVE(endpoint, bucket_link);
 	free(endpoint);
 }
 
@@ -72,12 +77,18 @@
 	free(set);
 }
 
+static size_t
+bucket_of(str_t id)
+{
+	return (str_hash(id, 0) % ENDPOINT_BUCKETS);
+}
+
 static known_endpoint_t *
 find(const endpoint_set_t *set, str_t id)
 {
 	known_endpoint_t *endpoint;
 
-	LIST_FOREACH (endpoint, &set->endpoints, link)
+	LIST_FOREACH (endpoint, &set->buckets[bucket_of(id)], bucket_link)
 		if (str_equal(str_of(endpoint->entry.id), id))
 			return (endpoint);
 	return (NULL);
@@ -103,6 +114,8 @@
 	if (endpoint == NULL) {
 		endpoint = xcalloc(1, sizeof(*endpoint));
 		LIST_INSERT_HEAD(&set->endpoints, endpoint, link);
+		LIST_INSERT_HEAD(&set->buckets[bucket_of(str_of(entry->id))],
+		    endpoint, bucket_link);
 		LOG_INFO("endpoint_added",
 		    "endpoint=%s pool=%s address=%s zone=%s slots=%u "
 		    "draining=%d",
--- a/src/grants.c
+++ b/src/grants.c
@@ -72,15 +72,25 @@
 	return (true);
 }
 
-/* Returns the pool of that name, made on the first call. */
-grants_pool_t *
-grants_pool(grants_t *grants, str_t name)
+static grants_pool_t *
+pool_find(const grants_t *grants, str_t name)
 {
 	grants_pool_t *pool;
 
 	LIST_FOREACH (pool, &grants->pools, entry)
 		if (str_equal(str_of(pool->name), name))
 			return (pool);
+	return (NULL);
+}
+
+/* Returns the pool of that name, made on the first call. */
+grants_pool_t *
+grants_pool(grants_t *grants, str_t name)
+{
+	grants_pool_t *pool = pool_find(grants, name);
+
+	if (pool != NULL)
+		return (pool);
 	pool = xcalloc(1, sizeof(*pool));
 	pool->grants = grants;
 	str_copy(pool->name, sizeof(pool->name), name);
@@ -97,8 +107,7 @@
 {
 	grants_t *grants = ctx;
 
-	return (allowance_get(grants->allowance, grants->members,
-	    grants->member_count, holder, endpoint, slots));
+	return (allowance_get(grants->allowance, holder, endpoint, slots));
 }
 
 static void
@@ -453,7 +462,29 @@
 	for (size_t i = 0; i < count; i++)
 		if (strcmp(all[i].site, grants->site) == 0)
 			grants->members[grants->member_count++] = all[i];
-	allowance_clear(grants->allowance);
+	allowance_refresh(
+	    grants->allowance, grants->members, grants->member_count);
+}
+
+/*
+ * Tells the admitting hosts of pools that are new here of this host. It opens
+ * the connections before the first request needs them, and lets a host that has
+ * just taken a pool over learn of its holders.
+ */
+static void
+pools_join(grants_t *grants, double now)
+{
+	const fleet_config_t *config =
+	    grants->params.config(grants->params.ctx);
+
+	for (size_t i = 0; config != NULL && i < config->pool_count; i++) {
+		str_t name = str_of(config->pools[i].name);
+
+		if (pool_find(grants, name) != NULL)
+			continue;
+		grants_pool(grants, name)->reported = true;
+		pool_report(pool_find(grants, name), now);
+	}
 }
 
 static void
@@ -466,6 +497,8 @@
 		if (pool_find_admitting(pool) &&
 		    grants->params.mode == GRANTS_POOL)
 			pool_moved(pool, now);
+	if (grants->params.mode == GRANTS_POOL)
+		pools_join(grants, now);
 	grants_admit_check_hosts(grants, now);
 }
 
@@ -541,9 +574,8 @@
 	grants->rng = rng_seeded(random_u64());
 	/* A restarted host must not reuse the numbers of its grants. */
 	grants->next_id = random_u64() >> 1;
-	grants->allowance = xcalloc(1, sizeof(*grants->allowance));
+	grants->allowance = allowance_new();
 	LIST_INIT(&grants->pools);
-	LIST_INIT(&grants->hosts);
 	TAILQ_INIT(&grants->deferred);
 	counters_init(grants);
 	members_refresh(grants);
@@ -584,7 +616,7 @@
 		free(pool);
 	}
 	free(grants->members);
-	free(grants->allowance);
+	allowance_delete(grants->allowance);
 	free(grants);
 }
 
--- a/src/grants_admit.c
+++ b/src/grants_admit.c
@@ -9,17 +9,27 @@
 
 /* Holders report once a second, so afterwards all grants are known. */
 #define TAKEOVER_S 1.5
+/* A takeover ends when all holders reported, which is looked at this often. */
+#define TAKEOVER_CHECK_S 0.1
+/* Holders may know earlier than this host that it admits, in seconds. */
+#define REPORT_AGE_S 0.5
 /* A pool that nobody asks for any more is forgotten after this, in seconds. */
 #define FORGET_S 10.0
 /* Requests that wait are logged this often, in seconds. */
 #define STATE_LOG_S 0.5
 
+static size_t
+host_bucket(str_t name)
+{
+	return (str_hash(name, 0) % GRANTS_HOST_BUCKETS);
+}
+
 static grants_host_t *
 host_find(grants_t *grants, str_t name)
 {
 	grants_host_t *host;
 
-	LIST_FOREACH (host, &grants->hosts, entry)
+	LIST_FOREACH (host, &grants->hosts[host_bucket(name)], entry)
 		if (str_equal(str_of(host->name), name))
 			return (host);
 	return (NULL);
@@ -34,7 +44,8 @@
 	if (host == NULL) {
 		host = xcalloc(1, sizeof(*host));
 		str_copy(host->name, sizeof(host->name), name);
-		LIST_INSERT_HEAD(&grants->hosts, host, entry);
+		LIST_INSERT_HEAD(
+		    &grants->hosts[host_bucket(name)], host, entry);
 	}
 	str_copy(host->address, sizeof(host->address), str_of(address));
 	return (host);
@@ -128,8 +139,8 @@
 	if (pool->admission != NULL)
 		return;
 	pool->admission = admission_new(rng_next(&pool->grants->rng));
-	admission_restrict(
-	    pool->admission, now + TAKEOVER_S, grants_allowance, pool->grants);
+	admission_restrict(pool->admission, now, now + TAKEOVER_S,
+	    grants_allowance, pool->grants);
 	pool_configure(pool, now);
 	LOG_INFO("pool_admitting", "pool=%s", pool->name);
 }
@@ -230,8 +241,8 @@
 {
 	if (pool->admission == NULL || pool->self)
 		return;
-	admission_restrict(
-	    pool->admission, now + TAKEOVER_S, grants_allowance, pool->grants);
+	admission_restrict(pool->admission, now - REPORT_AGE_S,
+	    now + TAKEOVER_S, grants_allowance, pool->grants);
 	if (now - pool->last_asked < FORGET_S)
 		return;
 	admission_delete(pool->admission);
@@ -365,31 +376,46 @@
 	}
 }
 
-/* Reclaims the grants of hosts that died or were replaced. */
+static int
+compare_member_name(const void *name, const void *member)
+{
+	return (strcmp(name, ((const member_t *)member)->name));
+}
+
+/* Reclaims the grants of a host that died or was replaced. */
+static void
+host_check(grants_t *grants, grants_host_t *host, double now)
+{
+	/* The members are in order of name. */
+	const member_t *member =
+	    bsearch(host->name, grants->members, grants->member_count,
+		sizeof(*grants->members), compare_member_name);
+
+	/* A host may ask before membership has heard of it. */
+	if (member != NULL && member_is_living(member)) {
+		if (host->instance != 0 && host->instance != member->instance)
+			host_gone(grants, host, now);
+		host->instance = member->instance;
+	} else if (host->instance != 0) {
+		host_gone(grants, host, now);
+		LIST_REMOVE(host, entry);
+		free(host);
+	}
+}
+
+/* Reclaims the grants of all hosts that died or were replaced. */
 void
 grants_admit_check_hosts(grants_t *grants, double now)
 {
-	grants_host_t *host = LIST_FIRST(&grants->hosts);
-
-	while (host != NULL) {
-		grants_host_t *next = LIST_NEXT(host, entry);
-		const member_t *member = NULL;
-
-		for (size_t i = 0; i < grants->member_count; i++)
-			if (strcmp(grants->members[i].name, host->name) == 0)
-				member = &grants->members[i];
-		/* A host may ask before membership has heard of it. */
-		if (member != NULL && member_is_living(member)) {
-			if (host->instance != 0 &&
-			    host->instance != member->instance)
-				host_gone(grants, host, now);
-			host->instance = member->instance;
-		} else if (host->instance != 0) {
-			host_gone(grants, host, now);
-			LIST_REMOVE(host, entry);
-			free(host);
+	for (size_t i = 0; i < GRANTS_HOST_BUCKETS; i++) {
+		grants_host_t *host = LIST_FIRST(&grants->hosts[i]);
+
+		while (host != NULL) {
+			grants_host_t *next = LIST_NEXT(host, entry);
+
+			host_check(grants, host, now);
+			host = next;
 		}
-		host = next;
 	}
 }
 
@@ -415,6 +441,34 @@
 	    (unsigned long long)stats.reclaimed);
 }
 
+/*
+ * Ends a takeover as soon as every living host has said what it holds. Hosts
+ * report at once when their admitting host changes, so that a pool whose slots
+ * are far fewer than its hosts need not serve each by its small allowance.
+ */
+static void
+pool_takeover(grants_pool_t *pool, double now)
+{
+	const grants_t *grants = pool->grants;
+
+	if (!pool->self || !admission_is_restricted(pool->admission, now) ||
+	    now < pool->takeover_check)
+		return;
+	pool->takeover_check = now + TAKEOVER_CHECK_S;
+	if (!admission_has_report(pool->admission, grants->host))
+		pool_admit_report(pool, now);
+	for (size_t i = 0; i < grants->member_count; i++) {
+		const member_t *member = &grants->members[i];
+
+		if (member_is_living(member) &&
+		    !admission_has_report(pool->admission, member->name))
+			return;
+	}
+	LOG_INFO("pool_taken_over", "pool=%s hosts=%zu", pool->name,
+	    grants->member_count);
+	admission_permit(pool->admission, now);
+}
+
 /* Applies the passage of time and changes of the configuration. */
 void
 grants_admit_tick(grants_t *grants, double now)
@@ -428,6 +482,7 @@
 			continue;
 		if (grants->fleet_changed || pool->configured != config)
 			pool_configure(pool, now);
+		pool_takeover(pool, now);
 		admission_tick(pool->admission, now);
 		pool_dispatch(pool, (str_t){0}, 0, NULL);
 		pool_log_state(pool, now);
@@ -454,9 +509,11 @@
 	peer_handle(grants->params.peer, PEER_GRANT_ASK, NULL, NULL);
 	peer_handle(grants->params.peer, PEER_GRANT_RELEASE, NULL, NULL);
 	peer_handle(grants->params.peer, PEER_GRANT_HELD, NULL, NULL);
-	while ((host = LIST_FIRST(&grants->hosts)) != NULL) {
-		LIST_REMOVE(host, entry);
-		free(host);
+	for (size_t i = 0; i < GRANTS_HOST_BUCKETS; i++) {
+		while ((host = LIST_FIRST(&grants->hosts[i])) != NULL) {
+			LIST_REMOVE(host, entry);
+			free(host);
+		}
 	}
 	LIST_FOREACH (pool, &grants->pools, entry) {
 		if (pool->admission != NULL)
--- a/src/grants_state.h
+++ b/src/grants_state.h
@@ -9,7 +9,8 @@
 #include "clock.h"
 #include "counter.h"
 
-#define GRANTS_BUCKETS 1024
+#define GRANTS_BUCKETS	    1024
+#define GRANTS_HOST_BUCKETS 256
 
 typedef enum grant_state_t {
 	GRANT_STATE_ASKING, /* a GRANT_ASK is on its way */
@@ -34,6 +35,7 @@
 	admission_t *admission;
 	const fleet_config_t *configured;
 	double last_asked;
+	double takeover_check; /* time of the next one */
 	double state_logged;
 	LIST_ENTRY(grants_pool_t) entry;
 } grants_pool_t;
@@ -85,7 +87,7 @@
 	allowance_t *allowance;
 	size_t open;
 	LIST_HEAD(, grants_pool_t) pools;
-	LIST_HEAD(, grants_host_t) hosts;
+	LIST_HEAD(, grants_host_t) hosts[GRANTS_HOST_BUCKETS];
 	LIST_HEAD(, grant_t) buckets[GRANTS_BUCKETS];
 	TAILQ_HEAD(, grant_t) deferred;
 	counter_t *granted;
--- a/src/peer.c
+++ b/src/peer.c
@@ -11,7 +11,8 @@
 #include "peer_state.h"
 #include "result.h"
 
-#define LISTEN_BACKLOG 128
+/* All hosts of a fleet may connect to a new owner at one moment. */
+#define LISTEN_BACKLOG 1024
 /* A call is given up with a link that buffers more than this, in bytes. */
 #define MAX_BUFFERED (64U << 20)
 
--- a/src/peer_link.c
+++ b/src/peer_link.c
@@ -286,6 +286,8 @@
 	ev_timer_stop(loop, &link->flush_timer);
 	close(link->fd);
 	LIST_REMOVE(link, entry);
+	if (link->outgoing)
+		LIST_REMOVE(link, outgoing_entry);
 	while (!LIST_EMPTY(&link->requests))
 		peer_request_unlink(LIST_FIRST(&link->requests));
 	while (!LIST_EMPTY(&link->calls))
@@ -296,6 +298,12 @@
 	free(link);
 }
 
+static size_t
+address_bucket(const char *address)
+{
+	return (str_hash(str_of(address), 0) % PEER_LINK_BUCKETS);
+}
+
 static peer_link_t *
 link_new(peer_t *peer, int fd, const char *address, bool outgoing)
 {
@@ -327,10 +335,13 @@
 	ev_io_start(peer->loop, &link->io);
 	ev_timer_start(peer->loop, &link->connect_timer);
 	LIST_INSERT_HEAD(&peer->links, link, entry);
+	if (outgoing)
+		LIST_INSERT_HEAD(&peer->outgoing[address_bucket(address)], link,
+		    outgoing_entry);
 	return (link);
 }
 
-/* Takes in a connection from another host. */
+/* Takes in the connections that other hosts have opened. */
 void
 peer_on_accept(struct ev_loop *loop, ev_io *io, int events)
 {
@@ -338,15 +349,16 @@
 	struct sockaddr_in from;
 	socklen_t size = sizeof(from);
 	char address[INET_ADDRSTRLEN];
-	int fd = accept4(io->fd, (struct sockaddr *)&from, &size,
-	    SOCK_NONBLOCK | SOCK_CLOEXEC);
+	int fd;
 
 	(void)loop;
 	(void)events;
-	if (fd < 0)
-		return;
-	inet_ntop(AF_INET, &from.sin_addr, address, sizeof(address));
-	link_new(peer, fd, address, false);
+	while ((fd = accept4(io->fd, (struct sockaddr *)&from, &size,
+		    SOCK_NONBLOCK | SOCK_CLOEXEC)) >= 0) {
+		inet_ntop(AF_INET, &from.sin_addr, address, sizeof(address));
+		link_new(peer, fd, address, false);
+		size = sizeof(from);
+	}
 }
 
 /* Returns an outgoing link to an address, or NULL when none can be opened. */
@@ -361,8 +373,9 @@
 	peer_link_t *link;
 	int fd;
 
-	LIST_FOREACH (link, &peer->links, entry)
-		if (link->outgoing && strcmp(link->address, address) == 0)
+	LIST_FOREACH (
+	    link, &peer->outgoing[address_bucket(address)], outgoing_entry)
+		if (strcmp(link->address, address) == 0)
 			return (link);
 	if (inet_pton(AF_INET, address, &to.sin_addr) != 1)
 		return (NULL);
--- a/src/peer_state.h
+++ b/src/peer_state.h
@@ -9,6 +9,8 @@
 #include "peer.h"
 #include "peer_frame.h"
 
+#define PEER_LINK_BUCKETS 256
+
 typedef struct peer_link_t peer_link_t;
 
 LIST_HEAD(call_list_t, peer_call_t);
@@ -25,6 +27,7 @@
 		void *ctx;
 	} handlers[PEER_TYPE_MAX];
 	LIST_HEAD(, peer_link_t) links;
+	LIST_HEAD(, peer_link_t) outgoing[PEER_LINK_BUCKETS]; /* by address */
 	struct call_list_t refused; /* calls that fail without a link */
 	uint64_t next_id;
 	counter_t *bytes_sent;
@@ -52,6 +55,7 @@
 	struct call_list_t calls;
 	LIST_HEAD(, peer_request_t) requests;
 	LIST_ENTRY(peer_link_t) entry;
+	LIST_ENTRY(peer_link_t) outgoing_entry;
 };
 
 struct peer_call_t {
--- a/tests/test_admission.c
+++ b/tests/test_admission.c
@@ -517,7 +517,7 @@
 	admission_stats_t stats;
 
 	setup(&t, &settings, 1, 8);
-	admission_restrict(t.a, t.now + 1.5, allow_one_of, NULL);
+	admission_restrict(t.a, t.now, t.now + 1.5, allow_one_of, NULL);
 	for (int i = 0; i < 4; i++)
 		ask(&t, GRANT_ONLINE);
 	ask(&t, GRANT_BATCH);
@@ -552,7 +552,7 @@
 	pool_test_t t;
 
 	setup(&t, &settings, 1, 8);
-	admission_restrict(t.a, t.now + 1.5, allow_one_of, NULL);
+	admission_restrict(t.a, t.now, t.now + 1.5, allow_one_of, NULL);
 	report_held(&t, 2, 1000, 5); /* one online, four batch */
 	for (int i = 0; i < 3; i++)
 		ask(&t, GRANT_ONLINE);
--- a/tests/test_grants.c
+++ b/tests/test_grants.c
@@ -318,6 +318,30 @@
 	return (admitting);
 }
 
+/*
+ * Guards against hosts that connect to the admitting host only with their first
+ * requests, all at the same moment, and against one that begins its takeover
+ * then (large deployment: the first two seconds of traffic waited 150 ms).
+ */
+static void
+test_pools_are_joined_before_requests(void)
+{
+	grants_test_t t;
+	size_t admitting = HOSTS;
+
+	setup(&t, 1, GRANTS_POOL);
+	for (size_t i = 0; i < HOSTS; i++) {
+		t.members[i].ready = true;
+		grants_fleet_changed(t.grants[i]);
+	}
+	run_for(&t, 0.3);
+	for (size_t i = 0; i < HOSTS; i++)
+		if (grants_stats(t.grants[i], POOL, &(admission_stats_t){0}))
+			admitting = i;
+	CU_ASSERT(admitting < HOSTS);
+	teardown(&t);
+}
+
 /* Guards against online requests that fail with their admitting host. */
 static void
 test_local_allowance_without_admitting_host(void)
@@ -446,6 +470,40 @@
 	teardown(&t);
 }
 
+/*
+ * Guards against a takeover that lasts longer than the hosts need to say what
+ * they hold (large deployment: 4.8 slots a host while 2,000 requests a second
+ * came back after a loss of power), and against one that ends before that.
+ */
+static void
+test_takeover_ends_with_the_reports(void)
+{
+	grants_test_t t;
+	asked_t batch = {0};
+	asked_t early = {0};
+
+	setup(&t, 1, GRANTS_POOL);
+	settle(&t);
+	t.members[1].ready = false;
+	t.members[2].ready = true;
+	grants_fleet_changed(t.grants[0]);
+	grants_fleet_changed(t.grants[2]);
+	/* Host b is living, and does not know yet that c takes over. */
+	run_for(&t, 0.3);
+	ask(&t, 0, GRANT_BATCH, &early);
+	run_for(&t, 0.3);
+	CU_ASSERT(early.answers == 0);
+	grants_fleet_changed(t.grants[1]);
+	run_for(&t, 0.4);
+	CU_ASSERT(early.answers == 1);
+	ask(&t, 0, GRANT_BATCH, &batch);
+	run_for(&t, 0.1);
+	CU_ASSERT(batch.answers == 1);
+	release(&early);
+	release(&batch);
+	teardown(&t);
+}
+
 /* Guards against slots that a dead host keeps. */
 static void
 test_grants_of_dead_host_are_reclaimed(void)
@@ -543,9 +601,11 @@
     {"grants on own and other host", test_grants_on_own_and_other_host},
     {"online revokes batch of other host",
 	test_online_revokes_batch_of_other_host},
+    {"pools are joined before requests", test_pools_are_joined_before_requests},
     {"local allowance without admitting host",
 	test_local_allowance_without_admitting_host},
     {"frozen admitting host", test_frozen_admitting_host},
+    {"takeover ends with the reports", test_takeover_ends_with_the_reports},
     {"takeover learns grants", test_takeover_learns_grants},
     {"grants of dead host are reclaimed",
 	test_grants_of_dead_host_are_reclaimed},
