--- a/tests/harness_gateways.c
+++ b/tests/harness_gateways.c
@@ -178,15 +178,17 @@
 	buf_free(&body);
 }
 
-static void
-put_entry(gateways_t *fleet, const char *id, const char *value)
+/* Writes a record of the store; an empty value removes the key. */
+void
+gateways_record(
+    gateways_t *fleet, const char *topic, const char *key, const char *value)
 {
 	buf_t body = {0};
 
-	put_record(&body, id, value);
+	put_record(&body, key, value);
 	harness_post(NULL, str_buf(&body),
-	    "http://%s/-/log-append?topic=keyed.servers&part=0",
-	    harness_address(fleet->store));
+	    "http://%s/-/log-append?topic=%s&part=0",
+	    harness_address(fleet->store), topic);
 	buf_free(&body);
 }
 
@@ -202,14 +204,14 @@
 	    "\"version\":\"v1\",\"slots\":%u,\"state\":\"ready\","
 	    "\"warmup-left-ms\":0,\"seq\":1}",
 	    address, slots);
-	put_entry(fleet, id, text);
+	gateways_record(fleet, "keyed.servers", id, text);
 }
 
 /* Removes the entry of an engine. */
 void
 gateways_unregister(gateways_t *fleet, const char *id)
 {
-	put_entry(fleet, id, "");
+	gateways_record(fleet, "keyed.servers", id, "");
 }
 
 /* Sets the faults of the store; an empty query ends them. */
--- a/tests/harness_gateways.h
+++ b/tests/harness_gateways.h
@@ -47,6 +47,9 @@
 void gateways_start_engine(gateways_t *fleet, unsigned engine);
 bool gateways_wait_ready(gateways_t *fleet, unsigned host);
 void gateways_configure(gateways_t *fleet, const char *extra_routes);
+/* Writes a record of the store; an empty value removes the key. */
+void gateways_record(
+    gateways_t *fleet, const char *topic, const char *key, const char *value);
 /* Registers an engine that is no process of the fleet, or removes it. */
 void gateways_register(
     gateways_t *fleet, const char *id, const char *address, unsigned slots);
--- a/tests/test_fail_gateway.c
+++ b/tests/test_fail_gateway.c
@@ -397,7 +397,41 @@
 	gateways_end(&fleet);
 }
 
+static unsigned
+runs_of_job(const char *job, unsigned items)
+{
+	unsigned runs = 0;
+	char id[32];
+
+	for (unsigned i = 0; i < items; i++) {
+		snprintf(id, sizeof(id), "%s-%u", job, i);
+		runs += gateways_runs(&fleet, id).runs;
+	}
+	return (runs);
+}
+
+/*
+ * Guards against running work that is started again elsewhere, because its host
+ * was silent for less time than makes it count as dead.
+ */
+static void
+test_silent_hosts_keep_their_work(void)
+{
+	gateways_start(&fleet, &(gateways_params_t){.event_ms = 25});
+	CU_ASSERT(gateways_submit(&fleet, 0, "job-s", 8, 100) == 202);
+	harness_sleep(1);
+	for (unsigned i = 0; i < 3; i++) {
+		harness_stop(fleet.hosts[i]);
+		harness_sleep(0.4);
+		harness_continue(fleet.hosts[i]);
+	}
+	CU_ASSERT(gateways_wait_job(&fleet, "job-s", 8, 100, 30));
+	CU_ASSERT(runs_of_job("job-s", 8) == 8);
+	gateways_end(&fleet);
+}
+
 static const suite_test_t tests[] = {
+    {"silent hosts keep their work", test_silent_hosts_keep_their_work},
     {"streams arrive whole", test_streams_arrive_whole},
     {"engines break off", test_engines_break_off},
     {"a job survives its hosts", test_job_survives_its_hosts},
--- a/tests/test_fail_hostile.c
+++ b/tests/test_fail_hostile.c
@@ -102,12 +102,19 @@
 	return (heartbeat->server);
 }
 
+/* Removes the entry; the server still answers. */
 static void
-hostile_leave(heartbeat_t *heartbeat)
+hostile_unregister(heartbeat_t *heartbeat)
 {
 	heartbeat->stop = true;
 	pthread_join(heartbeat->thread, NULL);
 	gateways_unregister(&fleet, heartbeat->id);
+}
+
+static void
+hostile_leave(heartbeat_t *heartbeat)
+{
+	hostile_unregister(heartbeat);
 	hostile_end(heartbeat->server);
 	harness_sleep(0.7);
 }
@@ -327,7 +334,48 @@
 	gateways_end(&fleet);
 }
 
+/*
+ * Guards against an endpoint that has left and is in use again after its hosts
+ * restarted, also while the store has lost its history. The
+ * endpoint still answers, and would be found by a request.
+ */
+static void
+test_left_endpoint_stays_out(void)
+{
+	static const char *const faults[] = {"", "forget=1"};
+
+	for (unsigned i = 0; i < sizeof(faults) / sizeof(faults[0]); i++) {
+		heartbeat_t heartbeat;
+		hostile_t *left;
+		caller_t callers[CALLERS] = {{0}};
+		unsigned before;
+
+		gateways_start(
+		    &fleet, &(gateways_params_t){.hosts = 2, .engines = 1});
+		left = hostile_join(&heartbeat, i, HOSTILE_SECOND_COPY, false);
+		call_together(callers, CALLERS, "before");
+		before = hostile_answers(left);
+		CU_ASSERT(before > 0);
+		hostile_unregister(&heartbeat);
+		harness_sleep(1);
+		gateways_store_faults(&fleet, faults[i]);
+		for (unsigned k = 0; k < 2; k++) {
+			harness_kill(fleet.hosts[k]);
+			gateways_start_host(&fleet, k);
+		}
+		for (unsigned k = 0; k < 2; k++)
+			CU_ASSERT(gateways_wait_ready(&fleet, k));
+		call_together(callers, CALLERS, "after");
+		CU_ASSERT(hostile_answers(left) == before);
+		for (unsigned k = 0; k < CALLERS; k++)
+			CU_ASSERT(callers[k].result.right);
+		hostile_end(left);
+		gateways_end(&fleet);
+	}
+}
+
 static const suite_test_t tests[] = {
+    {"a left endpoint stays out", test_left_endpoint_stays_out},
     {"endless answers", test_endless_answers},
     {"endless answers are bounded in memory",
 	test_endless_answers_bounded_in_memory},
--- /dev/null
+++ b/tests/test_fail_malformed.c
@@ -0,0 +1,135 @@
+/* Gateway hosts before messages that are malformed, on every interface. */
+#include "suite.h"
+
+#include <arpa/inet.h>
+#include <stdio.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "clock.h"
+#include "harness_gateways.h"
+
+#define HOST_IP	 "127.0.0.21"
+#define MESSAGES 200
+#define MAX_SIZE 600
+
+static gateways_t fleet;
+
+static struct sockaddr_in
+host_port(uint16_t port)
+{
+	struct sockaddr_in address = {
+	    .sin_family = AF_INET, .sin_port = htons(port)};
+
+	inet_pton(AF_INET, HOST_IP, &address.sin_addr);
+	return (address);
+}
+
+/* Sends one message and closes; what the host answers does not matter. */
+static void
+send_once(int type, uint16_t port, str_t message)
+{
+	struct sockaddr_in to = host_port(port);
+	int fd = socket(AF_INET, type | SOCK_CLOEXEC, 0);
+
+	CU_ASSERT_FATAL(fd >= 0);
+	if (connect(fd, (struct sockaddr *)&to, sizeof(to)) == 0)
+		(void)send(fd, message.data, message.len, MSG_NOSIGNAL);
+	close(fd);
+}
+
+/* Makes a message that begins as a real one may and goes on at random. */
+static str_t
+random_message(rng_t *rng, char out[MAX_SIZE])
+{
+	static const char *const begins[] = {"", "POST / HTTP/1.1\r\n",
+	    "GET /-/lots/x?after=", "HTTP/1.1 200 OK\r\n\r\n",
+	    "POST /jobs/1 HTTP/1.1\r\nHost: calls.example\r\n"
+	    "X-Daisypier-Request-Id: m\r\nContent-Length: 40\r\n\r\n"
+	    "{\"items\":[{\"id\":",
+	    "\x97\x01\x05\x00\xa0", "\x00\x00\x00\x40"};
+	const char *begin =
+	    begins[rng_below(rng, sizeof(begins) / sizeof(begins[0]))];
+	size_t len = strlen(begin);
+	size_t end = len + rng_below(rng, MAX_SIZE - len);
+
+	memcpy(out, begin, len);
+	for (; len < end; len++)
+		out[len] = (char)rng_next(rng);
+	return ((str_t){out, len});
+}
+
+/* Guards against one malformed message that ends a whole process. */
+static void
+test_malformed_messages(void)
+{
+	rng_t rng = rng_seeded(41);
+	uint16_t ports[4];
+	pid_t pid;
+	gateways_stream_t s;
+
+	gateways_start(&fleet, &(gateways_params_t){.hosts = 1});
+	ports[0] = fleet.callers_port;
+	ports[1] = fleet.readiness_port;
+	ports[2] = fleet.directory_port;
+	ports[3] = fleet.peer_port;
+	pid = harness_pid(fleet.hosts[0]);
+	for (unsigned i = 0; i < MESSAGES; i++) {
+		char text[MAX_SIZE];
+
+		send_once(
+		    SOCK_STREAM, ports[i % 4], random_message(&rng, text));
+		send_once(
+		    SOCK_DGRAM, fleet.peer_port, random_message(&rng, text));
+	}
+	s = gateways_stream(&fleet, 0, GATEWAYS_ONCE, "m1", 8, 5);
+	CU_ASSERT(s.right);
+	CU_ASSERT(harness_pid(fleet.hosts[0]) == pid);
+	CU_ASSERT(gateways_submit(&fleet, 0, "job-m", 3, 4) == 202);
+	CU_ASSERT(gateways_wait_job(&fleet, "job-m", 3, 4, 20));
+	gateways_end(&fleet);
+}
+
+/*
+ * Guards against records of the store that end a process, or that take the
+ * place of the configuration and the endpoints in force.
+ */
+static void
+test_malformed_records(void)
+{
+	static const char *const values[] = {"", "{", "[]", "null", "\"x\"",
+	    "{\"version\":\"x\"}", "{\"version\":99,\"routes\":7}",
+	    "{\"service\":7,\"address\":[],\"slots\":-1}",
+	    "{\"service\":\"m\",\"address\":\"no\",\"zone\":\"east\","
+	    "\"slots\":99999999999999999999,\"state\":\"ready\"}",
+	    "{\"service\":\"m\",\"address\":\"127.0.0.9:1\",\"zone\":\"east\","
+	    "\"slots\":\"7\",\"state\":\"resting\",\"seq\":1}"};
+	gateways_stream_t s;
+	char id[32];
+
+	gateways_start(&fleet, &(gateways_params_t){.hosts = 1});
+	for (unsigned i = 0; i < sizeof(values) / sizeof(values[0]); i++) {
+		snprintf(id, sizeof(id), "bad-%u", i);
+		gateways_record(&fleet, "keyed.servers", id, values[i]);
+		gateways_record(&fleet, "keyed.hosts", id, values[i]);
+		if (i > 0)
+			gateways_record(
+			    &fleet, "keyed.op", "config", values[i]);
+		gateways_record(&fleet, "keyed.jobs", id, values[i]);
+	}
+	harness_sleep(1);
+	for (unsigned i = 0; i < 10; i++) {
+		snprintf(id, sizeof(id), "r%u", i);
+		s = gateways_stream(&fleet, 0, GATEWAYS_ONCE, id, 8, 5);
+		CU_ASSERT(s.right);
+	}
+	gateways_end(&fleet);
+}
+
+static const suite_test_t tests[] = {
+    {"malformed messages", test_malformed_messages},
+    {"malformed records", test_malformed_records},
+};
+
+SUITE_MAIN("fail_malformed", tests)
