--- a/src/allowance.c
+++ b/src/allowance.c
@@ -99,7 +99,7 @@
 {
 	size_t max =
 	    sharing->slots < MAX_SHARING ? sharing->slots : MAX_SHARING;
-	uint64_t scores[MAX_SHARING];
+	uint64_t scores[MAX_SHARING] = {0};
 
 	sharing->hosts = xcalloc(max, sizeof(*sharing->hosts));
 	for (size_t i = 0; i < allowance->count; i++) {
@@ -121,6 +121,15 @@
 	}
 }
 
+/* Returns the share of a host that is among those of an endpoint. */
+static unsigned
+slots_each(const allowance_t *allowance, unsigned slots)
+{
+	unsigned living = (unsigned)allowance->living;
+
+	return (living > 0 && slots > living ? slots / living : 1);
+}
+
 /*
  * Returns how many requests a host may run on an endpoint by itself. Only the
  * hosts that rank first for the endpoint, as many as it has slots, may run any;
@@ -143,8 +152,6 @@
 	}
 	for (size_t i = 0; i < sharing->count; i++)
 		if (sharing->hosts[i] == own)
-			return (slots > allowance->living
-				    ? slots / (unsigned)allowance->living
-				    : 1);
+			return (slots_each(allowance, slots));
 	return (0);
 }
--- a/src/forward.c
+++ b/src/forward.c
@@ -259,7 +259,8 @@
 		forward_fail(f, rc);
 		break;
 	case FORWARD_ABORT:
-		forward_abort(f, rc);
+		forward_abort(
+		    f, f->state.caller_stalled ? -RESULT_CANCELLED : rc);
 		break;
 	}
 }
--- a/src/member_message.c
+++ b/src/member_message.c
@@ -127,9 +127,8 @@
 		millicores = wire_read_u64(&reader);
 	/* The largest incarnation could not be refuted. */
 	if (reader.fault || incarnation >= UINT32_MAX || state > MEMBER_LEFT ||
-	    millicores > UINT32_MAX ||
-	    out->name[0] == '\0' || out->instance == 0 ||
-	    !is_address(out->address))
+	    millicores > UINT32_MAX || out->name[0] == '\0' ||
+	    out->instance == 0 || !is_address(out->address))
 		return (false);
 	out->incarnation = (uint32_t)incarnation;
 	out->millicores = (uint32_t)millicores;
