Set the state of a batch grant in one place

Cause: the order of batch by time to spare split the lines about batch in grant_give(). Change: no behaviour. Measured: test_admission passes.

--- a/src/admission_schedule.c
+++ b/src/admission_schedule.c
@@ -183,14 +183,13 @@
 	a->virtual_time[class] =
 	    fmax(a->virtual_time[class], org->start[class]);
 	org->start[class] += 1.0 / (org->weight > 0 ? org->weight : 1);
-	if (class == GRANT_BATCH) {
-		quota_take(&org->quota, now, QUOTA_KEEP_BATCH);
-	}
 	grant->state = SLOT_HELD;
 	grant->endpoint = endpoint;
 	grant->since = now;
-	if (class == GRANT_BATCH)
+	if (class == GRANT_BATCH) {
+		quota_take(&org->quota, now, QUOTA_KEEP_BATCH);
 		slot_batch_insert(a, grant);
+	}
 	slot_route_use(a, endpoint, 1);
 	admission_emit(a, ADMISSION_GRANT, grant, 0, 0);
 }
