--- a/tests/test_fail_hostile.c
+++ b/tests/test_fail_hostile.c
@@ -27,7 +27,7 @@
 
 typedef struct caller_t {
 	const char *prefix;
-	char id[32];
+	char id[48];
 	double seconds;
 	gateways_stream_t result;
 } caller_t;
