End a call whose bytes bring neither a header nor data

Cause of the known-red case "endless answers": an endless chunk extension is skipped inside libcurl, so no limit of ours saw it. The non-resumable streams of test_fail_hostile kept the host reading it at full speed until their deadline (host log: first event 470 ms after the retry, 10 ms alone), and the resumable ones missed their 2.5 s. Change: the HTTP client counts the bytes of consecutive reads without a header or data, by FIONREAD, only after a first such read, and ends the call above 64 KiB. Measured: test_http "endless framing ends the call" fails without the change (rc is not -RESULT_BROKEN_ANSWER after the 5 s timeout).

--- a/src/httpc.c
+++ b/src/httpc.c
@@ -6,6 +6,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/ioctl.h>
 #include <sys/queue.h>
 #include <sys/socket.h>
 
@@ -17,6 +18,12 @@
 #define DEFAULT_MAX_BODY_BYTES	  (16U << 20)
 /* All headers of one response, including those of interim responses. */
 #define MAX_HEADER_BYTES (128U << 10)
+/*
+ * Bytes that may arrive without completing a header or carrying body data.
+ * libcurl skips some of them, such as chunk extensions, without a limit; an
+ * endless one would keep the loop busy until the request's deadline.
+ */
+#define MAX_FRAMING_BYTES (64U << 10)
 /* Idle connections kept for reuse, over all servers. */
 #define MAX_IDLE_CONNECTIONS 512L
 /*
@@ -38,6 +45,7 @@
 typedef struct socket_watcher_t {
 	ev_io io;
 	httpc_t *httpc;
+	http_call_t *call; /* that uses the connection */
 } socket_watcher_t;
 
 struct httpc_t {
@@ -62,7 +70,10 @@
 	size_t max_body;
 	buf_t response;
 	bool overflow;
-	size_t header_bytes; /* received, including interim responses */
+	size_t header_bytes;  /* received, including interim responses */
+	bool productive;      /* the last read brought a header or data */
+	size_t framing_bytes; /* of the reads since then */
+	size_t next_bytes;    /* available to the next read */
 	ev_timer progress_timer;
 	bool send_once;
 	bool sent; /* libcurl has started sending the request */
@@ -150,6 +161,31 @@
 	}
 }
 
+/*
+ * Counts the bytes of consecutive reads that brought neither a header nor data;
+ * to be called before each read. Returns whether there are too many of them.
+ */
+static bool
+call_exceeds_framing(http_call_t *call, int fd)
+{
+	int available = 0;
+
+	if (call->cancelled)
+		return (false);
+	if (call->productive) {
+		call->productive = false;
+		call->framing_bytes = 0;
+		call->next_bytes = 0;
+		return (false);
+	}
+	call->framing_bytes += call->next_bytes;
+	/* Without the number of bytes only the timeouts apply. */
+	if (ioctl(fd, FIONREAD, &available) != 0 || available < 0)
+		available = 0;
+	call->next_bytes = (size_t)available;
+	return (call->framing_bytes > MAX_FRAMING_BYTES);
+}
+
 static void
 on_socket_event(struct ev_loop *loop, ev_io *io, int events)
 {
@@ -160,6 +196,11 @@
 		   (events & EV_WRITE ? CURL_CSELECT_OUT : 0);
 
 	(void)loop;
+	if (events & EV_READ && call_exceeds_framing(watch->call, io->fd)) {
+		call_finish(watch->call,
+		    call_rc(watch->call, CURLE_WEIRD_SERVER_REPLY));
+		return;
+	}
 	curl_multi_socket_action(httpc->multi, io->fd, mask, &running);
 	httpc_handle_completed(httpc);
 }
@@ -186,7 +227,6 @@
 	int events = (what & CURL_POLL_IN ? EV_READ : 0) |
 		     (what & CURL_POLL_OUT ? EV_WRITE : 0);
 
-	(void)easy;
 	if (what == CURL_POLL_REMOVE) {
 		if (watch != NULL) {
 			ev_io_stop(httpc->loop, &watch->io);
@@ -202,6 +242,7 @@
 		watch->io.data = watch;
 		curl_multi_assign(httpc->multi, fd, watch);
 	}
+	curl_easy_getinfo(easy, CURLINFO_PRIVATE, (char **)&watch->call);
 	ev_io_stop(httpc->loop, &watch->io);
 	ev_io_set(&watch->io, fd, events);
 	ev_io_start(httpc->loop, &watch->io);
@@ -272,6 +313,7 @@
 
 	if (call->cancelled)
 		return (0);
+	call->productive = true;
 	curl_easy_getinfo(call->easy, CURLINFO_RESPONSE_CODE, &status);
 	if (call->on_data != NULL && (status == 200 || call->any_status)) {
 		call->httpc->in_callback = true;
@@ -317,6 +359,7 @@
 
 	if (call->cancelled)
 		return (0);
+	call->productive = true;
 	call->header_bytes += len;
 	if (call->header_bytes > MAX_HEADER_BYTES)
 		return (0);
--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -5,6 +5,8 @@
 #include <stdio.h>
 #include <string.h>
 
+#include "harness.h"
+#include "harness_hostile.h"
 #include "httpc.h"
 #include "httpd.h"
 #include "result.h"
@@ -286,6 +288,38 @@
 	teardown(&test);
 }
 
+/*
+ * Bytes that libcurl skips without limit, such as an endless chunk extension,
+ * must end the call: reading them until the timeout keeps the loop from its
+ * other connections.
+ */
+static void
+test_endless_framing_ends_the_call(void)
+{
+	static const char *const address = "127.0.0.1";
+	uint16_t port = harness_free_port(&address, 1);
+	hostile_t *server =
+	    hostile_start(address, port, HOSTILE_CHUNK_SIZE, false);
+	http_test_t test;
+
+	CU_ASSERT_FATAL(server != NULL);
+	setup(&test);
+	snprintf(test.url, sizeof(test.url), "http://%s:%u/", address, port);
+	http_call_start(test.httpc, &(http_call_params_t){
+					.method = "POST",
+					.url = test.url,
+					.timeout = 5,
+					.on_data = on_data,
+					.on_done = on_done,
+					.ctx = &test,
+				    });
+	ev_run(test.loop, 0);
+	CU_ASSERT(test.result.rc == -RESULT_BROKEN_ANSWER);
+	CU_ASSERT(test.result.sent);
+	teardown(&test);
+	hostile_end(server);
+}
+
 static const suite_test_t tests[] = {
     {"body round trip", test_body_round_trip},
     {"oversized body is rejected", test_oversized_body_is_rejected},
@@ -295,6 +329,7 @@
     {"refused connection is not sent", test_refused_connection_is_not_sent},
     {"port is exclusive", test_port_is_exclusive},
     {"call started inside a callback", test_call_started_inside_a_callback},
+    {"endless framing ends the call", test_endless_framing_ends_the_call},
 };
 
 SUITE_MAIN("http", tests)
