Break off outputs with more events than the request may have tokens

Cause: an endpoint that numbers events without end was passed on until the caller left, and for an item until 8 MiB had come: 41,735 events for each of seven attempts in the log of test_fail_hostile, during which the host logged host_was_frozen twice, NOT_OWNER and CONFLICT. That is the likely cause of the known-red case "items leave endless answers"; the failure itself has not been seen again, so the entry stays. Change: a stream or an output ends when it has more events than its maximum of tokens. The test waits until the host knows the endpoint instead of 1.2 s (beside six busy processes the hostile endpoint got no request once).

--- a/src/forward.c
+++ b/src/forward.c
@@ -63,6 +63,7 @@
 	double arrived_at;
 	double granted_at;     /* 0: not yet */
 	double first_event_at; /* 0: none yet */
+	unsigned events;       /* passed on to the caller */
 	ev_timer deadline_timer;
 	LIST_ENTRY(forward_t) entry;
 } forward_t;
@@ -181,6 +182,10 @@
 		    f->first_event_at - f->arrived_at);
 		http_request_stream_begin(f->request, 200, NULL);
 	}
+	/* An endpoint that sends more events than tokens will never end. */
+	if (f->info.output_tokens > 0 && f->events >= f->info.output_tokens)
+		return (false);
+	f->events++;
 	http_request_stream_write(f->request, event->raw);
 	f->state.caller_stalled =
 	    http_request_stream_pending(f->request) > MAX_BACKLOG_BYTES;
--- a/src/job_run.c
+++ b/src/job_run.c
@@ -93,6 +93,19 @@
 	event_relay_discard_pending(&item->relay);
 }
 
+/*
+ * Returns whether an output can have no valid end: it is too large, or it has
+ * more events than the item may have tokens.
+ */
+static bool
+item_output_is_endless(const item_run_t *item)
+{
+	unsigned tokens = item->item->tokens;
+
+	return (item->output.len > MAX_OUTPUT_BYTES ||
+		(tokens > 0 && item->events > tokens));
+}
+
 static bool
 on_event(void *ctx, const relay_event_t *event)
 {
@@ -102,7 +115,7 @@
 		buf_append_char(&item->output, '\n');
 	relay_event_data(event, &item->output);
 	item->tries = 0;
-	return (item->output.len <= MAX_OUTPUT_BYTES);
+	return (!item_output_is_endless(item));
 }
 
 /* Discards output that cannot be valid; the item starts from the beginning. */
@@ -146,7 +159,7 @@
 		item->rejected = true;
 	else if (result->outcome == ATTEMPT_COMPLETE && result->status == 500)
 		item->failures++;
-	if (item->output.len > MAX_OUTPUT_BYTES)
+	if (item_output_is_endless(item))
 		item_discard_output(item);
 	item->tries++;
 	item_requeue(item, item_retry_delay(item->tries));
--- a/tests/test_fail_hostile.c
+++ b/tests/test_fail_hostile.c
@@ -13,15 +13,18 @@
 #include "harness_gateways.h"
 #include "harness_hostile.h"
 
-#define HOSTILE_SLOTS	 64
-#define HEARTBEAT_S	 0.3
-#define CALLERS		 12
-#define CALLER_TIMEOUT_S 2.5
+#define HOSTILE_SLOTS		 64
+#define HEARTBEAT_S		 0.3
+#define ENDPOINT_KNOWN_TIMEOUT_S 20
+#define CALLERS			 12
+#define CALLER_TIMEOUT_S	 2.5
 /* A caller must get a failure at most this long after its timeout. */
 #define RESPONSE_SLACK_S 0.7
 /* Concurrent endless responses, and the memory that a host may use for them. */
 #define ENDLESS_CALLERS 64
 #define MAX_GROWTH_KB	(64 * 1024)
+/* More than the headers and the 64 events that a request may have. */
+#define MAX_BROKEN_OFF_BYTES (64U << 10)
 
 static gateways_t fleet;
 
@@ -83,6 +86,47 @@
 	return (NULL);
 }
 
+static void
+log_path(char *out, size_t size)
+{
+	snprintf(out, size, "%s/host-0.log", harness_folder());
+}
+
+/* Starts a fleet with one engine and a new log of host 0. */
+static void
+start_fleet(unsigned hosts)
+{
+	char path[512];
+
+	log_path(path, sizeof(path));
+	(void)unlink(path);
+	gateways_start(&fleet,
+	    &(gateways_params_t){
+		.hosts = hosts, .engines = 1, .logs = harness_folder()});
+}
+
+/* Whether the log of host 0 shows that it uses the endpoint. */
+static bool
+is_endpoint_known(void *ctx)
+{
+	const heartbeat_t *heartbeat = ctx;
+	char path[512];
+	char line[1024];
+	char event[64];
+	bool found = false;
+	FILE *log;
+
+	snprintf(path, sizeof(path), "%s/host-0.log", harness_folder());
+	snprintf(
+	    event, sizeof(event), "endpoint_added endpoint=%s ", heartbeat->id);
+	log = fopen(path, "r");
+	while (log != NULL && fgets(line, sizeof(line), log) != NULL)
+		found = found || strstr(line, event) != NULL;
+	if (log != NULL)
+		fclose(log);
+	return (found);
+}
+
 /* Starts a faulty server and registers it in the pool of the engine. */
 static hostile_t *
 hostile_register(
@@ -98,7 +142,8 @@
 	heartbeat->server = hostile_start(ip, fleet.engine_port, mode, slow);
 	CU_ASSERT_FATAL(heartbeat->server != NULL);
 	pthread_create(&heartbeat->thread, NULL, renew_entry, heartbeat);
-	harness_sleep(1.2);
+	CU_ASSERT(harness_wait(
+	    is_endpoint_known, heartbeat, ENDPOINT_KNOWN_TIMEOUT_S));
 	return (heartbeat->server);
 }
 
@@ -159,7 +204,7 @@
 static void
 test_endless_answers(void)
 {
-	gateways_start(&fleet, &(gateways_params_t){.hosts = 1, .engines = 1});
+	start_fleet(1);
 	for (unsigned mode = 0; mode < HOSTILE_ENDLESS; mode++) {
 		check_mode(2 * mode, (hostile_mode_t)mode, false);
 		check_mode(2 * mode + 1, (hostile_mode_t)mode, true);
@@ -210,6 +255,45 @@
 	return (fd);
 }
 
+/* Reads from a socket until the peer closes it; returns the bytes read. */
+static size_t
+read_to_end(int fd)
+{
+	struct timeval timeout = {.tv_sec = (time_t)CALLER_TIMEOUT_S};
+	char buffer[4096];
+	size_t total = 0;
+	ssize_t n;
+
+	setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &timeout, sizeof(timeout));
+	while (total <= MAX_BROKEN_OFF_BYTES &&
+	       (n = recv(fd, buffer, sizeof(buffer), 0)) > 0)
+		total += (size_t)n;
+	return (total);
+}
+
+/*
+ * A stream with more events than its request may have tokens must be broken
+ * off, rather than passed on until the caller leaves.
+ */
+static void
+test_endless_events_are_broken_off(void)
+{
+	heartbeat_t heartbeat;
+	hostile_t *hostile;
+
+	start_fleet(1);
+	hostile = hostile_register(&heartbeat, 0, HOSTILE_ENDLESS, false);
+	for (unsigned i = 0; i < CALLERS; i++) {
+		int fd = call_without_reading(i);
+
+		CU_ASSERT(read_to_end(fd) <= MAX_BROKEN_OFF_BYTES);
+		close(fd);
+	}
+	CU_ASSERT(hostile_answers(hostile) > 0);
+	hostile_stop(&heartbeat);
+	gateways_end(&fleet);
+}
+
 /*
  * Many concurrent endless responses must not exhaust the memory of a host,
  * whether or not the callers read them.
@@ -229,8 +313,7 @@
 		hostile_t *hostile;
 		long before;
 
-		gateways_start(
-		    &fleet, &(gateways_params_t){.hosts = 1, .engines = 1});
+		start_fleet(1);
 		hostile = hostile_register(&heartbeat, i, modes[i], false);
 		before = peak_memory_kb(fleet.hosts[0]);
 		if (modes[i] == HOSTILE_ENDLESS) {
@@ -267,8 +350,7 @@
 		hostile_t *hostile;
 		char job[16];
 
-		gateways_start(
-		    &fleet, &(gateways_params_t){.hosts = 1, .engines = 1});
+		start_fleet(1);
 		hostile = hostile_register(
 		    &heartbeat, i, modes[i], modes[i] != HOSTILE_ENDLESS);
 		snprintf(job, sizeof(job), "job-e%u", i);
@@ -295,8 +377,7 @@
 		hostile_t *hostile;
 		unsigned right = 0;
 
-		gateways_start(
-		    &fleet, &(gateways_params_t){.hosts = 1, .engines = 1});
+		start_fleet(1);
 		hostile = hostile_register(&heartbeat, i, modes[i], false);
 		for (unsigned k = 0; k < 40; k++) {
 			caller_t caller = {.prefix = k % 2 == 0
@@ -353,8 +434,7 @@
 		caller_t callers[CALLERS] = {{0}};
 		unsigned before;
 
-		gateways_start(
-		    &fleet, &(gateways_params_t){.hosts = 2, .engines = 1});
+		start_fleet(2);
 		departed =
 		    hostile_register(&heartbeat, i, HOSTILE_SECOND_COPY, false);
 		call_concurrently(callers, CALLERS, "before");
@@ -381,6 +461,7 @@
 static const suite_test_t tests[] = {
     {"a left endpoint stays out", test_left_endpoint_stays_out},
     {"endless answers", test_endless_answers},
+    {"endless events are broken off", test_endless_events_are_broken_off},
     {"endless answers are bounded in memory",
 	test_endless_answers_bounded_in_memory},
     {"items leave endless answers", test_items_leave_endless_answers},
