test_fail_hostile: wait until every host knows the endpoint

Change: the test waits for the line endpoint_added in each host's log, which harness_drain() now writes line by line.

--- a/tests/harness.c
+++ b/tests/harness.c
@@ -209,7 +209,7 @@
 
 	drain->fd = dup(process->output);
 	drain->out = fopen(path, "a");
-	if (drain->out == NULL ||
+	if (drain->out == NULL || setvbuf(drain->out, NULL, _IOLBF, 0) != 0 ||
 	    pthread_create(&thread, NULL, drain_run, drain) != 0)
 		abort();
 	pthread_detach(thread);
--- a/tests/test_fail_hostile.c
+++ b/tests/test_fail_hostile.c
@@ -87,38 +87,38 @@
 }
 
 static void
-log_path(char *out, size_t size)
+log_path(unsigned host, char *out, size_t size)
 {
-	snprintf(out, size, "%s/host-0.log", harness_folder());
+	snprintf(out, size, "%s/host-%u.log", harness_folder(), host);
 }
 
-/* Starts a fleet with one engine and a new log of host 0. */
+/* Starts a fleet with one engine and new logs. */
 static void
 start_fleet(unsigned hosts)
 {
 	char path[512];
 
-	log_path(path, sizeof(path));
-	(void)unlink(path);
+	for (unsigned i = 0; i < hosts; i++) {
+		log_path(i, path, sizeof(path));
+		(void)unlink(path);
+	}
 	gateways_start(&fleet,
 	    &(gateways_params_t){
 		.hosts = hosts, .engines = 1, .logs = harness_folder()});
 }
 
-/* Whether the log of host 0 shows that it uses the endpoint. */
+/* Whether the log of a host shows that it uses the endpoint. */
 static bool
-is_endpoint_known(void *ctx)
+host_knows_endpoint(unsigned host, const char *endpoint)
 {
-	const heartbeat_t *heartbeat = ctx;
 	char path[512];
 	char line[1024];
 	char event[64];
 	bool found = false;
 	FILE *log;
 
-	snprintf(path, sizeof(path), "%s/host-0.log", harness_folder());
-	snprintf(
-	    event, sizeof(event), "endpoint_added endpoint=%s ", heartbeat->id);
+	log_path(host, path, sizeof(path));
+	snprintf(event, sizeof(event), "endpoint_added endpoint=%s ", endpoint);
 	log = fopen(path, "r");
 	while (log != NULL && fgets(line, sizeof(line), log) != NULL)
 		found = found || strstr(line, event) != NULL;
@@ -127,6 +127,17 @@
 	return (found);
 }
 
+static bool
+is_endpoint_known(void *ctx)
+{
+	const heartbeat_t *heartbeat = ctx;
+
+	for (unsigned i = 0; i < fleet.params.hosts; i++)
+		if (!host_knows_endpoint(i, heartbeat->id))
+			return (false);
+	return (true);
+}
+
 /* Starts a faulty server and registers it in the pool of the engine. */
 static hostile_t *
 hostile_register(
