--- a/Makefile
+++ b/Makefile
@@ -36,7 +36,7 @@
 PROGRAMS = $(foreach p,$(MAIN_SRCS:src/%.c=%) $(PLATFORM_MAINS), \
     $(BUILD)/$(subst _,-,$(p)))
 GATEWAY = $(BUILD)/daisypier-gateway
-PLATFORM_MAINS = daisypier_gateway standin_users_store standin_users_engine
+PLATFORM_MAINS = daisypier_gateway daisypier_losses standin_users_store standin_users_engine
 PLATFORM_SRCS = $(filter-out $(PLATFORM_MAINS:%=platform/%.c), \
     $(wildcard platform/*.c))
 PLATFORM_OBJS = $(PLATFORM_SRCS:platform/%.c=$(BUILD)/obj/platform/%.o)
