Leave endpoints that failed a request lately to others while slots are free

Load pattern: endpoints that fail, mute or reset a part of their requests. Three failures in a row, the rule of the ejector, are rare there, and the streams of most routes may run only once, so each failure is a lost answer. Change: an endpoint is suspect for 5 s after a failure; online requests use suspect endpoints only if no other has a free slot. Items of jobs, which can be resumed, ignore it.

--- a/src/admission_schedule.c
+++ b/src/admission_schedule.c
@@ -59,6 +59,7 @@
 
 	a->free_slots -= route_free_slots(route);
 	route->capacity = slot_endpoint_capacity(endpoint, now);
+	route->suspect = ejector_is_suspect(&endpoint->ejector, now);
 	a->free_slots += route_free_slots(route);
 }
 
@@ -75,6 +76,8 @@
 
 		route->in_use = a->endpoints[i]->in_use;
 		route->capacity = slot_endpoint_capacity(a->endpoints[i], now);
+		route->suspect =
+		    ejector_is_suspect(&a->endpoints[i]->ejector, now);
 		a->free_slots += route_free_slots(route);
 	}
 }
@@ -132,6 +135,8 @@
 	route_params_t params = {
 	    .zone = grant->zone,
 	    .prefix_hash = grant->prefix_hash,
+	    /* Items of jobs are resumed or repeated elsewhere. */
+	    .avoid_suspects = grant->class == GRANT_ONLINE,
 	};
 	size_t i;
 
--- a/src/ejector.c
+++ b/src/ejector.c
@@ -8,6 +8,11 @@
 #define CONSECUTIVE_FAILURES_TO_EJECT 3
 #define MIN_EJECTION_S		      1.0
 #define MAX_EJECTION_S		      30.0
+/*
+ * An endpoint in trouble may fail only some of its requests, too few in a row
+ * to be ejected; it is suspect for this long after each failure.
+ */
+#define SUSPECT_S 5.0
 /* The ramp-up ends when its limit reaches this many concurrent requests. */
 #define RAMP_UP_COMPLETE 64
 
@@ -50,7 +55,10 @@
 		}
 		return (false);
 	}
-	if (!ejector_is_endpoint_failure(rc) || now < ejector->ejected_until)
+	if (!ejector_is_endpoint_failure(rc))
+		return (false);
+	ejector->suspect_until = now + SUSPECT_S;
+	if (now < ejector->ejected_until)
 		return (false);
 	ejector->failures++;
 	/*
@@ -80,6 +88,13 @@
 		ejector->ejected_until = now;
 }
 
+/* Returns whether the endpoint failed a request a short time ago. */
+bool
+ejector_is_suspect(const ejector_t *ejector, double now)
+{
+	return (now < ejector->suspect_until);
+}
+
 bool
 ejector_is_ejected(const ejector_t *ejector, double now)
 {
--- a/src/route.c
+++ b/src/route.c
@@ -40,10 +40,13 @@
 	return (ceil(AFFINITY_LOAD_FACTOR * in_use / fmax(1, active_count)));
 }
 
-/* Picks an endpoint within one zone, or among all if zone is NULL. */
+/*
+ * Picks an endpoint within one zone, or among all if zone is NULL; none that is
+ * suspect if sound_only is true.
+ */
 static size_t
 pick_in_zone(const route_endpoint_t *endpoints, size_t count, const char *zone,
-    const route_params_t *params, rng_t *rng)
+    const route_params_t *params, bool sound_only, rng_t *rng)
 {
 	double limit = affinity_limit(endpoints, count, zone);
 	size_t best = ROUTE_NONE;
@@ -57,7 +60,7 @@
 		bool within_limit;
 		uint64_t hash;
 
-		if (!has_capacity(e, params) ||
+		if (!has_capacity(e, params) || (sound_only && e->suspect) ||
 		    (zone != NULL && !names_equal(e->zone, zone)))
 			continue;
 		within_limit =
@@ -80,8 +83,27 @@
 	return (best);
 }
 
+/* Picks an endpoint in the preferred zone if possible, else among all. */
+static size_t
+pick_near(const route_endpoint_t *endpoints, size_t count,
+    const route_params_t *params, bool sound_only, rng_t *rng)
+{
+	size_t i = ROUTE_NONE;
+
+	if (params->zone != NULL && params->zone[0] != '\0')
+		i = pick_in_zone(
+		    endpoints, count, params->zone, params, sound_only, rng);
+	if (i == ROUTE_NONE)
+		i = pick_in_zone(
+		    endpoints, count, NULL, params, sound_only, rng);
+	return (i);
+}
+
 /*
  * Picks an endpoint with spare capacity, in the preferred zone if possible.
+ * Endpoints that fail a part of their requests cannot be told from sound ones
+ * by consecutive failures; a request that avoids suspects leaves them alone
+ * while any other endpoint has a free slot.
  * With a prefix it is the one with the highest hash of prefix and name among
  * those whose load stays within 1.25 times the mean (rendezvous hashing with
  * bounded loads); without a prefix, or if all exceed the bound, it is the least
@@ -93,10 +115,10 @@
 {
 	size_t i = ROUTE_NONE;
 
-	if (params->zone != NULL && params->zone[0] != '\0')
-		i = pick_in_zone(endpoints, count, params->zone, params, rng);
+	if (params->avoid_suspects)
+		i = pick_near(endpoints, count, params, true, rng);
 	if (i == ROUTE_NONE)
-		i = pick_in_zone(endpoints, count, NULL, params, rng);
+		i = pick_near(endpoints, count, params, false, rng);
 	return (i);
 }
 
--- a/src/route.h
+++ b/src/route.h
@@ -13,12 +13,15 @@
 	const char *zone;
 	unsigned in_use;
 	unsigned capacity;
+	bool suspect; /* failed a request a short time ago */
 } route_endpoint_t;
 
 typedef struct route_params_t {
 	const char *zone;     /* preferred zone; NULL or empty: none */
 	const char *avoid;    /* endpoint to exclude; NULL or empty: none */
 	uint64_t prefix_hash; /* of the prompt's prefix; 0: no affinity */
+	bool
+	    avoid_suspects; /* use suspect endpoints only if no other is free */
 } route_params_t;
 
 size_t route_pick(const route_endpoint_t *endpoints, size_t count,
