--- a/tests/test_ejector.c
+++ b/tests/test_ejector.c
@@ -108,10 +108,52 @@
 		CU_ASSERT(quota_take(&quota, 0, 0.5));
 }
 
+/*
+ * Replays requests to endpoints of which one fails every third request, which
+ * never is three in a row. Returns how many are lost while the others have
+ * room, if suspects are avoided or not.
+ */
+static unsigned
+replay_partial_failure(bool avoid)
+{
+	enum {
+		ENDPOINTS = 6,
+		REQUESTS = 600,
+	};
+	ejector_t e[ENDPOINTS] = {0};
+	unsigned sent_to_failing = 0;
+	unsigned lost = 0;
+
+	for (unsigned i = 0; i < REQUESTS; i++) {
+		double now = i * 0.05;
+		unsigned k = i % ENDPOINTS;
+
+		if (avoid && ejector_is_suspect(&e[k], now))
+			k = (k + 1) % ENDPOINTS;
+		if (k == 0 && ++sent_to_failing % 3 == 0) {
+			lost++;
+			CU_ASSERT(
+			    !ejector_report(&e[k], -RESULT_BROKEN_ANSWER, now));
+		} else {
+			ejector_report(&e[k], 0, now);
+		}
+	}
+	return (lost);
+}
+
+/* Partial failures must not go on at full rate because none is ejected. */
+static void
+test_partial_failure_makes_suspect(void)
+{
+	CU_ASSERT(
+	    replay_partial_failure(true) * 2 <= replay_partial_failure(false));
+}
+
 static const suite_test_t tests[] = {
     {"ejection and ramp-up", test_ejection_and_ramp_up},
     {"ejection time is capped", test_ejection_time_is_capped},
     {"success resets failures", test_success_resets_failures},
+    {"partial failure makes suspect", test_partial_failure_makes_suspect},
     {"retry budget limits retries", test_retry_budget_limits_retries},
     {"quota limits rate", test_quota_limits_rate},
 };
--- a/tests/test_route.c
+++ b/tests/test_route.c
@@ -83,10 +83,36 @@
 	CU_ASSERT(route_pick(e, COUNT, &params, &rng) == 3);
 }
 
+/*
+ * A request that cannot be repeated must not be sent to an endpoint that failed
+ * lately while another one is free, even in another zone.
+ */
+static void
+test_suspects_last(void)
+{
+	route_endpoint_t e[COUNT];
+	route_params_t params = {
+	    .zone = "east", .prefix_hash = 42, .avoid_suspects = true};
+	rng_t rng = rng_seeded(1);
+
+	init_endpoints(e);
+	for (size_t i = 0; i < COUNT - 1; i++)
+		e[i].suspect = true;
+	for (int i = 0; i < 10; i++) {
+		CU_ASSERT(route_pick(e, COUNT, &params, &rng) == COUNT - 1);
+		e[COUNT - 1].in_use++;
+	}
+	CU_ASSERT(route_pick(e, COUNT, &params, &rng) < COUNT / 2);
+	e[COUNT - 1].in_use = 0;
+	params.avoid_suspects = false;
+	CU_ASSERT(route_pick(e, COUNT, &params, &rng) < COUNT / 2);
+}
+
 static const suite_test_t tests[] = {
     {"preferred zone first", test_preferred_zone_first},
     {"prefix affinity is bounded", test_prefix_affinity_is_bounded},
     {"no capacity", test_no_capacity},
+    {"suspects last", test_suspects_last},
 };
 
 SUITE_MAIN("route", tests)
