admission: move what concerns endpoints into admission_endpoints.c

Cause: admission.c (709 lines) held state, requests and endpoints, and admission_schedule.c changed endpoints that admission.c configured. Change: seventeen functions moved; has_usable_endpoint() and handle_report() got the prefix of what other files call.

--- a/src/admission.c
+++ b/src/admission.c
@@ -61,31 +61,6 @@
 	return (org);
 }
 
-static int
-compare_endpoints(const void *a, const void *b)
-{
-	const slot_endpoint_t *const *first = a;
-	const slot_endpoint_t *const *second = b;
-
-	return (strcmp((*first)->id.name, (*second)->id.name));
-}
-
-slot_endpoint_t *
-slot_endpoint_find(const admission_t *a, str_t name)
-{
-	slot_endpoint_t key;
-	const slot_endpoint_t *key_ptr = &key;
-	slot_endpoint_t **found;
-
-	if (name.len >= sizeof(key.id.name) || a->endpoint_count == 0)
-		return (NULL);
-	str_copy(key.id.name, sizeof(key.id.name), name);
-	found = (slot_endpoint_t **)bsearch((const void *)&key_ptr,
-	    (const void *)a->endpoints, a->endpoint_count,
-	    sizeof(slot_endpoint_t *), compare_endpoints);
-	return (found != NULL ? *found : NULL);
-}
-
 slot_grant_t *
 slot_grant_find(const admission_t *a, const char *holder, uint64_t id)
 {
@@ -236,94 +211,6 @@
 	free(a);
 }
 
-/* Appends an endpoint without sorting; endpoints_prune() restores the order. */
-static slot_endpoint_t *
-endpoint_add(admission_t *a, size_t count, const admission_endpoint_t *config,
-    double now)
-{
-	slot_endpoint_t *endpoint = xcalloc(1, sizeof(*endpoint));
-
-	str_copy(
-	    endpoint->id.name, sizeof(endpoint->id.name), str_of(config->name));
-	limiter_init(&endpoint->limiter, config->slots, now);
-	a->endpoints = (slot_endpoint_t **)xrealloc(
-	    (void *)a->endpoints, (count + 1) * sizeof(slot_endpoint_t *));
-	a->endpoints[count] = endpoint;
-	return (endpoint);
-}
-
-/* Removes endpoints neither configured nor in use and sorts the others. */
-static void
-endpoints_prune(admission_t *a)
-{
-	size_t kept = 0;
-
-	for (size_t i = 0; i < a->endpoint_count; i++) {
-		slot_endpoint_t *e = a->endpoints[i];
-
-		if (e->configured || e->in_use > 0)
-			a->endpoints[kept++] = e;
-		else
-			free(e);
-	}
-	a->endpoint_count = kept;
-	if (kept > 0)
-		qsort((void *)a->endpoints, kept, sizeof(slot_endpoint_t *),
-		    compare_endpoints);
-}
-
-static void
-routes_build(admission_t *a, double now)
-{
-	size_t count = a->endpoint_count;
-
-	a->routes = xrealloc(a->routes, (count + 1) * sizeof(*a->routes));
-	for (size_t i = 0; i < count; i++) {
-		a->endpoints[i]->route_index = i;
-		a->routes[i] = (route_endpoint_t){
-		    .name = a->endpoints[i]->id.name,
-		    .zone = a->endpoints[i]->zone,
-		};
-	}
-	slot_endpoints_refresh_capacity(a, now);
-}
-
-/*
- * Applies settings and endpoints. An endpoint that is no longer configured gets
- * no new requests; the first call after its last grant was released removes it.
- */
-void
-admission_configure(admission_t *a, const admission_settings_t *settings,
-    const admission_endpoint_t *endpoints, size_t count, double now)
-{
-	size_t total = a->endpoint_count;
-
-	a->settings = *settings;
-	for (size_t i = 0; i < a->endpoint_count; i++) {
-		a->endpoints[i]->leaving = true;
-		a->endpoints[i]->configured = false;
-	}
-	for (size_t i = 0; i < count; i++) {
-		const admission_endpoint_t *config = &endpoints[i];
-		slot_endpoint_t *e =
-		    slot_endpoint_find(a, str_of(config->name));
-
-		if (e == NULL)
-			e = endpoint_add(a, total++, config, now);
-		str_copy(e->id.address, sizeof(e->id.address),
-		    str_of(config->address));
-		str_copy(e->zone, sizeof(e->zone), str_of(config->zone));
-		e->slots = config->slots;
-		e->leaving = config->leaving;
-		e->configured = true;
-		limiter_set_slots(&e->limiter, config->slots);
-	}
-	a->endpoint_count = total;
-	endpoints_prune(a);
-	routes_build(a, now);
-	admission_schedule(a, now);
-}
-
 /*
  * Restricts the pool until the given time, because grants may exist that this
  * host does not know: it grants no batch requests, and online requests only
@@ -363,15 +250,6 @@
 	admission_schedule(a, now);
 }
 
-static bool
-has_usable_endpoint(const admission_t *a)
-{
-	for (size_t i = 0; i < a->endpoint_count; i++)
-		if (!a->endpoints[i]->leaving && a->endpoints[i]->slots > 0)
-			return (true);
-	return (false);
-}
-
 /* Returns the organisation with the most waiting requests per weight. */
 static slot_org_t *
 org_with_longest_queue(admission_t *a)
@@ -432,7 +310,7 @@
 check_online(admission_t *a, slot_org_t *org, double now, double *wait)
 {
 	*wait = 0;
-	if (!has_usable_endpoint(a)) {
+	if (!admission_has_usable_endpoint(a)) {
 		*wait = 1;
 		return (-RESULT_NO_ENDPOINT);
 	}
@@ -507,76 +385,15 @@
 			admission_schedule(a, now);
 		return;
 	}
-	if (grant->avoid[0] != '\0' && has_usable_endpoint(a))
+	if (grant->avoid[0] != '\0' && admission_has_usable_endpoint(a))
 		admission_schedule(a, now); /* admitted before */
-	else if (has_usable_endpoint(a) && now + wait > request->deadline)
+	else if (admission_has_usable_endpoint(a) &&
+		 now + wait > request->deadline)
 		grant_refuse(a, grant, -RESULT_OVERLOADED, wait);
 	else
 		admit_online(a, grant, now);
 }
 
-/*
- * Returns whether more than half of the endpoints are ejected. The cause is
- * then unlikely to be a single endpoint, and requests that wait for the end of
- * an ejection would only fail later.
- */
-static bool
-too_many_ejected(const admission_t *a, double now)
-{
-	size_t usable = 0;
-	size_t ejected = 0;
-
-	for (size_t i = 0; i < a->endpoint_count; i++) {
-		const slot_endpoint_t *e = a->endpoints[i];
-
-		usable += !e->leaving && e->slots > 0;
-		ejected += !e->leaving && e->slots > 0 &&
-			   ejector_is_ejected(&e->ejector, now);
-	}
-	return (ejected * 2 > usable);
-}
-
-/* Logs an ejection and ends it at once if too many endpoints are ejected. */
-static void
-handle_ejection(admission_t *a, slot_endpoint_t *e, int rc, double now)
-{
-	bool readmitted = too_many_ejected(a, now);
-
-	LOG_INFO("endpoint_ejected",
-	    "endpoint=%s cause=%s for_s=%.1f readmitted=%d", e->id.name,
-	    result_name(rc), e->ejector.ejected_until - now, readmitted);
-	if (readmitted)
-		ejector_readmit(&e->ejector, now);
-}
-
-static void
-handle_report(admission_t *a, slot_endpoint_t *e, const grant_report_t *report,
-    double now)
-{
-	if (limiter_add_sample(&e->limiter, report->first_token_seconds, now))
-		LOG_INFO("endpoint_limit_lowered",
-		    "endpoint=%s limit=%u slots=%u latency_ms=%.0f "
-		    "smoothed_ms=%.0f best_ms=%.0f",
-		    e->id.name, limiter_limit(&e->limiter), e->slots,
-		    report->first_token_seconds * 1e3,
-		    e->limiter.smoothed_latency * 1e3,
-		    e->limiter.min_latency * 1e3);
-	if (ejector_report(&e->ejector, report->rc, now))
-		handle_ejection(a, e, report->rc, now);
-	slot_endpoint_refresh_capacity(a, e, now);
-}
-
-/* Processes the outcome of a request on an endpoint; report may be NULL. */
-void
-admission_report(admission_t *a, const char *endpoint,
-    const grant_report_t *report, double now)
-{
-	slot_endpoint_t *e = slot_endpoint_find(a, str_of(endpoint));
-
-	if (e != NULL && report != NULL)
-		handle_report(a, e, report, now);
-}
-
 /*
  * Releases a slot or withdraws a waiting request. Returns false if the grant is
  * unknown, for example because it was reclaimed. report may be NULL.
@@ -591,7 +408,8 @@
 		return (false);
 	if (grant->endpoint != NULL) {
 		if (report != NULL)
-			handle_report(a, grant->endpoint, report, now);
+			slot_endpoint_handle_report(
+			    a, grant->endpoint, report, now);
 		if (grant->class == GRANT_ONLINE) {
 			double held = now - grant->since;
 
@@ -698,12 +516,3 @@
 	for (size_t i = 0; i < a->endpoint_count; i++)
 		out->capacity += slot_endpoint_capacity(a->endpoints[i], now);
 }
-
-/* Returns how many slots of an endpoint are in use; 0 if it is unknown. */
-unsigned
-admission_in_use(const admission_t *a, const char *endpoint)
-{
-	const slot_endpoint_t *e = slot_endpoint_find(a, str_of(endpoint));
-
-	return (e != NULL ? e->in_use : 0);
-}
--- /dev/null
+++ b/src/admission_endpoints.c
@@ -0,0 +1,270 @@
+/*
+ * Endpoints of a pool: their slots, limits and ejections.
+ *
+ * Load pattern: endpoints turn slow, fail or leave one by one, or many at once.
+ */
+#include "admission_state.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "logger.h"
+#include "result.h"
+
+/* Returns the current concurrency limit of an endpoint. */
+unsigned
+slot_endpoint_capacity(const slot_endpoint_t *endpoint, double now)
+{
+	if (endpoint->leaving || endpoint->slots == 0)
+		return (0);
+	return (ejector_limit(
+	    &endpoint->ejector, limiter_limit(&endpoint->limiter), now));
+}
+
+static unsigned
+route_free_slots(const route_endpoint_t *route)
+{
+	return (route->capacity > route->in_use
+		    ? route->capacity - route->in_use
+		    : 0);
+}
+
+/* Changes the number of slots in use of an endpoint by 1 or -1. */
+void
+slot_endpoint_adjust_in_use(
+    admission_t *a, slot_endpoint_t *endpoint, int change)
+{
+	route_endpoint_t *route = &a->routes[endpoint->route_index];
+
+	endpoint->in_use += (unsigned)change;
+	a->free_slots -= route_free_slots(route);
+	route->in_use = endpoint->in_use;
+	a->free_slots += route_free_slots(route);
+}
+
+/* Updates the cached capacity of an endpoint. */
+void
+slot_endpoint_refresh_capacity(
+    admission_t *a, slot_endpoint_t *endpoint, double now)
+{
+	route_endpoint_t *route = &a->routes[endpoint->route_index];
+
+	a->free_slots -= route_free_slots(route);
+	route->capacity = slot_endpoint_capacity(endpoint, now);
+	route->suspect = ejector_is_suspect(&endpoint->ejector, now);
+	a->free_slots += route_free_slots(route);
+}
+
+/*
+ * Updates the cached capacities of all endpoints. Ejections end by the passage
+ * of time alone, so this is done on each tick instead of on each request.
+ */
+void
+slot_endpoints_refresh_capacity(admission_t *a, double now)
+{
+	a->free_slots = 0;
+	for (size_t i = 0; i < a->endpoint_count; i++) {
+		route_endpoint_t *route = &a->routes[i];
+
+		route->in_use = a->endpoints[i]->in_use;
+		route->capacity = slot_endpoint_capacity(a->endpoints[i], now);
+		route->suspect =
+		    ejector_is_suspect(&a->endpoints[i]->ejector, now);
+		a->free_slots += route_free_slots(route);
+	}
+}
+
+static int
+compare_endpoints(const void *a, const void *b)
+{
+	const slot_endpoint_t *const *first = a;
+	const slot_endpoint_t *const *second = b;
+
+	return (strcmp((*first)->id.name, (*second)->id.name));
+}
+
+slot_endpoint_t *
+slot_endpoint_find(const admission_t *a, str_t name)
+{
+	slot_endpoint_t key;
+	const slot_endpoint_t *key_ptr = &key;
+	slot_endpoint_t **found;
+
+	if (name.len >= sizeof(key.id.name) || a->endpoint_count == 0)
+		return (NULL);
+	str_copy(key.id.name, sizeof(key.id.name), name);
+	found = (slot_endpoint_t **)bsearch((const void *)&key_ptr,
+	    (const void *)a->endpoints, a->endpoint_count,
+	    sizeof(slot_endpoint_t *), compare_endpoints);
+	return (found != NULL ? *found : NULL);
+}
+
+/* Appends an endpoint without sorting; endpoints_prune() restores the order. */
+static slot_endpoint_t *
+endpoint_add(admission_t *a, size_t count, const admission_endpoint_t *config,
+    double now)
+{
+	slot_endpoint_t *endpoint = xcalloc(1, sizeof(*endpoint));
+
+	str_copy(
+	    endpoint->id.name, sizeof(endpoint->id.name), str_of(config->name));
+	limiter_init(&endpoint->limiter, config->slots, now);
+	a->endpoints = (slot_endpoint_t **)xrealloc(
+	    (void *)a->endpoints, (count + 1) * sizeof(slot_endpoint_t *));
+	a->endpoints[count] = endpoint;
+	return (endpoint);
+}
+
+/* Removes endpoints neither configured nor in use and sorts the others. */
+static void
+endpoints_prune(admission_t *a)
+{
+	size_t kept = 0;
+
+	for (size_t i = 0; i < a->endpoint_count; i++) {
+		slot_endpoint_t *e = a->endpoints[i];
+
+		if (e->configured || e->in_use > 0)
+			a->endpoints[kept++] = e;
+		else
+			free(e);
+	}
+	a->endpoint_count = kept;
+	if (kept > 0)
+		qsort((void *)a->endpoints, kept, sizeof(slot_endpoint_t *),
+		    compare_endpoints);
+}
+
+static void
+routes_build(admission_t *a, double now)
+{
+	size_t count = a->endpoint_count;
+
+	a->routes = xrealloc(a->routes, (count + 1) * sizeof(*a->routes));
+	for (size_t i = 0; i < count; i++) {
+		a->endpoints[i]->route_index = i;
+		a->routes[i] = (route_endpoint_t){
+		    .name = a->endpoints[i]->id.name,
+		    .zone = a->endpoints[i]->zone,
+		};
+	}
+	slot_endpoints_refresh_capacity(a, now);
+}
+
+/*
+ * Applies settings and endpoints. An endpoint that is no longer configured gets
+ * no new requests; the first call after its last grant was released removes it.
+ */
+void
+admission_configure(admission_t *a, const admission_settings_t *settings,
+    const admission_endpoint_t *endpoints, size_t count, double now)
+{
+	size_t total = a->endpoint_count;
+
+	a->settings = *settings;
+	for (size_t i = 0; i < a->endpoint_count; i++) {
+		a->endpoints[i]->leaving = true;
+		a->endpoints[i]->configured = false;
+	}
+	for (size_t i = 0; i < count; i++) {
+		const admission_endpoint_t *config = &endpoints[i];
+		slot_endpoint_t *e =
+		    slot_endpoint_find(a, str_of(config->name));
+
+		if (e == NULL)
+			e = endpoint_add(a, total++, config, now);
+		str_copy(e->id.address, sizeof(e->id.address),
+		    str_of(config->address));
+		str_copy(e->zone, sizeof(e->zone), str_of(config->zone));
+		e->slots = config->slots;
+		e->leaving = config->leaving;
+		e->configured = true;
+		limiter_set_slots(&e->limiter, config->slots);
+	}
+	a->endpoint_count = total;
+	endpoints_prune(a);
+	routes_build(a, now);
+	admission_schedule(a, now);
+}
+
+/* Returns whether any endpoint is configured, not leaving and has slots. */
+bool
+admission_has_usable_endpoint(const admission_t *a)
+{
+	for (size_t i = 0; i < a->endpoint_count; i++)
+		if (!a->endpoints[i]->leaving && a->endpoints[i]->slots > 0)
+			return (true);
+	return (false);
+}
+
+/*
+ * Returns whether more than half of the endpoints are ejected. The cause is
+ * then unlikely to be a single endpoint, and requests that wait for the end of
+ * an ejection would only fail later.
+ */
+static bool
+too_many_ejected(const admission_t *a, double now)
+{
+	size_t usable = 0;
+	size_t ejected = 0;
+
+	for (size_t i = 0; i < a->endpoint_count; i++) {
+		const slot_endpoint_t *e = a->endpoints[i];
+
+		usable += !e->leaving && e->slots > 0;
+		ejected += !e->leaving && e->slots > 0 &&
+			   ejector_is_ejected(&e->ejector, now);
+	}
+	return (ejected * 2 > usable);
+}
+
+/* Logs an ejection and ends it at once if too many endpoints are ejected. */
+static void
+handle_ejection(admission_t *a, slot_endpoint_t *e, int rc, double now)
+{
+	bool readmitted = too_many_ejected(a, now);
+
+	LOG_INFO("endpoint_ejected",
+	    "endpoint=%s cause=%s for_s=%.1f readmitted=%d", e->id.name,
+	    result_name(rc), e->ejector.ejected_until - now, readmitted);
+	if (readmitted)
+		ejector_readmit(&e->ejector, now);
+}
+
+/* Applies the outcome of a request to its endpoint. */
+void
+slot_endpoint_handle_report(admission_t *a, slot_endpoint_t *e,
+    const grant_report_t *report, double now)
+{
+	if (limiter_add_sample(&e->limiter, report->first_token_seconds, now))
+		LOG_INFO("endpoint_limit_lowered",
+		    "endpoint=%s limit=%u slots=%u latency_ms=%.0f "
+		    "smoothed_ms=%.0f best_ms=%.0f",
+		    e->id.name, limiter_limit(&e->limiter), e->slots,
+		    report->first_token_seconds * 1e3,
+		    e->limiter.smoothed_latency * 1e3,
+		    e->limiter.min_latency * 1e3);
+	if (ejector_report(&e->ejector, report->rc, now))
+		handle_ejection(a, e, report->rc, now);
+	slot_endpoint_refresh_capacity(a, e, now);
+}
+
+/* Processes the outcome of a request on an endpoint; report may be NULL. */
+void
+admission_report(admission_t *a, const char *endpoint,
+    const grant_report_t *report, double now)
+{
+	slot_endpoint_t *e = slot_endpoint_find(a, str_of(endpoint));
+
+	if (e != NULL && report != NULL)
+		slot_endpoint_handle_report(a, e, report, now);
+}
+
+/* Returns how many slots of an endpoint are in use; 0 if it is unknown. */
+unsigned
+admission_in_use(const admission_t *a, const char *endpoint)
+{
+	const slot_endpoint_t *e = slot_endpoint_find(a, str_of(endpoint));
+
+	return (e != NULL ? e->in_use : 0);
+}
--- a/src/admission_schedule.c
+++ b/src/admission_schedule.c
@@ -1,4 +1,9 @@
-/* Grants free slots of a pool to waiting requests and revokes batch grants. */
+/*
+ * Grants free slots of a pool to waiting requests and revokes batch grants.
+ *
+ * Load pattern: online load rises and falls every few seconds, at times above
+ * the slots; batch fills the slots that it leaves.
+ */
 #include "admission_state.h"
 
 #include <math.h>
@@ -19,69 +24,6 @@
  */
 #define HEADROOM_PER_SQRT_ONLINE 0.3
 
-/* Returns the current concurrency limit of an endpoint. */
-unsigned
-slot_endpoint_capacity(const slot_endpoint_t *endpoint, double now)
-{
-	if (endpoint->leaving || endpoint->slots == 0)
-		return (0);
-	return (ejector_limit(
-	    &endpoint->ejector, limiter_limit(&endpoint->limiter), now));
-}
-
-static unsigned
-route_free_slots(const route_endpoint_t *route)
-{
-	return (route->capacity > route->in_use
-		    ? route->capacity - route->in_use
-		    : 0);
-}
-
-/* Changes the number of slots in use of an endpoint by 1 or -1. */
-void
-slot_endpoint_adjust_in_use(
-    admission_t *a, slot_endpoint_t *endpoint, int change)
-{
-	route_endpoint_t *route = &a->routes[endpoint->route_index];
-
-	endpoint->in_use += (unsigned)change;
-	a->free_slots -= route_free_slots(route);
-	route->in_use = endpoint->in_use;
-	a->free_slots += route_free_slots(route);
-}
-
-/* Updates the cached capacity of an endpoint. */
-void
-slot_endpoint_refresh_capacity(
-    admission_t *a, slot_endpoint_t *endpoint, double now)
-{
-	route_endpoint_t *route = &a->routes[endpoint->route_index];
-
-	a->free_slots -= route_free_slots(route);
-	route->capacity = slot_endpoint_capacity(endpoint, now);
-	route->suspect = ejector_is_suspect(&endpoint->ejector, now);
-	a->free_slots += route_free_slots(route);
-}
-
-/*
- * Updates the cached capacities of all endpoints. Ejections end by the passage
- * of time alone, so this is done on each tick instead of on each request.
- */
-void
-slot_endpoints_refresh_capacity(admission_t *a, double now)
-{
-	a->free_slots = 0;
-	for (size_t i = 0; i < a->endpoint_count; i++) {
-		route_endpoint_t *route = &a->routes[i];
-
-		route->in_use = a->endpoints[i]->in_use;
-		route->capacity = slot_endpoint_capacity(a->endpoints[i], now);
-		route->suspect =
-		    ejector_is_suspect(&a->endpoints[i]->ejector, now);
-		a->free_slots += route_free_slots(route);
-	}
-}
-
 /*
  * Returns how many slots of an endpoint count against the holder's allowance.
  * Batch grants don't count, because they can be revoked.
--- a/src/admission_state.h
+++ b/src/admission_state.h
@@ -116,20 +116,25 @@
 slot_grant_t *slot_grant_of_wait_entry(wait_entry_t *wait_entry);
 slot_holder_t *slot_holder_find_or_create(admission_t *a, const char *name);
 slot_org_t *slot_org_find_or_create(admission_t *a, str_t name, double now);
-slot_endpoint_t *slot_endpoint_find(const admission_t *a, str_t name);
 slot_grant_t *slot_grant_find(
     const admission_t *a, const char *holder, uint64_t id);
 slot_grant_t *slot_grant_new(admission_t *a, uint64_t id, slot_holder_t *holder,
     slot_org_t *org, grant_class_t class);
 void slot_grant_delete(admission_t *a, slot_grant_t *grant);
 
-/* admission_schedule.c */
+/* admission_endpoints.c */
+slot_endpoint_t *slot_endpoint_find(const admission_t *a, str_t name);
 unsigned slot_endpoint_capacity(const slot_endpoint_t *endpoint, double now);
 void slot_endpoint_adjust_in_use(
     admission_t *a, slot_endpoint_t *endpoint, int change);
 void slot_endpoint_refresh_capacity(
     admission_t *a, slot_endpoint_t *endpoint, double now);
 void slot_endpoints_refresh_capacity(admission_t *a, double now);
+void slot_endpoint_handle_report(admission_t *a, slot_endpoint_t *endpoint,
+    const grant_report_t *report, double now);
+bool admission_has_usable_endpoint(const admission_t *a);
+
+/* admission_schedule.c */
 void slot_batch_held_insert(admission_t *a, slot_grant_t *grant);
 void admission_revoke_excess(admission_t *a, double now);
 void admission_queue_action(admission_t *a, admission_action_kind_t kind,
--- a/src/job_schedule.c
+++ b/src/job_schedule.c
@@ -122,7 +122,7 @@
 {
 	double work = 0;
 
-	qsort((void *)items, count, sizeof(*items), compare_due);
+	qsort((void *)items, count, sizeof(item_schedule_t *), compare_due);
 	for (size_t i = 0; i < count; i++) {
 		item_schedule_t *item = items[i];
 
