--- a/src/attempt.c
+++ b/src/attempt.c
@@ -7,6 +7,7 @@
 #include <string.h>
 
 #include "clock.h"
+#include "logger.h"
 #include "result.h"
 
 /* Allows for a few round trips to the endpoint. */
@@ -24,6 +25,7 @@
 	double started_at;
 	double first_event_at; /* 0: no event yet */
 	int status;
+	unsigned events;
 	bool streaming;	 /* events are delivered as they arrive */
 	bool refused;	 /* the endpoint states that it did not run it */
 	bool mismatch;	 /* unsigned, or the response to another request */
@@ -90,6 +92,7 @@
 {
 	attempt_t *attempt = ctx;
 
+	attempt->events++;
 	if (attempt->first_event_at <= 0)
 		attempt->first_event_at = clock_monotonic();
 	if (attempt->params.event_timeout > 0)
@@ -138,6 +141,34 @@
 	return (ATTEMPT_COMPLETE);
 }
 
+/*
+ * Returns whether the endpoint closed the connection before its response was
+ * complete. Responses that this host broke off do not count.
+ */
+static bool
+is_disconnected(const attempt_t *attempt, const http_result_t *http)
+{
+	return (http->sent && http->rc == -RESULT_BROKEN_ANSWER &&
+		!attempt->mismatch && !attempt->discarding);
+}
+
+/* Logs what tells which requests were running on an endpoint that crashed. */
+static void
+log_disconnect(const attempt_t *attempt, const http_result_t *http)
+{
+	const attempt_params_t *params = &attempt->params;
+	buf_t parts = {0};
+
+	prompt_parts_print(&params->parts, &parts);
+	LOG_INFO("attempt_disconnected",
+	    "request=%s endpoint=%s status=%d events=%u ran_ms=%.0f "
+	    "parts=" STR_FMT,
+	    params->request_id, params->endpoint->name, http->status,
+	    attempt->events, (clock_monotonic() - attempt->started_at) * 1e3,
+	    STR_ARG(str_buf(&parts)));
+	buf_free(&parts);
+}
+
 static void
 on_done(void *ctx, const http_result_t *http)
 {
@@ -149,6 +180,8 @@
 	};
 
 	result.outcome = determine_outcome(attempt, http, &result.rc);
+	if (is_disconnected(attempt, http))
+		log_disconnect(attempt, http);
 	if (attempt->streaming)
 		result.body = event_relay_trailing(params.relay);
 	if (attempt->first_event_at > 0)
--- a/src/attempt.h
+++ b/src/attempt.h
@@ -34,8 +34,9 @@
 	const header_list_t *headers; /* without those set by the attempt */
 	str_t body;
 	const char *request_id;
-	double time_limit; /* seconds, sent to the endpoint; 0: not sent */
-	bool resumes;	   /* the endpoint continues after last_event */
+	prompt_parts_t parts; /* of the prompt */
+	double time_limit;    /* seconds, sent to the endpoint; 0: not sent */
+	bool resumes;	      /* the endpoint continues after last_event */
 	uint64_t last_event;
 	double response_timeout; /* seconds until the headers; 0: none */
 	double event_timeout;	 /* seconds between two events; 0: none */
--- a/src/dialect.h
+++ b/src/dialect.h
@@ -8,6 +8,7 @@
 #include "endpoint_set.h"
 #include "httpd.h"
 #include "job.h"
+#include "prompt_parts.h"
 #include "routing_table.h"
 
 /* Metadata of a request, read from its headers. */
@@ -17,6 +18,7 @@
 	unsigned prompt_tokens;
 	unsigned output_tokens; /* maximum */
 	uint64_t prefix_hash;	/* of the shared prompt prefix; 0: none */
+	prompt_parts_t parts;	/* shared parts of the prompt */
 	bool resumes;		/* continues an interrupted response */
 	uint64_t last_event;	/* received by the caller, if resumes */
 } request_info_t;
@@ -45,6 +47,7 @@
 	const char *not_run_header;
 	const char *signature_header; /* on complete endpoint responses */
 	const char *resume_header;    /* number of the last event received */
+	const char *prompt_header;    /* parts of the prompt */
 	const char *config_topic;
 	const char *config_key;
 	const char *endpoints_topic;
@@ -54,6 +57,8 @@
 
 	void (*read_request)(
 	    const http_request_t *request, request_info_t *out);
+	/* Reads the shared parts from the value of prompt_header. */
+	void (*read_prompt)(str_t value, prompt_parts_t *out);
 	void (*read_job_call)(const http_request_t *request, job_call_t *out);
 	/* Returns 0 or -RESULT_BAD_REQUEST. */
 	int (*read_job)(str_t body, job_t *out);
--- a/src/forward.c
+++ b/src/forward.c
@@ -289,6 +289,7 @@
 	    .headers = &f->headers,
 	    .body = http_request_body(f->request),
 	    .request_id = f->info.id,
+	    .parts = f->info.parts,
 	    .time_limit = f->info.caller_timeout > 0
 			      ? f->info.caller_timeout - (now - f->arrived_at)
 			      : 0,
--- a/src/job_run.c
+++ b/src/job_run.c
@@ -189,6 +189,21 @@
 	item->target = str_dup(source->target);
 }
 
+/* Returns the shared parts of an item's prompt. */
+static prompt_parts_t
+item_prompt(const item_run_t *item)
+{
+	const dialect_t *dialect = item->run->runner->params.dialect;
+	const job_item_t *source = item->item;
+	prompt_parts_t parts = {0};
+
+	for (size_t i = 0; i < source->header_count; i++)
+		if (str_equal_nocase(source->headers[i].name,
+			str_of(dialect->prompt_header)))
+			dialect->read_prompt(source->headers[i].value, &parts);
+	return (parts);
+}
+
 static void
 item_start(
     item_run_t *item, item_slot_t *slot, const grant_endpoint_t *endpoint)
@@ -217,6 +232,7 @@
 	    .headers = &item->headers,
 	    .body = item->item->body,
 	    .request_id = item->item->id.data,
+	    .parts = item_prompt(item),
 	    .resumes = item->relay.has_last_id,
 	    .last_event = item->relay.last_id,
 	    .response_timeout = RESPONSE_TIMEOUT_S,
--- /dev/null
+++ b/src/prompt_parts.h
@@ -0,0 +1,22 @@
+/* The shared parts of a prompt. */
+#ifndef DAISYPIER_PROMPT_PARTS_H
+#define DAISYPIER_PROMPT_PARTS_H
+
+#include "str.h"
+
+/* Further parts of a prompt are ignored. */
+#define PROMPT_MAX_SHARED_PARTS 32
+
+/*
+ * Identifiers of the parts that a prompt may share with other prompts, in
+ * order. Its last part belongs to the request alone and is not among them.
+ */
+typedef struct prompt_parts_t {
+	uint64_t ids[PROMPT_MAX_SHARED_PARTS];
+	size_t count;
+} prompt_parts_t;
+
+void prompt_parts_add(prompt_parts_t *parts, uint64_t id);
+void prompt_parts_print(const prompt_parts_t *parts, buf_t *out);
+
+#endif
--- a/src/str.c
+++ b/src/str.c
@@ -5,6 +5,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <strings.h>
 
 #include <xxhash.h>
 
@@ -84,6 +85,15 @@
 		(a.len == 0 || memcmp(a.data, b.data, a.len) == 0));
 }
 
+/* Returns whether two strings are equal except for the case of ASCII letters.
+ */
+bool
+str_equal_nocase(str_t a, str_t b)
+{
+	return (a.len == b.len &&
+		(a.len == 0 || strncasecmp(a.data, b.data, a.len) == 0));
+}
+
 /* Orders two strings by bytes: negative, zero or positive like memcmp. */
 int
 str_compare(str_t a, str_t b)
--- a/src/str.h
+++ b/src/str.h
@@ -33,6 +33,7 @@
 str_t str_of(const char *s);
 str_t str_buf(const buf_t *buf);
 bool str_equal(str_t a, str_t b);
+bool str_equal_nocase(str_t a, str_t b);
 int str_compare(str_t a, str_t b);
 bool str_has_prefix(str_t s, str_t prefix);
 bool str_split(str_t *rest, char separator, str_t *part);
