test_fail_crashing_part: one endpoint after the other crashes; known red

Real processes: three hosts, six engines that end when they answer a prompt with one part and come back after a second.

--- a/tests/harness_gateways.c
+++ b/tests/harness_gateways.c
@@ -130,9 +130,32 @@
 		args[count++] = "--journal";
 		args[count++] = fleet->params.journal;
 	}
+	if (fleet->params.crash_part != NULL) {
+		args[count++] = "--crash-part";
+		args[count++] = fleet->params.crash_part;
+	}
 	fleet->engines[engine] = harness_start("standin-users-engine", args);
 }
 
+/* Starts the engines again that ended at least delay seconds ago. */
+void
+gateways_restart_engines(gateways_t *fleet, double delay)
+{
+	double now = clock_monotonic();
+
+	for (unsigned i = 0; i < fleet->params.engines; i++) {
+		if (fleet->engines[i] == NULL ||
+		    harness_wait_exit(fleet->engines[i], 0) < 0)
+			continue;
+		if (fleet->engine_ended_at[i] <= 0)
+			fleet->engine_ended_at[i] = now;
+		if (now - fleet->engine_ended_at[i] < delay)
+			continue;
+		fleet->engine_ended_at[i] = 0;
+		gateways_start_engine(fleet, i);
+	}
+}
+
 static void
 put_record(buf_t *out, const char *key, const char *value)
 {
@@ -406,11 +429,24 @@
 	return (right);
 }
 
-/* Asks one host for a stream and checks the answer. */
+/* Requests a stream without shared parts in its prompt; checks the response. */
 gateways_stream_t
 gateways_stream(gateways_t *fleet, unsigned host, const char *prefix,
     const char *id, unsigned events, double timeout)
 {
+	return (gateways_stream_prompt(
+	    fleet, host, prefix, id, "1:100", events, timeout));
+}
+
+/*
+ * Requests a stream from one host and checks the response. prompt lists the
+ * parts of its prompt, "HEX:TOKENS,...", of which the last one is its own.
+ */
+gateways_stream_t
+gateways_stream_prompt(gateways_t *fleet, unsigned host, const char *prefix,
+    const char *id, const char *prompt, unsigned events, double timeout)
+{
+	char parts[200];
 	gateways_stream_t result = {.retry_after = -1};
 	harness_response_t response;
 	char base[64];
@@ -428,12 +464,13 @@
 	    events * TOKENS_PER_EVENT);
 	snprintf(patience, sizeof(patience), "X-Daisypier-Deadline-Ms: %.0f",
 	    timeout * 1000);
+	snprintf(parts, sizeof(parts), "X-Daisypier-Prompt-Prefix: %s", prompt);
 	harness_http(
 	    &(harness_request_t){
 		.method = "POST",
 		.url = url,
 		.headers = (const char *const[]){GATEWAYS_HOST_HEADER,
-		    id_header, tokens, patience, "Expect:", NULL},
+		    id_header, tokens, patience, parts, "Expect:", NULL},
 		.body = STR("prompt"),
 		.timeout = timeout,
 	    },
@@ -450,10 +487,19 @@
 	return (result);
 }
 
-/* Submits a job; item K has the id JOB-K. Returns the status. */
+/* Submits a job without shared parts; item K has the id JOB-K. */
 int
 gateways_submit(gateways_t *fleet, unsigned host, const char *job,
     unsigned items, unsigned events)
+{
+	return (
+	    gateways_submit_prompt(fleet, host, job, items, events, "1:100"));
+}
+
+/* Submits a job whose items have the same prompt. Returns the status. */
+int
+gateways_submit_prompt(gateways_t *fleet, unsigned host, const char *job,
+    unsigned items, unsigned events, const char *prompt)
 {
 	harness_response_t response;
 	buf_t body = {0};
@@ -470,10 +516,11 @@
 	for (unsigned i = 0; i < items; i++)
 		buf_printf(&body,
 		    "%s{\"id\":\"%s-%u\",\"path\":\"" GATEWAYS_JOBS
-		    "%u\",\"headers\":{\"X-Daisypier-Token-Usage\":\"10,%u\"},"
+		    "%u\",\"headers\":{\"X-Daisypier-Token-Usage\":\"10,%u\","
+		    "\"X-Daisypier-Prompt-Prefix\":\"%s\"},"
 		    "\"body\":\"cHJvbXB0\",\"tokens\":%u}",
 		    i > 0 ? "," : "", job, i, i, events * TOKENS_PER_EVENT,
-		    events * TOKENS_PER_EVENT);
+		    prompt, events * TOKENS_PER_EVENT);
 	buf_append(&body, STR("]}"));
 	harness_http(
 	    &(harness_request_t){
--- a/tests/harness_gateways.h
+++ b/tests/harness_gateways.h
@@ -23,6 +23,8 @@
 	bool proxied;
 	const char *logs;    /* folder for the hosts' logs; NULL: dropped */
 	const char *journal; /* file that gets a line for each run or NULL */
+	/* Engines crash when they answer a prompt with this part, in hex. */
+	const char *crash_part;
 } gateways_params_t;
 
 typedef struct gateways_t {
@@ -32,6 +34,7 @@
 	harness_process_t *hosts[GATEWAYS_MAX_HOSTS];
 	harness_process_t *engines[GATEWAYS_MAX_ENGINES];
 	unsigned engine_starts[GATEWAYS_MAX_ENGINES];
+	double engine_ended_at[GATEWAYS_MAX_ENGINES]; /* 0: it runs */
 	uint16_t engine_port;
 	uint16_t proxy_port;
 	uint16_t callers_port;
@@ -81,8 +84,15 @@
 
 gateways_stream_t gateways_stream(gateways_t *fleet, unsigned host,
     const char *prefix, const char *id, unsigned events, double timeout);
+gateways_stream_t gateways_stream_prompt(gateways_t *fleet, unsigned host,
+    const char *prefix, const char *id, const char *prompt, unsigned events,
+    double timeout);
+/* Starts the engines again that ended at least delay seconds ago. */
+void gateways_restart_engines(gateways_t *fleet, double delay);
 int gateways_submit(gateways_t *fleet, unsigned host, const char *job,
     unsigned items, unsigned events);
+int gateways_submit_prompt(gateways_t *fleet, unsigned host, const char *job,
+    unsigned items, unsigned events, const char *prompt);
 int gateways_results(gateways_t *fleet, unsigned host, const char *job,
     unsigned after, buf_t *body);
 bool gateways_wait_job(gateways_t *fleet, const char *job, unsigned items,
--- /dev/null
+++ b/tests/test_fail_crashing_part.c
@@ -0,0 +1,207 @@
+/* Process tests: prompts with a part on which every endpoint crashes. */
+#include "suite.h"
+
+#include <stdio.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "clock.h"
+#include "harness_gateways.h"
+
+#define HOSTS	   3
+#define ENGINES	   6
+#define RESTART_S  1.0
+#define EVENTS	   4
+#define STEP_S	   0.1
+#define TIMEOUT_S  5.0
+#define CRASH_PART "dead"
+/*
+ * The stated target: three seconds after the fifth crash, all hosts know the
+ * part, and at most three more requests with it reach endpoints.
+ */
+#define CRASHES_TO_LEARN 5
+#define SPREAD_S	 3.0
+#define MAX_LATER_RUNS	 3
+
+static gateways_t fleet;
+static char journal[512];
+
+/* The course of a test. */
+typedef struct course_t {
+	unsigned count;	       /* requests of either kind so far */
+	double fifth_run_at;   /* 0: not yet */
+	unsigned runs_in_time; /* runs until SPREAD_S after the fifth one */
+	unsigned sound;	       /* requests without the part, after that time */
+	unsigned sound_right;
+	unsigned refused;
+	unsigned refused_untrue; /* refused, though they had run */
+} course_t;
+
+/* Returns how many runs the journal has of requests whose id has a prefix. */
+static unsigned
+count_runs(const char *prefix)
+{
+	char line[256];
+	unsigned count = 0;
+	FILE *file = fopen(journal, "r");
+
+	while (file != NULL && fgets(line, sizeof(line), file) != NULL)
+		count += strncmp(line, prefix, strlen(prefix)) == 0;
+	if (file != NULL)
+		fclose(file);
+	return (count);
+}
+
+static void
+start_fleet(void)
+{
+	snprintf(journal, sizeof(journal), "%s/runs", harness_folder());
+	(void)unlink(journal);
+	gateways_start(&fleet, &(gateways_params_t){.hosts = HOSTS,
+				   .engines = ENGINES,
+				   .journal = journal,
+				   .crash_part = CRASH_PART});
+}
+
+/* Returns whether all hosts have had the time to learn the part. */
+static bool
+is_learnt(const course_t *course)
+{
+	return (course->fifth_run_at > 0 &&
+		clock_monotonic() > course->fifth_run_at + SPREAD_S);
+}
+
+static void
+course_observe(course_t *course)
+{
+	unsigned runs = count_runs("crash-");
+
+	if (course->fifth_run_at <= 0 && runs >= CRASHES_TO_LEARN)
+		course->fifth_run_at = clock_monotonic();
+	if (!is_learnt(course))
+		course->runs_in_time = runs;
+}
+
+static void
+send_crashing(course_t *course, const char *prefix)
+{
+	gateways_stream_t s;
+	char prompt[96];
+	char id[48];
+
+	snprintf(id, sizeof(id), "crash-%u-", course->count);
+	snprintf(prompt, sizeof(prompt), "a1:100,5a:50,%s:30,c%u:10",
+	    CRASH_PART, course->count);
+	s = gateways_stream_prompt(&fleet, course->count % HOSTS, prefix, id,
+	    prompt, EVENTS, TIMEOUT_S);
+	CU_ASSERT(!(s.whole && s.status == 200));
+	if (s.status == 503) {
+		course->refused++;
+		course->refused_untrue += count_runs(id) > 0;
+		/* It must not invite the caller back at once. */
+		CU_ASSERT(!is_learnt(course) || s.retry_after >= 1);
+	}
+}
+
+/* Sends a sound request that shares its other parts with the crashing ones. */
+static void
+send_sound(course_t *course)
+{
+	gateways_stream_t s;
+	char prompt[96];
+	char id[48];
+	bool counts = is_learnt(course);
+
+	snprintf(id, sizeof(id), "sound-%u", course->count);
+	snprintf(prompt, sizeof(prompt), "a1:100,5a:50,b%u:10", course->count);
+	s = gateways_stream_prompt(&fleet, course->count % HOSTS,
+	    GATEWAYS_RESUME, id, prompt, EVENTS, TIMEOUT_S);
+	course->sound += counts;
+	course->sound_right += counts && s.right;
+}
+
+static void
+run_course(course_t *course, const char *prefix, double seconds)
+{
+	double end = clock_monotonic() + seconds;
+
+	while (clock_monotonic() < end) {
+		send_crashing(course, prefix);
+		send_sound(course);
+		gateways_restart_engines(&fleet, RESTART_S);
+		course_observe(course);
+		course->count++;
+		harness_sleep(STEP_S);
+	}
+}
+
+static void
+check_course(const course_t *course)
+{
+	unsigned runs = count_runs("crash-");
+
+	printf("[runs %u, of them in time %u; refused %u; sound %u of %u] ",
+	    runs, course->runs_in_time, course->refused, course->sound_right,
+	    course->sound);
+	CU_ASSERT(runs >= 3);
+	CU_ASSERT(runs <= course->runs_in_time + MAX_LATER_RUNS);
+	CU_ASSERT(course->refused_untrue == 0);
+	CU_ASSERT(course->sound_right * 2 >= course->sound);
+}
+
+/*
+ * Requests with a part on which endpoints crash must not crash one endpoint
+ * after the other, whichever host they arrive at and though no two are alike;
+ * requests that share their other parts must still be served.
+ */
+static void
+test_requests_with_crashing_part(void)
+{
+	static const char *const prefixes[] = {GATEWAYS_ONCE, GATEWAYS_RESUME};
+
+	for (unsigned i = 0; i < 2; i++) {
+		course_t course = {0};
+
+		start_fleet();
+		run_course(&course, prefixes[i], 12);
+		check_course(&course);
+		gateways_end(&fleet);
+	}
+}
+
+/*
+ * An item with such a part must not crash one endpoint after the other by its
+ * retries, and the other items of the jobs must be done.
+ */
+static void
+test_items_with_crashing_part(void)
+{
+	double end = clock_monotonic() + 15;
+	course_t course = {0};
+	buf_t body = {0};
+
+	start_fleet();
+	CU_ASSERT(gateways_submit_prompt(&fleet, 0, "crash-job", 3, EVENTS,
+		      "a1:100," CRASH_PART ":30,c:10") == 202);
+	CU_ASSERT(gateways_submit_prompt(&fleet, 1, "sound-job", 12, EVENTS,
+		      "a1:100,c:10") == 202);
+	while (clock_monotonic() < end) {
+		gateways_restart_engines(&fleet, RESTART_S);
+		course_observe(&course);
+		harness_sleep(STEP_S);
+	}
+	check_course(&course);
+	CU_ASSERT(gateways_wait_job(&fleet, "sound-job", 12, EVENTS, 10));
+	CU_ASSERT(gateways_results(&fleet, 2, "crash-job", 0, &body) == 200);
+	/* An item that may still be run is not listed as dead. */
+	CU_ASSERT(body.len > 0 && strstr(body.data, "dead\"") == NULL);
+	buf_free(&body);
+	gateways_end(&fleet);
+}
+
+static const suite_test_t tests[] = {
+    {"requests with a crashing part", test_requests_with_crashing_part},
+    {"items with a crashing part", test_items_with_crashing_part},
+};
+
+SUITE_MAIN("fail_crashing_part", tests)
