Hold back requests with a part of a prompt on which endpoints crash

What callers saw: endpoints ended one after the other, streams beside the harmful requests broke off, and half of the endpoints were gone at a time. Cause: a crash was taken for a fault of the endpoint alone, so the request, its repeats and its like went on to the next endpoint; no host knew what the others had seen.

--- a/src/attempt.c
+++ b/src/attempt.c
@@ -12,6 +12,11 @@
 
 /* Allows for a few round trips to the endpoint. */
 #define CONNECT_TIMEOUT_S 0.6
+/*
+ * An endpoint may crash right after its first event; the second one shows that
+ * it can answer the request.
+ */
+#define EVENTS_OF_ANSWER 2
 /* Limit for the body of a response that is not the expected event stream. */
 #define MAX_NON_STREAM_BODY_BYTES (64U << 10)
 
@@ -87,12 +92,23 @@
 	return (true);
 }
 
+static void
+record_answer(const attempt_t *attempt)
+{
+	const attempt_params_t *params = &attempt->params;
+
+	if (params->quarantine != NULL)
+		quarantine_net_answered(params->quarantine, &params->parts,
+		    params->endpoint->name, attempt->started_at);
+}
+
 static bool
 on_event(void *ctx, const relay_event_t *event)
 {
 	attempt_t *attempt = ctx;
 
-	attempt->events++;
+	if (++attempt->events == EVENTS_OF_ANSWER)
+		record_answer(attempt);
 	if (attempt->first_event_at <= 0)
 		attempt->first_event_at = clock_monotonic();
 	if (attempt->params.event_timeout > 0)
@@ -152,9 +168,9 @@
 		!attempt->mismatch && !attempt->discarding);
 }
 
-/* Logs what tells which requests were running on an endpoint that crashed. */
+/* Logs and records which request the endpoint had not finished. */
 static void
-log_disconnect(const attempt_t *attempt, const http_result_t *http)
+handle_disconnect(const attempt_t *attempt, const http_result_t *http)
 {
 	const attempt_params_t *params = &attempt->params;
 	buf_t parts = {0};
@@ -167,6 +183,9 @@
 	    attempt->events, (clock_monotonic() - attempt->started_at) * 1e3,
 	    STR_ARG(str_buf(&parts)));
 	buf_free(&parts);
+	if (params->quarantine != NULL && attempt->events < EVENTS_OF_ANSWER)
+		quarantine_net_crashed(
+		    params->quarantine, &params->parts, params->endpoint->name);
 }
 
 static void
@@ -181,7 +200,10 @@
 
 	result.outcome = determine_outcome(attempt, http, &result.rc);
 	if (is_disconnected(attempt, http))
-		log_disconnect(attempt, http);
+		handle_disconnect(attempt, http);
+	else if (result.outcome == ATTEMPT_COMPLETE &&
+		 attempt->events < EVENTS_OF_ANSWER)
+		record_answer(attempt);
 	if (attempt->streaming)
 		result.body = event_relay_trailing(params.relay);
 	if (attempt->first_event_at > 0)
@@ -242,6 +264,8 @@
 		.ctx = attempt,
 	    });
 	header_list_free(&headers);
+	if (params->quarantine != NULL)
+		quarantine_net_begin(params->quarantine, &params->parts);
 	return (attempt);
 }
 
--- a/src/attempt.h
+++ b/src/attempt.h
@@ -7,6 +7,7 @@
 #include "grants.h"
 #include "header_list.h"
 #include "httpc.h"
+#include "quarantine_net.h"
 
 typedef struct attempt_t attempt_t;
 
@@ -27,6 +28,7 @@
 
 typedef struct attempt_params_t {
 	httpc_t *httpc;
+	quarantine_net_t *quarantine; /* NULL: crashes are not recorded */
 	const dialect_t *dialect;
 	const grant_endpoint_t *endpoint;
 	const char *method;
--- a/src/forward.c
+++ b/src/forward.c
@@ -282,6 +282,7 @@
 	str_copy(f->endpoint, sizeof(f->endpoint), str_of(endpoint->name));
 	f->attempt = attempt_start(&(attempt_params_t){
 	    .httpc = forwarder->params.httpc,
+	    .quarantine = forwarder->params.quarantine,
 	    .dialect = forwarder->params.dialect,
 	    .endpoint = endpoint,
 	    .method = http_request_method(f->request),
@@ -317,6 +318,27 @@
 		forward_refuse(f, rc, retry_after);
 }
 
+/*
+ * Ends a request whose prompt has a part that is held back. Returns whether it
+ * did.
+ */
+static bool
+forward_refuse_held(forward_t *f)
+{
+	const quarantine_net_t *quarantine = f->forwarder->params.quarantine;
+	part_hold_t hold;
+
+	if (quarantine_net_admits(quarantine, &f->info.parts, &hold))
+		return (false);
+	LOG_INFO("request_held_back", "request=%s part=%llx retry_after_s=%.1f",
+	    f->info.id, (unsigned long long)hold.part, hold.retry_after);
+	if (f->grant != NULL)
+		grant_release(f->grant, NULL);
+	f->grant = NULL;
+	forward_terminate(f, -RESULT_QUARANTINED, hold.retry_after);
+	return (true);
+}
+
 /*
  * Returns a slot of an endpoint that is leaving, which the admitting host does
  * not know yet, and requests another.
@@ -346,6 +368,8 @@
 		return;
 	}
 	if (rc == 0) {
+		if (forward_refuse_held(f))
+			return;
 		if (f->granted_at <= 0) {
 			f->granted_at = clock_monotonic();
 			histogram_record(f->forwarder->counters.admission,
@@ -369,6 +393,8 @@
 		forward_refuse(f, -RESULT_NO_ENDPOINT, 1);
 		return;
 	}
+	if (forward_refuse_held(f))
+		return;
 	f->grant = grants_request(f->forwarder->params.grants,
 	    &(grant_params_t){
 		.pool = pool,
@@ -472,6 +498,21 @@
 		forward_request_grant(f);
 }
 
+/* Ends the requests without an attempt whose prompts have a held part. */
+void
+forwarder_recheck_parts(forwarder_t *forwarder)
+{
+	forward_t *f = LIST_FIRST(&forwarder->forwards);
+
+	while (f != NULL) {
+		forward_t *next = LIST_NEXT(f, entry);
+
+		if (f->attempt == NULL)
+			(void)forward_refuse_held(f);
+		f = next;
+	}
+}
+
 /* Refuses the requests that still wait for a slot; attempts continue. */
 static void
 on_drain_queue(struct ev_loop *loop, ev_timer *timer, int events)
--- a/src/forward.h
+++ b/src/forward.h
@@ -5,6 +5,7 @@
 #include "dialect.h"
 #include "grants.h"
 #include "httpc.h"
+#include "quarantine_net.h"
 
 typedef struct forwarder_t forwarder_t;
 
@@ -12,6 +13,7 @@
 	struct ev_loop *loop;
 	httpc_t *httpc;
 	grants_t *grants;
+	quarantine_net_t *quarantine;
 	const dialect_t *dialect;
 	/* Returns whether this host may send to a granted endpoint. */
 	bool (*endpoint_usable)(void *ctx, const char *endpoint);
@@ -22,6 +24,7 @@
 void forwarder_delete(forwarder_t *forwarder);
 void forwarder_accept(forwarder_t *forwarder, http_request_t *request,
     routing_table_t *table, const request_route_t *route, double arrived_at);
+void forwarder_recheck_parts(forwarder_t *forwarder);
 void forwarder_drain(forwarder_t *forwarder, double queue_seconds);
 size_t forwarder_open_count(const forwarder_t *forwarder);
 void http_request_refuse(
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -230,6 +230,40 @@
 	gateway->grants = NULL;
 }
 
+static void
+on_part_held(void *ctx)
+{
+	const gateway_t *gateway = ctx;
+
+	if (gateway->forwarder != NULL)
+		forwarder_recheck_parts(gateway->forwarder);
+}
+
+static int
+start_quarantine(void *ctx)
+{
+	gateway_t *gateway = ctx;
+
+	gateway->quarantine = quarantine_net_new(&(quarantine_net_params_t){
+	    .loop = gateway->params.loop,
+	    .peer = gateway->peer,
+	    .host = gateway->params.settings->name,
+	    .members = get_members,
+	    .on_held = on_part_held,
+	    .ctx = gateway,
+	});
+	return (0);
+}
+
+static void
+stop_quarantine(void *ctx)
+{
+	gateway_t *gateway = ctx;
+
+	quarantine_net_delete(gateway->quarantine);
+	gateway->quarantine = NULL;
+}
+
 static int
 start_forwarder(void *ctx)
 {
@@ -239,6 +273,7 @@
 	    .loop = gateway->params.loop,
 	    .httpc = gateway->params.httpc,
 	    .grants = gateway->grants,
+	    .quarantine = gateway->quarantine,
 	    .dialect = gateway->params.dialect,
 	    .endpoint_usable = is_endpoint_usable,
 	    .ctx = gateway,
@@ -271,6 +306,7 @@
 	    .store = gateway->store,
 	    .peer = gateway->peer,
 	    .grants = gateway->grants,
+	    .quarantine = gateway->quarantine,
 	    .httpc = gateway->params.httpc,
 	    .dialect = gateway->params.dialect,
 	    .host = gateway->params.settings->name,
@@ -300,6 +336,7 @@
     {"config", gateway_start_config, gateway_stop_config, NULL},
     {"hosts", gateway_start_hosts, gateway_stop_hosts, NULL},
     {"grants", start_grants, stop_grants, NULL},
+    {"quarantine", start_quarantine, stop_quarantine, NULL},
     {"forwarder", start_forwarder, stop_forwarder, NULL},
     {"jobs", start_jobs, stop_jobs, NULL},
     {"http", gateway_start_http, gateway_stop_http, NULL},
--- a/src/gateway_state.h
+++ b/src/gateway_state.h
@@ -11,6 +11,7 @@
 #include "jobs.h"
 #include "membership_net.h"
 #include "peer.h"
+#include "quarantine_net.h"
 #include "store_relay.h"
 #include "supervisor.h"
 
@@ -26,6 +27,7 @@
 	membership_net_t *membership;
 	store_t *store; /* direct, or relayed by other hosts */
 	grants_t *grants;
+	quarantine_net_t *quarantine;
 	forwarder_t *forwarder;
 	jobs_t *jobs;
 	httpd_t *caller_server;
--- a/src/job_run.c
+++ b/src/job_run.c
@@ -10,6 +10,8 @@
 #include "logger.h"
 #include "result.h"
 
+/* Interval at which an item with a held part asks whether it may run. */
+#define HELD_CHECK_INTERVAL_S 1.0
 /* Maximum number of open slot requests of one partition. */
 #define MAX_SLOT_REQUESTS 16
 /* A slot request that is not granted within this time is made again. */
@@ -204,6 +206,48 @@
 	return (parts);
 }
 
+/*
+ * Lets an item wait if a part of its prompt is held back. Returns whether it
+ * is.
+ */
+static bool
+item_wait_if_held(item_run_t *item)
+{
+	const job_runner_params_t *params = &item->run->runner->params;
+	prompt_parts_t parts = item_prompt(item);
+	part_hold_t hold = {0};
+	bool held = !quarantine_net_admits(params->quarantine, &parts, &hold);
+
+	if (held)
+		item->not_before =
+		    clock_monotonic() +
+		    fmin(hold.retry_after, HELD_CHECK_INTERVAL_S);
+	if (held && !item->held)
+		LOG_INFO("item_held_back",
+		    "item=" STR_FMT " job=%s part=%llx retry_after_s=%.1f",
+		    STR_ARG(item->item->id), item->run->job->id,
+		    (unsigned long long)hold.part, hold.retry_after);
+	item->held = held;
+	return (held);
+}
+
+/* Selects the items to run next, without those that are held back. */
+static size_t
+select_admitted_items(job_runner_t *runner, const char *pool,
+    item_candidate_t *candidates, size_t max)
+{
+	for (;;) {
+		size_t count =
+		    runner_select_items(runner, pool, candidates, max);
+		bool any_held = false;
+
+		for (size_t i = 0; i < count; i++)
+			any_held |= item_wait_if_held(candidates[i].item);
+		if (!any_held)
+			return (count);
+	}
+}
+
 static void
 item_start(
     item_run_t *item, item_slot_t *slot, const grant_endpoint_t *endpoint)
@@ -231,6 +275,7 @@
 	    .target = item->target,
 	    .headers = &item->headers,
 	    .body = item->item->body,
+	    .quarantine = params->quarantine,
 	    .request_id = item->item->id.data,
 	    .parts = item_prompt(item),
 	    .resumes = item->relay.has_last_id,
@@ -281,7 +326,7 @@
 	}
 	/* The first item by now may not be the one that requested the slot. */
 	if (runner->paused ||
-	    runner_select_items(runner, slot->pool, &candidate, 1) == 0) {
+	    select_admitted_items(runner, slot->pool, &candidate, 1) == 0) {
 		grant_release(grant, NULL);
 		slot_free(slot);
 		return;
@@ -323,7 +368,7 @@
 	if (runner->paused || runner->slot_requests >= MAX_SLOT_REQUESTS)
 		return;
 	count =
-	    runner_select_items(runner, NULL, candidates, MAX_SLOT_REQUESTS);
+	    select_admitted_items(runner, NULL, candidates, MAX_SLOT_REQUESTS);
 	for (size_t i = runner->slot_requests; i < count; i++)
 		slot_request(runner, &candidates[i]);
 }
--- a/src/job_run.h
+++ b/src/job_run.h
@@ -9,6 +9,7 @@
 #include "httpc.h"
 #include "job_handover.h"
 #include "job_table.h"
+#include "quarantine_net.h"
 
 typedef struct job_runner_t job_runner_t;
 
@@ -16,6 +17,7 @@
 	struct ev_loop *loop;
 	httpc_t *httpc;
 	grants_t *grants;
+	quarantine_net_t *quarantine;
 	const dialect_t *dialect;
 	/* Returns the current routing table; NULL until one is known. */
 	routing_table_t *(*routes)(void *ctx);
--- a/src/job_run_state.h
+++ b/src/job_run_state.h
@@ -27,6 +27,7 @@
 	unsigned failures;     /* responses with status 500 */
 	bool rejected;	       /* response with status 422 */
 	double not_before;     /* monotonic */
+	bool held;	       /* a part of its prompt is held back */
 	double started;	       /* monotonic, of the attempt in progress */
 	double run_time;       /* seconds, of all earlier attempts together */
 	bool unreachable;      /* see item_schedule_mark_unreachable() */
--- a/src/jobs.c
+++ b/src/jobs.c
@@ -130,6 +130,7 @@
 			.loop = params->loop,
 			.httpc = params->httpc,
 			.grants = params->grants,
+			.quarantine = params->quarantine,
 			.dialect = params->dialect,
 			.routes = current_routes,
 			.endpoint_usable = endpoint_usable,
--- a/src/jobs.h
+++ b/src/jobs.h
@@ -9,6 +9,7 @@
 #include "httpc.h"
 #include "membership.h"
 #include "peer.h"
+#include "quarantine_net.h"
 #include "store.h"
 
 typedef struct jobs_t jobs_t;
@@ -18,6 +19,7 @@
 	store_t *store;
 	peer_t *peer;
 	grants_t *grants;
+	quarantine_net_t *quarantine;
 	httpc_t *httpc;
 	const dialect_t *dialect;
 	const char *host;     /* own name */
--- a/src/peer.h
+++ b/src/peer.h
@@ -32,6 +32,7 @@
 	PEER_CONFIG_GET = 30,
 	PEER_WHERE = 40,
 	PEER_STORE_CALL = 50,
+	PEER_QUARANTINE = 55,
 	PEER_TYPE_MAX = 64,
 } peer_type_t;
 
--- a/src/prompt_parts.h
+++ b/src/prompt_parts.h
@@ -16,6 +16,12 @@
 	size_t count;
 } prompt_parts_t;
 
+/* Why a request may not be sent to an endpoint now. */
+typedef struct part_hold_t {
+	uint64_t part;	    /* that is held back */
+	double retry_after; /* seconds until a request may be tried */
+} part_hold_t;
+
 void prompt_parts_add(prompt_parts_t *parts, uint64_t id);
 void prompt_parts_print(const prompt_parts_t *parts, buf_t *out);
 
--- /dev/null
+++ b/src/quarantine_net.c
@@ -0,0 +1,328 @@
+/*
+ * Exchanges the evidence on crashing parts of prompts between hosts.
+ *
+ * News go to a few random hosts at once, which pass on what is new to them, so
+ * that all hosts know it after a few hops. Each host also exchanges its records
+ * with a random one at intervals, for those that were down, cut off or frozen.
+ */
+#include "quarantine_net.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "clock.h"
+#include "counter.h"
+#include "logger.h"
+#include "quarantine_wire.h"
+#include "result.h"
+
+/* Hosts to which news are sent at once. */
+#define FANOUT 6
+/* Collects the news of one crash, which several requests notice. */
+#define FLUSH_DELAY_S	    0.003
+#define EXCHANGE_INTERVAL_S 1.0
+#define EXCHANGE_TIMEOUT_S  1.0
+/*
+ * Bounds what this host sends without being asked: a burst, and a rate at
+ * which more may follow. News over the limit wait for the next exchange.
+ */
+#define MAX_BURST_BYTES (96U << 10)
+#define MAX_BYTES_PER_S (2U << 10)
+
+struct quarantine_net_t {
+	quarantine_net_params_t params;
+	quarantine_t *quarantine;
+	rng_t rng;
+	double byte_budget;
+	double budget_updated_at;
+	ev_timer flush_timer;
+	ev_timer judge_timer;
+	ev_timer exchange_timer;
+	peer_call_t *exchange_call;
+	counter_t *crashes;
+	counter_t *trials;
+	counter_t *bytes;
+	counter_t *held;
+	counter_t *records;
+};
+
+static void
+timer_start(const quarantine_net_t *net, ev_timer *timer, double seconds)
+{
+	if (ev_is_active(timer))
+		return;
+	ev_timer_set(timer, seconds > 0 ? seconds : 0, 0);
+	ev_timer_start(net->params.loop, timer);
+}
+
+/* Applies what has changed, and schedules its judgement and its sending. */
+static void
+net_changed(quarantine_net_t *net)
+{
+	double judge_at = quarantine_next_judgement(net->quarantine);
+
+	if (judge_at > 0) {
+		timer_start(
+		    net, &net->judge_timer, judge_at - clock_monotonic());
+		timer_start(net, &net->flush_timer, FLUSH_DELAY_S);
+	}
+	if (quarantine_take_newly_held(net->quarantine)) {
+		timer_start(net, &net->flush_timer, FLUSH_DELAY_S);
+		if (net->params.on_held != NULL)
+			net->params.on_held(net->params.ctx);
+	}
+}
+
+static void
+on_judge_timer(struct ev_loop *loop, ev_timer *timer, int events)
+{
+	quarantine_net_t *net = timer->data;
+	quarantine_stats_t stats;
+
+	(void)loop;
+	(void)events;
+	quarantine_judge(net->quarantine, clock_monotonic());
+	stats = quarantine_stats(net->quarantine);
+	gauge_set(net->held, (double)stats.held);
+	gauge_set(net->records, (double)stats.records);
+	net_changed(net);
+}
+
+/* Takes bytes from the budget; returns false if there are not enough. */
+static bool
+budget_take(quarantine_net_t *net, size_t bytes)
+{
+	double now = clock_monotonic();
+
+	net->byte_budget += (now - net->budget_updated_at) * MAX_BYTES_PER_S;
+	net->budget_updated_at = now;
+	if (net->byte_budget > MAX_BURST_BYTES)
+		net->byte_budget = MAX_BURST_BYTES;
+	if (net->byte_budget < (double)bytes)
+		return (false);
+	net->byte_budget -= (double)bytes;
+	counter_add(net->bytes, bytes);
+	return (true);
+}
+
+/* Chooses up to max random hosts other than this one. Returns their number. */
+static size_t
+choose_hosts(quarantine_net_t *net, const member_t **out, size_t max)
+{
+	const member_t *members;
+	size_t total = net->params.members(net->params.ctx, &members);
+	size_t seen = 0;
+
+	/* Reservoir sampling: each host is chosen with the same probability. */
+	for (size_t i = 0; i < total; i++) {
+		size_t at;
+
+		if (!member_is_living(&members[i]) ||
+		    strcmp(members[i].name, net->params.host) == 0)
+			continue;
+		at = seen < max ? seen : rng_below(&net->rng, seen + 1);
+		if (at < max)
+			out[at] = &members[i];
+		seen++;
+	}
+	return (seen < max ? seen : max);
+}
+
+/* Sends what has changed to a few hosts. */
+static void
+on_flush_timer(struct ev_loop *loop, ev_timer *timer, int events)
+{
+	quarantine_net_t *net = timer->data;
+	const quarantine_record_t *records[QUARANTINE_MAX_MESSAGE_RECORDS];
+	const member_t *hosts[FANOUT];
+	size_t count = 0;
+	size_t host_count;
+	buf_t body = {0};
+
+	(void)loop;
+	(void)events;
+	while (
+	    count < QUARANTINE_MAX_MESSAGE_RECORDS &&
+	    (records[count] = quarantine_next_changed(net->quarantine)) != NULL)
+		count++;
+	host_count = choose_hosts(net, hosts, FANOUT);
+	if (count == 0 || host_count == 0)
+		return;
+	quarantine_pack(&body, false, records, count, clock_monotonic());
+	if (budget_take(net, body.len * host_count)) {
+		for (size_t i = 0; i < host_count; i++)
+			peer_send(net->params.peer, hosts[i]->address,
+			    PEER_QUARANTINE, str_buf(&body));
+	} else {
+		LOG_WARN("quarantine_news_delayed", "records=%zu bytes=%zu",
+		    count, body.len);
+	}
+	buf_free(&body);
+	if (count == QUARANTINE_MAX_MESSAGE_RECORDS)
+		timer_start(net, &net->flush_timer, FLUSH_DELAY_S);
+}
+
+static void
+pack_newest(const quarantine_net_t *net, bool wants_reply, buf_t *out)
+{
+	const quarantine_record_t *records[QUARANTINE_MAX_MESSAGE_RECORDS];
+	size_t count = quarantine_newest(
+	    net->quarantine, records, QUARANTINE_MAX_MESSAGE_RECORDS);
+
+	quarantine_pack(out, wants_reply, records, count, clock_monotonic());
+}
+
+/* Merges a message's records. Returns whether the sender wants a reply. */
+static bool
+merge_message(
+    quarantine_net_t *net, const char *address, const msgpack_object *body)
+{
+	quarantine_message_t message;
+	double now = clock_monotonic();
+
+	if (!quarantine_read(body, now, &message)) {
+		LOG_WARN("quarantine_message_malformed", "host=%s", address);
+		return (false);
+	}
+	for (size_t i = 0; i < message.count; i++)
+		quarantine_merge(net->quarantine, &message.records[i], now);
+	net_changed(net);
+	return (message.wants_reply);
+}
+
+static void
+on_peer_message(void *ctx, peer_request_t *request, const msgpack_object *body)
+{
+	quarantine_net_t *net = ctx;
+	buf_t reply = {0};
+
+	if (merge_message(net, peer_request_address(request), body))
+		pack_newest(net, false, &reply);
+	peer_request_reply(request, 0, str_buf(&reply));
+	buf_free(&reply);
+}
+
+static void
+on_exchange_reply(void *ctx, const peer_reply_t *reply)
+{
+	quarantine_net_t *net = ctx;
+
+	net->exchange_call = NULL;
+	/* Hosts of earlier versions do not know the message. */
+	if (reply->rc == 0 && reply->body != NULL)
+		(void)merge_message(net, "exchange", reply->body);
+}
+
+/* Exchanges the newest records with a random host. */
+static void
+on_exchange_timer(struct ev_loop *loop, ev_timer *timer, int events)
+{
+	quarantine_net_t *net = timer->data;
+	const member_t *host;
+	buf_t body = {0};
+
+	(void)loop;
+	(void)events;
+	if (net->exchange_call != NULL || choose_hosts(net, &host, 1) == 0)
+		return;
+	pack_newest(net, true, &body);
+	counter_add(net->bytes, body.len);
+	net->exchange_call =
+	    peer_call(net->params.peer, host->address, PEER_QUARANTINE,
+		str_buf(&body), EXCHANGE_TIMEOUT_S, on_exchange_reply, net);
+	buf_free(&body);
+}
+
+/*
+ * Returns whether a request with these parts may be sent to an endpoint.
+ * Otherwise *hold tells why not.
+ */
+bool
+quarantine_net_admits(
+    const quarantine_net_t *net, const prompt_parts_t *parts, part_hold_t *hold)
+{
+	return (
+	    quarantine_admits(net->quarantine, parts, clock_monotonic(), hold));
+}
+
+/* Records that a request with these parts is sent to an endpoint. */
+void
+quarantine_net_begin(quarantine_net_t *net, const prompt_parts_t *parts)
+{
+	if (!quarantine_begin(net->quarantine, parts, clock_monotonic()))
+		return;
+	counter_add(net->trials, 1);
+	net_changed(net);
+}
+
+/* Records that an endpoint disconnected before it answered a request. */
+void
+quarantine_net_crashed(
+    quarantine_net_t *net, const prompt_parts_t *parts, const char *endpoint)
+{
+	counter_add(net->crashes, 1);
+	quarantine_add_crash(net->quarantine, parts,
+	    str_hash(str_of(endpoint), 0), clock_monotonic());
+	net_changed(net);
+}
+
+/*
+ * Records that an endpoint has begun to answer a request that was sent to it at
+ * the given time.
+ */
+void
+quarantine_net_answered(quarantine_net_t *net, const prompt_parts_t *parts,
+    const char *endpoint, double started_at)
+{
+	quarantine_add_answer(net->quarantine, parts, clock_monotonic());
+	quarantine_endpoint_answered(
+	    net->quarantine, str_hash(str_of(endpoint), 0), started_at);
+	net_changed(net);
+}
+
+quarantine_net_t *
+quarantine_net_new(const quarantine_net_params_t *params)
+{
+	quarantine_net_t *net = xcalloc(1, sizeof(*net));
+
+	net->params = *params;
+	net->rng = rng_seeded(random_u64());
+	net->quarantine = quarantine_new(rng_uniform(&net->rng));
+	net->byte_budget = MAX_BURST_BYTES;
+	net->budget_updated_at = clock_monotonic();
+	net->crashes = counter_get("daisypier_quarantine_crashes_total",
+	    "Requests whose endpoint disconnected before an answer");
+	net->trials = counter_get("daisypier_quarantine_trials_total",
+	    "Requests with a held part that were let through");
+	net->bytes = counter_get("daisypier_quarantine_sent_bytes_total",
+	    "Bytes of evidence sent to other hosts");
+	net->held = gauge_get("daisypier_quarantine_held_parts",
+	    "Parts of prompts that are held back");
+	net->records = gauge_get(
+	    "daisypier_quarantine_parts", "Parts of prompts with evidence");
+	ev_timer_init(&net->flush_timer, on_flush_timer, 0, 0);
+	ev_timer_init(&net->judge_timer, on_judge_timer, 0, 0);
+	ev_timer_init(&net->exchange_timer, on_exchange_timer,
+	    rng_uniform(&net->rng) * EXCHANGE_INTERVAL_S, EXCHANGE_INTERVAL_S);
+	net->flush_timer.data = net;
+	net->judge_timer.data = net;
+	net->exchange_timer.data = net;
+	ev_timer_start(params->loop, &net->exchange_timer);
+	peer_set_handler(params->peer, PEER_QUARANTINE, on_peer_message, net);
+	return (net);
+}
+
+void
+quarantine_net_delete(quarantine_net_t *net)
+{
+	struct ev_loop *loop = net->params.loop;
+
+	peer_set_handler(net->params.peer, PEER_QUARANTINE, NULL, NULL);
+	if (net->exchange_call != NULL)
+		peer_call_cancel(net->exchange_call);
+	ev_timer_stop(loop, &net->flush_timer);
+	ev_timer_stop(loop, &net->judge_timer);
+	ev_timer_stop(loop, &net->exchange_timer);
+	quarantine_delete(net->quarantine);
+	free(net);
+}
--- /dev/null
+++ b/src/quarantine_net.h
@@ -0,0 +1,33 @@
+/* Exchanges the evidence on crashing parts of prompts between hosts. */
+#ifndef DAISYPIER_QUARANTINE_NET_H
+#define DAISYPIER_QUARANTINE_NET_H
+
+#include "membership.h"
+#include "peer.h"
+#include "prompt_parts.h"
+
+typedef struct quarantine_net_t quarantine_net_t;
+
+typedef struct quarantine_net_params_t {
+	struct ev_loop *loop;
+	peer_t *peer;
+	const char *host; /* name of this host */
+	/* Returns all known hosts, including this one. */
+	size_t (*members)(void *ctx, const member_t **out);
+	/* A part is held back; requests that wait may have it. */
+	void (*on_held)(void *ctx);
+	void *ctx;
+} quarantine_net_params_t;
+
+quarantine_net_t *quarantine_net_new(const quarantine_net_params_t *params);
+void quarantine_net_delete(quarantine_net_t *net);
+
+bool quarantine_net_admits(const quarantine_net_t *net,
+    const prompt_parts_t *parts, part_hold_t *hold);
+void quarantine_net_begin(quarantine_net_t *net, const prompt_parts_t *parts);
+void quarantine_net_crashed(
+    quarantine_net_t *net, const prompt_parts_t *parts, const char *endpoint);
+void quarantine_net_answered(quarantine_net_t *net, const prompt_parts_t *parts,
+    const char *endpoint, double started_at);
+
+#endif
--- /dev/null
+++ b/src/quarantine_wire.c
@@ -0,0 +1,122 @@
+/*
+ * Encoding of the quarantine messages between hosts. Times are sent as ages,
+ * because clocks differ; -1 stands for never.
+ */
+#include "quarantine_wire.h"
+
+#include <math.h>
+
+/* Hosts do not run for longer; a larger age is malformed. */
+#define MAX_AGE_S 1e9
+
+static void
+pack_time(msgpack_packer *packer, double time, double now)
+{
+	msgpack_pack_float(
+	    packer, time > 0 ? (float)fmax(0, now - time) : -1.0F);
+}
+
+static double
+read_time(wire_reader_t *reader, double now)
+{
+	double age = wire_read_double(reader);
+
+	if (!(age < MAX_AGE_S))
+		reader->fault = true;
+	/* It is never in the future, and never the value that means never. */
+	return (age >= 0 && !reader->fault ? fmax(1e-6, now - age) : 0);
+}
+
+static void
+pack_record(
+    msgpack_packer *packer, const quarantine_record_t *record, double now)
+{
+	msgpack_pack_array(packer, 6);
+	msgpack_pack_uint64(packer, record->part);
+	pack_time(packer, record->answered_at, now);
+	pack_time(packer, record->held_since, now);
+	pack_time(packer, record->trial_at, now);
+	msgpack_pack_uint64(packer, record->trials);
+	msgpack_pack_array(packer, record->crash_count);
+	for (size_t i = 0; i < record->crash_count; i++) {
+		msgpack_pack_array(packer, 3);
+		msgpack_pack_uint64(packer, record->crashes[i].endpoint);
+		pack_time(packer, record->crashes[i].at, now);
+		wire_pack_bool(packer, record->crashes[i].refuted);
+	}
+}
+
+static void
+read_crashes(wire_reader_t *reader, double now, quarantine_record_t *record)
+{
+	wire_reader_t crashes = wire_read_array(reader);
+
+	while (!crashes.fault && crashes.left > 0 &&
+	       record->crash_count < QUARANTINE_MAX_CRASHES) {
+		wire_reader_t fields = wire_read_array(&crashes);
+		quarantine_crash_t *crash =
+		    &record->crashes[record->crash_count];
+
+		crash->endpoint = wire_read_u64(&fields);
+		crash->at = read_time(&fields, now);
+		crash->refuted = wire_read_bool(&fields);
+		if (fields.fault || crash->at <= 0)
+			reader->fault = true;
+		else
+			record->crash_count++;
+	}
+	reader->fault |= crashes.fault;
+}
+
+static bool
+read_record(wire_reader_t *reader, double now, quarantine_record_t *record)
+{
+	wire_reader_t fields = wire_read_array(reader);
+
+	*record = (quarantine_record_t){0};
+	record->part = wire_read_u64(&fields);
+	record->answered_at = read_time(&fields, now);
+	record->held_since = read_time(&fields, now);
+	record->trial_at = read_time(&fields, now);
+	record->trials = (unsigned)wire_read_u64(&fields);
+	read_crashes(&fields, now, record);
+	return (!fields.fault);
+}
+
+/* Appends a message with the given records, at most the maximum of a message.
+ */
+void
+quarantine_pack(buf_t *out, bool wants_reply,
+    const quarantine_record_t *const *records, size_t count, double now)
+{
+	msgpack_packer packer;
+
+	wire_packer_init(&packer, out);
+	msgpack_pack_array(&packer, 2);
+	wire_pack_bool(&packer, wants_reply);
+	msgpack_pack_array(&packer, count);
+	for (size_t i = 0; i < count; i++)
+		pack_record(&packer, records[i], now);
+}
+
+/* Returns false when the message is malformed; it has no records then. */
+bool
+quarantine_read(
+    const msgpack_object *body, double now, quarantine_message_t *out)
+{
+	wire_reader_t reader = wire_reader(body);
+	wire_reader_t records;
+
+	out->count = 0;
+	out->wants_reply = wire_read_bool(&reader);
+	records = wire_read_array(&reader);
+	while (!reader.fault && records.left > 0 &&
+	       out->count < QUARANTINE_MAX_MESSAGE_RECORDS)
+		if (read_record(&records, now, &out->records[out->count]))
+			out->count++;
+		else
+			reader.fault = true;
+	if (reader.fault || records.fault)
+		out->count = 0;
+	return (!reader.fault && !records.fault);
+}
--- /dev/null
+++ b/src/quarantine_wire.h
@@ -0,0 +1,22 @@
+/* Encoding of the quarantine messages between hosts. */
+#ifndef DAISYPIER_QUARANTINE_WIRE_H
+#define DAISYPIER_QUARANTINE_WIRE_H
+
+#include "quarantine.h"
+#include "wire.h"
+
+/* Records of one message. */
+#define QUARANTINE_MAX_MESSAGE_RECORDS 16
+
+typedef struct quarantine_message_t {
+	bool wants_reply; /* the sender asks for the receiver's records */
+	size_t count;
+	quarantine_record_t records[QUARANTINE_MAX_MESSAGE_RECORDS];
+} quarantine_message_t;
+
+void quarantine_pack(buf_t *out, bool wants_reply,
+    const quarantine_record_t *const *records, size_t count, double now);
+bool quarantine_read(
+    const msgpack_object *body, double now, quarantine_message_t *out);
+
+#endif
--- a/src/result.h
+++ b/src/result.h
@@ -56,6 +56,8 @@
 	X(BROKEN_ANSWER, 35, 502, UNKNOWN,                                     \
 	    "the answer broke off or did not match")                           \
 	X(PEER_UNREACHABLE, 36, 502, UNKNOWN, "the other host is unreachable") \
+	X(QUARANTINED, 37, 503, NOT_RUN,                                       \
+	    "endpoints crash on a part of the prompt; it is held back")        \
 	X(CANCELLED, 40, 409, FAILED, "it was cancelled")                      \
 	X(INVALID_CONFIG, 50, 422, FAILED, "the configuration has faults")     \
 	X(SUPERSEDED, 51, 409, FAILED, "the configuration changed meanwhile")  \
