Do not take an endpoint's earlier refusal for the response to a request

Report of other operators: a server wrote an earlier refusal once more on a kept connection, and clients were told that requests had not run. This happens here: a refusal without a request id was taken as it came, and the refusal of the same request by the same endpoint has the right id. Now a refusal without an id counts only on a connection that served no other call, and an endpoint gets a request again on a new connection only.

--- a/src/attempt.c
+++ b/src/attempt.c
@@ -48,6 +48,18 @@
 	return (id == NULL || strcmp(id, attempt->params.request_id) == 0);
 }
 
+/*
+ * Returns whether a refusal may be that of another request: it has no id, and
+ * an endpoint may send an earlier one once more on a kept connection.
+ */
+static bool
+is_refusal_ambiguous(attempt_t *attempt)
+{
+	return (http_call_header(attempt->call,
+		    attempt->params.dialect->request_id_header) == NULL &&
+		http_call_reuses_connection(attempt->call));
+}
+
 /*
  * Returns whether the response carries the endpoint's signature and a request
  * id. A response with a content encoding is not accepted.
@@ -77,8 +89,9 @@
 	if (status == STATUS_MISDIRECTED_REQUEST ||
 	    http_call_header(attempt->call, params->dialect->not_run_header) !=
 		NULL) {
-		attempt->refused = true;
-		return (true);
+		attempt->mismatch = is_refusal_ambiguous(attempt);
+		attempt->refused = !attempt->mismatch;
+		return (attempt->refused);
 	}
 	if (status >= 200 && status < 300 && !is_signed(attempt)) {
 		attempt->mismatch = true;
@@ -258,6 +271,7 @@
 		.max_body =
 		    params->relay != NULL ? MAX_NON_STREAM_BODY_BYTES : 0,
 		.send_once = true,
+		.fresh_connection = params->fresh_connection,
 		.on_head = on_head,
 		.on_data = params->relay != NULL ? on_data : NULL,
 		.on_done = on_done,
--- a/src/attempt.h
+++ b/src/attempt.h
@@ -40,6 +40,7 @@
 	double time_limit;    /* seconds, sent to the endpoint; 0: not sent */
 	bool resumes;	      /* the endpoint continues after last_event */
 	uint64_t last_event;
+	bool fresh_connection;	 /* not one that has served other requests */
 	double response_timeout; /* seconds until the headers; 0: none */
 	double event_timeout;	 /* seconds between two events; 0: none */
 	/* Splits responses with status 200 into events; NULL: no streaming. */
--- a/src/forward.c
+++ b/src/forward.c
@@ -21,6 +21,8 @@
  */
 #define RESPONSE_TIMEOUT_S 1.5
 #define EVENT_TIMEOUT_S	   1.0
+/* More attempts than a request makes; see may_retry(). */
+#define MAX_TRIED 16
 /* Limit for the bytes of a stream that the caller has not read yet. */
 #define MAX_BACKLOG_BYTES (512U << 10)
 
@@ -59,7 +61,9 @@
 	event_relay_t relay;
 	grant_t *grant;
 	attempt_t *attempt;
-	char endpoint[64]; /* of the last attempt */
+	char endpoint[64];	   /* of the last attempt */
+	uint64_t tried[MAX_TRIED]; /* hashes of the endpoints of all attempts */
+	size_t tried_count;
 	double arrived_at;
 	double granted_at;     /* 0: not yet */
 	double first_event_at; /* 0: none yet */
@@ -271,6 +275,22 @@
 	}
 }
 
+/* Returns whether the endpoint had the request before, and remembers it. */
+static bool
+forward_mark_tried(forward_t *f, const char *endpoint)
+{
+	uint64_t hash = str_hash(str_of(endpoint), 0);
+
+	for (size_t i = 0; i < f->tried_count; i++)
+		if (f->tried[i] == hash)
+			return (true);
+	/* With a full list, all endpoints count as tried. */
+	if (f->tried_count == MAX_TRIED)
+		return (true);
+	f->tried[f->tried_count++] = hash;
+	return (false);
+}
+
 static void
 forward_send(forward_t *f, const grant_endpoint_t *endpoint)
 {
@@ -296,6 +316,8 @@
 			      : 0,
 	    .resumes = f->relay.has_last_id,
 	    .last_event = f->relay.last_id,
+	    /* Its refusal may come once more, with the same request id. */
+	    .fresh_connection = forward_mark_tried(f, endpoint->name),
 	    .response_timeout = can_fail_over ? RESPONSE_TIMEOUT_S : 0,
 	    .event_timeout = can_fail_over ? EVENT_TIMEOUT_S : 0,
 	    .relay = stream ? &f->relay : NULL,
--- a/src/httpc.c
+++ b/src/httpc.c
@@ -578,6 +578,16 @@
 	ev_timer_start(call->httpc->loop, &call->progress_timer);
 }
 
+/* Returns whether the connection has served another call before. */
+bool
+http_call_reuses_connection(http_call_t *call)
+{
+	long connects = 0;
+
+	curl_easy_getinfo(call->easy, CURLINFO_NUM_CONNECTS, &connects);
+	return (connects == 0);
+}
+
 /* Returns a header of the final response, or NULL; valid until the next call.
  */
 const char *
--- a/src/httpc.h
+++ b/src/httpc.h
@@ -62,6 +62,7 @@
 void http_call_cancel(http_call_t *call);
 void http_call_abort(http_call_t *call);
 void http_call_progress(http_call_t *call, double seconds);
+bool http_call_reuses_connection(http_call_t *call);
 const char *http_call_header(http_call_t *call, const char *name);
 void http_call_each_header(
     http_call_t *call, http_header_cb_t on_header, void *ctx);
--- a/tests/harness_gateways.c
+++ b/tests/harness_gateways.c
@@ -415,9 +415,13 @@
 	stop(&fleet->store);
 }
 
-/* Returns whether a body holds exactly the events of a request. */
+/*
+ * Returns whether a body holds exactly the events of a request; begins_right is
+ * set if it holds the first of their bytes.
+ */
 static bool
-events_are_right(str_t body, const char *id, unsigned events)
+events_are_right(
+    str_t body, const char *id, unsigned events, bool *begins_right)
 {
 	buf_t expected = {0};
 	bool right;
@@ -425,6 +429,7 @@
 	for (unsigned i = 0; i < events; i++)
 		buf_printf(&expected, "id: %u\ndata: %s.%u\n\n", i, id, i);
 	right = str_equal(body, str_buf(&expected));
+	*begins_right = str_has_prefix(str_buf(&expected), body);
 	buf_free(&expected);
 	return (right);
 }
@@ -477,8 +482,11 @@
 	    &response);
 	result.whole = response.error == 0 && response.status != 0;
 	result.status = response.status;
-	result.right = response.status == 200 &&
-		       events_are_right(str_buf(&response.body), id, events);
+	result.right = events_are_right(str_buf(&response.body), id, events,
+			   &result.begins_right) &&
+		       response.status == 200;
+	result.has_events =
+	    str_has_prefix(str_buf(&response.body), STR("id: 0"));
 	retry = harness_header(&response, "Retry-After");
 	if (retry != NULL)
 		result.retry_after = strtod(retry, NULL);
--- a/tests/harness_gateways.h
+++ b/tests/harness_gateways.h
@@ -79,6 +79,8 @@
 	int status;	    /* 0: none */
 	bool whole;	    /* the answer ended as complete */
 	bool right;	    /* all events in order, none missing */
+	bool begins_right;  /* the body is empty or the start of a right one */
+	bool has_events;    /* the body begins with an event */
 	double retry_after; /* seconds; negative: none */
 } gateways_stream_t;
 
--- a/tests/harness_hostile.c
+++ b/tests/harness_hostile.c
@@ -14,9 +14,11 @@
 
 #define MAX_CONNECTIONS 256
 /* Bytes of one write of an endless answer. */
-#define BLOCK_SIZE    8192
-#define SLOW_BYTE_S   0.05
-#define LATE_COPY_S   0.02
+#define BLOCK_SIZE  8192
+#define SLOW_BYTE_S 0.05
+#define LATE_COPY_S 0.02
+static const char error_text[] = "Error: no such thing\n\nGo away.\n\n";
+
 #define TOKENS_HEADER "X-Daisypier-Token-Usage: "
 
 typedef struct connection_t {
@@ -24,7 +26,8 @@
 	int fd;
 	pthread_t thread;
 	char request[8192];
-	buf_t answer; /* the last one on this connection */
+	buf_t answer;	   /* the last one on this connection */
+	char refused[128]; /* id of its first request */
 } connection_t;
 
 struct hostile_t {
@@ -35,6 +38,8 @@
 	atomic_bool ended;
 	atomic_uint answers;
 	atomic_uint copies;
+	pthread_mutex_t lock;
+	buf_t runs; /* ids of the requests that were run, a line each */
 	connection_t connections[MAX_CONNECTIONS];
 	unsigned count;
 };
@@ -208,6 +213,96 @@
 	return (open);
 }
 
+static void
+record_run(hostile_t *hostile, const char *id)
+{
+	pthread_mutex_lock(&hostile->lock);
+	buf_printf(&hostile->runs, "%s\n", id);
+	pthread_mutex_unlock(&hostile->lock);
+}
+
+static void
+append_refusal(buf_t *out, const char *id)
+{
+	buf_append(out, STR("HTTP/1.1 503 Full\r\n"));
+	if (id != NULL)
+		buf_printf(out, "X-Daisypier-Request-Id: %s\r\n", id);
+	buf_append(out,
+	    STR("X-Daisypier-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"));
+}
+
+/* Sends a part of the right answer, or an error in its place. */
+static bool
+answer_in_part(const connection_t *connection)
+{
+	hostile_mode_t mode = connection->hostile->mode;
+	char id[128];
+	buf_t out = {0};
+
+	header_value(
+	    connection->request, "X-Daisypier-Request-Id: ", id, sizeof(id));
+	if (mode == HOSTILE_ERROR_500 || mode == HOSTILE_ERROR_404) {
+		buf_printf(&out,
+		    "HTTP/1.1 %s Error\r\nX-Daisypier-Request-Id: %s\r\n"
+		    "X-Daisypier-Response-Signature: h.%s\r\n"
+		    "Content-Length: %zu\r\n\r\n%s",
+		    mode == HOSTILE_ERROR_500 ? "500" : "404", id, id,
+		    sizeof(error_text) - 1, error_text);
+	} else {
+		append_head(connection, &out);
+		if (mode == HOSTILE_BREAK || mode == HOSTILE_ERROR_TEXT)
+			buf_printf(&out, "Content-Length: %zu\r\n",
+			    mode == HOSTILE_BREAK ? (size_t)100000
+						  : sizeof(error_text) - 1);
+		buf_append(&out, STR("\r\n"));
+		if (mode == HOSTILE_ERROR_TEXT)
+			buf_append(&out, STR(error_text));
+		else if (mode != HOSTILE_EMPTY_END)
+			for (int i = 0; i < 2; i++)
+				buf_printf(
+				    &out, "id: %d\ndata: %s.%d\n\n", i, id, i);
+		if (mode == HOSTILE_TORN_END)
+			buf_append(&out, STR("id: 2\nda"));
+	}
+	(void)send_all(connection->fd, str_buf(&out));
+	buf_free(&out);
+	return (mode == HOSTILE_ERROR_500 || mode == HOSTILE_ERROR_404 ||
+		mode == HOSTILE_ERROR_TEXT);
+}
+
+/* Refuses the first request; sends that refusal again before later answers. */
+static bool
+answer_with_old_refusal(connection_t *connection)
+{
+	hostile_t *hostile = connection->hostile;
+	hostile_mode_t mode = hostile->mode;
+	char id[128];
+	buf_t out = {0};
+	bool open;
+
+	header_value(
+	    connection->request, "X-Daisypier-Request-Id: ", id, sizeof(id));
+	if (connection->refused[0] == '\0') {
+		str_copy(connection->refused, sizeof(connection->refused),
+		    str_of(id));
+		append_refusal(&out, id);
+	} else {
+		if (mode != HOSTILE_OLD_REFUSAL_OF_RETRY ||
+		    strcmp(connection->refused, id) == 0) {
+			hostile->copies++;
+			append_refusal(
+			    &out, mode == HOSTILE_OLD_REFUSAL_WITHOUT_ID
+				      ? NULL
+				      : connection->refused);
+		}
+		record_run(hostile, id);
+		append_answer(connection, &out);
+	}
+	open = send_all(connection->fd, str_buf(&out));
+	buf_free(&out);
+	return (open);
+}
+
 /* Reads a request with its body; false when the connection is closed. */
 static bool
 read_request(connection_t *connection)
@@ -250,6 +345,10 @@
 		if (hostile->mode < HOSTILE_MODES) {
 			answer_endless(connection);
 			open = false;
+		} else if (hostile->mode >= HOSTILE_BREAK) {
+			open = answer_in_part(connection);
+		} else if (hostile->mode >= HOSTILE_OLD_REFUSAL_WITHOUT_ID) {
+			open = answer_with_old_refusal(connection);
 		} else {
 			open = answer_with_copy(connection);
 		}
@@ -290,6 +389,7 @@
 
 	hostile->mode = mode;
 	hostile->slow = slow;
+	pthread_mutex_init(&hostile->lock, NULL);
 	hostile->listener = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
 	setsockopt(
 	    hostile->listener, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
@@ -319,6 +419,21 @@
 	return (hostile->copies);
 }
 
+/* Whether a request was run; only refusing modes record it. */
+bool
+hostile_has_run(hostile_t *hostile, const char *id)
+{
+	char line[160];
+	bool found;
+
+	snprintf(line, sizeof(line), "%s\n", id);
+	pthread_mutex_lock(&hostile->lock);
+	found =
+	    hostile->runs.len > 0 && strstr(hostile->runs.data, line) != NULL;
+	pthread_mutex_unlock(&hostile->lock);
+	return (found);
+}
+
 /* Closes all connections and ends. */
 void
 hostile_end(hostile_t *hostile)
@@ -332,5 +447,7 @@
 		close(hostile->connections[i].fd);
 	}
 	close(hostile->listener);
+	pthread_mutex_destroy(&hostile->lock);
+	buf_free(&hostile->runs);
 	free(hostile);
 }
--- a/tests/harness_hostile.h
+++ b/tests/harness_hostile.h
@@ -19,6 +19,21 @@
 	HOSTILE_MODES,	      /* number of the endless modes */
 	HOSTILE_SECOND_COPY,  /* before an answer the previous one once more */
 	HOSTILE_LATE_COPY,    /* the answer once more on the idle connection */
+	/*
+	 * Refuses the first request of each connection. Before later answers it
+	 * sends that refusal once more: without an id, with the id of the
+	 * refused request, or only if the refused request itself comes again.
+	 */
+	HOSTILE_OLD_REFUSAL_WITHOUT_ID,
+	HOSTILE_OLD_REFUSAL,
+	HOSTILE_OLD_REFUSAL_OF_RETRY,
+	HOSTILE_BREAK,	   /* the first two events, then it closes */
+	HOSTILE_TORN_END,  /* without a length, in the middle of the third event
+			    */
+	HOSTILE_EMPTY_END, /* a head without a length, then it closes */
+	HOSTILE_ERROR_500, /* signed errors with a body of text */
+	HOSTILE_ERROR_404,
+	HOSTILE_ERROR_TEXT, /* text where events are due, with status 200 */
 } hostile_mode_t;
 
 typedef struct hostile_t hostile_t;
@@ -28,6 +43,7 @@
     const char *ip, uint16_t port, hostile_mode_t mode, bool slow);
 unsigned hostile_answers(const hostile_t *hostile);
 unsigned hostile_copies(const hostile_t *hostile);
+bool hostile_has_run(hostile_t *hostile, const char *id);
 void hostile_end(hostile_t *hostile);
 
 #endif
--- a/tests/test_fail_hostile.c
+++ b/tests/test_fail_hostile.c
@@ -408,6 +408,58 @@
 	}
 }
 
+/*
+ * A refusal that an endpoint sends once more on a kept connection must not be
+ * taken for the response to the next request: the caller would be told that a
+ * request did not run, or another endpoint would run it, too.
+ */
+static void
+test_old_refusals(void)
+{
+	for (unsigned mode = HOSTILE_OLD_REFUSAL_WITHOUT_ID;
+	     mode <= HOSTILE_OLD_REFUSAL_OF_RETRY; mode++) {
+		heartbeat_t heartbeat;
+		hostile_t *hostile;
+		unsigned run = 0;
+
+		start_fleet(1);
+		hostile = hostile_register(&heartbeat,
+		    mode - HOSTILE_OLD_REFUSAL_WITHOUT_ID, (hostile_mode_t)mode,
+		    false);
+		/* Without another endpoint, a refused request comes again. */
+		if (mode == HOSTILE_OLD_REFUSAL_OF_RETRY)
+			harness_kill(fleet.engines[0]);
+		gateways_configure(&fleet,
+		    ",{\"name\":\"twice\",\"host\":\"" GATEWAYS_HOST
+		    "\",\"path-prefix\":\"/twice/\",\"type\":\"stream\","
+		    "\"service\":\"m\",\"max-attempts\":3,\"resumable\":"
+		    "false,\"timeout-ms\":5000}");
+		harness_sleep(2);
+		for (unsigned i = 0; i < 40; i++) {
+			caller_t caller = {.prefix = "/twice/"};
+			const gateways_stream_t *s = &caller.result;
+			bool ran;
+
+			snprintf(
+			    caller.id, sizeof(caller.id), "r%u-%u", mode, i);
+			call_once(&caller);
+			ran = hostile_has_run(hostile, caller.id);
+			run += ran;
+			CU_ASSERT(
+			    !ran || (s->status != 503 && s->status != 429));
+			if (mode != HOSTILE_OLD_REFUSAL_OF_RETRY)
+				CU_ASSERT(
+				    !ran ||
+				    gateways_runs(&fleet, caller.id).runs == 0);
+		}
+		CU_ASSERT(run > 0);
+		if (mode != HOSTILE_OLD_REFUSAL_OF_RETRY)
+			CU_ASSERT(hostile_copies(hostile) > 0);
+		hostile_stop(&heartbeat);
+		gateways_end(&fleet);
+	}
+}
+
 /*
  * A valid stream with long pauses must not be cut off when the route permits
  * two endpoints and both are slow.
@@ -477,6 +529,7 @@
 	test_endless_answers_bounded_in_memory},
     {"items leave endless answers", test_items_leave_endless_answers},
     {"second copies of answers", test_second_copies},
+    {"old refusals", test_old_refusals},
     {"slow streams are not cut", test_slow_streams_are_not_cut},
 };
 
