Keep text and endings that are no events out of continued streams

Errors with their status were kept out already; a signed 200 with text was not: blank lines made it look like events without data, which were passed on, and the stream ended as whole. A response without a length whose connection closed before any event counted as a complete, empty stream. Now a continued stream and an item reject text between events, and an empty response without a length is broken off; it also counts as a disconnect for the quarantine.

--- a/src/attempt.c
+++ b/src/attempt.c
@@ -32,6 +32,7 @@
 	int status;
 	unsigned events;
 	bool streaming;	 /* events are delivered as they arrive */
+	bool unframed;	 /* the response ends with its connection */
 	bool refused;	 /* the endpoint states that it did not run it */
 	bool mismatch;	 /* unsigned, or the response to another request */
 	bool discarding; /* invalid event, or the callback returned false */
@@ -98,6 +99,9 @@
 		return (false);
 	}
 	attempt->streaming = params->relay != NULL && status == 200;
+	attempt->unframed =
+	    http_call_header(attempt->call, "Content-Length") == NULL &&
+	    http_call_header(attempt->call, "Transfer-Encoding") == NULL;
 	if (params->on_head != NULL)
 		params->on_head(params->ctx, attempt, status);
 	if (attempt->streaming && params->event_timeout > 0)
@@ -143,6 +147,16 @@
 	http_call_abort(attempt->call);
 }
 
+/*
+ * Returns whether a stream ended with its connection before any event. Nothing
+ * tells it from one whose endpoint ended.
+ */
+static bool
+is_empty_until_close(const attempt_t *attempt)
+{
+	return (attempt->unframed && attempt->events == 0);
+}
+
 static attempt_outcome_t
 determine_outcome(const attempt_t *attempt, const http_result_t *http, int *rc)
 {
@@ -161,7 +175,8 @@
 	if (http->rc != 0)
 		return (ATTEMPT_INCOMPLETE);
 	if (attempt->streaming &&
-	    event_relay_has_partial(attempt->params.relay)) {
+	    (event_relay_has_partial(attempt->params.relay) ||
+		is_empty_until_close(attempt))) {
 		*rc = -RESULT_BROKEN_ANSWER;
 		return (ATTEMPT_INCOMPLETE);
 	}
@@ -177,8 +192,12 @@
 static bool
 is_disconnected(const attempt_t *attempt, const http_result_t *http)
 {
-	return (http->sent && http->rc == -RESULT_BROKEN_ANSWER &&
-		!attempt->mismatch && !attempt->discarding);
+	bool closed = http->rc == -RESULT_BROKEN_ANSWER ||
+		      (http->rc == 0 && attempt->streaming &&
+			  is_empty_until_close(attempt));
+
+	return (
+	    http->sent && closed && !attempt->mismatch && !attempt->discarding);
 }
 
 /* Logs and records which request the endpoint had not finished. */
--- a/src/event_relay.c
+++ b/src/event_relay.c
@@ -27,9 +27,23 @@
 	return (true);
 }
 
-/* Parses an event. Returns false if it has neither id nor data. */
+/* Returns whether a line stands in an event without meaning anything. */
 static bool
-parse_event(str_t raw, relay_event_t *event)
+is_idle_line(str_t line)
+{
+	str_t value;
+
+	return (line.len == 0 || line.data[0] == ':' ||
+		parse_field(line, STR("event"), &value) ||
+		parse_field(line, STR("retry"), &value));
+}
+
+/*
+ * Parses an event. Returns false if it has neither id nor data; has_text is set
+ * if it then has other lines than a stream may have between its events.
+ */
+static bool
+parse_event(str_t raw, relay_event_t *event, bool *has_text)
 {
 	bool has_data = false;
 	str_t rest = raw;
@@ -37,12 +51,14 @@
 	str_t value;
 
 	*event = (relay_event_t){.raw = raw};
+	*has_text = false;
 	while (str_split(&rest, '\n', &line)) {
 		line = strip_cr(line);
 		if (parse_field(line, STR("id"), &value) &&
 		    str_to_u64(value, &event->id) == 0)
 			event->has_id = true;
 		has_data |= parse_field(line, STR("data"), &value);
+		*has_text |= !is_idle_line(line);
 	}
 	return (event->has_id || has_data);
 }
@@ -59,13 +75,14 @@
 {
 	const char *data = relay->pending.data;
 	relay_event_t event;
+	bool has_text;
 	bool accepted;
 
 	if (!parse_event(
 		(str_t){data + relay->empty_len, len - relay->empty_len},
-		&event)) {
+		&event, &has_text)) {
 		relay->empty_len = len;
-		return (true);
+		return (!has_text || !relay->reject_text);
 	}
 	event.raw = (str_t){data, len};
 	if (event.has_id) {
@@ -85,7 +102,8 @@
 /*
  * Consumes bytes of the stream and delivers the events that they complete.
  * Returns false if an event's id does not follow the previous one, if an event
- * is too long, or if the callback returned false.
+ * is too long, if there is text that is rejected, or if the callback returned
+ * false.
  */
 bool
 event_relay_feed(
--- a/src/forward.c
+++ b/src/forward.c
@@ -299,6 +299,9 @@
 	bool can_fail_over = forward_can_fail_over(&f->state);
 	double now = clock_monotonic();
 
+	/* Only the first endpoint's response is passed on as it is. */
+	f->relay.reject_text = f->state.response_started;
+
 	str_copy(f->endpoint, sizeof(f->endpoint), str_of(endpoint->name));
 	f->attempt = attempt_start(&(attempt_params_t){
 	    .httpc = forwarder->params.httpc,
--- a/src/job_run.c
+++ b/src/job_run.c
@@ -262,6 +262,7 @@
 	item->slot = slot;
 	slot->item = item;
 	slot->runner->slot_requests--;
+	item->relay.reject_text = true;
 	item->started = clock_monotonic();
 	item->state = ITEM_RUNNING;
 	counter_add(item->run->runner->counters.attempts, 1);
--- a/tests/test_event_relay.c
+++ b/tests/test_event_relay.c
@@ -175,6 +175,30 @@
 	event_relay_free(&relay);
 }
 
+/*
+ * Text between the events of a continued stream must be rejected: it is the
+ * error of an endpoint that cannot continue it. Comments and retry fields are
+ * not text.
+ */
+static void
+test_text_is_rejected(void)
+{
+	event_relay_t relay = {.reject_text = true};
+	delivered_t delivered = {0};
+
+	CU_ASSERT(
+	    feed(&relay, ": x\n\nretry: 1\n\nid: 1\ndata: a\n\n", &delivered));
+	CU_ASSERT(feed(&relay, "x-version: 4\nid: 2\ndata: b\n\n", &delivered));
+	CU_ASSERT(delivered.count == 2);
+	CU_ASSERT_FALSE(feed(&relay, "Error: none\n\nid: 3\n\n", &delivered));
+	CU_ASSERT(delivered.count == 2);
+	event_relay_discard_pending(&relay);
+	relay.reject_text = false;
+	CU_ASSERT(feed(&relay, "Error: none\n\n", &delivered));
+	delivered_free(&delivered);
+	event_relay_free(&relay);
+}
+
 static const suite_test_t tests[] = {
     {"empty events are held back", test_empty_events_are_held_back},
     {"empty events are bounded", test_empty_events_are_bounded},
@@ -185,6 +209,7 @@
 	test_resume_discards_the_partial_event},
     {"the size of an event is bounded", test_event_size_is_bounded},
     {"lines of data are joined", test_data_lines_are_joined},
+    {"text is rejected", test_text_is_rejected},
 };
 
 SUITE_MAIN("event_relay", tests)
--- a/tests/test_fail_hostile.c
+++ b/tests/test_fail_hostile.c
@@ -460,6 +460,82 @@
 	}
 }
 
+/*
+ * When a stream has begun and the next endpoint answers with an error, the
+ * caller must not find the error's text in its stream, nor a stream that ends
+ * as if it were complete.
+ */
+static void
+test_errors_after_broken_streams(void)
+{
+	static const hostile_mode_t modes[] = {
+	    HOSTILE_ERROR_500, HOSTILE_ERROR_404, HOSTILE_ERROR_TEXT};
+
+	for (unsigned i = 0; i < sizeof(modes) / sizeof(modes[0]); i++) {
+		heartbeat_t first;
+		heartbeat_t second;
+		hostile_t *breaks;
+		hostile_t *fails;
+		unsigned begun = 0;
+
+		start_fleet(1);
+		breaks = hostile_register(&first, 0, HOSTILE_BREAK, false);
+		fails = hostile_register(&second, 1, modes[i], false);
+		harness_kill(fleet.engines[0]);
+		for (unsigned k = 0; k < 30; k++) {
+			caller_t caller = {.prefix = GATEWAYS_RESUME};
+			const gateways_stream_t *s = &caller.result;
+
+			snprintf(caller.id, sizeof(caller.id), "e%u-%u", i, k);
+			call_once(&caller);
+			begun += s->has_events;
+			CU_ASSERT(!s->has_events || s->begins_right);
+			CU_ASSERT(!s->has_events || !s->whole);
+			harness_sleep(0.1);
+		}
+		CU_ASSERT(hostile_answers(breaks) > 0);
+		CU_ASSERT(hostile_answers(fails) > 0);
+		CU_ASSERT(begun > 0);
+		hostile_stop(&first);
+		hostile_stop(&second);
+		gateways_end(&fleet);
+	}
+}
+
+/*
+ * A response without a length ends with its connection. One that ends inside an
+ * event or without any event was broken off; the rest has to come from another
+ * endpoint.
+ */
+static void
+test_responses_without_length(void)
+{
+	static const hostile_mode_t modes[] = {
+	    HOSTILE_TORN_END, HOSTILE_EMPTY_END};
+
+	for (unsigned i = 0; i < sizeof(modes) / sizeof(modes[0]); i++) {
+		heartbeat_t heartbeat;
+		hostile_t *hostile;
+
+		start_fleet(1);
+		hostile = hostile_register(&heartbeat, i, modes[i], false);
+		for (unsigned k = 0; k < 20; k++) {
+			caller_t caller = {.prefix = k % 2 == 0
+							 ? GATEWAYS_ONCE
+							 : GATEWAYS_RESUME};
+
+			snprintf(caller.id, sizeof(caller.id), "n%u-%u", i, k);
+			call_once(&caller);
+			check_caller(&caller);
+			CU_ASSERT(caller.result.status != 200 ||
+				  caller.result.begins_right);
+		}
+		CU_ASSERT(hostile_answers(hostile) > 0);
+		hostile_stop(&heartbeat);
+		gateways_end(&fleet);
+	}
+}
+
 /*
  * A valid stream with long pauses must not be cut off when the route permits
  * two endpoints and both are slow.
@@ -530,6 +606,8 @@
     {"items leave endless answers", test_items_leave_endless_answers},
     {"second copies of answers", test_second_copies},
     {"old refusals", test_old_refusals},
+    {"errors after broken streams", test_errors_after_broken_streams},
+    {"responses without length", test_responses_without_length},
     {"slow streams are not cut", test_slow_streams_are_not_cut},
 };
 
