Obey endpoints that say in their responses that they leave

Hosts learned that an endpoint leaves only from its entry in the store, so with the store away, slow or rewound they went on sending requests to it. Now any response with the header marks the endpoint at that host; the mark lasts until an entry of a newer start. It is checked before each send, for online requests and items, and reported to the admitting host, which stops choosing the endpoint. A request whose grants were declined too often is refused as not run; before, it was sent to the unusable endpoint.

--- a/src/attempt.c
+++ b/src/attempt.c
@@ -77,6 +77,20 @@
 		http_call_header(attempt->call, "Content-Encoding") == NULL);
 }
 
+/* Any response tells whether its endpoint leaves, even one to be discarded. */
+static void
+report_leaving(attempt_t *attempt)
+{
+	const attempt_params_t *params = &attempt->params;
+	const char *value =
+	    http_call_header(attempt->call, params->dialect->leaving_header);
+
+	if (value != NULL && strcmp(value, "1") == 0 &&
+	    params->on_leaving != NULL)
+		params->on_leaving(params->ctx, params->endpoint,
+		    attempt->status == STATUS_MISDIRECTED_REQUEST);
+}
+
 static bool
 on_head(void *ctx, int status)
 {
@@ -84,6 +98,7 @@
 	const attempt_params_t *params = &attempt->params;
 
 	attempt->status = status;
+	report_leaving(attempt);
 	attempt->mismatch = !request_id_matches(attempt);
 	if (attempt->mismatch)
 		return (false);
--- a/src/attempt.h
+++ b/src/attempt.h
@@ -46,6 +46,12 @@
 	/* Splits responses with status 200 into events; NULL: no streaming. */
 	event_relay_t *relay;
 	relay_event_cb_t on_event;
+	/*
+	 * The endpoint says that it leaves; if misdirected, it is another one
+	 * that has taken over its address.
+	 */
+	void (*on_leaving)(
+	    void *ctx, const grant_endpoint_t *endpoint, bool misdirected);
 	/* The response is valid so far; its headers can be read. */
 	void (*on_head)(void *ctx, attempt_t *attempt, int status);
 	void (*on_done)(void *ctx, const attempt_result_t *result);
--- a/src/dialect.h
+++ b/src/dialect.h
@@ -45,6 +45,7 @@
 	const char *caller_timeout_header; /* milliseconds */
 	const char *endpoint_id_header;
 	const char *not_run_header;
+	const char *leaving_header;   /* "1": the endpoint will end soon */
 	const char *signature_header; /* on complete endpoint responses */
 	const char *resume_header;    /* number of the last event received */
 	const char *prompt_header;    /* parts of the prompt */
--- a/src/endpoint_set.c
+++ b/src/endpoint_set.c
@@ -6,6 +6,7 @@
 #include <string.h>
 #include <sys/queue.h>
 
+#include "leaving_marks.h"
 #include "logger.h"
 
 /*
@@ -49,6 +50,7 @@
 struct endpoint_set_t {
 	LIST_HEAD(, known_endpoint_t) endpoints;
 	LIST_HEAD(, known_endpoint_t) buckets[ENDPOINT_BUCKETS]; /* by id */
+	leaving_marks_t *leaving_marks;
 	double first_loaded_at;	      /* infinite: not loaded yet */
 	bool connected;		      /* to the store */
 	double connection_changed_at; /* last loss or return of the store */
@@ -60,6 +62,7 @@
 	endpoint_set_t *set = xcalloc(1, sizeof(*set));
 
 	LIST_INIT(&set->endpoints);
+	set->leaving_marks = leaving_marks_new();
 	set->connected = true;
 	set->connection_changed_at = -INFINITY;
 	set->first_loaded_at = -INFINITY;
@@ -79,6 +82,7 @@
 {
 	while (!LIST_EMPTY(&set->endpoints))
 		endpoint_free(LIST_FIRST(&set->endpoints));
+	leaving_marks_delete(set->leaving_marks);
 	free(set);
 }
 
@@ -133,6 +137,12 @@
 		LOG_INFO("endpoint_draining", "endpoint=%s pool=%s", entry->id,
 		    entry->pool);
 	}
+	if (leaving_marks_entry_written(set->leaving_marks, str_of(entry->id),
+		entry->started_ms, entry->draining)) {
+		LOG_INFO("endpoint_returned", "endpoint=%s started_ms=%llu",
+		    entry->id, (unsigned long long)entry->started_ms);
+		changed = true;
+	}
 	endpoint->entry = *entry;
 	endpoint->seen = true;
 	endpoint->removed = false;
@@ -194,6 +204,7 @@
 		return (false);
 	endpoint->removed = true;
 	endpoint->removed_at = now;
+	leaving_marks_entry_removed(set->leaving_marks, id);
 	return (true);
 }
 
@@ -262,6 +273,49 @@
 	return (changed);
 }
 
+/*
+ * Records that an endpoint said itself that it leaves. started_ms is the start
+ * that said so; 0 stands for the one that is known here. Returns false if it
+ * was recorded before.
+ */
+bool
+endpoint_set_mark_leaving(endpoint_set_t *set, str_t id, uint64_t started_ms)
+{
+	const known_endpoint_t *endpoint = find_endpoint(set, id);
+
+	if (started_ms == 0 && endpoint != NULL)
+		started_ms = endpoint->entry.started_ms;
+	/* A late report on an earlier start. */
+	if (endpoint != NULL && endpoint->entry.started_ms > started_ms)
+		return (false);
+	return (leaving_marks_add(set->leaving_marks, id, started_ms));
+}
+
+/* Returns the entry of another endpoint at the same address, or NULL. */
+const endpoint_entry_t *
+endpoint_set_find_address(
+    const endpoint_set_t *set, const char *address, str_t other_than)
+{
+	const known_endpoint_t *endpoint;
+
+	LIST_FOREACH (endpoint, &set->endpoints, link)
+		if (!endpoint->removed &&
+		    strcmp(endpoint->entry.address, address) == 0 &&
+		    !str_equal(str_of(endpoint->entry.id), other_than))
+			return (&endpoint->entry);
+	return (NULL);
+}
+
+/* Returns whether an endpoint leaves, by its own word or by its entry. */
+bool
+endpoint_set_is_leaving(const endpoint_set_t *set, str_t id)
+{
+	const known_endpoint_t *endpoint = find_endpoint(set, id);
+
+	return (leaving_marks_has(set->leaving_marks, id) ||
+		(endpoint != NULL && endpoint->entry.draining));
+}
+
 /* Returns the number of endpoints in any state, including removed ones. */
 size_t
 endpoint_set_count(const endpoint_set_t *set)
@@ -294,6 +348,8 @@
 {
 	const known_endpoint_t *endpoint = find_endpoint(set, id);
 
+	if (leaving_marks_has(set->leaving_marks, id))
+		return (false);
 	if (endpoint == NULL)
 		return (!set->connected ||
 			now - set->connection_changed_at < REREGISTER_GRACE_S ||
--- a/src/endpoint_set.h
+++ b/src/endpoint_set.h
@@ -30,6 +30,12 @@
     endpoint_set_t *set, bool connected, double now);
 bool endpoint_set_tick(endpoint_set_t *set, double now);
 
+/* Records that an endpoint said itself that it leaves. */
+bool endpoint_set_mark_leaving(
+    endpoint_set_t *set, str_t id, uint64_t started_ms);
+const endpoint_entry_t *endpoint_set_find_address(
+    const endpoint_set_t *set, const char *address, str_t other_than);
+bool endpoint_set_is_leaving(const endpoint_set_t *set, str_t id);
 size_t endpoint_set_count(const endpoint_set_t *set);
 const endpoint_entry_t *endpoint_set_find(const endpoint_set_t *set, str_t id);
 bool endpoint_set_usable(const endpoint_set_t *set, str_t id, double now);
--- a/src/forward.c
+++ b/src/forward.c
@@ -174,6 +174,15 @@
 	attempt_each_header(attempt, copy_response_header, f->request);
 }
 
+static void
+on_leaving(void *ctx, const grant_endpoint_t *endpoint, bool misdirected)
+{
+	const forward_t *f = ctx;
+	const forwarder_params_t *params = &f->forwarder->params;
+
+	params->endpoint_says_leaving(params->ctx, endpoint, misdirected);
+}
+
 static bool
 on_event(void *ctx, const relay_event_t *event)
 {
@@ -325,6 +334,7 @@
 	    .event_timeout = can_fail_over ? EVENT_TIMEOUT_S : 0,
 	    .relay = stream ? &f->relay : NULL,
 	    .on_event = on_event,
+	    .on_leaving = on_leaving,
 	    .on_head = on_head,
 	    .on_done = on_attempt_done,
 	    .ctx = f,
@@ -378,7 +388,10 @@
 	str_copy(f->endpoint, sizeof(f->endpoint), str_of(endpoint->name));
 	f->state.unavailable++;
 	forward_release_grant(f, &result);
-	forward_request_grant(f);
+	if (f->state.unavailable >= FORWARD_MAX_UNAVAILABLE)
+		forward_terminate(f, -RESULT_NO_ENDPOINT, 1);
+	else
+		forward_request_grant(f);
 }
 
 static void
@@ -387,8 +400,7 @@
 	forward_t *f = ctx;
 	const forwarder_params_t *params = &f->forwarder->params;
 
-	if (rc == 0 && !params->endpoint_usable(params->ctx, endpoint->name) &&
-	    f->state.unavailable < FORWARD_MAX_UNAVAILABLE) {
+	if (rc == 0 && !params->endpoint_usable(params->ctx, endpoint->name)) {
 		forward_decline_grant(f, endpoint);
 		return;
 	}
--- a/src/forward.h
+++ b/src/forward.h
@@ -17,6 +17,9 @@
 	const dialect_t *dialect;
 	/* Returns whether this host may send to a granted endpoint. */
 	bool (*endpoint_usable)(void *ctx, const char *endpoint);
+	/* An endpoint says that it leaves; see attempt_params_t. */
+	void (*endpoint_says_leaving)(
+	    void *ctx, const grant_endpoint_t *endpoint, bool misdirected);
 	void *ctx;
 } forwarder_params_t;
 
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -49,16 +49,78 @@
 	if (gateway->endpoints == NULL)
 		return (false);
 	entry = endpoint_set_find(gateway->endpoints, str_of(endpoint->name));
-	return (entry == NULL || entry->draining);
+	return (entry == NULL || endpoint_set_is_leaving(gateway->endpoints,
+				     str_of(endpoint->name)));
+}
+
+/* Returns when an endpoint started by its entry, or 0 if that is unknown. */
+static uint64_t
+endpoint_started_ms(const gateway_t *gateway, const char *endpoint)
+{
+	const endpoint_entry_t *entry =
+	    endpoint_set_find(gateway->endpoints, str_of(endpoint));
+
+	return (entry != NULL ? entry->started_ms : 0);
 }
 
 static bool
 is_endpoint_usable(void *ctx, const char *endpoint)
 {
 	const gateway_t *gateway = ctx;
+	bool usable = endpoint_set_usable(
+	    gateway->endpoints, str_of(endpoint), clock_monotonic());
+
+	/* The host that chose it may have begun to admit only now. */
+	if (!usable &&
+	    endpoint_set_is_leaving(gateway->endpoints, str_of(endpoint)))
+		grants_report_leaving(gateway->grants, endpoint,
+		    endpoint_started_ms(gateway, endpoint));
+	return (usable);
+}
+
+/*
+ * Records that an endpoint said that it leaves. Returns false if it was known.
+ */
+static bool
+record_leaving(
+    gateway_t *gateway, str_t endpoint, uint64_t started_ms, const char *source)
+{
+	if (!endpoint_set_mark_leaving(
+		gateway->endpoints, endpoint, started_ms))
+		return (false);
+	LOG_INFO("endpoint_says_leaving",
+	    "endpoint=" STR_FMT " started_ms=%llu source=%s", STR_ARG(endpoint),
+	    (unsigned long long)started_ms, source);
+	counter_add(gateway->leaving_endpoints, 1);
+	grants_fleet_changed(gateway->grants);
+	return (true);
+}
+
+static void
+on_endpoint_says_leaving(
+    void *ctx, const grant_endpoint_t *endpoint, bool misdirected)
+{
+	gateway_t *gateway = ctx;
+	const char *id = endpoint->name;
+	const endpoint_entry_t *entry;
 
-	return (endpoint_set_usable(
-	    gateway->endpoints, str_of(endpoint), clock_monotonic()));
+	if (misdirected) {
+		entry = endpoint_set_find_address(
+		    gateway->endpoints, endpoint->address, str_of(id));
+		if (entry == NULL)
+			return;
+		id = entry->id;
+	}
+	if (record_leaving(gateway, str_of(id),
+		endpoint_started_ms(gateway, id), "response"))
+		grants_report_leaving(
+		    gateway->grants, id, endpoint_started_ms(gateway, id));
+}
+
+static void
+on_reported_leaving(void *ctx, str_t endpoint, uint64_t started_ms)
+{
+	(void)record_leaving(ctx, endpoint, started_ms, "host");
 }
 
 /* Recomputes readiness and publishes it when it changes. */
@@ -216,6 +278,7 @@
 	    .config = get_fleet_config,
 	    .members = get_members,
 	    .endpoint_leaving = is_endpoint_leaving,
+	    .on_endpoint_leaving = on_reported_leaving,
 	    .ctx = gateway,
 	});
 	return (0);
@@ -276,6 +339,7 @@
 	    .quarantine = gateway->quarantine,
 	    .dialect = gateway->params.dialect,
 	    .endpoint_usable = is_endpoint_usable,
+	    .endpoint_says_leaving = on_endpoint_says_leaving,
 	    .ctx = gateway,
 	});
 	return (0);
@@ -314,6 +378,7 @@
 	    .members = get_members,
 	    .routes = get_routing_table,
 	    .endpoint_usable = is_endpoint_usable,
+	    .endpoint_says_leaving = on_endpoint_says_leaving,
 	    .ctx = gateway,
 	});
 	return (0);
@@ -406,6 +471,9 @@
 
 	gateway->params = *params;
 	TAILQ_INIT(&gateway->waiting_requests);
+	gateway->leaving_endpoints =
+	    counter_get("daisypier_endpoints_leaving_total",
+		"Endpoints that said in a response that they leave");
 	gateway->supervisor = supervisor_new(params->loop);
 	for (size_t i = 0; i < sizeof(components) / sizeof(components[0]); i++)
 		supervisor_add(gateway->supervisor, &components[i], gateway);
--- a/src/gateway_state.h
+++ b/src/gateway_state.h
@@ -4,6 +4,7 @@
 
 #include <sys/queue.h>
 
+#include "counter.h"
 #include "endpoint_set.h"
 #include "follower.h"
 #include "forward.h"
@@ -41,6 +42,7 @@
 	LIST_HEAD(, listed_host_t) listed_hosts;
 	routing_table_t *table; /* NULL until the first one is read */
 	endpoint_set_t *endpoints;
+	counter_t *leaving_endpoints; /* that said so */
 	/* Built from routes and endpoints, for admission; NULL before both. */
 	fleet_config_t *fleet_config;
 	store_call_t *announce_call;
--- a/src/grants.c
+++ b/src/grants.c
@@ -600,6 +600,7 @@
 	ev_timer_start(params->loop, &grants->report_timer);
 	if (params->mode == GRANTS_POOL)
 		grants_admit_start(grants);
+	grants_leaving_start(grants);
 	peer_set_handler(params->peer, PEER_GRANT, on_peer_grant, grants);
 	peer_set_handler(
 	    params->peer, PEER_GRANT_REVOKE, on_peer_revoke, grants);
@@ -612,6 +613,7 @@
 {
 	grants_pool_t *pool;
 
+	grants_leaving_stop(grants);
 	peer_set_handler(grants->params.peer, PEER_GRANT, NULL, NULL);
 	peer_set_handler(grants->params.peer, PEER_GRANT_REVOKE, NULL, NULL);
 	grants_admit_stop(grants);
--- a/src/grants.h
+++ b/src/grants.h
@@ -77,6 +77,9 @@
 	size_t (*members)(void *ctx, const member_t **out);
 	/* Returns whether the platform lists the endpoint as leaving. */
 	bool (*endpoint_leaving)(void *ctx, const config_endpoint_t *endpoint);
+	/* Another host reports that an endpoint said that it leaves. */
+	void (*on_endpoint_leaving)(
+	    void *ctx, str_t endpoint, uint64_t started_ms);
 	void *ctx;
 } grants_params_t;
 
@@ -87,6 +90,9 @@
 void grants_delete(grants_t *grants);
 /* Call after a change of members, configuration or leaving endpoints. */
 void grants_fleet_changed(grants_t *grants);
+/* Tells the admitting hosts of an endpoint that said that it leaves. */
+void grants_report_leaving(
+    grants_t *grants, const char *endpoint, uint64_t started_ms);
 size_t grants_open_count(const grants_t *grants);
 bool grants_stats(
     const grants_t *grants, const char *pool, struct admission_stats_t *out);
--- a/src/grants_state.h
+++ b/src/grants_state.h
@@ -123,6 +123,10 @@
 void pool_report(grants_pool_t *pool, double now);
 void pool_admitting_host_changed(grants_pool_t *pool, double now);
 
+/* grants_leaving.c */
+void grants_leaving_start(grants_t *grants);
+void grants_leaving_stop(grants_t *grants);
+
 /* grants_admit.c: the admitting side */
 void grants_admit_start(grants_t *grants);
 void grants_admit_stop(grants_t *grants);
--- a/src/grants_wire.c
+++ b/src/grants_wire.c
@@ -161,6 +161,30 @@
 	return (!reader.fault);
 }
 
+/* ENDPOINT_LEAVING; started_ms is 0 if unknown. */
+void
+grants_pack_leaving(buf_t *out, const char *endpoint, uint64_t started_ms)
+{
+	msgpack_packer packer;
+
+	wire_packer_init(&packer, out);
+	msgpack_pack_array(&packer, 2);
+	wire_pack_str(&packer, str_of(endpoint));
+	msgpack_pack_uint64(&packer, started_ms);
+}
+
+/* Returns false when the message is malformed. */
+bool
+grants_read_leaving(
+    const msgpack_object *body, str_t *endpoint, uint64_t *started_ms)
+{
+	wire_reader_t reader = wire_reader(body);
+
+	*endpoint = wire_read_str(&reader);
+	*started_ms = wire_read_u64(&reader);
+	return (!reader.fault && endpoint->len > 0);
+}
+
 /* GRANT_REPORT: all requests and grants of this host for a pool. */
 void
 grants_pack_held(buf_t *out, const grants_pool_t *pool)
--- a/src/grants_wire.h
+++ b/src/grants_wire.h
@@ -38,6 +38,9 @@
     const msgpack_object *body, bool *queued, grants_message_t *out);
 void grants_pack_revoke(buf_t *out, uint64_t id);
 bool grants_read_revoke(const msgpack_object *body, uint64_t *id);
+void grants_pack_leaving(buf_t *out, const char *endpoint, uint64_t started_ms);
+bool grants_read_leaving(
+    const msgpack_object *body, str_t *endpoint, uint64_t *started_ms);
 void grants_pack_held(buf_t *out, const grants_pool_t *pool);
 size_t grants_read_held(const msgpack_object *body, grants_message_t *head,
     admission_held_grant_t **out);
--- a/src/job_run.c
+++ b/src/job_run.c
@@ -108,6 +108,15 @@
 		(tokens > 0 && item->events > tokens));
 }
 
+static void
+on_leaving(void *ctx, const grant_endpoint_t *endpoint, bool misdirected)
+{
+	const item_run_t *item = ctx;
+	const job_runner_params_t *params = &item->run->runner->params;
+
+	params->endpoint_says_leaving(params->ctx, endpoint, misdirected);
+}
+
 static bool
 on_event(void *ctx, const relay_event_t *event)
 {
@@ -285,6 +294,7 @@
 	    .event_timeout = EVENT_TIMEOUT_S,
 	    .relay = &item->relay,
 	    .on_event = on_event,
+	    .on_leaving = on_leaving,
 	    .on_done = on_attempt_done,
 	    .ctx = item,
 	});
--- a/src/job_run.h
+++ b/src/job_run.h
@@ -27,7 +27,10 @@
 	void *finished_ctx; /* of on_finished() */
 	/* Whether this host may send requests to a granted endpoint. */
 	bool (*endpoint_usable)(void *ctx, const char *endpoint);
-	void *ctx; /* of routes() and endpoint_usable() */
+	/* An endpoint says that it leaves; see attempt_params_t. */
+	void (*endpoint_says_leaving)(
+	    void *ctx, const grant_endpoint_t *endpoint, bool misdirected);
+	void *ctx; /* of routes() and the callbacks about endpoints */
 } job_runner_params_t;
 
 job_runner_t *job_runner_new(const job_runner_params_t *params);
--- a/src/jobs.c
+++ b/src/jobs.c
@@ -112,6 +112,16 @@
 	return (jobs->params.endpoint_usable(jobs->params.ctx, endpoint));
 }
 
+static void
+endpoint_says_leaving(
+    void *ctx, const grant_endpoint_t *endpoint, bool misdirected)
+{
+	const jobs_t *jobs = ctx;
+
+	jobs->params.endpoint_says_leaving(
+	    jobs->params.ctx, endpoint, misdirected);
+}
+
 static void
 partition_open(jobs_t *jobs, unsigned partition)
 {
@@ -134,6 +144,7 @@
 			.dialect = params->dialect,
 			.routes = current_routes,
 			.endpoint_usable = endpoint_usable,
+			.endpoint_says_leaving = endpoint_says_leaving,
 			.ctx = jobs,
 		    },
 	    });
--- a/src/jobs.h
+++ b/src/jobs.h
@@ -29,6 +29,9 @@
 	routing_table_t *(*routes)(void *ctx);
 	/* Whether this host may send requests to a granted endpoint. */
 	bool (*endpoint_usable)(void *ctx, const char *endpoint);
+	/* An endpoint says that it leaves; see attempt_params_t. */
+	void (*endpoint_says_leaving)(
+	    void *ctx, const grant_endpoint_t *endpoint, bool misdirected);
 	void *ctx;
 } jobs_params_t;
 
--- /dev/null
+++ b/tests/test_fail_leaving.c
@@ -0,0 +1,231 @@
+/* Process tests: endpoints that say in their responses that they leave. */
+#include "suite.h"
+
+#include <stdio.h>
+
+#include <jansson.h>
+
+#include "clock.h"
+#include "harness_gateways.h"
+
+#define HOSTS  3
+#define EVENTS 4
+/* The stated target: the word is obeyed after this time. */
+#define DRAIN_S	  2.0
+#define TIMEOUT_S 5.0
+/* A refusal that is known at once comes much sooner than the timeout. */
+#define AT_ONCE_S 1.0
+
+static gateways_t fleet;
+static unsigned calls;
+
+/* Returns how many requests an engine has run. */
+static unsigned
+run_count(unsigned engine)
+{
+	buf_t body = {0};
+	json_t *root;
+	unsigned count;
+
+	harness_get(&body, "http://%s/admin/runs",
+	    harness_address(fleet.engines[engine]));
+	root = json_loadb(body.data, body.len, 0, NULL);
+	count = (unsigned)json_object_size(root);
+	json_decref(root);
+	buf_free(&body);
+	return (count);
+}
+
+/* Calls a host and returns whether the stream was right. */
+static bool
+call_host(unsigned host)
+{
+	char id[32];
+
+	snprintf(id, sizeof(id), "l%u", calls++);
+	return (
+	    gateways_stream(&fleet, host, GATEWAYS_ONCE, id, EVENTS, TIMEOUT_S)
+		.right);
+}
+
+/* Calls hosts until each has passed on responses of all engines. */
+static void
+call_all_hosts(unsigned first_host)
+{
+	for (unsigned i = 0; i < 12 * HOSTS; i++)
+		if (i % HOSTS >= first_host)
+			(void)call_host(i % HOSTS);
+}
+
+/* Checks that no host sends requests to engine 0, and that all are served. */
+static void
+check_engine_unused(unsigned first_host)
+{
+	unsigned before;
+	unsigned right = 0;
+	unsigned sent = 0;
+
+	harness_sleep(DRAIN_S);
+	before = run_count(0);
+	for (unsigned i = 0; i < 12 * HOSTS; i++) {
+		if (i % HOSTS < first_host)
+			continue;
+		right += call_host(i % HOSTS);
+		sent++;
+	}
+	CU_ASSERT(run_count(0) == before);
+	CU_ASSERT(right == sent);
+}
+
+static void
+start_fleet(void)
+{
+	gateways_start(&fleet, &(gateways_params_t){.hosts = HOSTS});
+}
+
+/* The word must be obeyed though the store says nothing of it. */
+static void
+test_word_without_store(void)
+{
+	start_fleet();
+	gateways_store_faults(&fleet, "silent=1");
+	gateways_engine_faults(&fleet, 0, "leaving=1");
+	call_all_hosts(0);
+	check_engine_unused(0);
+	gateways_end(&fleet);
+}
+
+/* A refusal carries the word as well as a response does. */
+static void
+test_word_in_refusal(void)
+{
+	start_fleet();
+	gateways_engine_faults(&fleet, 0, "leaving=1&shed=1");
+	call_all_hosts(0);
+	gateways_engine_faults(&fleet, 0, "");
+	check_engine_unused(0);
+	CU_ASSERT(run_count(0) == 0);
+	gateways_end(&fleet);
+}
+
+/* Hosts must obey it when the host that admits is frozen, whichever it is. */
+static void
+test_word_without_admitting_host(void)
+{
+	for (unsigned frozen = 0; frozen < HOSTS; frozen++) {
+		unsigned before;
+
+		start_fleet();
+		gateways_engine_faults(&fleet, 0, "leaving=1");
+		call_all_hosts(0);
+		harness_stop(fleet.hosts[frozen]);
+		gateways_store_faults(&fleet, "silent=1");
+		harness_sleep(DRAIN_S);
+		before = run_count(0);
+		for (unsigned i = 0; i < 8 * HOSTS; i++)
+			if (i % HOSTS != frozen)
+				CU_ASSERT(call_host(i % HOSTS));
+		CU_ASSERT(run_count(0) == before);
+		harness_continue(fleet.hosts[frozen]);
+		gateways_end(&fleet);
+	}
+}
+
+/*
+ * The word of one host must reach the one that admits, so that not every host
+ * has to send a request to the endpoint first.
+ */
+static void
+test_word_reaches_admitting_host(void)
+{
+	for (unsigned first = 0; first < HOSTS; first++) {
+		unsigned before;
+
+		start_fleet();
+		gateways_engine_faults(&fleet, 0, "leaving=1");
+		gateways_store_faults(&fleet, "silent=1");
+		/* The other engine refuses, so engine 0 gets the requests. */
+		gateways_engine_faults(&fleet, 1, "shed=1");
+		for (unsigned i = 0; i < 6; i++)
+			(void)call_host(first);
+		gateways_engine_faults(&fleet, 1, "");
+		harness_sleep(DRAIN_S);
+		before = run_count(0);
+		for (unsigned i = 0; i < 12 * HOSTS; i++)
+			CU_ASSERT(call_host(i % HOSTS));
+		CU_ASSERT(before > 0);
+		CU_ASSERT(run_count(0) == before);
+		gateways_end(&fleet);
+	}
+}
+
+/* Callers must be refused at once if all endpoints say that they leave. */
+static void
+test_all_endpoints_leave(void)
+{
+	gateways_stream_t s;
+	double started_at;
+
+	start_fleet();
+	for (unsigned i = 0; i < 2; i++)
+		gateways_engine_faults(&fleet, i, "leaving=1");
+	call_all_hosts(0);
+	harness_sleep(DRAIN_S);
+	for (unsigned i = 0; i < HOSTS; i++) {
+		char id[32];
+
+		snprintf(id, sizeof(id), "none%u", i);
+		started_at = clock_monotonic();
+		s = gateways_stream(
+		    &fleet, i, GATEWAYS_ONCE, id, EVENTS, TIMEOUT_S);
+		CU_ASSERT(s.status == 503);
+		CU_ASSERT(clock_monotonic() - started_at < AT_ONCE_S);
+		CU_ASSERT(gateways_runs(&fleet, id).runs == 0);
+	}
+	gateways_end(&fleet);
+}
+
+/* The next start at the same address must be used again. */
+static void
+test_next_start_is_used(void)
+{
+	start_fleet();
+	gateways_engine_faults(&fleet, 0, "leaving=1");
+	call_all_hosts(0);
+	harness_kill(fleet.engines[0]);
+	gateways_start_engine(&fleet, 0);
+	harness_sleep(3);
+	call_all_hosts(0);
+	CU_ASSERT(run_count(0) > 0);
+	gateways_end(&fleet);
+}
+
+/* Items must not start at an endpoint that said to an online request it leaves.
+ */
+static void
+test_items_obey_word(void)
+{
+	unsigned before;
+
+	start_fleet();
+	gateways_engine_faults(&fleet, 0, "leaving=1");
+	call_all_hosts(0);
+	harness_sleep(DRAIN_S);
+	before = run_count(0);
+	CU_ASSERT(gateways_submit(&fleet, 0, "job-l", 12, EVENTS) == 202);
+	CU_ASSERT(gateways_wait_job(&fleet, "job-l", 12, EVENTS, 30));
+	CU_ASSERT(run_count(0) == before);
+	gateways_end(&fleet);
+}
+
+static const suite_test_t tests[] = {
+    {"word without the store", test_word_without_store},
+    {"word in a refusal", test_word_in_refusal},
+    {"word without the admitting host", test_word_without_admitting_host},
+    {"word reaches the admitting host", test_word_reaches_admitting_host},
+    {"all endpoints leave", test_all_endpoints_leave},
+    {"the next start is used", test_next_start_is_used},
+    {"items obey the word", test_items_obey_word},
+};
+
+SUITE_MAIN("fail_leaving", tests)
