--- a/src/forward.c
+++ b/src/forward.c
@@ -10,7 +10,7 @@
 
 #include "attempt.h"
 #include "clock.h"
-#include "counter.h"
+#include "forward_counters.h"
 #include "forward_plan.h"
 #include "logger.h"
 #include "result.h"
@@ -26,20 +26,6 @@
 /* Limit for the bytes of a stream that the caller has not read yet. */
 #define MAX_BACKLOG_BYTES (512U << 10)
 
-typedef struct forward_counters_t {
-	counter_t *requests;
-	counter_t *retries;
-	counter_t *resumed;
-	counter_t *refused;
-	counter_t *failed;
-	counter_t *aborted;
-	counter_t *callers_disconnected;
-	counter_t *timeouts;
-	histogram_t *admission;
-	histogram_t *first_event;
-	histogram_t *total;
-} forward_counters_t;
-
 struct forwarder_t {
 	forwarder_params_t params;
 	LIST_HEAD(, forward_t) forwards;
@@ -588,36 +574,6 @@
 	return (forwarder->open_count);
 }
 
-static void
-counters_init(forward_counters_t *counters)
-{
-	counters->requests = counter_get(
-	    "daisypier_forward_requests_total", "Online requests with a route");
-	counters->retries = counter_get("daisypier_forward_retries_total",
-	    "Attempts after the first one of a request");
-	counters->resumed = counter_get("daisypier_forward_resumed_total",
-	    "Streams that went on at another endpoint");
-	counters->refused = counter_get("daisypier_forward_refused_total",
-	    "Requests that were answered as not run");
-	counters->failed = counter_get("daisypier_forward_failed_total",
-	    "Requests that failed and may have run");
-	counters->aborted = counter_get("daisypier_forward_broken_off_total",
-	    "Streams that ended before their last event");
-	counters->callers_disconnected =
-	    counter_get("daisypier_forward_callers_gone_total",
-		"Requests whose caller left before the answer");
-	counters->timeouts = counter_get("daisypier_forward_timeouts_total",
-	    "Requests that ran out of time");
-	counters->admission =
-	    histogram_get("daisypier_forward_admission_seconds",
-		"Time until a request got a slot");
-	counters->first_event =
-	    histogram_get("daisypier_forward_first_event_seconds",
-		"Time until the first event of an answer");
-	counters->total = histogram_get("daisypier_forward_total_seconds",
-	    "Time until a request was finished");
-}
-
 forwarder_t *
 forwarder_new(const forwarder_params_t *params)
 {
@@ -627,7 +583,7 @@
 	LIST_INIT(&forwarder->forwards);
 	ev_timer_init(&forwarder->drain_timer, on_drain_queue, 0, 0);
 	forwarder->drain_timer.data = forwarder;
-	counters_init(&forwarder->counters);
+	forward_counters_init(&forwarder->counters);
 	return (forwarder);
 }
 
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -55,8 +55,9 @@
 
 /* Returns when an endpoint started by its entry, or 0 if that is unknown. */
 static uint64_t
-endpoint_started_ms(const gateway_t *gateway, const char *endpoint)
+get_endpoint_started_ms(void *ctx, const char *endpoint)
 {
+	const gateway_t *gateway = ctx;
 	const endpoint_entry_t *entry =
 	    endpoint_set_find(gateway->endpoints, str_of(endpoint));
 
@@ -66,7 +67,7 @@
 static bool
 is_endpoint_usable(void *ctx, const char *endpoint)
 {
-	const gateway_t *gateway = ctx;
+	gateway_t *gateway = ctx;
 	bool usable = endpoint_set_usable(
 	    gateway->endpoints, str_of(endpoint), clock_monotonic());
 
@@ -74,7 +75,7 @@
 	if (!usable &&
 	    endpoint_set_is_leaving(gateway->endpoints, str_of(endpoint)))
 		grants_report_leaving(gateway->grants, endpoint,
-		    endpoint_started_ms(gateway, endpoint));
+		    get_endpoint_started_ms(gateway, endpoint));
 	return (usable);
 }
 
@@ -112,9 +113,9 @@
 		id = entry->id;
 	}
 	if (record_leaving(gateway, str_of(id),
-		endpoint_started_ms(gateway, id), "response"))
+		get_endpoint_started_ms(gateway, id), "response"))
 		grants_report_leaving(
-		    gateway->grants, id, endpoint_started_ms(gateway, id));
+		    gateway->grants, id, get_endpoint_started_ms(gateway, id));
 }
 
 static void
@@ -312,6 +313,7 @@
 	    .peer = gateway->peer,
 	    .host = gateway->params.settings->name,
 	    .members = get_members,
+	    .endpoint_started_ms = get_endpoint_started_ms,
 	    .on_held = on_part_held,
 	    .ctx = gateway,
 	});
--- a/src/quarantine.h
+++ b/src/quarantine.h
@@ -6,33 +6,10 @@
 #define DAISYPIER_QUARANTINE_H
 
 #include "prompt_parts.h"
-
-#define QUARANTINE_MAX_CRASHES 16 /* kept of a part; the newest ones */
+#include "quarantine_record.h"
 
 typedef struct quarantine_t quarantine_t;
 
-/* An endpoint closed its connections before it answered a request. */
-typedef struct quarantine_crash_t {
-	uint64_t endpoint; /* hash of its name */
-	double at;
-	bool refuted; /* the endpoint has answered since */
-} quarantine_crash_t;
-
-/*
- * What the hosts know of one part. Records of the same part are merged, so that
- * hosts agree once each has seen the records of the others. Times are on the
- * clock of this host, in seconds; 0 stands for never.
- */
-typedef struct quarantine_record_t {
-	uint64_t part;
-	double answered_at; /* start of the last answer on the part */
-	double held_since;  /* last crash; held back unless answered since */
-	double trial_at;    /* last request that was let through */
-	unsigned trials;    /* since held_since */
-	size_t crash_count;
-	quarantine_crash_t crashes[QUARANTINE_MAX_CRASHES]; /* by time */
-} quarantine_record_t;
-
 typedef struct quarantine_stats_t {
 	size_t records;
 	size_t held;
--- a/src/quarantine_net.c
+++ b/src/quarantine_net.c
@@ -22,6 +22,12 @@
 #define FLUSH_DELAY_S	    0.003
 #define EXCHANGE_INTERVAL_S 1.0
 #define EXCHANGE_TIMEOUT_S  1.0
+/*
+ * A host that stood still for longer ignores the messages that have waited for
+ * it, because the ages in them are no longer right.
+ */
+#define MAX_STALL_S	  0.5
+#define IGNORE_MESSAGES_S 0.2
 /*
  * Bounds what this host sends without being asked: a burst, and a rate at
  * which more may follow. News over the limit wait for the next exchange.
@@ -39,6 +45,8 @@
 	ev_timer judge_timer;
 	ev_timer exchange_timer;
 	peer_call_t *exchange_call;
+	double exchanged_at;   /* last run of exchange_timer */
+	double ignoring_until; /* messages that waited while this host stood */
 	counter_t *crashes;
 	counter_t *trials;
 	counter_t *bytes;
@@ -190,13 +198,24 @@
 	return (message.wants_reply);
 }
 
+/* Returns whether received messages may have waited for long. */
+static bool
+is_stalled(const quarantine_net_t *net)
+{
+	double now = clock_monotonic();
+
+	return (now < net->ignoring_until ||
+		now - net->exchanged_at > EXCHANGE_INTERVAL_S + MAX_STALL_S);
+}
+
 static void
 on_peer_message(void *ctx, peer_request_t *request, const msgpack_object *body)
 {
 	quarantine_net_t *net = ctx;
 	buf_t reply = {0};
 
-	if (merge_message(net, peer_request_address(request), body))
+	if (!is_stalled(net) &&
+	    merge_message(net, peer_request_address(request), body))
 		pack_newest(net, false, &reply);
 	peer_request_reply(request, 0, str_buf(&reply));
 	buf_free(&reply);
@@ -209,7 +228,7 @@
 
 	net->exchange_call = NULL;
 	/* Hosts of earlier versions do not know the message. */
-	if (reply->rc == 0 && reply->body != NULL)
+	if (reply->rc == 0 && reply->body != NULL && !is_stalled(net))
 		(void)merge_message(net, "exchange", reply->body);
 }
 
@@ -223,6 +242,9 @@
 
 	(void)loop;
 	(void)events;
+	if (is_stalled(net))
+		net->ignoring_until = clock_monotonic() + IGNORE_MESSAGES_S;
+	net->exchanged_at = clock_monotonic();
 	if (net->exchange_call != NULL || choose_hosts(net, &host, 1) == 0)
 		return;
 	pack_newest(net, true, &body);
@@ -255,6 +277,14 @@
 	net_changed(net);
 }
 
+/* Returns a hash of the start of an endpoint that is in use now. */
+static uint64_t
+endpoint_hash(const quarantine_net_t *net, const char *endpoint)
+{
+	return (str_hash(str_of(endpoint),
+	    net->params.endpoint_started_ms(net->params.ctx, endpoint)));
+}
+
 /* Records that an endpoint disconnected before it answered a request. */
 void
 quarantine_net_crashed(
@@ -262,7 +292,7 @@
 {
 	counter_add(net->crashes, 1);
 	quarantine_add_crash(net->quarantine, parts,
-	    str_hash(str_of(endpoint), 0), clock_monotonic());
+	    endpoint_hash(net, endpoint), clock_monotonic());
 	net_changed(net);
 }
 
@@ -276,7 +306,7 @@
 {
 	quarantine_add_answer(net->quarantine, parts, clock_monotonic());
 	quarantine_endpoint_answered(
-	    net->quarantine, str_hash(str_of(endpoint), 0), started_at);
+	    net->quarantine, endpoint_hash(net, endpoint), started_at);
 	net_changed(net);
 }
 
@@ -290,6 +320,7 @@
 	net->quarantine = quarantine_new(rng_uniform(&net->rng));
 	net->byte_budget = MAX_BURST_BYTES;
 	net->budget_updated_at = clock_monotonic();
+	net->exchanged_at = clock_monotonic();
 	net->crashes = counter_get("daisypier_quarantine_crashes_total",
 	    "Requests whose endpoint disconnected before an answer");
 	net->trials = counter_get("daisypier_quarantine_trials_total",
--- a/src/quarantine_net.h
+++ b/src/quarantine_net.h
@@ -14,6 +14,8 @@
 	const char *host; /* name of this host */
 	/* Returns all known hosts, including this one. */
 	size_t (*members)(void *ctx, const member_t **out);
+	/* Returns when an endpoint started, in ms; 0 if that is unknown. */
+	uint64_t (*endpoint_started_ms)(void *ctx, const char *endpoint);
 	/* A part is held back; requests that wait may have it. */
 	void (*on_held)(void *ctx);
 	void *ctx;
--- a/tests/test_quarantine.c
+++ b/tests/test_quarantine.c
@@ -416,6 +416,37 @@
 	quarantine_delete(other);
 }
 
+/*
+ * A report that comes late, by a slow host or connection, must neither be
+ * another crash nor move times on with each exchange.
+ */
+static void
+test_late_reports(void)
+{
+	quarantine_t *q = quarantine_new(0);
+	quarantine_record_t record = {
+	    .part = RARE,
+	    .answered_at = 90,
+	    .crash_count = 1,
+	    .crashes = {{.endpoint = 7, .at = 100}},
+	};
+	const quarantine_record_t *known;
+
+	for (unsigned i = 0; i < 10; i++) {
+		quarantine_merge(q, &record, 100 + i);
+		record.crashes[0].at += 1.5;
+		record.answered_at += 0.1;
+	}
+	quarantine_judge(q, 200);
+	known = quarantine_find(q, RARE);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(known);
+	CU_ASSERT(known->crash_count == 1);
+	CU_ASSERT(known->crashes[0].at == 100);
+	CU_ASSERT(known->answered_at < 91);
+	CU_ASSERT(quarantine_stats(q).held == 0);
+	quarantine_delete(q);
+}
+
 /* An endpoint that goes on answering did not crash. */
 static void
 test_answering_endpoint_refutes_crash(void)
@@ -487,6 +518,7 @@
     {"other crashes hold nothing", test_other_crashes_hold_nothing},
     {"released when the cause is gone", test_released_when_cause_is_gone},
     {"an isolated host learns", test_isolated_host_learns},
+    {"late reports", test_late_reports},
     {"an answering endpoint refutes a crash",
 	test_answering_endpoint_refutes_crash},
     {"many parts are bounded", test_many_parts_are_bounded},
