quarantine: tests of late reports and of news that go to and fro; bounded log

What is left to the next exchange is counted (daisypier_quarantine_delayed_total) instead of logged.

--- a/src/quarantine_net.c
+++ b/src/quarantine_net.c
@@ -50,6 +50,7 @@
 	counter_t *crashes;
 	counter_t *trials;
 	counter_t *bytes;
+	counter_t *delayed;
 	counter_t *held;
 	counter_t *records;
 };
@@ -162,8 +163,7 @@
 			peer_send(net->params.peer, hosts[i]->address,
 			    PEER_QUARANTINE, str_buf(&body));
 	} else {
-		LOG_WARN("quarantine_news_delayed", "records=%zu bytes=%zu",
-		    count, body.len);
+		counter_add(net->delayed, count);
 	}
 	buf_free(&body);
 	if (count == QUARANTINE_MAX_MESSAGE_RECORDS)
@@ -327,6 +327,8 @@
 	    "Requests with a held part that were let through");
 	net->bytes = counter_get("daisypier_quarantine_sent_bytes_total",
 	    "Bytes of evidence sent to other hosts");
+	net->delayed = counter_get("daisypier_quarantine_delayed_total",
+	    "Records left to the next exchange, because too much was sent");
 	net->held = gauge_get("daisypier_quarantine_held_parts",
 	    "Parts of prompts that are held back");
 	net->records = gauge_get(
--- a/tests/test_quarantine.c
+++ b/tests/test_quarantine.c
@@ -447,6 +447,59 @@
 	quarantine_delete(q);
 }
 
+/* Passes the news of one host to another, which reads them some time later. */
+static unsigned
+pass_news(quarantine_t *from, quarantine_t *to, double now, double delay)
+{
+	const quarantine_record_t *record;
+	unsigned count = 0;
+
+	while ((record = quarantine_next_changed(from)) != NULL) {
+		quarantine_record_t late = *record;
+
+		late.answered_at += late.answered_at > 0 ? delay : 0;
+		late.held_since += late.held_since > 0 ? delay : 0;
+		late.trial_at += late.trial_at > 0 ? delay : 0;
+		for (size_t i = 0; i < late.crash_count; i++)
+			late.crashes[i].at += delay;
+		quarantine_merge(to, &late, now + delay);
+		count++;
+	}
+	return (count);
+}
+
+/*
+ * Hosts whose messages are late must not send the same news to and fro: that
+ * would use up what they may send, and the next news would not get through.
+ */
+static void
+test_news_die_down(void)
+{
+	quarantine_t *a = quarantine_new(0);
+	quarantine_t *b = quarantine_new(0);
+	prompt_parts_t parts = {.ids = {HARMFUL}, .count = 1};
+	unsigned messages = 0;
+	double now = 100;
+
+	quarantine_add_answer(a, &parts, 90);
+	for (unsigned i = 0; i < 4; i++)
+		quarantine_add_crash(a, &parts, i, now + i);
+	quarantine_judge(a, now + 4);
+	for (now = 104; now < 120; now += 0.2) {
+		if (now > 109 && now < 109.3)
+			quarantine_begin(a, &parts, now);
+		messages += pass_news(a, b, now, 0.1);
+		quarantine_judge(b, now);
+		messages += pass_news(b, a, now, 0.1);
+		quarantine_judge(a, now);
+	}
+	CU_ASSERT(quarantine_stats(b).held == 1);
+	CU_ASSERT(quarantine_find(b, HARMFUL)->trials > 0);
+	CU_ASSERT(messages <= 10);
+	quarantine_delete(a);
+	quarantine_delete(b);
+}
+
 /* An endpoint that goes on answering did not crash. */
 static void
 test_answering_endpoint_refutes_crash(void)
@@ -519,6 +572,7 @@
     {"released when the cause is gone", test_released_when_cause_is_gone},
     {"an isolated host learns", test_isolated_host_learns},
     {"late reports", test_late_reports},
+    {"news die down", test_news_die_down},
     {"an answering endpoint refutes a crash",
 	test_answering_endpoint_refutes_crash},
     {"many parts are bounded", test_many_parts_are_bounded},
