--- a/soak/soak.c
+++ b/soak/soak.c
@@ -20,10 +20,12 @@
 #include "harness_gateways.h"
 
 #define MAX_CALLERS 12
-#define MAX_JOBS    400
-#define MAX_FAULTS  24
-#define JOB_ITEMS   4
-#define JOB_EVENTS  20
+/* Engines crash when they answer a prompt with this part; see --harmful. */
+#define CRASH_PART "dead"
+#define MAX_JOBS   400
+#define MAX_FAULTS 24
+#define JOB_ITEMS  4
+#define JOB_EVENTS 20
 /* After the last fault, until every accepted job must be complete. */
 #define SETTLE_S 60.0
 /* After the last fault, until every stream is served again. */
@@ -72,6 +74,8 @@
 	unsigned streams;
 	unsigned served;
 	unsigned faults;
+	unsigned harmful; /* requests with the part sent, and refused */
+	unsigned harmful_refused;
 	char journal[512];
 } soak_t;
 
@@ -148,6 +152,35 @@
 	pthread_mutex_unlock(&soak->lock);
 }
 
+/* Sends requests that crash engines, at all hosts; none can succeed. */
+static void *
+harmful_run(void *ctx)
+{
+	caller_t *caller = ctx;
+	soak_t *soak = caller->soak;
+
+	for (unsigned i = 0; !soak->stop; i++) {
+		unsigned host =
+		    (unsigned)rng_below(&caller->rng, soak->fleet.params.hosts);
+		gateways_stream_t s;
+		char id[32];
+
+		snprintf(id, sizeof(id), "h%u", i);
+		s = gateways_stream_prompt(&soak->fleet, host,
+		    i % 2 == 0 ? GATEWAYS_ONCE : GATEWAYS_RESUME, id,
+		    "a1:100," CRASH_PART ":30,1:10", 8, 4);
+		if (s.whole && s.status == 200)
+			violate(
+			    soak, CHECK_STREAM_WHOLE, "crash as success", id);
+		if (s.status == 503 || s.status == 429)
+			claim(soak, id, 0);
+		soak->harmful++;
+		soak->harmful_refused += s.status == 503;
+		harness_sleep(0.5 * rng_uniform(&caller->rng));
+	}
+	return (NULL);
+}
+
 static void *
 caller_run(void *ctx)
 {
@@ -497,6 +530,24 @@
 	    .undo = kind->undo, .target = target, .until = now + length};
 }
 
+/* Starts the engines again that harmful requests ended. */
+static void
+restart_crashed_engines(soak_t *soak, const fault_t *faults, size_t count)
+{
+	bool busy[GATEWAYS_MAX_ENGINES] = {false};
+
+	if (soak->fleet.params.crash_part == NULL)
+		return;
+	/* A fault may end its engine, and starts it again itself. */
+	for (size_t i = 0; i < count; i++)
+		if (faults[i].target < GATEWAYS_MAX_ENGINES)
+			busy[faults[i].target] = true;
+	for (unsigned i = 0; i < soak->fleet.params.engines; i++)
+		if (!busy[i] && soak->fleet.engines[i] != NULL &&
+		    harness_wait_exit(soak->fleet.engines[i], 0) >= 0)
+			gateways_start_engine(&soak->fleet, i);
+}
+
 static void
 inject(soak_t *soak)
 {
@@ -507,6 +558,7 @@
 		begin_fault(soak, faults, &count, clock_monotonic());
 		harness_sleep(0.1 + 0.9 * rng_uniform(&soak->rng));
 		end_faults(soak, faults, &count, clock_monotonic());
+		restart_crashed_engines(soak, faults, count);
 	}
 	end_faults(soak, faults, &count, 1e18);
 }
@@ -583,6 +635,9 @@
 	printf("seed=%llu faults=%u streams=%u served=%u jobs=%u claims=%zu\n",
 	    (unsigned long long)soak->seed, soak->faults, soak->streams,
 	    soak->served, soak->job_count, soak->claim_count);
+	if (soak->harmful > 0)
+		printf("harmful=%u refused=%u\n", soak->harmful,
+		    soak->harmful_refused);
 	for (unsigned i = 0; i < CHECK_COUNT; i++) {
 		failed += soak->violations[i] > 0;
 		if (soak->violations[i] > 0)
@@ -595,10 +650,12 @@
 
 static int
 soak_run(uint64_t seed, double seconds, unsigned hosts, unsigned engines,
-    const char *logs)
+    bool harmful, const char *logs)
 {
 	soak_t *soak = xcalloc(1, sizeof(*soak));
 	caller_t callers[MAX_CALLERS] = {0};
+	caller_t harmful_caller = {
+	    .soak = soak, .rng = rng_seeded(seed * 100 + MAX_CALLERS)};
 	int rc;
 
 	soak->seed = seed;
@@ -606,13 +663,15 @@
 	pthread_mutex_init(&soak->lock, NULL);
 	snprintf(
 	    soak->journal, sizeof(soak->journal), "%s/runs", harness_folder());
-	gateways_start(&soak->fleet, &(gateways_params_t){
-					 .hosts = hosts,
-					 .engines = engines,
-					 .proxied = true,
-					 .logs = logs,
-					 .journal = soak->journal,
-				     });
+	gateways_start(
+	    &soak->fleet, &(gateways_params_t){
+			      .hosts = hosts,
+			      .engines = engines,
+			      .proxied = true,
+			      .logs = logs,
+			      .journal = soak->journal,
+			      .crash_part = harmful ? CRASH_PART : NULL,
+			  });
 	soak->end = clock_monotonic() + seconds;
 	for (unsigned i = 0; i < MAX_CALLERS; i++) {
 		void *(*run)(void *) = i == 0	? submitter_run
@@ -625,8 +684,14 @@
 		    .rng = rng_seeded(seed * 100 + i)};
 		pthread_create(&callers[i].thread, NULL, run, &callers[i]);
 	}
+	if (harmful)
+		pthread_create(
+		    &harmful_caller.thread, NULL, harmful_run, &harmful_caller);
 	inject(soak);
 	soak->stop = true;
+	if (harmful)
+		pthread_join(harmful_caller.thread, NULL);
+	restart_crashed_engines(soak, NULL, 0);
 	for (unsigned i = 0; i < MAX_CALLERS; i++)
 		pthread_join(callers[i].thread, NULL);
 	check_hosts(soak);
@@ -651,10 +716,13 @@
 	struct arg_int *hosts = arg_int0(NULL, "hosts", "N", "4 by default");
 	struct arg_int *engines =
 	    arg_int0(NULL, "engines", "N", "4 by default");
+	struct arg_lit *harmful =
+	    arg_lit0(NULL, "harmful", "send requests that crash engines, too");
 	struct arg_file *logs =
 	    arg_file0(NULL, "logs", "FOLDER", "gets the hosts' logs");
 	struct arg_end *end = arg_end(8);
-	void *table[] = {help, seed, seconds, hosts, engines, logs, end};
+	void *table[] = {
+	    help, seed, seconds, hosts, engines, harmful, logs, end};
 	int errors = arg_parse(argc, argv, table);
 	int rc = 2;
 
@@ -673,6 +741,7 @@
 		    seconds->count > 0 ? seconds->dval[0] : 20,
 		    hosts->count > 0 ? (unsigned)hosts->ival[0] : 4,
 		    engines->count > 0 ? (unsigned)engines->ival[0] : 4,
+		    harmful->count > 0,
 		    logs->count > 0 ? logs->filename[0] : NULL);
 	}
 	arg_freetable(table, sizeof(table) / sizeof(table[0]));
--- a/tests/test_fail_leaving.c
+++ b/tests/test_fail_leaving.c
@@ -95,6 +95,19 @@
 	gateways_end(&fleet);
 }
 
+/* The same when only the hosts' links to the store are silent. */
+static void
+test_word_behind_silent_links(void)
+{
+	gateways_start(
+	    &fleet, &(gateways_params_t){.hosts = HOSTS, .proxied = true});
+	gateways_proxy_fault(&fleet, "forward=0&mode=freeze");
+	gateways_engine_faults(&fleet, 0, "leaving=1");
+	call_all_hosts(0);
+	check_engine_unused(0);
+	gateways_end(&fleet);
+}
+
 /* A refusal carries the word as well as a response does. */
 static void
 test_word_in_refusal(void)
@@ -220,6 +233,7 @@
 
 static const suite_test_t tests[] = {
     {"word without the store", test_word_without_store},
+    {"word behind silent links", test_word_behind_silent_links},
     {"word in a refusal", test_word_in_refusal},
     {"word without the admitting host", test_word_without_admitting_host},
     {"word reaches the admitting host", test_word_reaches_admitting_host},
