--- a/src/endpoint_set.c
+++ b/src/endpoint_set.c
@@ -306,7 +306,7 @@
 	return (NULL);
 }
 
-/* Returns whether an endpoint leaves, by its own word or by its entry. */
+/* Returns whether an endpoint leaves, by its own notice or by its entry. */
 bool
 endpoint_set_is_leaving(const endpoint_set_t *set, str_t id)
 {
--- a/src/leaving_marks.c
+++ b/src/leaving_marks.c
@@ -2,7 +2,7 @@
  * Endpoints that said in a response that they leave.
  *
  * An endpoint that leaves ends and does not return as the same start, so its
- * word is newer than any entry of that start. An entry of a newer start ends
+ * notice is newer than any entry of that start. An entry of a newer start ends
  * it. Entries that do not state their start are of a newer one if they say
  * ready after an entry was removed or said draining.
  */
--- a/src/leaving_marks.h
+++ b/src/leaving_marks.h
@@ -1,5 +1,5 @@
 /*
- * Endpoints that said in a response that they leave. The word outlasts their
+ * Endpoints that said in a response that they leave. The notice outlasts their
  * entry in the store; only a newer start of the endpoint ends it.
  */
 #ifndef DAISYPIER_LEAVING_MARKS_H
--- a/src/prompt_parts.h
+++ b/src/prompt_parts.h
@@ -22,6 +22,7 @@
 	double retry_after; /* seconds until a request may be tried */
 } part_hold_t;
 
+bool prompt_parts_has(const prompt_parts_t *parts, uint64_t id);
 void prompt_parts_add(prompt_parts_t *parts, uint64_t id);
 void prompt_parts_print(const prompt_parts_t *parts, buf_t *out);
 
--- a/src/quarantine_judge.c
+++ b/src/quarantine_judge.c
@@ -38,15 +38,6 @@
 /* A record without news is dropped after this time. */
 #define RECORD_LIFETIME_S (2 * MAX_TRIAL_WAIT_S)
 
-static bool
-parts_contain(const prompt_parts_t *parts, uint64_t id)
-{
-	for (size_t i = 0; i < parts->count; i++)
-		if (parts->ids[i] == id)
-			return (true);
-	return (false);
-}
-
 /*
  * Returns which crashes of a record held parts explain, as a set of bits; parts
  * of the given prompt do not count.
@@ -60,7 +51,7 @@
 
 	LIST_FOREACH (other, &q->entries, link)
 		if (other->held && &other->record != record &&
-		    !parts_contain(prompt, other->record.part))
+		    !prompt_parts_has(prompt, other->record.part))
 			explained |= quarantine_record_common_crashes(
 			    record, &other->record);
 	return (explained);
--- a/src/quarantine_net.c
+++ b/src/quarantine_net.c
@@ -1,9 +1,10 @@
 /*
  * Exchanges the evidence on crashing parts of prompts between hosts.
  *
- * News go to a few random hosts at once, which pass on what is new to them, so
- * that all hosts know it after a few hops. Each host also exchanges its records
- * with a random one at intervals, for those that were down, cut off or frozen.
+ * New evidence is sent to a few random hosts at once, which pass on what is new
+ * to them, so that all hosts have it after a few hops. At intervals each host
+ * also exchanges its records with a random one, for the hosts that were down,
+ * cut off or frozen.
  */
 #include "quarantine_net.h"
 
@@ -16,9 +17,9 @@
 #include "quarantine_wire.h"
 #include "result.h"
 
-/* Hosts to which news are sent at once. */
+/* Hosts to which new evidence is sent at once. */
 #define FANOUT 6
-/* Collects the news of one crash, which several requests notice. */
+/* Collects the evidence on one crash, which several requests notice. */
 #define FLUSH_DELAY_S	    0.003
 #define EXCHANGE_INTERVAL_S 1.0
 #define EXCHANGE_TIMEOUT_S  1.0
@@ -30,7 +31,7 @@
 #define IGNORE_MESSAGES_S 0.2
 /*
  * Bounds what this host sends without being asked: a burst, and a rate at
- * which more may follow. News over the limit wait for the next exchange.
+ * which more may follow. Evidence over the limit waits for the next exchange.
  */
 #define MAX_BURST_BYTES (96U << 10)
 #define MAX_BYTES_PER_S (2U << 10)
--- a/tests/test_fail_leaving.c
+++ b/tests/test_fail_leaving.c
@@ -10,7 +10,7 @@
 
 #define HOSTS  3
 #define EVENTS 4
-/* The stated target: the word is obeyed after this time. */
+/* The stated target: the notice is obeyed after this time. */
 #define DRAIN_S	  2.0
 #define TIMEOUT_S 5.0
 /* A refusal that is known at once comes much sooner than the timeout. */
@@ -83,9 +83,9 @@
 	gateways_start(&fleet, &(gateways_params_t){.hosts = HOSTS});
 }
 
-/* The word must be obeyed though the store says nothing of it. */
+/* The notice must be obeyed though the store says nothing of it. */
 static void
-test_word_without_store(void)
+test_notice_without_store(void)
 {
 	start_fleet();
 	gateways_store_faults(&fleet, "silent=1");
@@ -97,7 +97,7 @@
 
 /* The same when only the hosts' links to the store are silent. */
 static void
-test_word_behind_silent_links(void)
+test_notice_behind_silent_links(void)
 {
 	gateways_start(
 	    &fleet, &(gateways_params_t){.hosts = HOSTS, .proxied = true});
@@ -108,9 +108,9 @@
 	gateways_end(&fleet);
 }
 
-/* A refusal carries the word as well as a response does. */
+/* A refusal carries the notice as well as a response does. */
 static void
-test_word_in_refusal(void)
+test_notice_in_refusal(void)
 {
 	start_fleet();
 	gateways_engine_faults(&fleet, 0, "leaving=1&shed=1");
@@ -123,7 +123,7 @@
 
 /* Hosts must obey it when the host that admits is frozen, whichever it is. */
 static void
-test_word_without_admitting_host(void)
+test_notice_without_admitting_host(void)
 {
 	for (unsigned frozen = 0; frozen < HOSTS; frozen++) {
 		unsigned before;
@@ -145,11 +145,11 @@
 }
 
 /*
- * The word of one host must reach the one that admits, so that not every host
- * has to send a request to the endpoint first.
+ * The notice that one host gets must reach the one that admits, so that not
+ * every host has to send a request to the endpoint first.
  */
 static void
-test_word_reaches_admitting_host(void)
+test_notice_reaches_admitting_host(void)
 {
 	for (unsigned first = 0; first < HOSTS; first++) {
 		unsigned before;
@@ -216,7 +216,7 @@
 /* Items must not start at an endpoint that said to an online request it leaves.
  */
 static void
-test_items_obey_word(void)
+test_items_obey_notice(void)
 {
 	unsigned before;
 
@@ -232,14 +232,14 @@
 }
 
 static const suite_test_t tests[] = {
-    {"word without the store", test_word_without_store},
-    {"word behind silent links", test_word_behind_silent_links},
-    {"word in a refusal", test_word_in_refusal},
-    {"word without the admitting host", test_word_without_admitting_host},
-    {"word reaches the admitting host", test_word_reaches_admitting_host},
+    {"notice without the store", test_notice_without_store},
+    {"notice behind silent links", test_notice_behind_silent_links},
+    {"notice in a refusal", test_notice_in_refusal},
+    {"notice without the admitting host", test_notice_without_admitting_host},
+    {"notice reaches the admitting host", test_notice_reaches_admitting_host},
     {"all endpoints leave", test_all_endpoints_leave},
     {"the next start is used", test_next_start_is_used},
-    {"items obey the word", test_items_obey_word},
+    {"items obey the notice", test_items_obey_notice},
 };
 
 SUITE_MAIN("fail_leaving", tests)
