grants: report leaving endpoints to the hosts that take over the admission

Cause: a host that got the notice told only the host that admitted at that moment. When that host fails, the next one admits without knowing the notice and grants the endpoint again until it has passed on a response itself. In the test the same host always admits and the same one follows it, so the case failed only when the first request did not reach the endpoint through the follower (seen in the hosts' logs: the notice usually reaches host 0 and is reported to host 1 alone; host 2 never hears of it).

Change: the notice goes to the admitting host and to the two that would take over from it, by the same ranking, and when a pool gets another admitting host, every host that knows of an endpoint whose entry still says ready tells it again.

Test: "notice survives the admitting host" plays each pair of the host that got the notice and the one that is frozen.

--- a/src/endpoint_set.c
+++ b/src/endpoint_set.c
@@ -6,7 +6,6 @@
 #include <string.h>
 #include <sys/queue.h>
 
-#include "leaving_marks.h"
 #include "logger.h"
 
 /*
@@ -291,6 +290,13 @@
 	return (leaving_marks_add(set->leaving_marks, id, started_ms));
 }
 
+void
+endpoint_set_each_leaving(
+    const endpoint_set_t *set, leaving_mark_cb_t callback, void *ctx)
+{
+	leaving_marks_each(set->leaving_marks, callback, ctx);
+}
+
 /* Returns the entry of another endpoint at the same address, or NULL. */
 const endpoint_entry_t *
 endpoint_set_find_address(
--- a/src/endpoint_set.h
+++ b/src/endpoint_set.h
@@ -3,6 +3,7 @@
 #define DAISYPIER_ENDPOINT_SET_H
 
 #include "config.h"
+#include "leaving_marks.h"
 #include "routing_table.h"
 
 /* An endpoint's registration in the store, written by the endpoint itself. */
@@ -33,6 +34,9 @@
 /* Records that an endpoint said itself that it leaves. */
 bool endpoint_set_mark_leaving(
     endpoint_set_t *set, str_t id, uint64_t started_ms);
+/* Calls back for the endpoints that said so while their entry says ready. */
+void endpoint_set_each_leaving(
+    const endpoint_set_t *set, leaving_mark_cb_t callback, void *ctx);
 const endpoint_entry_t *endpoint_set_find_address(
     const endpoint_set_t *set, const char *address, str_t other_than);
 bool endpoint_set_is_leaving(const endpoint_set_t *set, str_t id);
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -124,6 +124,23 @@
 	(void)record_leaving(ctx, endpoint, started_ms, "host");
 }
 
+static void
+report_leaving(void *ctx, const char *endpoint, uint64_t started_ms)
+{
+	grants_report_leaving(ctx, endpoint, started_ms);
+}
+
+/* A host that begins to admit does not know what endpoints said before. */
+static void
+on_admitting_host_changed(void *ctx)
+{
+	const gateway_t *gateway = ctx;
+
+	if (gateway->endpoints != NULL)
+		endpoint_set_each_leaving(
+		    gateway->endpoints, report_leaving, gateway->grants);
+}
+
 /* Recomputes readiness and publishes it when it changes. */
 void
 gateway_update_ready(gateway_t *gateway)
@@ -280,6 +297,7 @@
 	    .members = get_members,
 	    .endpoint_leaving = is_endpoint_leaving,
 	    .on_endpoint_leaving = on_reported_leaving,
+	    .on_admitting_host_changed = on_admitting_host_changed,
 	    .ctx = gateway,
 	});
 	return (0);
--- a/src/grants.c
+++ b/src/grants.c
@@ -499,13 +499,20 @@
 static void
 fleet_refresh(grants_t *grants, double now)
 {
+	const grants_params_t *params = &grants->params;
 	grants_pool_t *pool;
+	bool changed = false;
 
 	members_refresh(grants);
-	LIST_FOREACH (pool, &grants->pools, entry)
-		if (pool_update_admitting_host(pool) &&
-		    grants->params.mode == GRANTS_POOL)
-			pool_admitting_host_changed(pool, now);
+	LIST_FOREACH (pool, &grants->pools, entry) {
+		if (!pool_update_admitting_host(pool) ||
+		    params->mode != GRANTS_POOL)
+			continue;
+		pool_admitting_host_changed(pool, now);
+		changed = true;
+	}
+	if (changed && params->on_admitting_host_changed != NULL)
+		params->on_admitting_host_changed(params->ctx);
 	if (grants->params.mode == GRANTS_POOL)
 		pools_report_new(grants, now);
 	grants_admit_check_hosts(grants, now);
--- a/src/grants.h
+++ b/src/grants.h
@@ -80,6 +80,8 @@
 	/* Another host reports that an endpoint said that it leaves. */
 	void (*on_endpoint_leaving)(
 	    void *ctx, str_t endpoint, uint64_t started_ms);
+	/* A pool has another admitting host, which may know less; or NULL. */
+	void (*on_admitting_host_changed)(void *ctx);
 	void *ctx;
 } grants_params_t;
 
@@ -90,7 +92,7 @@
 void grants_delete(grants_t *grants);
 /* Call after a change of members, configuration or leaving endpoints. */
 void grants_fleet_changed(grants_t *grants);
-/* Tells the admitting hosts of an endpoint that said that it leaves. */
+/* Tells the hosts that admit, or may soon, that an endpoint says it leaves. */
 void grants_report_leaving(
     grants_t *grants, const char *endpoint, uint64_t started_ms);
 size_t grants_open_count(const grants_t *grants);
--- a/src/grants_leaving.c
+++ b/src/grants_leaving.c
@@ -1,7 +1,31 @@
 /* Reports to admitting hosts that an endpoint said that it leaves. */
 #include "grants_wire.h"
 
-/* Tells the admitting host of each pool, unless it is this host. */
+#include <string.h>
+
+#include "placement.h"
+
+/* The admitting host of a pool and those that take over when it fails. */
+#define REPORTED_HOSTS 3
+
+static void
+pool_report_leaving(const grants_pool_t *pool, str_t body)
+{
+	const grants_t *grants = pool->grants;
+	const member_t *hosts[REPORTED_HOSTS];
+	size_t count = placement_rank_owners(grants->members,
+	    grants->member_count, str_of(pool->name), hosts, REPORTED_HOSTS);
+
+	for (size_t i = 0; i < count; i++)
+		if (strcmp(hosts[i]->name, grants->host) != 0)
+			peer_send(grants->params.peer, hosts[i]->address,
+			    PEER_ENDPOINT_LEAVING, body);
+}
+
+/*
+ * Tells the admitting host of each pool, and the hosts that would take over
+ * from it, because the entry may say ready for long.
+ */
 void
 grants_report_leaving(
     grants_t *grants, const char *endpoint, uint64_t started_ms)
@@ -11,9 +35,7 @@
 
 	grants_pack_leaving(&body, endpoint, started_ms);
 	LIST_FOREACH (pool, &grants->pools, entry)
-		if (!pool->is_admitting && pool->admitting_address[0] != '\0')
-			peer_send(grants->params.peer, pool->admitting_address,
-			    PEER_ENDPOINT_LEAVING, str_buf(&body));
+		pool_report_leaving(pool, str_buf(&body));
 	buf_free(&body);
 }
 
--- a/src/leaving_marks.c
+++ b/src/leaving_marks.c
@@ -142,6 +142,19 @@
 		mark->entry_ended = true;
 }
 
+/* Calls back for each marked endpoint whose entry still says that it is ready.
+ */
+void
+leaving_marks_each(
+    const leaving_marks_t *marks, leaving_mark_cb_t callback, void *ctx)
+{
+	const mark_t *mark;
+
+	TAILQ_FOREACH (mark, &marks->by_age, age_link)
+		if (!mark->entry_ended)
+			callback(ctx, mark->endpoint, mark->started_ms);
+}
+
 size_t
 leaving_marks_count(const leaving_marks_t *marks)
 {
--- a/src/placement.c
+++ b/src/placement.c
@@ -103,13 +103,12 @@
 }
 
 /*
- * Writes up to max hosts in descending order of their score for the key and
- * returns how many were written. The first one is the result of
- * placement_pick() without a zone.
+ * Writes up to max hosts with enough CPU in descending order of their score for
+ * the key. Returns how many were written.
  */
-size_t
-placement_rank(const member_t *members, size_t count, str_t key,
-    const member_t **out, size_t max)
+static size_t
+rank_hosts(const member_t *members, size_t count, str_t key,
+    double min_millicores, const member_t **out, size_t max)
 {
 	uint64_t key_hash = str_hash(key, 0);
 	size_t ranked_count = 0;
@@ -118,7 +117,8 @@
 		size_t pos;
 		double candidate_score;
 
-		if (!is_eligible(&members[i]))
+		if (!is_eligible(&members[i]) ||
+		    members[i].millicores < min_millicores)
 			continue;
 		candidate_score = score(&members[i], key_hash, NULL);
 		if (ranked_count == max &&
@@ -134,3 +134,27 @@
 	}
 	return (ranked_count);
 }
+
+/*
+ * Writes up to max hosts in descending order of their score for the key and
+ * returns how many were written. The first one is the result of
+ * placement_pick() without a zone.
+ */
+size_t
+placement_rank(const member_t *members, size_t count, str_t key,
+    const member_t **out, size_t max)
+{
+	return (rank_hosts(members, count, key, 0, out, max));
+}
+
+/*
+ * The same for the hosts that serve a key on behalf of all hosts: the first one
+ * is the result of placement_owner(), the others take over in this order.
+ */
+size_t
+placement_rank_owners(const member_t *members, size_t count, str_t key,
+    const member_t **out, size_t max)
+{
+	return (rank_hosts(members, count, key,
+	    owner_min_millicores(members, count), out, max));
+}
--- a/src/placement.h
+++ b/src/placement.h
@@ -10,5 +10,7 @@
     const member_t *members, size_t count, str_t key);
 size_t placement_rank(const member_t *members, size_t count, str_t key,
     const member_t **out, size_t max);
+size_t placement_rank_owners(const member_t *members, size_t count, str_t key,
+    const member_t **out, size_t max);
 
 #endif
--- a/tests/test_fail_leaving.c
+++ b/tests/test_fail_leaving.c
@@ -144,6 +144,19 @@
 	}
 }
 
+/* Lets one host alone pass on responses of engine 0, which leaves. */
+static void
+call_leaving_engine(unsigned host)
+{
+	gateways_engine_faults(&fleet, 0, "leaving=1");
+	gateways_store_faults(&fleet, "silent=1");
+	/* The other engine refuses, so engine 0 gets the requests. */
+	gateways_engine_faults(&fleet, 1, "shed=1");
+	for (unsigned i = 0; i < 6; i++)
+		(void)call_host(host);
+	gateways_engine_faults(&fleet, 1, "");
+}
+
 /*
  * The notice that one host gets must reach the one that admits, so that not
  * every host has to send a request to the endpoint first.
@@ -155,13 +168,7 @@
 		unsigned before;
 
 		start_fleet();
-		gateways_engine_faults(&fleet, 0, "leaving=1");
-		gateways_store_faults(&fleet, "silent=1");
-		/* The other engine refuses, so engine 0 gets the requests. */
-		gateways_engine_faults(&fleet, 1, "shed=1");
-		for (unsigned i = 0; i < 6; i++)
-			(void)call_host(first);
-		gateways_engine_faults(&fleet, 1, "");
+		call_leaving_engine(first);
 		harness_sleep(DRAIN_S);
 		before = run_count(0);
 		for (unsigned i = 0; i < 12 * HOSTS; i++)
@@ -172,6 +179,33 @@
 	}
 }
 
+/*
+ * A host that begins to admit must know the notice, although the host that
+ * admitted before or the one that got the notice is frozen.
+ */
+static void
+test_notice_survives_admitting_host(void)
+{
+	for (unsigned i = 0; i < HOSTS * HOSTS; i++) {
+		unsigned first = i / HOSTS;
+		unsigned frozen = i % HOSTS;
+		unsigned before;
+
+		start_fleet();
+		call_leaving_engine(first);
+		harness_stop(fleet.hosts[frozen]);
+		harness_sleep(DRAIN_S);
+		before = run_count(0);
+		for (unsigned call = 0; call < 4 * HOSTS; call++)
+			if (call % HOSTS != first && call % HOSTS != frozen)
+				CU_ASSERT(call_host(call % HOSTS));
+		CU_ASSERT(before > 0);
+		CU_ASSERT(run_count(0) == before);
+		harness_continue(fleet.hosts[frozen]);
+		gateways_end(&fleet);
+	}
+}
+
 /* Callers must be refused at once if all endpoints say that they leave. */
 static void
 test_all_endpoints_leave(void)
@@ -237,6 +271,7 @@
     {"notice in a refusal", test_notice_in_refusal},
     {"notice without the admitting host", test_notice_without_admitting_host},
     {"notice reaches the admitting host", test_notice_reaches_admitting_host},
+    {"notice survives the admitting host", test_notice_survives_admitting_host},
     {"all endpoints leave", test_all_endpoints_leave},
     {"the next start is used", test_next_start_is_used},
     {"items obey the notice", test_items_obey_notice},
--- a/tests/test_leaving_marks.c
+++ b/tests/test_leaving_marks.c
@@ -57,6 +57,34 @@
 	leaving_marks_delete(marks);
 }
 
+static void
+count_mark(void *ctx, const char *endpoint, uint64_t started_ms)
+{
+	CU_ASSERT_STRING_EQUAL(endpoint, "e");
+	CU_ASSERT(started_ms == 1000);
+	(*(unsigned *)ctx)++;
+}
+
+/*
+ * A host that begins to admit must be told of endpoints whose entry says ready,
+ * and not of all that ever left.
+ */
+static void
+test_marks_to_report(void)
+{
+	leaving_marks_t *marks = leaving_marks_new();
+	unsigned count = 0;
+
+	leaving_marks_add(marks, STR("e"), 1000);
+	leaving_marks_add(marks, STR("removed"), 1000);
+	leaving_marks_add(marks, STR("draining"), 1000);
+	leaving_marks_entry_removed(marks, STR("removed"));
+	(void)leaving_marks_entry_written(marks, STR("draining"), 1000, true);
+	leaving_marks_each(marks, count_mark, &count);
+	CU_ASSERT(count == 1);
+	leaving_marks_delete(marks);
+}
+
 /* A late report on an earlier start must not stop the next one. */
 static void
 test_late_report(void)
@@ -108,6 +136,7 @@
     {"newer start", test_newer_start},
     {"entries without start", test_entries_without_start},
     {"late report", test_late_report},
+    {"marks to report", test_marks_to_report},
     {"marks are bounded", test_marks_are_bounded},
 };
 
--- a/tests/test_placement.c
+++ b/tests/test_placement.c
@@ -126,6 +126,34 @@
 	}
 }
 
+/*
+ * What the admitting host must know is sent to those that take over from it;
+ * small hosts, which never do, must not be among them.
+ */
+static void
+test_rank_of_owners(void)
+{
+	member_t hosts[HOSTS];
+	const member_t *ranked[2];
+
+	make_hosts(hosts);
+	for (int i = 0; i < HOSTS; i++)
+		hosts[i].millicores = i % 3 == 0 ? 500 : 120;
+	for (int key = 0; key < KEYS; key++) {
+		char text[32];
+		str_t name;
+
+		snprintf(text, sizeof(text), "key-%d", key);
+		name = str_of(text);
+		CU_ASSERT(
+		    placement_rank_owners(hosts, HOSTS, name, ranked, 2) == 2);
+		CU_ASSERT(ranked[0] == placement_owner(hosts, HOSTS, name));
+		hosts[ranked[0] - hosts].state = MEMBER_DEAD;
+		CU_ASSERT(ranked[1] == placement_owner(hosts, HOSTS, name));
+		hosts[ranked[0] - hosts].state = MEMBER_ALIVE;
+	}
+}
+
 /*
  * A small host must not become the admitting host of a pool. With 63 hosts of
  * 0.5 cores and 232 hosts of 0.12 cores, half of the requests in bursts of
@@ -174,6 +202,7 @@
     {"ineligible hosts are excluded", test_ineligible_hosts_are_excluded},
     {"zone preference is weighted", test_zone_preference_is_weighted},
     {"ranking agrees with pick", test_rank_agrees_with_pick},
+    {"ranking of owners", test_rank_of_owners},
 };
 
 SUITE_MAIN("placement", tests)
