quarantine: count a disconnect as a crash only if the endpoint is gone

Cause: each connection that closed before the second event counted as a crash, also if the endpoint lived.

Change: when an endpoint disconnects, the host opens a new connection to it 10 ms later. The disconnect counts if the endpoint refuses it or does not reply within 250 ms. One check at a time for an endpoint, 256 requests at most. The wait is needed because a process that ends may close its listening socket last: without it, test_fail_crashing_part counted 6 to 11 crashes instead of 5.

Test: test_fail_crashing_part "resets of living endpoints" fails on the former code (served_with_part == served), test_crash_check.

--- a/src/attempt.c
+++ b/src/attempt.c
@@ -231,8 +231,8 @@
 	    STR_ARG(str_buf(&parts)));
 	buf_free(&parts);
 	if (params->quarantine != NULL && attempt->events < EVENTS_OF_ANSWER)
-		quarantine_net_crashed(
-		    params->quarantine, &params->parts, params->endpoint->name);
+		quarantine_net_disconnected(params->quarantine, &params->parts,
+		    params->endpoint->name, params->endpoint->address);
 }
 
 static void
--- a/src/quarantine_net.c
+++ b/src/quarantine_net.c
@@ -13,6 +13,7 @@
 
 #include "clock.h"
 #include "counter.h"
+#include "crash_check.h"
 #include "logger.h"
 #include "quarantine_wire.h"
 #include "result.h"
@@ -39,6 +40,7 @@
 struct quarantine_net_t {
 	quarantine_net_params_t params;
 	quarantine_t *quarantine;
+	crash_check_t *crash_check;
 	rng_t rng;
 	double byte_budget;
 	double budget_updated_at;
@@ -286,17 +288,36 @@
 	    net->params.endpoint_started_ms(net->params.ctx, endpoint)));
 }
 
-/* Records that an endpoint disconnected before it answered a request. */
-void
-quarantine_net_crashed(
-    quarantine_net_t *net, const prompt_parts_t *parts, const char *endpoint)
+static void
+on_crash(void *ctx, const crash_suspect_t *suspect)
 {
+	quarantine_net_t *net = ctx;
+
 	counter_add(net->crashes, 1);
-	quarantine_add_crash(net->quarantine, parts,
-	    endpoint_hash(net, endpoint), clock_monotonic());
+	quarantine_add_crash(
+	    net->quarantine, &suspect->parts, suspect->endpoint, suspect->at);
 	net_changed(net);
 }
 
+/*
+ * Records that an endpoint, at "IP:PORT", disconnected before it answered a
+ * request. It counts as a crash if the endpoint accepts no new connection.
+ */
+void
+quarantine_net_disconnected(quarantine_net_t *net, const prompt_parts_t *parts,
+    const char *endpoint, const char *address)
+{
+	crash_suspect_t suspect = {
+	    .parts = *parts,
+	    .endpoint = endpoint_hash(net, endpoint),
+	    .at = clock_monotonic(),
+	};
+
+	str_copy(suspect.name, sizeof(suspect.name), str_of(endpoint));
+	if (parts->count > 0)
+		crash_check_add(net->crash_check, &suspect, address);
+}
+
 /*
  * Records that an endpoint has begun to answer a request that was sent to it at
  * the given time.
@@ -319,11 +340,12 @@
 	net->params = *params;
 	net->rng = rng_seeded(random_u64());
 	net->quarantine = quarantine_new(rng_uniform(&net->rng));
+	net->crash_check = crash_check_new(params->loop, on_crash, net);
 	net->byte_budget = MAX_BURST_BYTES;
 	net->budget_updated_at = clock_monotonic();
 	net->exchanged_at = clock_monotonic();
 	net->crashes = counter_get("daisypier_quarantine_crashes_total",
-	    "Requests whose endpoint disconnected before an answer");
+	    "Requests whose endpoint crashed before an answer");
 	net->trials = counter_get("daisypier_quarantine_trials_total",
 	    "Requests with a held part that were let through");
 	net->bytes = counter_get("daisypier_quarantine_sent_bytes_total",
@@ -357,6 +379,7 @@
 	ev_timer_stop(loop, &net->flush_timer);
 	ev_timer_stop(loop, &net->judge_timer);
 	ev_timer_stop(loop, &net->exchange_timer);
+	crash_check_delete(net->crash_check);
 	quarantine_delete(net->quarantine);
 	free(net);
 }
--- a/src/quarantine_net.h
+++ b/src/quarantine_net.h
@@ -27,8 +27,8 @@
 bool quarantine_net_admits(const quarantine_net_t *net,
     const prompt_parts_t *parts, part_hold_t *hold);
 void quarantine_net_begin(quarantine_net_t *net, const prompt_parts_t *parts);
-void quarantine_net_crashed(
-    quarantine_net_t *net, const prompt_parts_t *parts, const char *endpoint);
+void quarantine_net_disconnected(quarantine_net_t *net,
+    const prompt_parts_t *parts, const char *endpoint, const char *address);
 void quarantine_net_answered(quarantine_net_t *net, const prompt_parts_t *parts,
     const char *endpoint, double started_at);
 
--- a/tests/test_fail_crashing_part.c
+++ b/tests/test_fail_crashing_part.c
@@ -244,10 +244,56 @@
 	gateways_end(&fleet);
 }
 
+static gateways_stream_t
+call_with_parts(const char *parts)
+{
+	static unsigned count;
+	char prompt[96];
+	char id[48];
+
+	count++;
+	snprintf(id, sizeof(id), "reset-%u", count);
+	snprintf(prompt, sizeof(prompt), "%s,d%u:10", parts, count);
+	return (gateways_stream_prompt(&fleet, count % HOSTS, GATEWAYS_ONCE, id,
+	    prompt, EVENTS, TIMEOUT_S));
+}
+
+/*
+ * Endpoints that live and reset requests are no crashes: the parts of these
+ * requests must not be held back.
+ */
+static void
+test_resets_of_living_endpoints(void)
+{
+	unsigned served = 0;
+	unsigned served_with_part = 0;
+
+	start_fleet();
+	for (unsigned i = 0; i < ENGINES; i++)
+		gateways_engine_faults(&fleet, i, "lose=1");
+	for (unsigned i = 0; i < 4 * ENGINES; i++)
+		(void)call_with_parts("a2:100,5b:50");
+	for (unsigned i = 0; i < ENGINES; i++)
+		gateways_engine_faults(&fleet, i, "");
+	for (unsigned i = 0; i < 10 * HOSTS; i++) {
+		/* Endpoints that failed may be left out for a while. */
+		if (!call_with_parts("a3:100").right) {
+			harness_sleep(STEP_S);
+			continue;
+		}
+		served++;
+		served_with_part += call_with_parts("a2:100,5b:50").right;
+	}
+	CU_ASSERT(served > 0);
+	CU_ASSERT(served_with_part == served);
+	gateways_end(&fleet);
+}
+
 static const suite_test_t tests[] = {
     {"requests with a crashing part", test_requests_with_crashing_part},
     {"absent hosts learn the part", test_absent_hosts_learn},
     {"items with a crashing part", test_items_with_crashing_part},
+    {"resets of living endpoints", test_resets_of_living_endpoints},
 };
 
 SUITE_MAIN("fail_crashing_part", tests)
