test_fail_leaving: a host that hears of no other host obeys the notice

Guards the rule for a host that is cut off from all others: each host alone gets the notice, the two others are frozen, the store is silent.

--- a/tests/test_fail_leaving.c
+++ b/tests/test_fail_leaving.c
@@ -206,6 +206,29 @@
 	}
 }
 
+/* A host that hears of no other host must obey the notice that it got. */
+static void
+test_notice_on_isolated_host(void)
+{
+	for (unsigned first = 0; first < HOSTS; first++) {
+		unsigned before;
+
+		start_fleet();
+		call_leaving_engine(first);
+		for (unsigned i = 1; i < HOSTS; i++)
+			harness_stop(fleet.hosts[(first + i) % HOSTS]);
+		harness_sleep(DRAIN_S);
+		before = run_count(0);
+		for (unsigned i = 0; i < 8; i++)
+			CU_ASSERT(call_host(first));
+		CU_ASSERT(before > 0);
+		CU_ASSERT(run_count(0) == before);
+		for (unsigned i = 1; i < HOSTS; i++)
+			harness_continue(fleet.hosts[(first + i) % HOSTS]);
+		gateways_end(&fleet);
+	}
+}
+
 /* Callers must be refused at once if all endpoints say that they leave. */
 static void
 test_all_endpoints_leave(void)
@@ -272,6 +295,7 @@
     {"notice without the admitting host", test_notice_without_admitting_host},
     {"notice reaches the admitting host", test_notice_reaches_admitting_host},
     {"notice survives the admitting host", test_notice_survives_admitting_host},
+    {"notice on an isolated host", test_notice_on_isolated_host},
     {"all endpoints leave", test_all_endpoints_leave},
     {"the next start is used", test_next_start_is_used},
     {"items obey the notice", test_items_obey_notice},
