grants: move pools and their admitting hosts into grants_pool.c

No change of behaviour: functions are moved, three lose static and two get a prefix (members_refresh, fleet_refresh).

--- a/src/grants_state.h
+++ b/src/grants_state.h
@@ -98,17 +98,21 @@
 	counter_t *unreachable;
 };
 
-/* grants.c */
+/* grants_pool.c */
+const config_pool_t *pool_config(
+    const grants_pool_t *pool, const fleet_config_t **config);
+grants_pool_t *pool_find(const grants_t *grants, str_t name);
 grants_pool_t *grants_get_pool(grants_t *grants, str_t name);
+void grants_refresh_members(grants_t *grants);
+void grants_refresh_fleet(grants_t *grants, double now);
+
+/* grants.c */
 grant_t *grants_find(const grants_t *grants, uint64_t id);
 void grant_resolve(grant_t *grant, int rc, double retry_after,
     const grant_endpoint_t *endpoint);
 void grant_request_release(grant_t *grant);
 unsigned grants_allowance(
     void *ctx, const char *holder, const char *endpoint, unsigned slots);
-
-const config_pool_t *pool_config(
-    const grants_pool_t *pool, const fleet_config_t **config);
 void grant_submit(grant_t *grant, double now);
 void grant_send_release(
     grant_t *grant, const char *address, const grant_report_t *report);
