soak: move the faults into soak_faults.c

soak.c had 749 lines with three jobs: callers, faults and checks. Nothing else changes: functions are moved, four get the prefix soak_. Also removes a doubled comment of grants_pool.c.

--- a/Makefile
+++ b/Makefile
@@ -48,6 +48,8 @@
 TEST_SUPPORT_OBJS = $(TEST_SUPPORT:tests/%.c=$(BUILD)/obj/tests/%.o)
 TEST_SRCS = $(wildcard tests/test_*.c)
 TESTS = $(TEST_SRCS:tests/%.c=$(BUILD)/tests/%)
+SOAK_SRCS = $(wildcard soak/*.c)
+SOAK_OBJS = $(SOAK_SRCS:soak/%.c=$(BUILD)/obj/soak/%.o)
 BENCH_SRCS = $(wildcard bench/bench_*.c)
 BENCHES = $(BENCH_SRCS:bench/%.c=$(BUILD)/bench/%)
 EXAMPLE_SRCS = $(wildcard examples/*.c)
@@ -105,8 +107,7 @@
 	@mkdir -p $(@D)
 	$(CC) $(CPPFLAGS) -Itests $(CFLAGS) -c -o $@ $<
 
-$(BUILD)/soak: $(BUILD)/obj/soak/soak.o $(TEST_SUPPORT_OBJS) \
-    $(PLATFORM_OBJS) $(LIB)
+$(BUILD)/soak: $(SOAK_OBJS) $(TEST_SUPPORT_OBJS) $(PLATFORM_OBJS) $(LIB)
 	$(CC) $(LDFLAGS) -o $@ $^ -lcunit $(LDLIBS)
 
 $(BUILD)/bench/%: $(BUILD)/obj/bench/%.o $(LIB)
--- a/soak/soak.c
+++ b/soak/soak.c
@@ -5,7 +5,6 @@
  * Ends with "N passed, N failed", where each check counts once; exits with 0
  * when all passed.
  */
-#include <pthread.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -15,15 +14,12 @@
 #include <argtable2.h>
 #include <sodium.h>
 
-#include "clock.h"
 #include "file.h"
-#include "harness_gateways.h"
+#include "soak.h"
 
 #define MAX_CALLERS 12
 /* Engines crash when they answer a prompt with this part; see --harmful. */
 #define CRASH_PART "dead"
-#define MAX_JOBS   400
-#define MAX_FAULTS 24
 #define JOB_ITEMS  4
 #define JOB_EVENTS 20
 /* After the last fault, until every accepted job must be complete. */
@@ -32,17 +28,6 @@
 #define RECOVERY_S	 12.0
 #define RECOVERY_STREAMS 20
 
-typedef enum check_t {
-	CHECK_STREAM_WHOLE,   /* a success has every event once, in order */
-	CHECK_ONCE,	      /* what may run once ran at most once */
-	CHECK_REFUSAL_TRUE,   /* what was refused did not run */
-	CHECK_JOB_COMPLETE,   /* an accepted job has all results, unchanged */
-	CHECK_JOB_NOT_DENIED, /* an accepted job is never "not found" */
-	CHECK_RECOVERED,      /* after the last fault every stream is served */
-	CHECK_HOSTS_LIVE,     /* no host ended by itself */
-	CHECK_COUNT,
-} check_t;
-
 static const char *const check_names[CHECK_COUNT] = {
     "streams whole",
     "at most once",
@@ -53,47 +38,6 @@
     "hosts live",
 };
 
-/* One request that must not have run, or not twice. */
-typedef struct claim_t {
-	char id[32];
-	unsigned most; /* runs */
-} claim_t;
-
-typedef struct soak_t {
-	gateways_t fleet;
-	rng_t rng;
-	uint64_t seed;
-	double end;
-	volatile bool stop;
-	pthread_mutex_t lock;
-	unsigned violations[CHECK_COUNT];
-	claim_t *claims;
-	size_t claim_count;
-	char jobs[MAX_JOBS][32];
-	unsigned job_count;
-	unsigned streams;
-	unsigned served;
-	unsigned faults;
-	unsigned harmful; /* requests with the part sent, and refused */
-	unsigned harmful_refused;
-	char journal[512];
-} soak_t;
-
-/* A fault in force; undo ends it. */
-typedef struct fault_t {
-	void (*undo)(soak_t *soak, unsigned target);
-	unsigned target;
-	double until;
-} fault_t;
-
-typedef struct fault_kind_t {
-	const char *name;
-	void (*begin)(soak_t *soak, unsigned target);
-	void (*undo)(soak_t *soak, unsigned target);
-	bool on_host;	/* else on an engine, or on the store */
-	double longest; /* seconds */
-} fault_kind_t;
-
 typedef struct caller_t {
 	soak_t *soak;
 	unsigned index;
@@ -101,8 +45,9 @@
 	pthread_t thread;
 } caller_t;
 
-static void
-violate(soak_t *soak, check_t check, const char *what, const char *id)
+/* Counts and prints a broken promise. */
+void
+soak_violate(soak_t *soak, check_t check, const char *what, const char *id)
 {
 	pthread_mutex_lock(&soak->lock);
 	soak->violations[check]++;
@@ -140,7 +85,7 @@
 	s = gateways_stream(&soak->fleet, host,
 	    once ? GATEWAYS_ONCE : GATEWAYS_RESUME, id, events, patience);
 	if (s.whole && s.status == 200 && !s.right)
-		violate(
+		soak_violate(
 		    soak, CHECK_STREAM_WHOLE, "events missing or wrong", id);
 	if (s.status == 503 || s.status == 429)
 		claim(soak, id, 0);
@@ -170,7 +115,7 @@
 		    i % 2 == 0 ? GATEWAYS_ONCE : GATEWAYS_RESUME, id,
 		    "a1:100," CRASH_PART ":30,1:10", 8, 4);
 		if (s.whole && s.status == 200)
-			violate(
+			soak_violate(
 			    soak, CHECK_STREAM_WHOLE, "crash as success", id);
 		if (s.status == 503 || s.status == 429)
 			claim(soak, id, 0);
@@ -248,321 +193,12 @@
 					  (unsigned)rng_below(&caller->rng,
 					      soak->fleet.params.hosts),
 					  job, 0, &body) == 404)
-			violate(soak, CHECK_JOB_NOT_DENIED, "404", job);
+			soak_violate(soak, CHECK_JOB_NOT_DENIED, "404", job);
 		buf_free(&body);
 	}
 	return (NULL);
 }
 
-/* Kinds of faults. Targets are hosts or engines, as the table says. */
-
-static void
-host_kill(soak_t *soak, unsigned target)
-{
-	harness_kill(soak->fleet.hosts[target]);
-	soak->fleet.hosts[target] = NULL;
-}
-
-static void
-host_restart(soak_t *soak, unsigned target)
-{
-	gateways_start_host(&soak->fleet, target);
-}
-
-static void
-host_freeze(soak_t *soak, unsigned target)
-{
-	harness_stop(soak->fleet.hosts[target]);
-}
-
-static void
-host_thaw(soak_t *soak, unsigned target)
-{
-	harness_continue(soak->fleet.hosts[target]);
-}
-
-static void
-host_stop(soak_t *soak, unsigned target)
-{
-	harness_signal(soak->fleet.hosts[target], SIGTERM);
-}
-
-static void
-host_stopped(soak_t *soak, unsigned target)
-{
-	if (harness_wait_exit(soak->fleet.hosts[target], 8) != 0)
-		violate(soak, CHECK_HOSTS_LIVE, "planned stop failed", "host");
-	soak->fleet.hosts[target] = NULL;
-	gateways_start_host(&soak->fleet, target);
-}
-
-static void
-host_hangup(soak_t *soak, unsigned target)
-{
-	harness_signal(soak->fleet.hosts[target], SIGHUP);
-}
-
-static void
-nothing(soak_t *soak, unsigned target)
-{
-	(void)soak;
-	(void)target;
-}
-
-static void
-engine_kill(soak_t *soak, unsigned target)
-{
-	harness_kill(soak->fleet.engines[target]);
-	soak->fleet.engines[target] = NULL;
-}
-
-static void
-engine_restart(soak_t *soak, unsigned target)
-{
-	gateways_start_engine(&soak->fleet, target);
-}
-
-static void
-engine_drain(soak_t *soak, unsigned target)
-{
-	harness_signal(soak->fleet.engines[target], SIGUSR1);
-}
-
-static void
-engine_drained(soak_t *soak, unsigned target)
-{
-	harness_wait_exit(soak->fleet.engines[target], 6);
-	soak->fleet.engines[target] = NULL;
-	gateways_start_engine(&soak->fleet, target);
-}
-
-static void
-engine_break(soak_t *soak, unsigned target)
-{
-	gateways_engine_faults(&soak->fleet, target, "break=0.3&lose=0.1");
-}
-
-static void
-engine_shed(soak_t *soak, unsigned target)
-{
-	gateways_engine_faults(&soak->fleet, target, "shed=0.5");
-}
-
-static void
-engine_heal(soak_t *soak, unsigned target)
-{
-	gateways_engine_faults(&soak->fleet, target, "");
-}
-
-static void
-link_fault(soak_t *soak, unsigned target, const char *mode)
-{
-	char query[64];
-
-	snprintf(query, sizeof(query), "forward=%u&mode=%s", target, mode);
-	gateways_proxy_fault(&soak->fleet, query);
-}
-
-static void
-link_freeze(soak_t *soak, unsigned target)
-{
-	link_fault(soak, target + 1, "freeze&only_open=1");
-}
-
-static void
-link_cut(soak_t *soak, unsigned target)
-{
-	link_fault(soak, target + 1, "cut");
-}
-
-static void
-link_one_way(soak_t *soak, unsigned target)
-{
-	link_fault(soak, target + 1, "drop_down");
-}
-
-static void
-link_heal(soak_t *soak, unsigned target)
-{
-	link_fault(soak, target + 1, "pass");
-}
-
-static void
-store_busy(soak_t *soak, unsigned target)
-{
-	(void)target;
-	gateways_store_faults(&soak->fleet, "busy=1");
-}
-
-static void
-store_silent(soak_t *soak, unsigned target)
-{
-	(void)target;
-	gateways_store_faults(&soak->fleet, "silent=1");
-}
-
-static void
-store_loses(soak_t *soak, unsigned target)
-{
-	(void)target;
-	gateways_store_faults(&soak->fleet, "lose=0.4&late=3");
-}
-
-static void
-store_forgets(soak_t *soak, unsigned target)
-{
-	(void)target;
-	gateways_store_faults(&soak->fleet, "forget=1");
-}
-
-static void
-store_refuses_one(soak_t *soak, unsigned target)
-{
-	char query[64];
-
-	snprintf(query, sizeof(query), "silent=1&host=127.0.0.%u", 21 + target);
-	gateways_store_faults(&soak->fleet, query);
-}
-
-static void
-store_heal(soak_t *soak, unsigned target)
-{
-	(void)target;
-	gateways_store_faults(&soak->fleet, "");
-}
-
-static void
-store_link_slow(soak_t *soak, unsigned target)
-{
-	(void)target;
-	link_fault(soak, 0, "delay&ms=200");
-}
-
-static void
-store_link_silent(soak_t *soak, unsigned target)
-{
-	(void)target;
-	link_fault(soak, 0, "freeze&only_open=1");
-}
-
-static void
-store_link_heal(soak_t *soak, unsigned target)
-{
-	(void)target;
-	link_fault(soak, 0, "pass");
-}
-
-static void
-configure(soak_t *soak, unsigned target)
-{
-	(void)target;
-	gateways_configure(&soak->fleet, "");
-}
-
-static const fault_kind_t kinds[] = {
-    {"host killed", host_kill, host_restart, true, 3},
-    {"host frozen", host_freeze, host_thaw, true, 4},
-    {"host stopped as planned", host_stop, host_stopped, true, 1},
-    {"settings reloaded", host_hangup, nothing, true, 0},
-    {"engine killed", engine_kill, engine_restart, false, 3},
-    {"engine replaced", engine_drain, engine_drained, false, 3},
-    {"engine breaks off", engine_break, engine_heal, false, 4},
-    {"engine refuses", engine_shed, engine_heal, false, 4},
-    {"link to an engine silent", link_freeze, link_heal, false, 3},
-    {"link to an engine cut", link_cut, link_heal, false, 3},
-    {"link to an engine one way", link_one_way, link_heal, false, 3},
-    {"store busy", store_busy, store_heal, false, 4},
-    {"store silent", store_silent, store_heal, false, 4},
-    {"store loses answers", store_loses, store_heal, false, 5},
-    {"store forgets", store_forgets, nothing, false, 0},
-    {"store refuses one host", store_refuses_one, store_heal, false, 5},
-    {"link to the store slow", store_link_slow, store_link_heal, false, 3},
-    {"link to the store silent", store_link_silent, store_link_heal, false, 2},
-    {"configuration changes", configure, nothing, false, 0},
-};
-
-static bool
-target_is_free(const soak_t *soak, const fault_t *faults, size_t count,
-    const fault_kind_t *kind, unsigned target)
-{
-	bool present = kind->on_host ? soak->fleet.hosts[target] != NULL
-				     : target >= soak->fleet.params.engines ||
-					   soak->fleet.engines[target] != NULL;
-
-	/* One fault at a time on each host and engine; they overlap. */
-	for (size_t i = 0; i < count; i++)
-		if (faults[i].target == target)
-			return (false);
-	return (present);
-}
-
-static void
-end_faults(soak_t *soak, fault_t *faults, size_t *count, double now)
-{
-	size_t kept = 0;
-
-	for (size_t i = 0; i < *count; i++) {
-		if (now >= faults[i].until)
-			faults[i].undo(soak, faults[i].target);
-		else
-			faults[kept++] = faults[i];
-	}
-	*count = kept;
-}
-
-static void
-begin_fault(soak_t *soak, fault_t *faults, size_t *count, double now)
-{
-	const fault_kind_t *kind =
-	    &kinds[rng_below(&soak->rng, sizeof(kinds) / sizeof(kinds[0]))];
-	unsigned most = kind->on_host ? soak->fleet.params.hosts
-				      : soak->fleet.params.engines;
-	unsigned target = (unsigned)rng_below(&soak->rng, most);
-	double length = kind->longest * rng_uniform(&soak->rng);
-
-	if (*count >= MAX_FAULTS ||
-	    !target_is_free(soak, faults, *count, kind, target))
-		return;
-	printf("fault %s target=%u for_s=%.1f\n", kind->name, target, length);
-	kind->begin(soak, target);
-	soak->faults++;
-	faults[(*count)++] = (fault_t){
-	    .undo = kind->undo, .target = target, .until = now + length};
-}
-
-/* Starts the engines again that harmful requests ended. */
-static void
-restart_crashed_engines(soak_t *soak, const fault_t *faults, size_t count)
-{
-	bool busy[GATEWAYS_MAX_ENGINES] = {false};
-
-	if (soak->fleet.params.crash_part == NULL)
-		return;
-	/* A fault may end its engine, and starts it again itself. */
-	for (size_t i = 0; i < count; i++)
-		if (faults[i].target < GATEWAYS_MAX_ENGINES)
-			busy[faults[i].target] = true;
-	for (unsigned i = 0; i < soak->fleet.params.engines; i++)
-		if (!busy[i] && soak->fleet.engines[i] != NULL &&
-		    harness_wait_exit(soak->fleet.engines[i], 0) >= 0)
-			gateways_start_engine(&soak->fleet, i);
-}
-
-static void
-inject(soak_t *soak)
-{
-	fault_t faults[MAX_FAULTS];
-	size_t count = 0;
-
-	while (clock_monotonic() < soak->end) {
-		begin_fault(soak, faults, &count, clock_monotonic());
-		harness_sleep(0.1 + 0.9 * rng_uniform(&soak->rng));
-		end_faults(soak, faults, &count, clock_monotonic());
-		restart_crashed_engines(soak, faults, count);
-	}
-	end_faults(soak, faults, &count, 1e18);
-}
-
 /* Counts how often each claimed request ran, by the engines' journal. */
 static void
 check_claims(soak_t *soak)
@@ -580,7 +216,7 @@
 		while (str_split(&rest, '\n', &line))
 			runs += str_equal(line, str_of(c->id));
 		if (runs > c->most)
-			violate(soak,
+			soak_violate(soak,
 			    c->most == 0 ? CHECK_REFUSAL_TRUE : CHECK_ONCE,
 			    "ran too often", c->id);
 	}
@@ -597,7 +233,7 @@
 
 		if (!gateways_wait_job(&soak->fleet, soak->jobs[i], JOB_ITEMS,
 			JOB_EVENTS, left > 1 ? left : 1))
-			violate(soak, CHECK_JOB_COMPLETE,
+			soak_violate(soak, CHECK_JOB_COMPLETE,
 			    "results missing or changed", soak->jobs[i]);
 	}
 }
@@ -608,7 +244,8 @@
 	for (unsigned i = 0; i < soak->fleet.params.hosts; i++)
 		if (soak->fleet.hosts[i] == NULL ||
 		    kill(harness_pid(soak->fleet.hosts[i]), 0) != 0)
-			violate(soak, CHECK_HOSTS_LIVE, "host is gone", "host");
+			soak_violate(
+			    soak, CHECK_HOSTS_LIVE, "host is gone", "host");
 }
 
 /* Streams that begin RECOVERY_S after the last fault are all served. */
@@ -623,7 +260,7 @@
 		s = gateways_stream(&soak->fleet, i % soak->fleet.params.hosts,
 		    i % 2 == 0 ? GATEWAYS_ONCE : GATEWAYS_RESUME, id, 10, 4);
 		if (!s.right)
-			violate(soak, CHECK_RECOVERED, "not served", id);
+			soak_violate(soak, CHECK_RECOVERED, "not served", id);
 	}
 }
 
@@ -687,11 +324,11 @@
 	if (harmful)
 		pthread_create(
 		    &harmful_caller.thread, NULL, harmful_run, &harmful_caller);
-	inject(soak);
+	soak_inject_faults(soak);
 	soak->stop = true;
 	if (harmful)
 		pthread_join(harmful_caller.thread, NULL);
-	restart_crashed_engines(soak, NULL, 0);
+	soak_restart_engines(soak);
 	for (unsigned i = 0; i < MAX_CALLERS; i++)
 		pthread_join(callers[i].thread, NULL);
 	check_hosts(soak);
--- a/src/grants_pool.c
+++ b/src/grants_pool.c
@@ -71,7 +71,6 @@
 }
 
 /* Copies the members of this site, which are the hosts that share its pools. */
-/* Takes over the hosts of this site from the member table. */
 void
 grants_refresh_members(grants_t *grants)
 {
