gateway: move what concerns leaving endpoints into gateway_leaving.c

gateway.c is about components and their supervision; the callbacks that decide whether an endpoint may be used stood among them. No change of behaviour: eight functions are moved, six get the prefix gateway_ and a comment.

--- a/src/gateway.c
+++ b/src/gateway.c
@@ -40,107 +40,6 @@
 	return (((gateway_t *)ctx)->fleet_config);
 }
 
-static bool
-is_endpoint_leaving(void *ctx, const config_endpoint_t *endpoint)
-{
-	const gateway_t *gateway = ctx;
-	const endpoint_entry_t *entry;
-
-	if (gateway->endpoints == NULL)
-		return (false);
-	entry = endpoint_set_find(gateway->endpoints, str_of(endpoint->name));
-	return (entry == NULL || endpoint_set_is_leaving(gateway->endpoints,
-				     str_of(endpoint->name)));
-}
-
-/* Returns when an endpoint started by its entry, or 0 if that is unknown. */
-static uint64_t
-get_endpoint_started_ms(void *ctx, const char *endpoint)
-{
-	const gateway_t *gateway = ctx;
-	const endpoint_entry_t *entry =
-	    endpoint_set_find(gateway->endpoints, str_of(endpoint));
-
-	return (entry != NULL ? entry->started_ms : 0);
-}
-
-static bool
-is_endpoint_usable(void *ctx, const char *endpoint)
-{
-	gateway_t *gateway = ctx;
-	bool usable = endpoint_set_usable(
-	    gateway->endpoints, str_of(endpoint), clock_monotonic());
-
-	/* The host that chose it may have begun to admit only now. */
-	if (!usable &&
-	    endpoint_set_is_leaving(gateway->endpoints, str_of(endpoint)))
-		grants_report_leaving(gateway->grants, endpoint,
-		    get_endpoint_started_ms(gateway, endpoint));
-	return (usable);
-}
-
-/*
- * Records that an endpoint said that it leaves. Returns false if it was known.
- */
-static bool
-record_leaving(
-    gateway_t *gateway, str_t endpoint, uint64_t started_ms, const char *source)
-{
-	if (!endpoint_set_mark_leaving(
-		gateway->endpoints, endpoint, started_ms))
-		return (false);
-	LOG_INFO("endpoint_says_leaving",
-	    "endpoint=" STR_FMT " started_ms=%llu source=%s", STR_ARG(endpoint),
-	    (unsigned long long)started_ms, source);
-	counter_add(gateway->leaving_endpoints, 1);
-	grants_fleet_changed(gateway->grants);
-	return (true);
-}
-
-static void
-on_endpoint_says_leaving(
-    void *ctx, const grant_endpoint_t *endpoint, bool misdirected)
-{
-	gateway_t *gateway = ctx;
-	const char *id = endpoint->name;
-	const endpoint_entry_t *entry;
-
-	if (misdirected) {
-		entry = endpoint_set_find_address(
-		    gateway->endpoints, endpoint->address, str_of(id));
-		if (entry == NULL)
-			return;
-		id = entry->id;
-	}
-	if (record_leaving(gateway, str_of(id),
-		get_endpoint_started_ms(gateway, id), "response"))
-		grants_report_leaving(
-		    gateway->grants, id, get_endpoint_started_ms(gateway, id));
-}
-
-static void
-on_reported_leaving(void *ctx, str_t endpoint, uint64_t started_ms)
-{
-	(void)record_leaving(ctx, endpoint, started_ms, "host");
-}
-
-static void
-report_leaving(void *ctx, const char *endpoint, uint64_t started_ms)
-{
-	grants_report_leaving(ctx, endpoint, started_ms);
-}
-
-/* A host that begins to admit does not know what endpoints said before. */
-static void
-on_admitting_host_changed(void *ctx)
-{
-	const gateway_t *gateway = ctx;
-
-	if (gateway->endpoints != NULL)
-		endpoint_set_each_leaving(
-		    gateway->endpoints, report_leaving, gateway->grants);
-}
-
 /* Recomputes readiness and publishes it when it changes. */
 void
 gateway_update_ready(gateway_t *gateway)
@@ -295,9 +194,9 @@
 	    .mode = GRANTS_POOL,
 	    .config = get_fleet_config,
 	    .members = get_members,
-	    .endpoint_leaving = is_endpoint_leaving,
-	    .on_endpoint_leaving = on_reported_leaving,
-	    .on_admitting_host_changed = on_admitting_host_changed,
+	    .endpoint_leaving = gateway_endpoint_leaving,
+	    .on_endpoint_leaving = gateway_on_reported_leaving,
+	    .on_admitting_host_changed = gateway_on_admitting_host_changed,
 	    .ctx = gateway,
 	});
 	return (0);
@@ -331,7 +230,7 @@
 	    .peer = gateway->peer,
 	    .host = gateway->params.settings->name,
 	    .members = get_members,
-	    .endpoint_started_ms = get_endpoint_started_ms,
+	    .endpoint_started_ms = gateway_endpoint_started_ms,
 	    .on_held = on_part_held,
 	    .ctx = gateway,
 	});
@@ -358,8 +257,8 @@
 	    .grants = gateway->grants,
 	    .quarantine = gateway->quarantine,
 	    .dialect = gateway->params.dialect,
-	    .endpoint_usable = is_endpoint_usable,
-	    .endpoint_says_leaving = on_endpoint_says_leaving,
+	    .endpoint_usable = gateway_endpoint_usable,
+	    .endpoint_says_leaving = gateway_on_endpoint_says_leaving,
 	    .ctx = gateway,
 	});
 	return (0);
@@ -397,8 +296,8 @@
 	    .job_retention = gateway->params.settings->results_keep_s,
 	    .members = get_members,
 	    .routes = get_routing_table,
-	    .endpoint_usable = is_endpoint_usable,
-	    .endpoint_says_leaving = on_endpoint_says_leaving,
+	    .endpoint_usable = gateway_endpoint_usable,
+	    .endpoint_says_leaving = gateway_on_endpoint_says_leaving,
 	    .ctx = gateway,
 	});
 	return (0);
--- a/src/gateway_state.h
+++ b/src/gateway_state.h
@@ -69,6 +69,16 @@
 void gateway_stop_endpoints(void *ctx);
 void gateway_update_fleet_config(gateway_t *gateway);
 
+/* gateway_leaving.c */
+bool gateway_endpoint_leaving(void *ctx, const config_endpoint_t *endpoint);
+uint64_t gateway_endpoint_started_ms(void *ctx, const char *endpoint);
+bool gateway_endpoint_usable(void *ctx, const char *endpoint);
+void gateway_on_endpoint_says_leaving(
+    void *ctx, const grant_endpoint_t *endpoint, bool misdirected);
+void gateway_on_reported_leaving(
+    void *ctx, str_t endpoint, uint64_t started_ms);
+void gateway_on_admitting_host_changed(void *ctx);
+
 /* gateway_hosts.c */
 int gateway_start_hosts(void *ctx);
 void gateway_stop_hosts(void *ctx);
