admission: give slots that silent hosts hold or wait for to others

Cause: until membership declares a frozen host dead, seconds later, its slots count as in use, though endpoints end its requests as usual, and its waiting requests get further slots, which stay idle. pool_state shows all 420 slots in use and 600 to 960 requests waiting during the freeze.

Change: a host that has sent nothing for 1.5 s (hosts with grants report once a second) gets no slots, and its online grants are reclaimed once they have probably ended; its report restores those that still run. A host that stood still itself takes nobody for silent.

Tests: test_admission "silent holder leaves slots to others" (fails with silent_after = 0: no grant in 3 s), "own pause reclaims nothing".

--- a/src/admission.c
+++ b/src/admission.c
@@ -355,6 +355,7 @@
 	slot_org_t *org;
 	double wait;
 
+	slot_holder_find_or_create(a, request->holder)->heard_at = now;
 	if (grant != NULL) {
 		if (grant->state == SLOT_HELD)
 			admission_queue_action(a, ADMISSION_GRANT, grant, 0, 0);
@@ -406,6 +407,7 @@
 
 	if (grant == NULL)
 		return (false);
+	grant->holder->heard_at = now;
 	if (grant->endpoint != NULL) {
 		if (report != NULL)
 			slot_endpoint_handle_report(
@@ -479,6 +481,7 @@
 	}
 	if (now >= a->restricted_until)
 		admission_revoke_excess(a, now);
+	admission_reclaim_silent(a, now);
 	admission_schedule(a, now);
 }
 
--- a/src/admission.h
+++ b/src/admission.h
@@ -22,6 +22,8 @@
 	unsigned online_reserve; /* slots that batch leaves free */
 	unsigned queue_limit;	 /* maximum of waiting online requests */
 	double revoke_timeout;	 /* seconds a holder has to release a slot */
+	/* Seconds after which a holder without messages is silent; 0: never. */
+	double silent_after;
 } admission_settings_t;
 
 /* A request for a grant; strings are copied. */
--- a/src/admission_reconcile.c
+++ b/src/admission_reconcile.c
@@ -69,6 +69,7 @@
 	slot_grant_t *grant;
 
 	holder->reported_at = now;
+	holder->heard_at = now;
 	LIST_FOREACH (grant, &holder->grants, holder_entry)
 		grant->listed = false;
 	for (size_t i = 0; i < count; i++) {
--- a/src/admission_schedule.c
+++ b/src/admission_schedule.c
@@ -152,14 +152,17 @@
 }
 
 /*
- * Returns whether a slot may be free for the holder of a waiting request. While
- * the pool is restricted each holder has an allowance on few endpoints only; if
- * one of its requests found no free slot, the others need not be tried.
+ * Returns whether a slot may be free for the holder of a waiting request. A
+ * silent holder would leave it idle. While the pool is restricted each holder
+ * has an allowance on few endpoints only; if one of its requests found no free
+ * slot, the others need not be tried.
  */
 static bool
 holder_may_find_slot(
     const admission_t *a, const slot_grant_t *grant, double now)
 {
+	if (slot_holder_is_silent(a, grant->holder, now))
+		return (false);
 	return (now >= a->restricted_until ||
 		now >= grant->holder->no_free_slot_until);
 }
--- a/src/admission_state.h
+++ b/src/admission_state.h
@@ -55,6 +55,7 @@
 typedef struct slot_holder_t {
 	char name[64];
 	double reported_at; /* time of the last report; 0: none */
+	double heard_at;    /* time of the last message of any kind */
 	/* In a restricted pool its requests are skipped until then. */
 	double no_free_slot_until;
 	LIST_HEAD(, slot_grant_t) grants;
@@ -93,6 +94,8 @@
 	size_t endpoint_count;
 	route_endpoint_t *routes; /* parallel to endpoints */
 	unsigned free_slots;	  /* sum over all endpoints */
+	double ticked_at;
+	double running_since; /* without having stood still */
 	double restricted_since;
 	double restricted_until;
 	admission_allowance_cb_t allowance;
@@ -134,6 +137,11 @@
     const grant_report_t *report, double now);
 bool admission_has_usable_endpoint(const admission_t *a);
 
+/* admission_silence.c */
+bool slot_holder_is_silent(
+    const admission_t *a, const slot_holder_t *holder, double now);
+void admission_reclaim_silent(admission_t *a, double now);
+
 /* admission_schedule.c */
 void slot_batch_held_insert(admission_t *a, slot_grant_t *grant);
 void admission_revoke_excess(admission_t *a, double now);
--- a/src/grants_admit.c
+++ b/src/grants_admit.c
@@ -19,6 +19,8 @@
  */
 #define IDLE_ADMISSION_TIMEOUT_S 10.0
 #define STATE_LOG_INTERVAL_S	 0.5
+/* Hosts that wait for slots or hold some report once per second. */
+#define SILENT_AFTER_S 1.5
 
 static size_t
 host_bucket(str_t name)
@@ -81,6 +83,7 @@
 		settings.online_reserve = p->online_reserve;
 		settings.queue_limit = p->queue_limit;
 		settings.revoke_timeout = config->fleet.revoke_timeout_ms / 1e3;
+		settings.silent_after = SILENT_AFTER_S;
 	}
 	admission_configure(pool->admission, &settings, list, count, now);
 	pool->applied_config = config;
--- a/tests/test_admission.c
+++ b/tests/test_admission.c
@@ -694,7 +694,104 @@
 	admission_delete(t.a);
 }
 
+/* Requests a slot on behalf of one of two hosts. */
+static void
+request_as(pool_fixture_t *t, const char *holder)
+{
+	admission_request(t->a,
+	    &(admission_request_t){
+		.id = t->next_id++,
+		.holder = holder,
+		.zone = "east",
+		.class = GRANT_ONLINE,
+		.org = "org",
+		.weight = 1,
+		.deadline = t->now + 10,
+	    },
+	    t->now);
+	drain_actions(t);
+}
+
+/* Replays ticks, while host "live" holds one slot after the other. */
+static void
+run_beside_silent_host(pool_fixture_t *t, double seconds)
+{
+	double end = t->now + seconds;
+
+	while (t->now < end) {
+		t->now += 0.05;
+		request_as(t, "live");
+		if (strcmp(t->last.holder, "live") == 0 &&
+		    t->last.kind == ADMISSION_GRANT)
+			admission_release(
+			    t->a, "live", t->last.id, NULL, t->now);
+		admission_tick(t->a, t->now);
+		drain_actions(t);
+	}
+}
+
+/*
+ * Slots that a frozen host holds must come back before it is declared dead, and
+ * none may be granted to its waiting requests; otherwise requests of the other
+ * hosts wait beside idle endpoints.
+ */
+static void
+test_silent_holder_leaves_slots_to_others(void)
+{
+	const admission_settings_t s = {
+	    .queue_limit = 100, .revoke_timeout = 0.5, .silent_after = 1.5};
+	pool_fixture_t t = {.a = admission_new(1), .now = 10, .next_id = 1};
+	admission_stats_t stats;
+	unsigned granted;
+
+	configure(&t, &s, 1, 4);
+	admission_tick(t.a, t.now);
+	/* Four requests run, four wait; then the host freezes. */
+	for (unsigned i = 0; i < 8; i++)
+		request_as(&t, "frozen");
+	CU_ASSERT(t.granted == 4);
+	run_beside_silent_host(&t, 1.4);
+	CU_ASSERT(t.granted == 4);
+	granted = t.granted;
+	run_beside_silent_host(&t, 1.6);
+	CU_ASSERT(t.granted > granted + 10);
+	CU_ASSERT_STRING_EQUAL(t.last.holder, "live");
+	/* What waits is granted once the host is heard again. */
+	admission_stats(t.a, t.now, &stats);
+	CU_ASSERT(stats.online_waiting >= 4);
+	admission_delete(t.a);
+}
+
+/* A host that stood still itself must not take the others for silent. */
+static void
+test_own_pause_reclaims_nothing(void)
+{
+	const admission_settings_t s = {
+	    .queue_limit = 100, .revoke_timeout = 0.5, .silent_after = 1.5};
+	pool_fixture_t t = {.a = admission_new(1), .now = 10, .next_id = 1};
+	admission_stats_t stats;
+
+	configure(&t, &s, 1, 4);
+	admission_tick(t.a, t.now);
+	for (unsigned i = 0; i < 4; i++)
+		request_as(&t, "other");
+	t.now += 5;
+	admission_tick(t.a, t.now);
+	admission_stats(t.a, t.now, &stats);
+	CU_ASSERT(stats.online == 4);
+	CU_ASSERT(stats.reclaimed == 0);
+	/* It has the usual time to send something. */
+	for (unsigned i = 0; i < 28; i++)
+		admission_tick(t.a, t.now += 0.05);
+	admission_stats(t.a, t.now, &stats);
+	CU_ASSERT(stats.online == 4);
+	admission_delete(t.a);
+}
+
 static const suite_test_t tests[] = {
+    {"silent holder leaves slots to others",
+	test_silent_holder_leaves_slots_to_others},
+    {"own pause reclaims nothing", test_own_pause_reclaims_nothing},
     {"revokes largest slack first", test_revokes_largest_slack_first},
     {"online preempts batch", test_online_preempts_batch},
     {"one revocation for each waiting request",
