admission: log that a host falls silent and is heard again

One line a change and host, and only for hosts that have slots or wait for some; without it on-call engineers see reclaimed slots and not of whom.

--- a/src/admission_silence.c
+++ b/src/admission_silence.c
@@ -9,6 +9,8 @@
 
 #include <math.h>
 
+#include "logger.h"
+
 /* A longer pause between ticks shows that this host stood still itself. */
 #define MAX_TICK_GAP_S 0.5
 /* Online requests of a silent holder have ended after this many mean times. */
@@ -25,6 +27,20 @@
 		now - since > a->settings.silent_after);
 }
 
+/* Notices and logs that a holder has fallen silent or is heard again. */
+static void
+holder_refresh_silence(const admission_t *a, slot_holder_t *holder, double now)
+{
+	bool silent = slot_holder_is_silent(a, holder, now);
+
+	/* A holder without grants and requests has nothing to send. */
+	if (silent == holder->silent || (silent && LIST_EMPTY(&holder->grants)))
+		return;
+	holder->silent = silent;
+	LOG_INFO(silent ? "holder_silent" : "holder_heard",
+	    "host=%s heard_s=%.1f", holder->name, now - holder->heard_at);
+}
+
 /* Reclaims the online grants of a holder that have probably ended. */
 static void
 holder_reclaim_ended(admission_t *a, slot_holder_t *holder, double now)
@@ -59,8 +75,10 @@
 	for (size_t i = 0; i < ADMISSION_HOLDER_BUCKETS; i++) {
 		slot_holder_t *holder;
 
-		LIST_FOREACH (holder, &a->holders[i], entry)
-			if (slot_holder_is_silent(a, holder, now))
+		LIST_FOREACH (holder, &a->holders[i], entry) {
+			holder_refresh_silence(a, holder, now);
+			if (holder->silent)
 				holder_reclaim_ended(a, holder, now);
+		}
 	}
 }
--- a/src/admission_state.h
+++ b/src/admission_state.h
@@ -56,6 +56,7 @@
 	char name[64];
 	double reported_at; /* time of the last report; 0: none */
 	double heard_at;    /* time of the last message of any kind */
+	bool silent;	    /* as of the last tick */
 	/* In a restricted pool its requests are skipped until then. */
 	double no_free_slot_until;
 	LIST_HEAD(, slot_grant_t) grants;
