admission: take holders for silent only while this host admits

Change: silence counts only while the host admits, and from the moment at which it begins to. test_admission "silence without the role" fails without the latter (2 assertions).

--- a/src/admission_endpoints.c
+++ b/src/admission_endpoints.c
@@ -161,6 +161,9 @@
 {
 	size_t total = a->endpoint_count;
 
+	/* Holders need not have sent anything until now. */
+	if (a->settings.silent_after <= 0)
+		a->running_since = now;
 	a->settings = *settings;
 	for (size_t i = 0; i < a->endpoint_count; i++) {
 		a->endpoints[i]->leaving = true;
--- a/src/admission_state.h
+++ b/src/admission_state.h
@@ -96,7 +96,7 @@
 	route_endpoint_t *routes; /* parallel to endpoints */
 	unsigned free_slots;	  /* sum over all endpoints */
 	double ticked_at;
-	double running_since; /* without having stood still */
+	double running_since; /* holders are heard since then */
 	double restricted_since;
 	double restricted_until;
 	admission_allowance_cb_t allowance;
--- a/tests/test_admission.c
+++ b/tests/test_admission.c
@@ -788,10 +788,41 @@
 	admission_delete(t.a);
 }
 
+/*
+ * Hosts send their messages to the host that admits. One that has lost the role
+ * must reclaim nothing, nor at once when it gets the role back.
+ */
+static void
+test_silence_without_role(void)
+{
+	admission_settings_t s = {.queue_limit = 100, .revoke_timeout = 0.5};
+	pool_fixture_t t = {.a = admission_new(1), .now = 10, .next_id = 1};
+	admission_stats_t stats;
+
+	configure(&t, &s, 1, 4);
+	for (unsigned i = 0; i < 4; i++)
+		request_as(&t, "other");
+	for (unsigned i = 0; i < 100; i++)
+		admission_tick(t.a, t.now += 0.05);
+	s.silent_after = 1.5;
+	configure(&t, &s, 1, 4);
+	for (unsigned i = 0; i < 28; i++)
+		admission_tick(t.a, t.now += 0.05);
+	admission_stats(t.a, t.now, &stats);
+	CU_ASSERT(stats.online == 4);
+	CU_ASSERT(stats.reclaimed == 0);
+	for (unsigned i = 0; i < 10; i++)
+		admission_tick(t.a, t.now += 0.05);
+	admission_stats(t.a, t.now, &stats);
+	CU_ASSERT(stats.online == 0);
+	admission_delete(t.a);
+}
+
 static const suite_test_t tests[] = {
     {"silent holder leaves slots to others",
 	test_silent_holder_leaves_slots_to_others},
     {"own pause reclaims nothing", test_own_pause_reclaims_nothing},
+    {"silence without the role", test_silence_without_role},
     {"revokes largest slack first", test_revokes_largest_slack_first},
     {"online preempts batch", test_online_preempts_batch},
     {"one revocation for each waiting request",
