--- a/review/common/server.c
+++ b/review/common/server.c
@@ -13,6 +13,9 @@
 #define HEARTBEAT_S  1.2
 #define CRASH_DOWN_S 3.0
 #define SLOTS	     8
+/* What a server has written of an answer when it crashes. */
+#define FIRST_BYTES   "HTTP/1.1 200 OK"
+#define FIRST_BYTES_S 0.02
 
 typedef struct served_t {
 	server_t *server;
@@ -180,6 +183,9 @@
 	}
 	s->plan(s, m, &plan);
 	if (plan.crash) {
+		/* It has begun to write an answer. */
+		conn_send(c, FIRST_BYTES, sizeof(FIRST_BYTES) - 1);
+		sleep_s(FIRST_BYTES_S);
 		crash(s);
 		return;
 	}
