review: a service without servers starves the jobs of others (LOST)

Cause: the 16 open slot requests of a partition are shared by all services; items of a service without servers hold them for 20 s each and take them again.

The case loses the only server of one service, hands in a job of 20 items for it and 96 short jobs for another service, whose servers are idle.

--- a/review/common/jobs.c
+++ b/review/common/jobs.c
@@ -5,6 +5,13 @@
 
 void
 job_submit(const char *job, const item_t *items, size_t count)
+{
+	job_submit_to("/pule252/", job, items, count);
+}
+
+void
+job_submit_to(
+    const char *prefix, const char *job, const item_t *items, size_t count)
 {
 	bytes_t body = {0};
 	bytes_t request = {0};
@@ -12,20 +19,20 @@
 	bytes_printf(&body, "{\"items\":[");
 	for (size_t i = 0; i < count; i++)
 		bytes_printf(&body,
-		    "%s{\"id\":\"%s\",\"path\":\"/pule252/3/%s\",\"headers\":{"
+		    "%s{\"id\":\"%s\",\"path\":\"%s3/%s\",\"headers\":{"
 		    "\"X-Daisypier-Model\":\"m\","
 		    "\"X-Daisypier-Token-Usage\":\"250,%u\","
 		    "\"X-Daisypier-Prompt-Prefix\":\"9c2e41:100,%.6s:150\"%s},"
 		    "\"body\":\"q83vEjRWeJA=\",\"tokens\":%u}",
-		    i > 0 ? "," : "", items[i].id, items[i].id,
+		    i > 0 ? "," : "", items[i].id, prefix, items[i].id,
 		    items[i].tokens - 250, items[i].id, items[i].headers,
 		    items[i].tokens);
 	bytes_printf(&body, "]}");
 	bytes_printf(&request,
-	    "POST /pule252/%s HTTP/1.1\r\nHost: " HOST_NAME
+	    "POST %s%s HTTP/1.1\r\nHost: " HOST_NAME
 	    "\r\nX-Daisypier-Request-Id: %s\r\n"
 	    "Content-Type: application/json\r\nContent-Length: %zu\r\n\r\n",
-	    job, job, body.len);
+	    prefix, job, job, body.len);
 	bytes_add(&request, body.data, body.len);
 	for (unsigned try = 0;; try++) {
 		message_t answer;
--- a/review/common/lib.h
+++ b/review/common/lib.h
@@ -96,6 +96,7 @@
 } plan_t;
 
 typedef struct server_t {
+	const char *service; /* NULL: "m" */
 	char id[32];
 	char ip[32];
 	unsigned port;
@@ -103,6 +104,7 @@
 	long long born_ms;
 	int listener;
 	bool down;
+	bool gone; /* for good */
 	pthread_mutex_t lock;
 	int fds[512];
 	size_t fd_count;
@@ -113,6 +115,8 @@
 } server_t;
 
 void server_start(server_t *s);
+/* The server is lost for good; its entry expires some seconds later. */
+void server_lose(server_t *s);
 void server_event_data(
     bytes_t *out, const char *id, unsigned event, size_t bytes);
 
@@ -147,6 +151,9 @@
 
 /* Hands in a job at gateways in turn until it is accepted. */
 void job_submit(const char *job, const item_t *items, size_t count);
+/* The same under another path prefix. */
+void job_submit_to(
+    const char *prefix, const char *job, const item_t *items, size_t count);
 /* Reads all results from position 0; answer holds the last page's body. */
 bool job_read(const char *job, unsigned gateway, message_t *answer);
 /* Returns 'd' (done), 'x' (dead) or '-' (not listed). */
--- a/review/common/server.c
+++ b/review/common/server.c
@@ -11,7 +11,7 @@
 #include "lib.h"
 
 #define HEARTBEAT_S  1.2
-#define CRASH_DOWN_S 3.0
+#define CRASH_DOWN_S 3.0 /* also until the entry of a lost one expires */
 #define SLOTS	     8
 /* What a server has written of an answer when it crashes. */
 #define FIRST_BYTES   "HTTP/1.1 200 OK"
@@ -38,11 +38,12 @@
 	bytes_t text = {0};
 
 	bytes_printf(&text,
-	    "{\"service\":\"m\",\"address\":\"%s:%u\",\"zone\":\"trent-bank\","
+	    "{\"service\":\"%s\",\"address\":\"%s:%u\",\"zone\":\"trent-bank\","
 	    "\"version\":\"v1\",\"slots\":%d,\"state\":\"ready\","
 	    "\"warmup-left-ms\":0,\"stage\":\"both\",\"models\":[{\"name\":"
 	    "\"m\",\"version\":1,\"adapters\":[]}],\"seq\":%u,\"born\":%lld}",
-	    s->ip, s->port, SLOTS, seq++, s->born_ms);
+	    s->service != NULL ? s->service : "m", s->ip, s->port, SLOTS, seq++,
+	    s->born_ms);
 	store_put("keyed.servers", 0, s->id, text.data);
 	bytes_free(&text);
 }
@@ -87,6 +88,13 @@
 	pthread_mutex_unlock(&s->lock);
 }
 
+void
+server_lose(server_t *s)
+{
+	s->gone = true;
+	crash(s);
+}
+
 void
 server_event_data(bytes_t *out, const char *id, unsigned event, size_t bytes)
 {
@@ -259,6 +267,8 @@
 		close(s->listener);
 		sleep_s(CRASH_DOWN_S);
 		store_put("keyed.servers", 0, s->id, NULL);
+		if (s->gone)
+			return (NULL);
 		open_listener(s);
 		pthread_mutex_lock(&s->lock);
 		s->down = false;
