--- a/review/build.sh
+++ b/review/build.sh
@@ -6,6 +6,6 @@
 for case in review/[1-5]/case.c; do
 	[ -f "$case" ] || continue
 	number=$(basename "$(dirname "$case")")
-	${CC:-cc} -D_GNU_SOURCE -std=c11 -O2 -g -Wall -Wextra -Ireview/common \
+	${CC:-gcc} -D_GNU_SOURCE -std=c11 -O2 -g -Wall -Wextra -Ireview/common \
 	    -o "target/review/case-$number" "$case" review/common/*.c -lpthread
 done
