--- a/review/common/lib.c
+++ b/review/common/lib.c
@@ -12,6 +12,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/stat.h>
 #include <sys/wait.h>
@@ -560,6 +561,8 @@
 		int fd =
 		    open(log, O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
 
+		/* It ends with the case, however that ends. */
+		prctl(PR_SET_PDEATHSIG, SIGKILL);
 		dup2(fd, 1);
 		dup2(fd, 2);
 		setenv("DAISYPIER_BOOT", settings, 1);
