forward: a shutting down host sends only what ends before its exit

Cause: the shutdown compared the time of arrival with the time of the exit, not the time that a request may last. Weighed as well: the exit at 7.5 s instead of 8 s (none of the six would have been whole by 8 s) and the directory (it does not name the host any more; callers may keep an answer for three times its TTL).

Change: during a shutdown a request is sent only if its deadline lies before the exit or if recent runs of its route say so (run_times). It is refused at once otherwise, which says that it has not run, so its caller can go to another host. This is asked on arrival, when a slot is granted, and before each retry.

--- a/src/forward.c
+++ b/src/forward.c
@@ -14,6 +14,7 @@
 #include "forward_plan.h"
 #include "logger.h"
 #include "result.h"
+#include "run_times.h"
 
 /*
  * A resumable stream without an event for longer fails over to another endpoint
@@ -31,7 +32,10 @@
 	LIST_HEAD(, forward_t) forwards;
 	size_t open_count;
 	ev_timer drain_timer; /* closes the queue for slots */
+	bool stopping;	      /* a graceful shutdown has begun */
 	bool queue_closed;    /* nothing waits for a slot any more */
+	double stop_at;	      /* monotonic time of the exit, if stopping */
+	run_times_t run_times;
 	forward_counters_t counters;
 };
 
@@ -99,6 +103,9 @@
 	double now = clock_monotonic();
 
 	histogram_record(f->forwarder->counters.total, now - f->arrived_at);
+	if (f->granted_at > 0)
+		run_times_add(&f->forwarder->run_times, str_of(f->route->name),
+		    f->info.output_tokens, now - f->granted_at, now);
 	LOG_INFO("request",
 	    "request=%s route=%s config=%llu endpoint=%s outcome=%s status=%d "
 	    "cause=%s sent=%u unreached=%u wait_ms=%.0f first_ms=%.0f "
@@ -339,6 +346,34 @@
 		forward_refuse(f, rc, retry_after);
 }
 
+/*
+ * Refuses a request during a graceful shutdown if it might not end before the
+ * exit. Returns whether it did.
+ */
+static bool
+forward_refuse_unfit(forward_t *f)
+{
+	forwarder_t *forwarder = f->forwarder;
+	double now = clock_monotonic();
+	double estimate;
+
+	if (!forwarder->stopping)
+		return (false);
+	estimate = run_times_estimate(&forwarder->run_times,
+	    str_of(f->route->name), f->info.output_tokens, now);
+	if (forward_ends_before(&f->state, now + estimate, forwarder->stop_at))
+		return (false);
+	LOG_INFO("request_outlasts_host",
+	    "request=%s stop_ms=%.0f deadline_ms=%.0f estimate_ms=%.0f",
+	    f->info.id, (forwarder->stop_at - now) * 1e3,
+	    (f->state.deadline - now) * 1e3, estimate * 1e3);
+	if (f->grant != NULL)
+		grant_release(f->grant, NULL);
+	f->grant = NULL;
+	forward_terminate(f, -RESULT_STOPPING, 0);
+	return (true);
+}
+
 /*
  * Ends a request whose prompt has a part that is held back. Returns whether it
  * did.
@@ -391,7 +426,7 @@
 		return;
 	}
 	if (rc == 0) {
-		if (forward_refuse_held(f))
+		if (forward_refuse_unfit(f) || forward_refuse_held(f))
 			return;
 		if (f->granted_at <= 0) {
 			f->granted_at = clock_monotonic();
@@ -416,7 +451,7 @@
 		forward_refuse(f, -RESULT_NO_ENDPOINT, 1);
 		return;
 	}
-	if (forward_refuse_held(f))
+	if (forward_refuse_unfit(f) || forward_refuse_held(f))
 		return;
 	f->grant = grants_request(f->forwarder->params.grants,
 	    &(grant_params_t){
@@ -556,13 +591,16 @@
 }
 
 /*
- * Begins a planned stop. After queue_seconds, requests that wait for a slot are
- * refused, and so are new ones: attempts started later would be cut off by the
- * exit, and the callers can retry on another host at once.
+ * Begins a graceful shutdown; the host exits at stop_at, a monotonic time. From
+ * now on, requests that might not end before that are refused instead of sent.
+ * After queue_seconds, those that still wait for a slot are refused as well. In
+ * both cases the callers can retry on another host at once.
  */
 void
-forwarder_drain(forwarder_t *forwarder, double queue_seconds)
+forwarder_drain(forwarder_t *forwarder, double queue_seconds, double stop_at)
 {
+	forwarder->stopping = true;
+	forwarder->stop_at = stop_at;
 	ev_timer_set(&forwarder->drain_timer, queue_seconds, 0);
 	ev_timer_start(forwarder->params.loop, &forwarder->drain_timer);
 }
@@ -581,6 +619,7 @@
 
 	forwarder->params = *params;
 	LIST_INIT(&forwarder->forwards);
+	LIST_INIT(&forwarder->run_times.routes);
 	ev_timer_init(&forwarder->drain_timer, on_drain_queue, 0, 0);
 	forwarder->drain_timer.data = forwarder;
 	forward_counters_init(&forwarder->counters);
@@ -599,5 +638,6 @@
 			http_request_on_close(f->request, NULL, NULL);
 		forward_free(f);
 	}
+	run_times_free(&forwarder->run_times);
 	free(forwarder);
 }
--- a/src/forward.h
+++ b/src/forward.h
@@ -28,7 +28,8 @@
 void forwarder_accept(forwarder_t *forwarder, http_request_t *request,
     routing_table_t *table, const request_route_t *route, double arrived_at);
 void forwarder_recheck_parts(forwarder_t *forwarder);
-void forwarder_drain(forwarder_t *forwarder, double queue_seconds);
+void forwarder_drain(
+    forwarder_t *forwarder, double queue_seconds, double stop_at);
 size_t forwarder_open_count(const forwarder_t *forwarder);
 void http_request_refuse(
     http_request_t *request, int rc, double retry_after, const char *detail);
--- a/src/forward_plan.c
+++ b/src/forward_plan.c
@@ -45,6 +45,20 @@
 	    state->resumable && state->attempts_sent + 1 < state->max_attempts);
 }
 
+/*
+ * Returns whether a request ends before stop_at, at which the host exits:
+ * either its deadline or the estimated end of its run lies before that. All
+ * times are monotonic. Only such a request is sent during a graceful shutdown.
+ * A refused caller can retry on another host; one whose response is cut off may
+ * not.
+ */
+bool
+forward_ends_before(
+    const forward_state_t *state, double estimated_end, double stop_at)
+{
+	return (fmin(state->deadline, estimated_end) <= stop_at);
+}
+
 /* Returns the step that ends a request without another attempt. */
 static forward_step_t
 final_step(const forward_state_t *state)
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -15,9 +15,11 @@
 /* Part of the shutdown time that is reserved for the process exit. */
 #define EXIT_MARGIN_S	       0.5
 #define DRAIN_CHECK_INTERVAL_S 0.05
+/* Time to pass on a last response before the exit. */
+#define LAST_RESPONSE_MARGIN_S 0.1
 /*
  * No request gets a slot during this last part of a graceful shutdown, because
- * it might not finish in time.
+ * one that arrived before it might not finish in time.
  */
 #define NO_START_MARGIN_S 2.2
 
@@ -361,10 +363,15 @@
 void
 gateway_drain(gateway_t *gateway)
 {
+	double stop_s = gateway->params.settings->stop_s;
+	double last_response_at;
+
 	if (gateway->draining)
 		return;
 	gateway->draining = true;
 	gateway->drain_started_at = clock_monotonic();
+	last_response_at = gateway->drain_started_at + stop_s - EXIT_MARGIN_S -
+			   LAST_RESPONSE_MARGIN_S;
 	LOG_INFO("draining", "open=%zu",
 	    httpd_open_requests(gateway->caller_server));
 	gateway_update_ready(gateway);
@@ -373,8 +380,8 @@
 	gateway_refuse_waiting(gateway);
 	gateway_remove_host_record(gateway);
 	jobs_drain(gateway->jobs);
-	forwarder_drain(gateway->forwarder,
-	    fmax(0, gateway->params.settings->stop_s - NO_START_MARGIN_S));
+	forwarder_drain(gateway->forwarder, fmax(0, stop_s - NO_START_MARGIN_S),
+	    last_response_at);
 	ev_timer_init(&gateway->drain_timer, on_drain_timer,
 	    DRAIN_CHECK_INTERVAL_S, DRAIN_CHECK_INTERVAL_S);
 	gateway->drain_timer.data = gateway;
--- a/tests/test_fail_gateway.c
+++ b/tests/test_fail_gateway.c
@@ -377,6 +377,43 @@
 	gateways_end(&fleet);
 }
 
+/* Sends a stream to the stopping host and, if that refuses it, to another. */
+static void
+check_late_stream(const char *id, unsigned events, double timeout, bool refused)
+{
+	gateways_stream_t s =
+	    gateways_stream(&fleet, 0, GATEWAYS_ONCE, id, events, timeout);
+
+	CU_ASSERT(s.whole);
+	if (!refused) {
+		CU_ASSERT(s.right);
+		return;
+	}
+	CU_ASSERT(s.status == 503);
+	CU_ASSERT(s.retry_after >= 0);
+	CU_ASSERT(gateways_runs(&fleet, id).runs == 0);
+	s = gateways_stream(&fleet, 1, GATEWAYS_ONCE, id, events, timeout);
+	CU_ASSERT(s.right);
+}
+
+/*
+ * Guards against a request that arrives late in a graceful shutdown, is sent to
+ * an endpoint and is cut off by the exit in the middle of its stream.
+ */
+static void
+test_shutdown_refuses_what_it_would_cut_off(void)
+{
+	gateways_start(&fleet, &(gateways_params_t){.event_ms = 40});
+	harness_signal(fleet.hosts[0], SIGTERM);
+	/* Like a caller with an outdated host list. */
+	harness_sleep(1.2);
+	check_late_stream("l-short", 10, 1.5, false);
+	check_late_stream("l-long", 60, 5, true);
+	CU_ASSERT(harness_wait_exit(fleet.hosts[0], 8) == 0);
+	fleet.hosts[0] = NULL;
+	gateways_end(&fleet);
+}
+
 /*
  * Guards against items that restart from the first event when the owner of
  * their job shuts down, as they do without the handover.
@@ -508,6 +545,8 @@
     {"dead idle connections", test_dead_idle_connections},
     {"graceful shutdown", test_graceful_shutdown},
     {"shutdown refuses queued requests", test_shutdown_refuses_queue},
+    {"shutdown refuses what it would cut off",
+	test_shutdown_refuses_what_it_would_cut_off},
     {"shutdown hands items over", test_shutdown_hands_items_over},
 };
 
--- a/tests/test_forward_plan.c
+++ b/tests/test_forward_plan.c
@@ -153,7 +153,31 @@
 	CU_ASSERT(step(state, ATTEMPT_INCOMPLETE, 200) == FORWARD_ABORT);
 }
 
+/*
+ * Guards against sending requests late in a graceful shutdown that the exit
+ * cuts off, and against refusing those that end in time: streams with a
+ * deadline of 5 s arrive throughout a shutdown of 8 s.
+ */
+static void
+test_shutdown_sends_what_ends_in_time(void)
+{
+	const double stop_at = 107.4;
+
+	for (double now = 100; now < 107; now += 0.25) {
+		forward_state_t state = {.deadline = now + 5};
+
+		CU_ASSERT(forward_ends_before(&state, INFINITY, stop_at) ==
+			  (now <= 102.4));
+		CU_ASSERT(forward_ends_before(&state, now + 2, stop_at) ==
+			  (now <= 105.4));
+		CU_ASSERT(forward_ends_before(&state, now + 9, stop_at) ==
+			  (now <= 102.4));
+	}
+}
+
 static const suite_test_t tests[] = {
+    {"a shutdown sends what ends in time",
+	test_shutdown_sends_what_ends_in_time},
     {"the last endpoint may be slow", test_last_endpoint_may_be_slow},
     {"a stalled caller gets no retry", test_stalled_caller_gets_no_retry},
     {"refusal only if not run", test_refusal_only_if_not_run},
