jobs: clients get their answers before the exit of a shutting down host

What callers see: a job that is submitted late in a graceful shutdown while the store does not answer gets no answer at all: its connection ends with the host.

Cause: a write had 3.2 s and a read up to 6.2 s, whatever was left until the exit.

Change: both limits end before the exit; with under 0.3 s left a write is refused at once, as nothing of it can have been stored.

Measured: test_fail_gateway "shutdown answers job calls" failed on the former code ("status == 503 || status == 504", the status was 0) and passes now.

--- a/src/gateway.c
+++ b/src/gateway.c
@@ -379,7 +379,7 @@
 	httpd_set_closing(gateway->caller_server);
 	gateway_refuse_waiting(gateway);
 	gateway_remove_host_record(gateway);
-	jobs_drain(gateway->jobs);
+	jobs_drain(gateway->jobs, last_response_at);
 	forwarder_drain(gateway->forwarder, fmax(0, stop_s - NO_START_MARGIN_S),
 	    last_response_at);
 	ev_timer_init(&gateway->drain_timer, on_drain_timer,
--- a/src/jobs.c
+++ b/src/jobs.c
@@ -1,6 +1,7 @@
 /* Multi-item jobs at a gateway host: submission, ownership and reads. */
 #include "jobs.h"
 
+#include <math.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -29,6 +30,8 @@
 #define HANDOVER_TIMEOUT_S 2.0
 /* Time for a final answer to a client that submits or ends a job. */
 #define WRITE_TIMEOUT_S 3.2
+/* With less time left before the exit, nothing is written any more. */
+#define MIN_WRITE_TIME_S 0.3
 /* Ownership is compared with placement at least this often. */
 #define PLACEMENT_INTERVAL_S 0.25
 /* Changes of the member table within this time are handled together. */
@@ -56,6 +59,7 @@
 	LIST_HEAD(, peer_read_t) peer_reads;
 	LIST_HEAD(, pending_write_t) writes;
 	bool draining;
+	double stop_at; /* monotonic time of the exit, if draining */
 	ev_timer placement_timer;
 	jobs_counters_t counters;
 };
@@ -272,14 +276,27 @@
 	ev_timer_start(jobs->params.loop, &jobs->placement_timer);
 }
 
-/* Starts a planned stop: other hosts take over the partitions. */
+/*
+ * Starts a planned stop: other hosts take over the partitions. Clients get
+ * their answers before stop_at, a monotonic time.
+ */
 void
-jobs_drain(jobs_t *jobs)
+jobs_drain(jobs_t *jobs, double stop_at)
 {
 	jobs->draining = true;
+	jobs->stop_at = stop_at;
 	jobs_update_partitions(jobs);
 }
 
+/* Returns a time limit, reduced to the time that is left before the exit. */
+static double
+limit_to_shutdown(const jobs_t *jobs, double seconds)
+{
+	if (!jobs->draining)
+		return (seconds);
+	return (fmin(seconds, jobs->stop_at - clock_monotonic()));
+}
+
 static void
 on_write_done(void *ctx, job_write_t *write)
 {
@@ -290,12 +307,22 @@
 	free(pending);
 }
 
+/* Takes ownership of the records. */
 static void
 write_start(jobs_t *jobs, http_request_t *request, const char *job,
-    const char *operation, const job_records_t *records, int status)
+    const char *operation, job_records_t *records, int status)
 {
-	pending_write_t *pending = xcalloc(1, sizeof(*pending));
+	pending_write_t *pending;
+	double timeout = limit_to_shutdown(jobs, WRITE_TIMEOUT_S);
 
+	if (timeout < MIN_WRITE_TIME_S) {
+		LOG_INFO("job_write_refused", "request=%s what=%s left_ms=%.0f",
+		    job, operation, timeout * 1e3);
+		http_request_refuse(request, -RESULT_STOPPING, 0, NULL);
+		job_records_free(records);
+		return;
+	}
+	pending = xcalloc(1, sizeof(*pending));
 	pending->jobs = jobs;
 	LIST_INSERT_HEAD(&jobs->writes, pending, entry);
 	pending->write = job_write_start(&(job_write_params_t){
@@ -307,7 +334,7 @@
 	    .operation = operation,
 	    .records = *records,
 	    .status = status,
-	    .timeout = WRITE_TIMEOUT_S,
+	    .timeout = timeout,
 	    .on_done = on_write_done,
 	    .ctx = pending,
 	});
@@ -437,7 +464,8 @@
 	msgpack_pack_uint64(&packer, call->position);
 	msgpack_pack_double(&packer, call->wait);
 	query->peer_call = peer_call(query->jobs->params.peer, owner->address,
-	    PEER_JOB_READ, str_buf(&body), call->wait + READ_TIMEOUT_S,
+	    PEER_JOB_READ, str_buf(&body),
+	    limit_to_shutdown(query->jobs, call->wait + READ_TIMEOUT_S),
 	    on_peer_reply, query);
 	buf_free(&body);
 }
@@ -458,8 +486,10 @@
 	query->jobs = jobs;
 	query->request = request;
 	query->call = *call;
-	if (query->call.wait > MAX_READ_WAIT_S)
-		query->call.wait = MAX_READ_WAIT_S;
+	query->call.wait = fmin(query->call.wait, MAX_READ_WAIT_S);
+	query->call.wait =
+	    fmax(0, limit_to_shutdown(jobs, query->call.wait + READ_TIMEOUT_S) -
+			READ_TIMEOUT_S);
 	LIST_INSERT_HEAD(&jobs->queries, query, entry);
 	http_request_on_close(request, on_client_gone, query);
 	counter_add(jobs->counters.reads, 1);
--- a/tests/test_fail_gateway.c
+++ b/tests/test_fail_gateway.c
@@ -414,6 +414,26 @@
 	gateways_end(&fleet);
 }
 
+/*
+ * Guards against a job that is submitted late in a graceful shutdown while the
+ * store does not answer, and whose client gets no answer before the exit.
+ */
+static void
+test_shutdown_answers_job_calls(void)
+{
+	int status;
+
+	gateways_start(&fleet, &(gateways_params_t){0});
+	harness_signal(fleet.hosts[0], SIGTERM);
+	harness_sleep(1.2);
+	gateways_store_faults(&fleet, "silent=1");
+	status = gateways_submit(&fleet, 0, "job-l", 3, 4);
+	CU_ASSERT(status == 503 || status == 504);
+	CU_ASSERT(harness_wait_exit(fleet.hosts[0], 8) == 0);
+	fleet.hosts[0] = NULL;
+	gateways_end(&fleet);
+}
+
 /*
  * Guards against items that restart from the first event when the owner of
  * their job shuts down, as they do without the handover.
@@ -547,6 +567,7 @@
     {"shutdown refuses queued requests", test_shutdown_refuses_queue},
     {"shutdown refuses what it would cut off",
 	test_shutdown_refuses_what_it_would_cut_off},
+    {"shutdown answers job calls", test_shutdown_answers_job_calls},
     {"shutdown hands items over", test_shutdown_hands_items_over},
 };
 
