--- a/src/admission.h
+++ b/src/admission.h
@@ -62,7 +62,7 @@
 typedef struct admission_action_t {
 	admission_action_kind_t kind;
 	uint64_t id;
-	char holder[64];
+	char holder[NAME_SIZE];
 	int rc;
 	double retry_after; /* seconds; ADMISSION_REFUSE only */
 	grant_endpoint_t endpoint;
--- a/src/admission_state.h
+++ b/src/admission_state.h
@@ -28,7 +28,7 @@
 
 /* The state of an organisation in the pool. */
 typedef struct slot_org_t {
-	char name[64];
+	char name[NAME_SIZE];
 	unsigned weight;
 	unsigned concurrency;
 	quota_t quota;
@@ -41,7 +41,7 @@
 
 typedef struct slot_endpoint_t {
 	grant_endpoint_t id;
-	char zone[64];
+	char zone[NAME_SIZE];
 	unsigned slots;
 	bool leaving; /* or no longer configured */
 	unsigned in_use;
@@ -53,7 +53,7 @@
 } slot_endpoint_t;
 
 typedef struct slot_holder_t {
-	char name[64];
+	char name[NAME_SIZE];
 	double reported_at; /* time of the last report; 0: none */
 	double heard_at;    /* time of the last message of any kind */
 	bool silent;	    /* as of the last tick */
@@ -70,8 +70,8 @@
 	slot_org_t *org;
 	slot_holder_t *holder;
 	slot_endpoint_t *endpoint; /* NULL while waiting */
-	char zone[64];
-	char avoid[64];
+	char zone[NAME_SIZE];
+	char avoid[ENDPOINT_NAME_SIZE];
 	uint64_t prefix_hash;
 	double deadline;
 	double since;			 /* time of the request or the grant */
--- a/src/crash_check.h
+++ b/src/crash_check.h
@@ -7,16 +7,17 @@
 
 #include <ev.h>
 
+#include "name.h"
 #include "prompt_parts.h"
 
 typedef struct crash_check_t crash_check_t;
 
-/* A request whose endpoint disconnected before it answered. */
+/* A request, and its endpoint, which disconnected before it answered. */
 typedef struct crash_suspect_t {
 	prompt_parts_t parts; /* of the request */
-	char name[64];	      /* of the endpoint */
-	uint64_t endpoint;    /* hash of its name and start */
-	double at;	      /* clock_monotonic() seconds */
+	char name[ENDPOINT_NAME_SIZE];
+	uint64_t endpoint; /* hash of its name and start */
+	double at;	   /* clock_monotonic() seconds */
 } crash_suspect_t;
 
 typedef void (*crash_check_cb_t)(void *ctx, const crash_suspect_t *suspect);
--- a/src/endpoint_set.h
+++ b/src/endpoint_set.h
@@ -4,14 +4,16 @@
 
 #include "config.h"
 #include "leaving_marks.h"
+#include "name.h"
 #include "routing_table.h"
 
 /* An endpoint's registration in the store, written by the endpoint itself. */
 typedef struct endpoint_entry_t {
-	char id[64]; /* usually unique to one start of the endpoint */
-	char pool[64];
+	char id[ENDPOINT_NAME_SIZE]; /* usually unique to one start of the
+					endpoint */
+	char pool[NAME_SIZE];
 	char address[64]; /* "IP:PORT" */
-	char zone[64];
+	char zone[NAME_SIZE];
 	unsigned slots;
 	bool draining;
 	uint64_t started_ms; /* wall-clock time of its start; 0: unknown */
--- a/src/fair_queue.c
+++ b/src/fair_queue.c
@@ -8,8 +8,10 @@
 #include <string.h>
 #include <sys/queue.h>
 
+#include "name.h"
+
 typedef struct fair_org_t {
-	char name[64];
+	char name[NAME_SIZE];
 	unsigned weight;
 	double virtual_time; /* units of work taken, divided by the weight */
 	TAILQ_HEAD(fair_list_t, fair_entry_t) entries; /* by due time */
--- a/src/forward.c
+++ b/src/forward.c
@@ -51,7 +51,7 @@
 	event_relay_t relay;
 	grant_t *grant;
 	attempt_t *attempt;
-	char endpoint[64];	   /* of the last attempt */
+	char endpoint[ENDPOINT_NAME_SIZE]; /* of the last attempt */
 	uint64_t tried[MAX_TRIED]; /* hashes of the endpoints of all attempts */
 	size_t tried_count;
 	double arrived_at;
--- a/src/grants.h
+++ b/src/grants.h
@@ -4,6 +4,7 @@
 
 #include "config.h"
 #include "membership.h"
+#include "name.h"
 #include "peer.h"
 
 typedef struct grants_t grants_t;
@@ -16,7 +17,7 @@
 
 /* The endpoint of a granted slot; valid until the grant is released. */
 typedef struct grant_endpoint_t {
-	char name[64];
+	char name[ENDPOINT_NAME_SIZE];
 	char address[64]; /* "IP:PORT" */
 } grant_endpoint_t;
 
--- a/src/grants_admit.c
+++ b/src/grants_admit.c
@@ -277,10 +277,10 @@
 	    grants->params.config(grants->params.ctx);
 	grants_pool_t *pool;
 	buf_t reply = {0};
-	char holder[64];
-	char zone[64];
-	char org[64];
-	char avoid[64];
+	char holder[NAME_SIZE];
+	char zone[NAME_SIZE];
+	char org[NAME_SIZE];
+	char avoid[ENDPOINT_NAME_SIZE];
 	bool answered;
 
 	if (!grants_read_ask(body, &m)) {
@@ -324,8 +324,8 @@
 	grants_message_t m = {0};
 	grants_pool_t *pool = NULL;
 	const grant_report_t *report;
-	char holder[64];
-	char endpoint[64];
+	char holder[NAME_SIZE];
+	char endpoint[ENDPOINT_NAME_SIZE];
 
 	if (grants_read_release(body, &m)) {
 		LIST_FOREACH (pool, &grants->pools, entry)
@@ -357,7 +357,7 @@
 	size_t count = grants_read_held(body, &m, &holdings);
 	uint64_t *unknown = xcalloc(count, sizeof(*unknown));
 	buf_t reply = {0};
-	char holder[64];
+	char holder[NAME_SIZE];
 
 	if (m.holder.len == 0 || config == NULL ||
 	    config_pool(config, m.pool) == NULL) {
--- a/src/grants_pool.c
+++ b/src/grants_pool.c
@@ -100,11 +100,13 @@
 
 	for (size_t i = 0; config != NULL && i < config->pool_count; i++) {
 		str_t name = str_of(config->pools[i].name);
+		grants_pool_t *pool;
 
 		if (pool_find(grants, name) != NULL)
 			continue;
-		grants_get_pool(grants, name)->report_when_empty = true;
-		pool_report(pool_find(grants, name), now);
+		pool = grants_get_pool(grants, name);
+		pool->report_when_empty = true;
+		pool_report(pool, now);
 	}
 }
 
--- a/src/grants_state.h
+++ b/src/grants_state.h
@@ -23,10 +23,10 @@
 /* This host's view of one pool. */
 typedef struct grants_pool_t {
 	grants_t *grants;
-	char name[64];
-	char admitting_host[64];    /* name; empty: unknown */
-	char admitting_address[48]; /* "IP" of admitting_host */
-	bool is_admitting;	    /* this host admits for the pool */
+	char name[NAME_SIZE];
+	char admitting_host[NAME_SIZE]; /* name; empty: unknown */
+	char admitting_address[48];	/* "IP" of admitting_host */
+	bool is_admitting;		/* this host admits for the pool */
 	double backoff_until;	/* admitting_host gets no requests until then */
 	bool report_when_empty; /* send the next report even if empty */
 	peer_call_t *report_call;
@@ -43,7 +43,7 @@
 
 /* A host that has sent requests or reports to this one. */
 typedef struct grants_host_t {
-	char name[64];
+	char name[NAME_SIZE];
 	char address[48];
 	uint64_t instance; /* 0: not yet in the member table */
 	LIST_ENTRY(grants_host_t) entry;
@@ -55,8 +55,8 @@
 	uint64_t id;
 	grant_state_t state;
 	grant_params_t params;
-	char org[64];
-	char avoid[64];
+	char org[NAME_SIZE];
+	char avoid[ENDPOINT_NAME_SIZE];
 	char granted_by[48]; /* address; empty: this host or none */
 	double retry_at;
 	peer_call_t *call;
@@ -74,9 +74,9 @@
 
 struct grants_t {
 	grants_params_t params;
-	char host[64];
-	char zone[64];
-	char site[64];
+	char host[NAME_SIZE];
+	char zone[NAME_SIZE];
+	char site[NAME_SIZE];
 	ev_timer tick_timer;
 	ev_timer report_timer;
 	ev_timer deferred_timer;
--- a/src/job_run_state.h
+++ b/src/job_run_state.h
@@ -39,7 +39,7 @@
 	attempt_t *attempt;
 	header_list_t headers;
 	char *target;
-	char endpoint[64];
+	char endpoint[ENDPOINT_NAME_SIZE];
 } item_run_t;
 
 /* Execution state of one job. */
@@ -59,7 +59,7 @@
 typedef struct item_slot_t {
 	job_runner_t *runner;
 	grant_t *grant;
-	char pool[64];
+	char pool[NAME_SIZE];
 	item_run_t *item; /* NULL until granted */
 	LIST_ENTRY(item_slot_t) entry;
 } item_slot_t;
--- a/src/leaving_marks.c
+++ b/src/leaving_marks.c
@@ -11,12 +11,14 @@
 #include <stdlib.h>
 #include <sys/queue.h>
 
+#include "name.h"
+
 /* More marks than endpoints that leave within hours; the oldest is dropped. */
 #define MAX_MARKS 4096
 #define BUCKETS	  256
 
 typedef struct mark_t {
-	char endpoint[64];
+	char endpoint[ENDPOINT_NAME_SIZE];
 	uint64_t started_ms; /* of the start that leaves; 0: unknown */
 	bool entry_ended;    /* removed or draining since the mark was set */
 	LIST_ENTRY(mark_t) bucket_link;
--- a/src/membership.h
+++ b/src/membership.h
@@ -2,7 +2,7 @@
 #ifndef DAISYPIER_MEMBERSHIP_H
 #define DAISYPIER_MEMBERSHIP_H
 
-#include "str.h"
+#include "name.h"
 
 /* Limits per datagram; the size includes the authentication header. */
 #define MEMBERSHIP_MAX_UPDATES	12
@@ -16,10 +16,10 @@
 } member_state_t;
 
 typedef struct member_t {
-	char name[64];
+	char name[NAME_SIZE];
 	char address[48]; /* IP address without a port */
-	char zone[64];
-	char site[64];
+	char zone[NAME_SIZE];
+	char site[NAME_SIZE];
 	uint64_t instance; /* random number that identifies the process */
 	uint32_t incarnation;
 	member_state_t state;
--- a/src/schema.c
+++ b/src/schema.c
@@ -6,8 +6,9 @@
 #include <string.h>
 
 #include "ini_text.h"
+#include "name.h"
 
-#define MAX_NAME 63
+#define MAX_NAME (NAME_SIZE - 1)
 
 typedef struct schema_reader_t {
 	schema_doc_t *doc;
--- a/tests/harness_gateways.c
+++ b/tests/harness_gateways.c
@@ -98,7 +98,7 @@
 gateways_start_engine(gateways_t *fleet, unsigned engine)
 {
 	char ip[32];
-	char id[32];
+	char id[256];
 	char port[16];
 	char slots[16];
 	char event[16];
@@ -113,16 +113,17 @@
 	snprintf(advertise, sizeof(advertise), "%s:%u",
 	    fleet->proxy != NULL ? proxy : ip,
 	    fleet->proxy != NULL ? fleet->proxy_port : fleet->engine_port);
-	snprintf(
-	    id, sizeof(id), "e%u-%u", engine, fleet->engine_starts[engine]++);
+	snprintf(id, sizeof(id), "%s%u-%u", fleet->params.engine_prefix, engine,
+	    fleet->engine_starts[engine]++);
 	snprintf(port, sizeof(port), "%u", fleet->engine_port);
 	snprintf(slots, sizeof(slots), "%u", fleet->params.slots);
 	snprintf(event, sizeof(event), "%u", fleet->params.event_ms);
 	snprintf(
 	    store, sizeof(store), "http://%s", harness_address(fleet->store));
 	const char *const fixed[] = {"--address", ip, "--port", port, "--store",
-	    store, "--service", "m", "--zone", zone_of(engine), "--id", id,
-	    "--slots", slots, "--event-ms", event, "--advertise", advertise};
+	    store, "--service", fleet->params.service, "--zone",
+	    zone_of(engine), "--id", id, "--slots", slots, "--event-ms", event,
+	    "--advertise", advertise};
 
 	for (; count < sizeof(fixed) / sizeof(fixed[0]); count++)
 		args[count] = fixed[count];
@@ -172,16 +173,18 @@
 void
 gateways_configure(gateways_t *fleet, const char *extra_routes)
 {
-	static const char common[] =
-	    "\"host\":\"" GATEWAYS_HOST "\",\"service\":\"m\","
-	    "\"timeout-ms\":5000,\"target-latency-ms\":300,\"priority\":0,"
-	    "\"sticky\":true,\"gap-aim-ms\":500";
+	buf_t common = {0};
 	buf_t text = {0};
 	buf_t body = {0};
 
 	fleet->config_version += 3;
+	buf_printf(&common,
+	    "\"host\":\"" GATEWAYS_HOST "\",\"service\":\"%s\","
+	    "\"timeout-ms\":5000,\"target-latency-ms\":300,\"priority\":0,"
+	    "\"sticky\":true,\"gap-aim-ms\":500",
+	    fleet->params.service);
 	buf_printf(&text,
-	    "{\"version\":%llu,\"services\":[{\"name\":\"m\","
+	    "{\"version\":%llu,\"services\":[{\"name\":\"%s\","
 	    "\"max-connections\":250,\"engine\":{\"slots\":8,"
 	    "\"kv-capacity\":100000}}],\"routes\":["
 	    "{\"name\":\"once\",\"path-prefix\":\"/once/\",\"type\":\"stream\","
@@ -191,12 +194,13 @@
 	    "{\"name\":\"jobs\",\"path-prefix\":\"/jobs/\",\"type\":\"batch\","
 	    "\"max-attempts\":3,\"resumable\":true,"
 	    "\"completion-window-ms\":18000,\"retention-s\":60,%s}%s]}",
-	    (unsigned long long)fleet->config_version, common, common, common,
-	    extra_routes);
+	    (unsigned long long)fleet->config_version, fleet->params.service,
+	    common.data, common.data, common.data, extra_routes);
 	put_record(&body, "config", text.data);
 	harness_post(NULL, str_buf(&body),
 	    "http://%s/-/log-append?topic=keyed.op&part=0",
 	    harness_address(fleet->store));
+	buf_free(&common);
 	buf_free(&text);
 	buf_free(&body);
 }
@@ -372,6 +376,10 @@
 		fleet->params.engines = 2;
 	if (fleet->params.slots == 0)
 		fleet->params.slots = 8;
+	if (fleet->params.service == NULL)
+		fleet->params.service = "m";
+	if (fleet->params.engine_prefix == NULL)
+		fleet->params.engine_prefix = "e";
 	if (fleet->params.event_ms == 0)
 		fleet->params.event_ms = 10;
 	fleet->callers_port = harness_free_port(host_ips, GATEWAYS_MAX_HOSTS);
--- a/tests/harness_gateways.h
+++ b/tests/harness_gateways.h
@@ -15,10 +15,12 @@
 #define GATEWAYS_JOBS	"/jobs/"   /* jobs */
 
 typedef struct gateways_params_t {
-	unsigned hosts;	   /* 0: 3 */
-	unsigned engines;  /* 0: 2 */
-	unsigned slots;	   /* of an engine; 0: 8 */
-	unsigned event_ms; /* between events; 0: 10 */
+	unsigned hosts;		   /* 0: 3 */
+	unsigned engines;	   /* 0: 2 */
+	unsigned slots;		   /* of an engine; 0: 8 */
+	unsigned event_ms;	   /* between events; 0: 10 */
+	const char *service;	   /* of the engines; NULL: "m" */
+	const char *engine_prefix; /* of the engines' ids; NULL: "e" */
 	/* Hosts reach the store and the engines through a fault proxy. */
 	bool proxied;
 	const char *logs;    /* folder for the hosts' logs; NULL: dropped */
