forward: refuse a request whose id is too long to be compared

What callers saw: each request with an id of 96 bytes or more got 502, after it had run, because only the beginning of its id was kept and no response had the same one.

Change: 400 with the reason, before anything runs; the same for jobs.

Measured: test_fail_names "long request id" failed on the former code ("s.status == 400") and passes now.

--- a/src/dialect.h
+++ b/src/dialect.h
@@ -14,6 +14,7 @@
 /* Metadata of a request, read from its headers. */
 typedef struct request_info_t {
 	char id[JOB_ID_SIZE];  /* of this attempt of the caller */
+	bool id_too_long;      /* id is only its beginning */
 	double caller_timeout; /* seconds; 0: not specified */
 	unsigned prompt_tokens;
 	unsigned output_tokens; /* maximum */
--- a/src/forward.c
+++ b/src/forward.c
@@ -522,15 +522,24 @@
 forwarder_accept(forwarder_t *forwarder, http_request_t *request,
     routing_table_t *table, const request_route_t *route, double arrived_at)
 {
-	forward_t *f = xcalloc(1, sizeof(*f));
 	double time_limit = route->timeout;
+	request_info_t info;
+	forward_t *f;
 
+	forwarder->params.dialect->read_request(request, &info);
+	if (info.id_too_long) {
+		LOG_INFO("request_id_too_long", "request=%s", info.id);
+		http_request_reply_error(
+		    request, -RESULT_BAD_REQUEST, "the request id is too long");
+		return;
+	}
+	f = xcalloc(1, sizeof(*f));
+	f->info = info;
 	f->forwarder = forwarder;
 	f->request = request;
 	f->table = routing_table_ref(table);
 	f->route = route;
 	f->arrived_at = arrived_at;
-	forwarder->params.dialect->read_request(request, &f->info);
 	if (f->info.caller_timeout > 0)
 		time_limit = fmin(time_limit, f->info.caller_timeout);
 	f->relay.has_last_id = f->info.resumes;
--- a/src/jobs.c
+++ b/src/jobs.c
@@ -354,9 +354,11 @@
 	(void)table;
 	(void)route;
 	jobs->params.dialect->read_request(request, &info);
-	rc = info.id[0] == '\0' ? -RESULT_BAD_REQUEST
-				: jobs->params.dialect->read_job(
-				      http_request_body(request), &job);
+	if (info.id[0] == '\0' || info.id_too_long)
+		rc = -RESULT_BAD_REQUEST;
+	else
+		rc = jobs->params.dialect->read_job(
+		    http_request_body(request), &job);
 	if (rc != 0) {
 		http_request_reply_error(request, rc, "the job is malformed");
 		return;
--- a/tests/test_fail_names.c
+++ b/tests/test_fail_names.c
@@ -58,9 +58,30 @@
 	gateways_end(&fleet);
 }
 
+/*
+ * Guards against a request whose id is cut: no response to it would be taken
+ * for its own. It must be refused with the reason before it runs.
+ */
+static void
+test_long_request_id(void)
+{
+	static const char id[] =
+	    "a-request-id-of-ninety-six-bytes-or-more-which-is-longer-than-"
+	    "what-a-host-can-keep-of-a-request-id";
+	gateways_stream_t s;
+
+	gateways_start(&fleet, &(gateways_params_t){.hosts = 1});
+	s = gateways_stream(&fleet, 0, GATEWAYS_ONCE, id, 8, 5);
+	CU_ASSERT(s.status == 400);
+	CU_ASSERT(gateways_runs(&fleet, id).runs == 0);
+	CU_ASSERT(gateways_submit(&fleet, 0, id, 1, 4) == 400);
+	gateways_end(&fleet);
+}
+
 static const suite_test_t tests[] = {
     {"long service name", test_long_service_name},
     {"long endpoint id", test_long_endpoint_id},
+    {"long request id", test_long_request_id},
 };
 
 SUITE_MAIN("fail_names", tests)
