job_run: each pool has its own slot requests

Cause: a partition kept at most 16 slot requests and chose them from the first 16 items of all pools. Items without endpoints held them for 20 s each and, late by then, took them again. Weighed as well: the admitting host does not grant (it grants to all other partitions in the same seconds; the starved items have no item_attempt line on their owner).

Change: items are selected by pool, and each pool has 16 slot requests of its own. Those of a pool without endpoints still wait at its admitting host, so its items start when an endpoint returns.

--- a/src/job_run.c
+++ b/src/job_run.c
@@ -12,8 +12,6 @@
 
 /* Interval at which an item with a held part asks whether it may run. */
 #define HELD_CHECK_INTERVAL_S 1.0
-/* Maximum number of open slot requests of one partition. */
-#define MAX_SLOT_REQUESTS 16
 /* A slot request that is not granted within this time is made again. */
 #define SLOT_REQUEST_TIMEOUT_S 20.0
 /*
@@ -34,9 +32,7 @@
 slot_free(item_slot_t *slot)
 {
 	LIST_REMOVE(slot, entry);
-	if (slot->item == NULL)
-		slot->runner->slot_requests--;
-	else
+	if (slot->item != NULL)
 		slot->item->slot = NULL;
 	free(slot);
 }
@@ -144,11 +140,13 @@
 {
 	item_run_t *item = ctx;
 	job_runner_t *runner = item->run->runner;
+	char pool[NAME_SIZE];
 	grant_report_t report = {
 	    .rc = result->rc,
 	    .first_token_seconds = result->first_event_seconds,
 	};
 
+	str_copy(pool, sizeof(pool), str_of(item->slot->pool));
 	item->attempt = NULL;
 	item_release_slot(item, &report);
 	if (result->outcome == ATTEMPT_COMPLETE && result->status == 200) {
@@ -156,7 +154,7 @@
 		    RUN_TIME_EWMA_WEIGHT *
 		    (item->run_time - runner->mean_run_time);
 		item_finish(item, JOB_ITEM_DONE, "complete");
-		runner_request_slots(runner);
+		runner_request_slots(runner, pool);
 		return;
 	}
 	counter_add(runner->counters.failed_attempts, 1);
@@ -176,7 +174,7 @@
 	item_requeue(item, item_retry_delay(item->tries));
 	if (item->rejected)
 		item_finish(item, JOB_ITEM_DEAD, "refused_by_endpoint");
-	runner_request_slots(runner);
+	runner_request_slots(runner, pool);
 }
 
 static void
@@ -240,23 +238,48 @@
 	return (held);
 }
 
+/* Lets the selected items wait that are held back; returns whether any was. */
+static bool
+selection_hold_items(const item_selection_t *selection)
+{
+	bool any_held = false;
+
+	for (size_t i = 0; i < selection->count; i++) {
+		const pool_candidates_t *candidates = &selection->pools[i];
+
+		for (size_t k = 0; k < candidates->count; k++)
+			any_held |=
+			    item_wait_if_held(candidates->items[k].item);
+	}
+	return (any_held);
+}
+
 /* Selects the items to run next, without those that are held back. */
-static size_t
-select_admitted_items(job_runner_t *runner, const char *pool,
-    item_candidate_t *candidates, size_t max)
+static void
+select_admitted_items(
+    job_runner_t *runner, const char *pool, item_selection_t *out)
 {
-	for (;;) {
-		size_t count =
-		    runner_select_items(runner, pool, candidates, max);
-		bool any_held = false;
-
-		for (size_t i = 0; i < count; i++)
-			any_held |= item_wait_if_held(candidates[i].item);
-		if (!any_held)
-			return (count);
+	runner_select_items(runner, pool, out);
+	while (selection_hold_items(out)) {
+		item_selection_free(out);
+		runner_select_items(runner, pool, out);
 	}
 }
 
+/* Returns the first item to run next in a pool, or NULL. */
+static item_run_t *
+select_first_item(job_runner_t *runner, const char *pool)
+{
+	item_selection_t selection;
+	item_run_t *first = NULL;
+
+	select_admitted_items(runner, pool, &selection);
+	if (selection.count > 0)
+		first = selection.pools[0].items[0].item;
+	item_selection_free(&selection);
+	return (first);
+}
+
 static void
 item_start(
     item_run_t *item, item_slot_t *slot, const grant_endpoint_t *endpoint)
@@ -270,7 +293,6 @@
 	    item->endpoint, sizeof(item->endpoint), str_of(endpoint->name));
 	item->slot = slot;
 	slot->item = item;
-	slot->runner->slot_requests--;
 	item->relay.reject_text = true;
 	item->started = clock_monotonic();
 	item->state = ITEM_RUNNING;
@@ -306,6 +328,7 @@
 	item_slot_t *slot = ctx;
 	job_runner_t *runner = slot->runner;
 	item_run_t *item = slot->item;
+	char pool[NAME_SIZE];
 
 	(void)grant;
 	counter_add(runner->counters.yielded, 1);
@@ -313,9 +336,10 @@
 	    "item=" STR_FMT " job=%s endpoint=%s events=%u",
 	    STR_ARG(item->item->id), item->run->job->id, item->endpoint,
 	    item->events);
+	str_copy(pool, sizeof(pool), str_of(slot->pool));
 	item_release_slot(item, NULL);
 	item_requeue(item, 0);
-	runner_request_slots(runner);
+	runner_request_slots(runner, pool);
 }
 
 static void
@@ -323,7 +347,7 @@
 {
 	item_slot_t *slot = ctx;
 	job_runner_t *runner = slot->runner;
-	item_candidate_t candidate;
+	item_run_t *item = NULL;
 
 	if (rc != 0) {
 		slot_free(slot);
@@ -336,25 +360,26 @@
 		return;
 	}
 	/* The first item by now may not be the one that requested the slot. */
-	if (runner->paused ||
-	    select_admitted_items(runner, slot->pool, &candidate, 1) == 0) {
+	if (!runner->paused)
+		item = select_first_item(runner, slot->pool);
+	if (item == NULL) {
 		grant_release(grant, NULL);
 		slot_free(slot);
 		return;
 	}
-	item_start(candidate.item, slot, endpoint);
-	runner_request_slots(runner);
+	item_start(item, slot, endpoint);
+	runner_request_slots(runner, slot->pool);
 }
 
 static void
-slot_request(job_runner_t *runner, const item_candidate_t *candidate)
+slot_request(
+    job_runner_t *runner, const char *pool, const item_candidate_t *candidate)
 {
 	item_slot_t *slot = xcalloc(1, sizeof(*slot));
 
 	slot->runner = runner;
-	str_copy(slot->pool, sizeof(slot->pool), str_of(candidate->pool));
+	str_copy(slot->pool, sizeof(slot->pool), str_of(pool));
 	LIST_INSERT_HEAD(&runner->slots, slot, entry);
-	runner->slot_requests++;
 	slot->grant = grants_request(runner->params.grants,
 	    &(grant_params_t){
 		.pool = slot->pool,
@@ -369,19 +394,44 @@
 	    });
 }
 
-/* Requests slots for waiting items, up to the maximum. */
+/* Returns the number of slots of a pool, or of all, that are not granted yet.
+ */
+size_t
+runner_open_requests(const job_runner_t *runner, const char *pool)
+{
+	const item_slot_t *slot;
+	size_t count = 0;
+
+	LIST_FOREACH (slot, &runner->slots, entry)
+		count += slot->item == NULL &&
+			 (pool == NULL || strcmp(slot->pool, pool) == 0);
+	return (count);
+}
+
+/*
+ * Requests slots for waiting items, up to the maximum of each pool. Unless pool
+ * is NULL, only for those that would run in it.
+ */
 void
-runner_request_slots(job_runner_t *runner)
+runner_request_slots(job_runner_t *runner, const char *pool)
 {
-	item_candidate_t candidates[MAX_SLOT_REQUESTS];
-	size_t count;
+	item_selection_t selection;
 
-	if (runner->paused || runner->slot_requests >= MAX_SLOT_REQUESTS)
+	if (runner->paused)
 		return;
-	count =
-	    select_admitted_items(runner, NULL, candidates, MAX_SLOT_REQUESTS);
-	for (size_t i = runner->slot_requests; i < count; i++)
-		slot_request(runner, &candidates[i]);
+	if (pool != NULL &&
+	    runner_open_requests(runner, pool) >= MAX_SLOT_REQUESTS)
+		return;
+	select_admitted_items(runner, pool, &selection);
+	for (size_t i = 0; i < selection.count; i++) {
+		const pool_candidates_t *candidates = &selection.pools[i];
+		size_t open = runner_open_requests(runner, candidates->pool);
+
+		for (size_t k = open; k < candidates->count; k++)
+			slot_request(
+			    runner, candidates->pool, &candidates->items[k]);
+	}
+	item_selection_free(&selection);
 }
 
 static void
@@ -424,7 +474,7 @@
 	TAILQ_FOREACH (run, &runner->runs, entry)
 		run_abandon_items(run, wall);
 	runner_plan(runner, TICK_INTERVAL_S);
-	runner_request_slots(runner);
+	runner_request_slots(runner, NULL);
 }
 
 /* Updates the items whose results were stored since the last call. */
@@ -474,7 +524,7 @@
 	job->run = run;
 	TAILQ_INSERT_TAIL(&runner->runs, run, entry);
 	job_runner_results_stored(runner, job);
-	runner_request_slots(runner);
+	runner_request_slots(runner, NULL);
 }
 
 /* Stops all work for a job. */
@@ -506,7 +556,7 @@
 {
 	runner->paused = paused;
 	if (!paused)
-		runner_request_slots(runner);
+		runner_request_slots(runner, NULL);
 }
 
 static void
--- a/src/job_run_handover.c
+++ b/src/job_run_handover.c
@@ -84,7 +84,7 @@
 		} else {
 			item_import(item, progress);
 		}
-		runner_request_slots(runner);
+		runner_request_slots(runner, NULL);
 		return (true);
 	}
 	return (false);
--- a/src/job_run_plan.c
+++ b/src/job_run_plan.c
@@ -46,7 +46,7 @@
 void
 runner_plan(job_runner_t *runner, double seconds)
 {
-	bool waiting = runner->slot_requests > 0;
+	bool waiting = runner_open_requests(runner, NULL) > 0;
 	item_plan_t *plan;
 	job_run_t *run;
 
--- a/src/job_run_select.c
+++ b/src/job_run_select.c
@@ -1,5 +1,6 @@
 /* Selects the waiting items that a runner starts next. */
 #include <math.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include "clock.h"
@@ -72,58 +73,78 @@
 	return (request_route_select_pool(route, str_hash(item->item->id, 0)));
 }
 
-/*
- * Inserts a candidate into a sorted array that holds the first max ones.
- * Returns the new number of elements.
- */
-static size_t
-candidate_insert(item_candidate_t *candidates, size_t count, size_t max,
+/* Inserts a candidate in order, among the first MAX_SLOT_REQUESTS. */
+static void
+candidate_insert(pool_candidates_t *candidates,
     const item_candidate_t *candidate, double wall)
 {
-	size_t at = count < max ? count : max - 1;
+	item_candidate_t *items = candidates->items;
+	size_t at = candidates->count;
 
-	if (count == max && item_schedule_compare(&candidate->schedule,
-				&candidates[max - 1].schedule, wall) >= 0)
-		return (count);
+	if (at == MAX_SLOT_REQUESTS) {
+		at--;
+		if (item_schedule_compare(
+			&candidate->schedule, &items[at].schedule, wall) >= 0)
+			return;
+	} else {
+		candidates->count++;
+	}
 	while (at > 0 && item_schedule_compare(&candidate->schedule,
-			     &candidates[at - 1].schedule, wall) < 0) {
-		candidates[at] = candidates[at - 1];
+			     &items[at - 1].schedule, wall) < 0) {
+		items[at] = items[at - 1];
 		at--;
 	}
-	candidates[at] = *candidate;
-	return (count < max ? count + 1 : max);
+	items[at] = *candidate;
+}
+
+/* Returns the candidates of a pool, which are created if there are none. */
+static pool_candidates_t *
+selection_get_pool(item_selection_t *selection, const char *pool)
+{
+	for (size_t i = 0; i < selection->count; i++)
+		if (strcmp(selection->pools[i].pool, pool) == 0)
+			return (&selection->pools[i]);
+	selection->pools = xrealloc(selection->pools,
+	    (selection->count + 1) * sizeof(*selection->pools));
+	selection->pools[selection->count] = (pool_candidates_t){.pool = pool};
+	return (&selection->pools[selection->count++]);
 }
 
 /*
- * Writes at most max items to run next, in order; only those of one pool unless
- * pool is NULL. Returns their number.
+ * Selects the items to run next, in order, of each pool or only of the given
+ * one. The names of the pools are valid as long as the routing table.
  */
-size_t
-runner_select_items(const job_runner_t *runner, const char *pool,
-    item_candidate_t *candidates, size_t max)
+void
+runner_select_items(
+    const job_runner_t *runner, const char *pool, item_selection_t *out)
 {
 	double now = clock_monotonic();
 	double wall = clock_wall();
-	size_t count = 0;
 	job_run_t *run;
 
+	*out = (item_selection_t){0};
 	TAILQ_FOREACH (run, &runner->runs, entry) {
 		for (size_t i = 0;
 		     run->unfinished > 0 && i < run->job->job.item_count; i++) {
-			item_candidate_t candidate = {
-			    .item = &run->items[i],
-			    .pool = item_pool(&run->items[i], now),
-			};
+			item_candidate_t candidate = {.item = &run->items[i]};
+			const char *item_in = item_pool(candidate.item, now);
 
-			if (candidate.pool == NULL ||
-			    (pool != NULL && strcmp(candidate.pool, pool) != 0))
+			if (item_in == NULL ||
+			    (pool != NULL && strcmp(item_in, pool) != 0))
 				continue;
 			candidate.schedule = item_run_schedule(candidate.item);
-			count = candidate_insert(
-			    candidates, count, max, &candidate, wall);
+			candidate_insert(
+			    selection_get_pool(out, item_in), &candidate, wall);
 		}
 	}
-	return (count);
+}
+
+/* Frees the result of runner_select_items(). */
+void
+item_selection_free(item_selection_t *selection)
+{
+	free(selection->pools);
+	*selection = (item_selection_t){0};
 }
 
 /*
--- a/src/job_run_state.h
+++ b/src/job_run_state.h
@@ -64,13 +64,31 @@
 	LIST_ENTRY(item_slot_t) entry;
 } item_slot_t;
 
-/* An item that may run next, and the pool that it would run in. */
+/* An item that may run next. */
 typedef struct item_candidate_t {
 	item_run_t *item;
-	const char *pool;
 	item_schedule_t schedule;
 } item_candidate_t;
 
+/*
+ * Maximum number of open slot requests of one partition and pool. Each pool has
+ * its own, so that items of one without endpoints hold up no others.
+ */
+#define MAX_SLOT_REQUESTS 16
+
+/* The items that may run next in one pool, in order. */
+typedef struct pool_candidates_t {
+	const char *pool;
+	item_candidate_t items[MAX_SLOT_REQUESTS];
+	size_t count;
+} pool_candidates_t;
+
+/* The items that may run next, by pool. Initialize with {0}. */
+typedef struct item_selection_t {
+	pool_candidates_t *pools;
+	size_t count;
+} item_selection_t;
+
 typedef struct runner_counters_t {
 	counter_t *attempts;
 	counter_t *done;
@@ -83,7 +101,6 @@
 	job_runner_params_t params;
 	TAILQ_HEAD(, job_run_t) runs;
 	LIST_HEAD(, item_slot_t) slots;
-	size_t slot_requests; /* slots not granted yet */
 	bool paused;
 	double mean_run_time; /* seconds, moving average of whole items */
 	double rate; /* mean progress, in seconds of run time per second */
@@ -95,13 +112,15 @@
 void item_release_slot(item_run_t *item, const grant_report_t *report);
 void item_requeue(item_run_t *item, double delay);
 void item_finish(item_run_t *item, job_outcome_t outcome, const char *cause);
-void runner_request_slots(job_runner_t *runner);
+void runner_request_slots(job_runner_t *runner, const char *pool);
+size_t runner_open_requests(const job_runner_t *runner, const char *pool);
 
 /* job_run_select.c */
 const request_route_t *item_route(const item_run_t *item);
 item_schedule_t item_run_schedule(const item_run_t *item);
-size_t runner_select_items(const job_runner_t *runner, const char *pool,
-    item_candidate_t *candidates, size_t max);
+void runner_select_items(
+    const job_runner_t *runner, const char *pool, item_selection_t *out);
+void item_selection_free(item_selection_t *selection);
 double item_candidate_start_by(const item_candidate_t *candidate);
 
 /* job_run_plan.c */
--- a/tests/harness_gateways.c
+++ b/tests/harness_gateways.c
@@ -173,6 +173,16 @@
 void
 gateways_configure(gateways_t *fleet, const char *extra_routes)
 {
+	static const char idle_service[] =
+	    "{\"name\":\"" GATEWAYS_IDLE_SERVICE "\",\"max-connections\":250,"
+	    "\"engine\":{\"slots\":8,\"kv-capacity\":100000}},";
+	static const char idle_route[] =
+	    "{\"name\":\"idle\",\"path-prefix\":\"" GATEWAYS_IDLE "\","
+	    "\"host\":\"" GATEWAYS_HOST
+	    "\",\"service\":\"" GATEWAYS_IDLE_SERVICE
+	    "\",\"type\":\"batch\",\"max-attempts\":3,\"resumable\":true,"
+	    "\"timeout-ms\":5000,\"target-latency-ms\":300,\"priority\":0,"
+	    "\"completion-window-ms\":18000,\"retention-s\":60},";
 	buf_t common = {0};
 	buf_t text = {0};
 	buf_t body = {0};
@@ -184,9 +194,9 @@
 	    "\"sticky\":true,\"gap-aim-ms\":500",
 	    fleet->params.service);
 	buf_printf(&text,
-	    "{\"version\":%llu,\"services\":[{\"name\":\"%s\","
+	    "{\"version\":%llu,\"services\":[%s{\"name\":\"%s\","
 	    "\"max-connections\":250,\"engine\":{\"slots\":8,"
-	    "\"kv-capacity\":100000}}],\"routes\":["
+	    "\"kv-capacity\":100000}}],\"routes\":[%s"
 	    "{\"name\":\"once\",\"path-prefix\":\"/once/\",\"type\":\"stream\","
 	    "\"max-attempts\":1,\"resumable\":false,%s},"
 	    "{\"name\":\"resume\",\"path-prefix\":\"/resume/\","
@@ -194,7 +204,9 @@
 	    "{\"name\":\"jobs\",\"path-prefix\":\"/jobs/\",\"type\":\"batch\","
 	    "\"max-attempts\":3,\"resumable\":true,"
 	    "\"completion-window-ms\":18000,\"retention-s\":60,%s}%s]}",
-	    (unsigned long long)fleet->config_version, fleet->params.service,
+	    (unsigned long long)fleet->config_version,
+	    fleet->params.idle_service ? idle_service : "",
+	    fleet->params.service, fleet->params.idle_service ? idle_route : "",
 	    common.data, common.data, common.data, extra_routes);
 	put_record(&body, "config", text.data);
 	harness_post(NULL, str_buf(&body),
@@ -503,18 +515,9 @@
 	return (result);
 }
 
-/* Submits a job without shared parts; item K has the id JOB-K. */
-int
-gateways_submit(gateways_t *fleet, unsigned host, const char *job,
-    unsigned items, unsigned events)
-{
-	return (
-	    gateways_submit_prompt(fleet, host, job, items, events, "1:100"));
-}
-
-/* Submits a job whose items have the same prompt. Returns the status. */
-int
-gateways_submit_prompt(gateways_t *fleet, unsigned host, const char *job,
+/* Submits a job; returns the status, or 0 if there was no response. */
+static int
+submit(gateways_t *fleet, unsigned host, const char *prefix, const char *job,
     unsigned items, unsigned events, const char *prompt)
 {
 	harness_response_t response;
@@ -525,18 +528,19 @@
 	int status;
 
 	gateways_caller_url(fleet, host, base, sizeof(base));
-	snprintf(url, sizeof(url), "%s" GATEWAYS_JOBS "%s", base, job);
+	snprintf(url, sizeof(url), "%s%s%s", base, prefix, job);
 	snprintf(
 	    id_header, sizeof(id_header), "X-Daisypier-Request-Id: %s", job);
 	buf_append(&body, STR("{\"items\":["));
 	for (unsigned i = 0; i < items; i++)
 		buf_printf(&body,
-		    "%s{\"id\":\"%s-%u\",\"path\":\"" GATEWAYS_JOBS
+		    "%s{\"id\":\"%s-%u\",\"path\":\"%s"
 		    "%u\",\"headers\":{\"X-Daisypier-Token-Usage\":\"10,%u\","
 		    "\"X-Daisypier-Prompt-Prefix\":\"%s\"},"
 		    "\"body\":\"cHJvbXB0\",\"tokens\":%u}",
-		    i > 0 ? "," : "", job, i, i, events * TOKENS_PER_EVENT,
-		    prompt, events * TOKENS_PER_EVENT);
+		    i > 0 ? "," : "", job, i, prefix, i,
+		    events * TOKENS_PER_EVENT, prompt,
+		    events * TOKENS_PER_EVENT);
 	buf_append(&body, STR("]}"));
 	harness_http(
 	    &(harness_request_t){
@@ -555,6 +559,31 @@
 	return (status);
 }
 
+/* Submits a job without shared parts; item K has the id JOB-K. */
+int
+gateways_submit(gateways_t *fleet, unsigned host, const char *job,
+    unsigned items, unsigned events)
+{
+	return (
+	    gateways_submit_to(fleet, host, GATEWAYS_JOBS, job, items, events));
+}
+
+/* Submits a job under another prefix. */
+int
+gateways_submit_to(gateways_t *fleet, unsigned host, const char *prefix,
+    const char *job, unsigned items, unsigned events)
+{
+	return (submit(fleet, host, prefix, job, items, events, "1:100"));
+}
+
+/* Submits a job whose items have the same prompt. */
+int
+gateways_submit_prompt(gateways_t *fleet, unsigned host, const char *job,
+    unsigned items, unsigned events, const char *prompt)
+{
+	return (submit(fleet, host, GATEWAYS_JOBS, job, items, events, prompt));
+}
+
 /* Reads results from a position on. Returns the status; 0: no answer. */
 int
 gateways_results(gateways_t *fleet, unsigned host, const char *job,
--- a/tests/harness_gateways.h
+++ b/tests/harness_gateways.h
@@ -13,6 +13,9 @@
 #define GATEWAYS_ONCE	"/once/"   /* streams that run at most once */
 #define GATEWAYS_RESUME "/resume/" /* streams that may be resumed */
 #define GATEWAYS_JOBS	"/jobs/"   /* jobs */
+#define GATEWAYS_IDLE	"/idle/"   /* jobs of the service without engines */
+/* A service that has no engines unless a test starts one. */
+#define GATEWAYS_IDLE_SERVICE "idle"
 
 typedef struct gateways_params_t {
 	unsigned hosts;		   /* 0: 3 */
@@ -21,6 +24,7 @@
 	unsigned event_ms;	   /* between events; 0: 10 */
 	const char *service;	   /* of the engines; NULL: "m" */
 	const char *engine_prefix; /* of the engines' ids; NULL: "e" */
+	bool idle_service; /* configures GATEWAYS_IDLE_SERVICE as well */
 	/* Hosts reach the store and the engines through a fault proxy. */
 	bool proxied;
 	const char *logs;    /* folder for the hosts' logs; NULL: dropped */
@@ -95,6 +99,8 @@
 void gateways_restart_engines(gateways_t *fleet, double delay);
 int gateways_submit(gateways_t *fleet, unsigned host, const char *job,
     unsigned items, unsigned events);
+int gateways_submit_to(gateways_t *fleet, unsigned host, const char *prefix,
+    const char *job, unsigned items, unsigned events);
 int gateways_submit_prompt(gateways_t *fleet, unsigned host, const char *job,
     unsigned items, unsigned events, const char *prompt);
 int gateways_results(gateways_t *fleet, unsigned host, const char *job,
