httpc: a lost connection is a broken response, also when it was reused

Cause: libcurl makes a new connection to resend a request if a reused one ends without a byte of a response. A crashed endpoint refuses it, and the call ended as "unreachable" though it was sent, so no crash was recorded. Weighed as well: the evidence is acquitted by answers, or stays on one host. Of 30 such requests three had an attempt_disconnected line on any host, and no part was held anywhere.

Change: no connection is made to resend a request that must not run twice, and what ends a call after its request was sent is no failure to reach the server.

--- a/src/attempt.c
+++ b/src/attempt.c
@@ -205,11 +205,10 @@
  * complete. Responses that this host broke off do not count.
  */
 static bool
-is_disconnected(const attempt_t *attempt, const http_result_t *http)
+is_disconnected(const attempt_t *attempt, const http_result_t *http, int rc)
 {
-	bool closed = http->rc == -RESULT_BROKEN_ANSWER ||
-		      (http->rc == 0 && attempt->streaming &&
-			  is_empty_until_close(attempt));
+	bool closed =
+	    http->rc != -RESULT_TOO_LARGE && rc == -RESULT_BROKEN_ANSWER;
 
 	return (
 	    http->sent && closed && !attempt->mismatch && !attempt->discarding);
@@ -224,10 +223,11 @@
 
 	prompt_parts_print(&params->parts, &parts);
 	LOG_INFO("attempt_disconnected",
-	    "request=%s endpoint=%s status=%d events=%u ran_ms=%.0f "
-	    "parts=" STR_FMT,
+	    "request=%s endpoint=%s status=%d events=%u reused=%d "
+	    "ran_ms=%.0f parts=" STR_FMT,
 	    params->request_id, params->endpoint->name, http->status,
-	    attempt->events, (clock_monotonic() - attempt->started_at) * 1e3,
+	    attempt->events, http->reused,
+	    (clock_monotonic() - attempt->started_at) * 1e3,
 	    STR_ARG(str_buf(&parts)));
 	buf_free(&parts);
 	if (params->quarantine != NULL && attempt->events < EVENTS_OF_ANSWER)
@@ -246,7 +246,7 @@
 	};
 
 	result.outcome = determine_outcome(attempt, http, &result.rc);
-	if (is_disconnected(attempt, http))
+	if (is_disconnected(attempt, http, result.rc))
 		handle_disconnect(attempt, http);
 	else if (result.outcome == ATTEMPT_COMPLETE &&
 		 attempt->events < EVENTS_OF_ANSWER)
--- a/src/httpc.c
+++ b/src/httpc.c
@@ -107,18 +107,13 @@
 {
 	if (call->overflow)
 		return (-RESULT_TOO_LARGE);
-	switch (code) {
-	case CURLE_OK:
+	if (code == CURLE_OK)
 		return (0);
-	case CURLE_COULDNT_CONNECT:
+	if (!call->sent)
 		return (-RESULT_ENDPOINT_UNREACHABLE);
-	case CURLE_OPERATION_TIMEDOUT:
-		return (call->sent ? -RESULT_TIMEOUT
-				   : -RESULT_ENDPOINT_UNREACHABLE);
-	default:
-		return (call->sent ? -RESULT_BROKEN_ANSWER
-				   : -RESULT_ENDPOINT_UNREACHABLE);
-	}
+	if (code == CURLE_OPERATION_TIMEDOUT)
+		return (-RESULT_TIMEOUT);
+	return (-RESULT_BROKEN_ANSWER);
 }
 
 /* Frees a call, then calls its on_done. */
@@ -126,7 +121,11 @@
 call_finish(http_call_t *call, int rc)
 {
 	long status = 0;
-	http_result_t result = {.rc = rc, .sent = call->sent};
+	http_result_t result = {
+	    .rc = rc,
+	    .sent = call->sent,
+	    .reused = call->sent && http_call_reuses_connection(call),
+	};
 	http_done_cb_t on_done = call->on_done;
 	void *ctx = call->ctx;
 	buf_t response = call->response;
@@ -332,7 +331,7 @@
 /*
  * Called before each transmission of the request. libcurl resends a request by
  * itself if a reused connection turns out to be closed; this is aborted for
- * requests that must not run twice.
+ * requests that must not run twice. See also on_curl_socket_open().
  */
 static int
 on_curl_send(
@@ -375,17 +374,24 @@
 	return (call->cancelled || call->aborted ? 0 : len);
 }
 
+/*
+ * Called for each new connection. One to resend a request that must not run
+ * twice is not made: a server that has crashed refuses it, which would hide
+ * that the connection with the request was lost.
+ */
 static int
 on_curl_socket_open(void *ctx, curl_socket_t fd, curlsocktype purpose)
 {
+	const http_call_t *call = ctx;
 	const int on = 1;
 	const int idle = KEEPALIVE_IDLE_S;
 	const int interval = KEEPALIVE_INTERVAL_S;
 	const int probes = KEEPALIVE_PROBES;
 	const unsigned user_timeout = USER_TIMEOUT_MS;
 
-	(void)ctx;
 	(void)purpose;
+	if (call->sent && call->send_once)
+		return (CURL_SOCKOPT_ERROR);
 	/* Errors are ignored: without an option, detection just takes longer.
 	 */
 	(void)setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
@@ -523,6 +529,7 @@
 	curl_easy_setopt(call->easy, CURLOPT_HEADERDATA, call);
 	curl_easy_setopt(
 	    call->easy, CURLOPT_SOCKOPTFUNCTION, on_curl_socket_open);
+	curl_easy_setopt(call->easy, CURLOPT_SOCKOPTDATA, call);
 	curl_easy_setopt(call->easy, CURLOPT_WRITEFUNCTION, on_curl_data);
 	curl_easy_setopt(call->easy, CURLOPT_WRITEDATA, call);
 	curl_easy_setopt(call->easy, CURLOPT_PRIVATE, call);
--- a/tests/test_fail_crashing_part.c
+++ b/tests/test_fail_crashing_part.c
@@ -53,14 +53,21 @@
 }
 
 static void
-start_fleet(void)
+start_fleet_that_crashes(bool early)
 {
 	snprintf(journal, sizeof(journal), "%s/runs", harness_folder());
 	(void)unlink(journal);
 	gateways_start(&fleet, &(gateways_params_t){.hosts = HOSTS,
 				   .engines = ENGINES,
 				   .journal = journal,
-				   .crash_part = CRASH_PART});
+				   .crash_part = CRASH_PART,
+				   .crash_early = early});
+}
+
+static void
+start_fleet(void)
+{
+	start_fleet_that_crashes(false);
 }
 
 /* Returns whether all hosts have had the time to learn the part. */
@@ -125,14 +132,14 @@
 {
 	double end = clock_monotonic() + seconds;
 
-	while (clock_monotonic() < end) {
+	do {
 		send_crashing(course, prefix);
 		send_sound(course);
 		gateways_restart_engines(&fleet, RESTART_S);
 		course_observe(course);
 		course->count++;
 		harness_sleep(STEP_S);
-	}
+	} while (clock_monotonic() < end);
 }
 
 static void
@@ -170,6 +177,42 @@
 	}
 }
 
+/* Sends requests of many prompts, so that a host has used connections to all.
+ */
+static void
+use_connections(unsigned host)
+{
+	static unsigned count;
+	char prompt[48];
+	char id[32];
+
+	for (unsigned i = 0; i < 4 * ENGINES; i++) {
+		snprintf(prompt, sizeof(prompt), "f%u:100,c:10", i);
+		snprintf(id, sizeof(id), "use-%u", count++);
+		(void)gateways_stream_prompt(
+		    &fleet, host, GATEWAYS_RESUME, id, prompt, 1, TIMEOUT_S);
+	}
+}
+
+/*
+ * Guards against crashes that are not counted because the request went over a
+ * connection that had served others, and the endpoint sent no byte on it.
+ */
+static void
+test_crashes_on_reused_connections(void)
+{
+	course_t course = {0};
+	double end;
+
+	start_fleet_that_crashes(true);
+	for (end = clock_monotonic() + 20; clock_monotonic() < end;) {
+		use_connections(course.count % HOSTS);
+		run_course(&course, GATEWAYS_ONCE, 0);
+	}
+	check_course(&course);
+	gateways_end(&fleet);
+}
+
 /*
  * A host that was frozen or stopped while the others learnt the part must learn
  * it from them, though the store is away.
@@ -291,6 +334,7 @@
 
 static const suite_test_t tests[] = {
     {"requests with a crashing part", test_requests_with_crashing_part},
+    {"crashes on reused connections", test_crashes_on_reused_connections},
     {"absent hosts learn the part", test_absent_hosts_learn},
     {"items with a crashing part", test_items_with_crashing_part},
     {"resets of living endpoints", test_resets_of_living_endpoints},
--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -21,6 +21,8 @@
 	buf_t received;
 	http_result_t result;
 	int done;
+	bool stops_listening; /* before it closes a connection */
+	int crashes;
 	char url[64];
 } http_test_t;
 
@@ -51,6 +53,11 @@
 		http_request_stream_begin(request, 200, "text/plain");
 		http_request_stream_write(request, STR("one "));
 		http_request_stream_abort(request);
+	} else if (strcmp(path, "/crash") == 0) {
+		test->crashes++;
+		if (test->stops_listening)
+			httpd_stop_accepting(test->httpd);
+		http_request_stream_abort(request);
 	} else {
 		test->pending = request;
 		http_request_on_close(request, on_pending_close, test);
@@ -288,6 +295,41 @@
 	teardown(&test);
 }
 
+/*
+ * Guards against a lost connection that is reported as one that could not be
+ * made: libcurl tries to resend a request if its connection, which served
+ * others before, ends without a byte of a response.
+ */
+static void
+test_lost_connection_is_broken(void)
+{
+	for (unsigned stops = 0; stops < 2; stops++) {
+		http_test_t test;
+
+		setup(&test);
+		test.stops_listening = stops;
+		for (unsigned i = 0; i < 2; i++) {
+			snprintf(test.url, sizeof(test.url),
+			    "http://127.0.0.1:%u/%s", httpd_port(test.httpd),
+			    i == 0 ? "echo" : "crash");
+			http_call_start(test.httpc, &(http_call_params_t){
+							.method = "POST",
+							.url = test.url,
+							.timeout = 5,
+							.send_once = true,
+							.on_done = on_done,
+							.ctx = &test,
+						    });
+			ev_run(test.loop, 0);
+		}
+		CU_ASSERT(test.result.reused);
+		CU_ASSERT(test.result.rc == -RESULT_BROKEN_ANSWER);
+		CU_ASSERT(test.result.sent);
+		CU_ASSERT(test.crashes == 1);
+		teardown(&test);
+	}
+}
+
 /*
  * Bytes that libcurl skips without limit, such as an endless chunk extension,
  * must end the call: reading them until the timeout keeps the loop from its
@@ -329,6 +371,7 @@
     {"refused connection is not sent", test_refused_connection_is_not_sent},
     {"port is exclusive", test_port_is_exclusive},
     {"call started inside a callback", test_call_started_inside_a_callback},
+    {"lost connection is broken", test_lost_connection_is_broken},
     {"endless framing ends the call", test_endless_framing_ends_the_call},
 };
 
