httpc: a response whose head has no end is broken

What callers could see (reported by another operator): a server stops in the middle of its head and closes; the caller gets 200 with an empty body, framed as whole.

Cause: libcurl reports CURLE_OK for a head without an end if some lines have come. on_head was not called then, so neither signature nor id was checked. Heads with bare line feeds were never seen to end either.

Change: a call whose final head did not end is a broken response.

--- a/src/httpc.c
+++ b/src/httpc.c
@@ -76,7 +76,8 @@
 	size_t next_bytes;    /* available to the next read */
 	ev_timer progress_timer;
 	bool send_once;
-	bool sent; /* libcurl has started sending the request */
+	bool sent;	    /* libcurl has started sending the request */
+	bool head_complete; /* of the final response */
 	bool aborted;
 	bool any_status;
 	http_headers_cb_t on_head;
@@ -107,8 +108,10 @@
 {
 	if (call->overflow)
 		return (-RESULT_TOO_LARGE);
+	/* libcurl also takes a head for complete that ends with its connection.
+	 */
 	if (code == CURLE_OK)
-		return (0);
+		return (call->head_complete ? 0 : -RESULT_BROKEN_ANSWER);
 	if (!call->sent)
 		return (-RESULT_ENDPOINT_UNREACHABLE);
 	if (code == CURLE_OPERATION_TIMEDOUT)
@@ -349,6 +352,13 @@
 	return (CURL_PREREQFUNC_OK);
 }
 
+/* Returns whether a line ends a head. */
+static bool
+is_blank_line(str_t line)
+{
+	return (str_equal(line, STR("\r\n")) || str_equal(line, STR("\n")));
+}
+
 static size_t
 on_curl_header(char *data, size_t size, size_t count, void *ctx)
 {
@@ -362,11 +372,14 @@
 	call->header_bytes += len;
 	if (call->header_bytes > MAX_HEADER_BYTES)
 		return (0);
-	if (call->on_head == NULL || len > 2 || data[0] != '\r')
+	if (call->head_complete || !is_blank_line((str_t){data, len}))
 		return (len);
 	curl_easy_getinfo(call->easy, CURLINFO_RESPONSE_CODE, &status);
 	if (status < 200)
 		return (len);
+	call->head_complete = true;
+	if (call->on_head == NULL)
+		return (len);
 	call->httpc->in_callback = true;
 	if (!call->on_head(call->ctx, (int)status))
 		call->aborted = true;
--- a/tests/harness_hostile.c
+++ b/tests/harness_hostile.c
@@ -254,10 +254,14 @@
 			buf_printf(&out, "Content-Length: %zu\r\n",
 			    mode == HOSTILE_BREAK ? (size_t)100000
 						  : sizeof(error_text) - 1);
-		buf_append(&out, STR("\r\n"));
+		if (mode == HOSTILE_TORN_HEAD)
+			buf_append(&out, STR("Content-Le"));
+		if (mode != HOSTILE_HEAD_WITHOUT_END &&
+		    mode != HOSTILE_TORN_HEAD)
+			buf_append(&out, STR("\r\n"));
 		if (mode == HOSTILE_ERROR_TEXT)
 			buf_append(&out, STR(error_text));
-		else if (mode != HOSTILE_EMPTY_END)
+		else if (mode == HOSTILE_BREAK || mode == HOSTILE_TORN_END)
 			for (int i = 0; i < 2; i++)
 				buf_printf(
 				    &out, "id: %d\ndata: %s.%d\n\n", i, id, i);
--- a/tests/test_fail_hostile.c
+++ b/tests/test_fail_hostile.c
@@ -504,14 +504,14 @@
 
 /*
  * A response without a length ends with its connection. One that ends inside an
- * event or without any event was broken off; the rest has to come from another
- * endpoint.
+ * event or without any event was broken off, and so was one whose head stops;
+ * the rest has to come from another endpoint.
  */
 static void
 test_responses_without_length(void)
 {
-	static const hostile_mode_t modes[] = {
-	    HOSTILE_TORN_END, HOSTILE_EMPTY_END};
+	static const hostile_mode_t modes[] = {HOSTILE_TORN_END,
+	    HOSTILE_EMPTY_END, HOSTILE_HEAD_WITHOUT_END, HOSTILE_TORN_HEAD};
 
 	for (unsigned i = 0; i < sizeof(modes) / sizeof(modes[0]); i++) {
 		heartbeat_t heartbeat;
--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -362,6 +362,42 @@
 	hostile_end(server);
 }
 
+/*
+ * Guards against a response whose head stops that is taken for a whole one
+ * without a body: libcurl reports it as complete.
+ */
+static void
+test_head_without_end_is_broken(void)
+{
+	static const hostile_mode_t modes[] = {
+	    HOSTILE_HEAD_WITHOUT_END, HOSTILE_TORN_HEAD};
+	static const char *const address = "127.0.0.1";
+
+	for (unsigned i = 0; i < 2; i++) {
+		uint16_t port = harness_free_port(&address, 1);
+		hostile_t *server =
+		    hostile_start(address, port, modes[i], false);
+		http_test_t test;
+
+		CU_ASSERT_FATAL(server != NULL);
+		setup(&test);
+		snprintf(
+		    test.url, sizeof(test.url), "http://%s:%u/", address, port);
+		http_call_start(test.httpc, &(http_call_params_t){
+						.method = "POST",
+						.url = test.url,
+						.timeout = 5,
+						.on_done = on_done,
+						.ctx = &test,
+					    });
+		ev_run(test.loop, 0);
+		CU_ASSERT(test.result.rc == -RESULT_BROKEN_ANSWER);
+		CU_ASSERT(test.result.sent);
+		teardown(&test);
+		hostile_end(server);
+	}
+}
+
 static const suite_test_t tests[] = {
     {"body round trip", test_body_round_trip},
     {"oversized body is rejected", test_oversized_body_is_rejected},
@@ -372,6 +408,7 @@
     {"port is exclusive", test_port_is_exclusive},
     {"call started inside a callback", test_call_started_inside_a_callback},
     {"lost connection is broken", test_lost_connection_is_broken},
+    {"head without end is broken", test_head_without_end_is_broken},
     {"endless framing ends the call", test_endless_framing_ends_the_call},
 };
 
