httpc: bound the memory of all bodies that are kept until they are whole

Cause: a response that is no stream is kept up to 16 MiB, and nothing counted them together. Weighed as well: a single response without a bound; the other modes of test_fail_hostile stay within 64 MiB.

Change: at most 64 MiB of bodies are kept at a time; beyond that a body of over 256 KiB ends its call as too large. Smaller ones go on.

--- a/src/httpc.c
+++ b/src/httpc.c
@@ -16,6 +16,12 @@
 
 #define DEFAULT_CONNECT_TIMEOUT_S 1.0
 #define DEFAULT_MAX_BODY_BYTES	  (16U << 20)
+/*
+ * Memory for the bodies of all responses that are kept until they are whole.
+ * When it is used up, only bodies of up to SMALL_BODY_BYTES may still grow.
+ */
+#define MAX_KEPT_BYTES	 (64U << 20)
+#define SMALL_BODY_BYTES (256U << 10)
 /* All headers of one response, including those of interim responses. */
 #define MAX_HEADER_BYTES (128U << 10)
 /*
@@ -59,6 +65,7 @@
 	ev_timer deferred;
 	bool in_callback;
 	char source[64]; /* in libcurl's format; empty: chosen by the kernel */
+	size_t kept_bytes; /* allocated for the responses of all calls */
 	LIST_HEAD(, http_call_t) calls;
 };
 
@@ -98,6 +105,7 @@
 		curl_multi_remove_handle(call->httpc->multi, call->easy);
 	curl_easy_cleanup(call->easy);
 	curl_slist_free_all(call->headers);
+	call->httpc->kept_bytes -= call->response.cap;
 	buf_free(&call->response);
 	free(call->body);
 	free(call);
@@ -136,6 +144,7 @@
 	curl_easy_getinfo(call->easy, CURLINFO_RESPONSE_CODE, &status);
 	result.status = (int)status;
 	result.body = str_buf(&response);
+	call->httpc->kept_bytes -= response.cap;
 	call->response = (buf_t){0};
 	call_free(call);
 	on_done(ctx, &result);
@@ -306,6 +315,18 @@
 				     : -RESULT_ENDPOINT_UNREACHABLE);
 }
 
+/* Returns whether a response may grow by some bytes. */
+static bool
+call_may_keep(const http_call_t *call, size_t len)
+{
+	size_t total = call->response.len + len;
+
+	if (total > call->max_body)
+		return (false);
+	return (total <= SMALL_BODY_BYTES ||
+		call->httpc->kept_bytes + len <= MAX_KEPT_BYTES);
+}
+
 static size_t
 on_curl_data(char *data, size_t size, size_t count, void *ctx)
 {
@@ -323,11 +344,13 @@
 		call->httpc->in_callback = false;
 		return (call->cancelled || call->aborted ? 0 : len);
 	}
-	if (call->response.len + len > call->max_body) {
+	if (!call_may_keep(call, len)) {
 		call->overflow = true;
 		return (0);
 	}
+	call->httpc->kept_bytes -= call->response.cap;
 	buf_append(&call->response, (str_t){data, len});
+	call->httpc->kept_bytes += call->response.cap;
 	return (len);
 }
 
--- a/tests/harness_hostile.c
+++ b/tests/harness_hostile.c
@@ -58,6 +58,7 @@
     [HOSTILE_EVENT] = {"\r\nid: 0\ndata: ", "x", true},
     [HOSTILE_COMMENTS] = {"\r\n", ": x\n\n", true},
     [HOSTILE_FAILURE_BODY] = {"HTTP/1.1 500 Failed\r\n\r\n", "x", false},
+    [HOSTILE_BODY] = {"\r\n", "x", true},
     [HOSTILE_ENDLESS] = {"\r\n", "", true},
 };
 
--- a/tests/harness_hostile.h
+++ b/tests/harness_hostile.h
@@ -15,6 +15,7 @@
 	HOSTILE_EVENT,	      /* one endless event */
 	HOSTILE_COMMENTS,     /* endless events without number and data */
 	HOSTILE_FAILURE_BODY, /* status 500 with an endless body */
+	HOSTILE_BODY,	      /* a success with an endless body of text */
 	HOSTILE_ENDLESS,      /* numbered events without end */
 	HOSTILE_MODES,	      /* number of the endless modes */
 	HOSTILE_SECOND_COPY,  /* before an answer the previous one once more */
--- a/tests/test_fail_hostile.c
+++ b/tests/test_fail_hostile.c
@@ -23,6 +23,8 @@
 /* Concurrent endless responses, and the memory that a host may use for them. */
 #define ENDLESS_CALLERS 64
 #define MAX_GROWTH_KB	(64 * 1024)
+/* Memory for all responses that are kept until they are whole. */
+#define MAX_KEPT_KB (64 * 1024)
 /* More than the headers and the 64 events that a request may have. */
 #define MAX_BROKEN_OFF_BYTES (64U << 10)
 
@@ -346,6 +348,46 @@
 	unsetenv("ASAN_OPTIONS");
 }
 
+/*
+ * The same for responses that are kept until they are whole: those of a route
+ * that is no stream. The bound is what all of them together may take, and what
+ * is allowed for streams.
+ */
+static void
+test_endless_bodies_bounded_in_memory(void)
+{
+	caller_t callers[ENDLESS_CALLERS] = {{0}};
+	pthread_t threads[ENDLESS_CALLERS];
+	heartbeat_t heartbeat;
+	hostile_t *hostile;
+	long before;
+
+	setenv("ASAN_OPTIONS", "quarantine_size_mb=1", 1);
+	start_fleet(1);
+	gateways_configure(&fleet,
+	    ",{\"name\":\"plain\",\"path-prefix\":\"/plain/\",\"host\":"
+	    "\"" GATEWAYS_HOST "\",\"service\":\"m\",\"type\":\"safe\","
+	    "\"timeout-ms\":5000,\"target-latency-ms\":300,\"priority\":0,"
+	    "\"max-attempts\":1}");
+	hostile = hostile_register(&heartbeat, 0, HOSTILE_BODY, false);
+	before = peak_memory_kb(fleet.hosts[0]);
+	for (unsigned i = 0; i < ENDLESS_CALLERS; i++) {
+		callers[i].prefix = "/plain/";
+		snprintf(callers[i].id, sizeof(callers[i].id), "body-%u", i);
+		pthread_create(&threads[i], NULL, call_once, &callers[i]);
+	}
+	for (unsigned i = 0; i < ENDLESS_CALLERS; i++)
+		pthread_join(threads[i], NULL);
+	printf("[grown by %ld kB] ", peak_memory_kb(fleet.hosts[0]) - before);
+	CU_ASSERT(hostile_answers(hostile) > 0);
+	CU_ASSERT(before > 0);
+	CU_ASSERT(peak_memory_kb(fleet.hosts[0]) - before <
+		  MAX_KEPT_KB + MAX_GROWTH_KB);
+	hostile_stop(&heartbeat);
+	gateways_end(&fleet);
+	unsetenv("ASAN_OPTIONS");
+}
+
 /*
  * An item must leave an endpoint that sends bytes but never finishes, and a
  * truncated output must not be recorded as a complete one.
@@ -603,6 +645,8 @@
     {"endless events are broken off", test_endless_events_are_broken_off},
     {"endless answers are bounded in memory",
 	test_endless_answers_bounded_in_memory},
+    {"endless bodies are bounded in memory",
+	test_endless_bodies_bounded_in_memory},
     {"items leave endless answers", test_items_leave_endless_answers},
     {"second copies of answers", test_second_copies},
     {"old refusals", test_old_refusals},
