quarantine: a request counts as a part that only its repeats share

What callers saw: a request that crashes its endpoint came again under new ids.

Cause: what the crashing requests have in common is more than their shared parts, and an answer acquitted what it says nothing of.

Change: the fingerprint of the request (body and whole prompt, or target without a prompt) stands among the parts, so evidence on it travels, is judged, tried and released as theirs. Answers on it are not kept in the table of answers, where they would displace those on shared parts. Items keep their parts, as the body need not be hashed each time.

--- a/src/job_run.c
+++ b/src/job_run.c
@@ -198,19 +198,24 @@
 	item->target = str_dup(source->target);
 }
 
-/* Returns the shared parts of an item's prompt. */
-static prompt_parts_t
-item_prompt(const item_run_t *item)
+/* Returns the parts of an item's prompt, which are read once. */
+static const prompt_parts_t *
+item_prompt(item_run_t *item)
 {
 	const dialect_t *dialect = item->run->runner->params.dialect;
 	const job_item_t *source = item->item;
-	prompt_parts_t parts = {0};
+	str_t prompt = {0};
 
+	if (item->prompt.has_request)
+		return (&item->prompt);
 	for (size_t i = 0; i < source->header_count; i++)
 		if (str_equal_nocase(source->headers[i].name,
 			str_of(dialect->prompt_header)))
-			dialect->read_prompt(source->headers[i].value, &parts);
-	return (parts);
+			prompt = source->headers[i].value;
+	dialect->read_prompt(prompt, &item->prompt);
+	prompt_parts_set_request(
+	    &item->prompt, source->target, prompt, source->body);
+	return (&item->prompt);
 }
 
 /*
@@ -221,9 +226,9 @@
 item_wait_if_held(item_run_t *item)
 {
 	const job_runner_params_t *params = &item->run->runner->params;
-	prompt_parts_t parts = item_prompt(item);
 	part_hold_t hold = {0};
-	bool held = !quarantine_net_admits(params->quarantine, &parts, &hold);
+	bool held = !quarantine_net_admits(
+	    params->quarantine, item_prompt(item), &hold);
 
 	if (held)
 		item->not_before =
@@ -309,7 +314,7 @@
 	    .body = item->item->body,
 	    .quarantine = params->quarantine,
 	    .request_id = item->item->id.data,
-	    .parts = item_prompt(item),
+	    .parts = *item_prompt(item),
 	    .resumes = item->relay.has_last_id,
 	    .last_event = item->relay.last_id,
 	    .response_timeout = RESPONSE_TIMEOUT_S,
--- a/src/job_run_state.h
+++ b/src/job_run_state.h
@@ -28,6 +28,7 @@
 	bool rejected;	       /* response with status 422 */
 	double not_before;     /* monotonic */
 	bool held;	       /* a part of its prompt is held back */
+	prompt_parts_t prompt; /* see item_prompt() */
 	double started;	       /* monotonic, of the attempt in progress */
 	double run_time;       /* seconds, of all earlier attempts together */
 	bool unreachable;      /* see item_schedule_mark_unreachable() */
--- a/src/prompt_parts.c
+++ b/src/prompt_parts.c
@@ -1,4 +1,4 @@
-/* The shared parts of a prompt. */
+/* The shared parts of a prompt, and the request that it belongs to. */
 #include "prompt_parts.h"
 
 bool
@@ -19,6 +19,31 @@
 		parts->ids[parts->count++] = id;
 }
 
+/*
+ * Adds the fingerprint of a request. Its id and its headers but the prompt do
+ * not count, nor does the target of one with a prompt, which differs when it
+ * comes again as an item of a job.
+ */
+void
+prompt_parts_set_request(
+    prompt_parts_t *parts, str_t target, str_t prompt, str_t body)
+{
+	uint64_t fingerprint =
+	    str_hash(body, str_hash(prompt.len > 0 ? prompt : target, 0));
+
+	if (prompt_parts_has(parts, fingerprint))
+		return;
+	parts->ids[parts->count++] = fingerprint;
+	parts->has_request = true;
+}
+
+/* Returns whether the identifier at an index is the request's fingerprint. */
+bool
+prompt_parts_is_request(const prompt_parts_t *parts, size_t i)
+{
+	return (parts->has_request && i + 1 == parts->count);
+}
+
 /* Appends the identifiers in hexadecimal, separated by commas. */
 void
 prompt_parts_print(const prompt_parts_t *parts, buf_t *out)
--- a/src/prompt_parts.h
+++ b/src/prompt_parts.h
@@ -1,4 +1,4 @@
-/* The shared parts of a prompt. */
+/* The shared parts of a prompt, and the request that it belongs to. */
 #ifndef DAISYPIER_PROMPT_PARTS_H
 #define DAISYPIER_PROMPT_PARTS_H
 
@@ -10,10 +10,13 @@
 /*
  * Identifiers of the parts that a prompt may share with other prompts, in
  * order. Its last part belongs to the request alone and is not among them.
+ * After them stands the fingerprint of the whole request, which counts as a
+ * part that only its repeats share.
  */
 typedef struct prompt_parts_t {
-	uint64_t ids[PROMPT_MAX_SHARED_PARTS];
+	uint64_t ids[PROMPT_MAX_SHARED_PARTS + 1];
 	size_t count;
+	bool has_request; /* the last one is the fingerprint of the request */
 } prompt_parts_t;
 
 /* Why a request may not be sent to an endpoint now. */
@@ -24,6 +27,9 @@
 
 bool prompt_parts_has(const prompt_parts_t *parts, uint64_t id);
 void prompt_parts_add(prompt_parts_t *parts, uint64_t id);
+void prompt_parts_set_request(
+    prompt_parts_t *parts, str_t target, str_t prompt, str_t body);
+bool prompt_parts_is_request(const prompt_parts_t *parts, size_t i);
 void prompt_parts_print(const prompt_parts_t *parts, buf_t *out);
 
 #endif
--- a/src/quarantine.c
+++ b/src/quarantine.c
@@ -188,8 +188,10 @@
 		quarantine_entry_t *entry =
 		    quarantine_entry_find(q, parts->ids[i]);
 
-		if (answer->part != parts->ids[i] ||
-		    answer->began_at < began_at) {
+		/* Fingerprints would displace the answers on shared parts. */
+		if (!prompt_parts_is_request(parts, i) &&
+		    (answer->part != parts->ids[i] ||
+			answer->began_at < began_at)) {
 			answer->part = parts->ids[i];
 			answer->began_at = began_at;
 		}
--- a/tests/harness_gateways.c
+++ b/tests/harness_gateways.c
@@ -135,6 +135,10 @@
 		args[count++] = "--crash-part";
 		args[count++] = fleet->params.crash_part;
 	}
+	if (fleet->params.crash_prompt != NULL) {
+		args[count++] = "--crash-prompt";
+		args[count++] = fleet->params.crash_prompt;
+	}
 	if (fleet->params.crash_early)
 		args[count++] = "--crash-early";
 	fleet->engines[engine] = harness_start("standin-users-engine", args);
--- a/tests/test_fail_crashing_part.c
+++ b/tests/test_fail_crashing_part.c
@@ -15,6 +15,8 @@
 #define STEP_S	   0.1
 #define TIMEOUT_S  5.0
 #define CRASH_PART "dead"
+/* Its shared parts stand in sound requests as well. */
+#define CRASH_PROMPT "a1:100,5a:50,cafe:10"
 /*
  * The stated target: three seconds after the fifth crash, all hosts know the
  * part, and at most three more requests with it reach endpoints.
@@ -28,8 +30,9 @@
 
 /* The course of a test. */
 typedef struct course_t {
-	unsigned count;	       /* requests of either kind so far */
-	double fifth_run_at;   /* 0: not yet */
+	const char *prompt;  /* of the crashing requests; NULL: no two alike */
+	unsigned count;	     /* requests of either kind so far */
+	double fifth_run_at; /* 0: not yet */
 	unsigned runs_in_time; /* runs until SPREAD_S after the fifth one */
 	unsigned sound; /* requests without the part, once it is refused */
 	unsigned sound_right;
@@ -61,6 +64,7 @@
 				   .engines = ENGINES,
 				   .journal = journal,
 				   .crash_part = CRASH_PART,
+				   .crash_prompt = CRASH_PROMPT,
 				   .crash_early = early});
 }
 
@@ -100,7 +104,8 @@
 	snprintf(prompt, sizeof(prompt), "a1:100,5a:50,%s:30,c%u:10",
 	    CRASH_PART, course->count);
 	s = gateways_stream_prompt(&fleet, course->count % HOSTS, prefix, id,
-	    prompt, EVENTS, TIMEOUT_S);
+	    course->prompt != NULL ? course->prompt : prompt, EVENTS,
+	    TIMEOUT_S);
 	CU_ASSERT(!(s.whole && s.status == 200));
 	if (s.status == 503) {
 		course->refused++;
@@ -177,6 +182,23 @@
 	}
 }
 
+/*
+ * Guards against a request that crashes its endpoint, comes again and again,
+ * and is let through each time that a sound request with the same shared parts
+ * has been answered; and against those being held back in its place.
+ */
+static void
+test_crashing_request(void)
+{
+	course_t course = {.prompt = CRASH_PROMPT};
+
+	start_fleet();
+	run_course(&course, GATEWAYS_ONCE, 25);
+	check_course(&course);
+	CU_ASSERT(course.sound_right * 10 >= course.sound * 9);
+	gateways_end(&fleet);
+}
+
 /* Sends requests of many prompts, so that a host has used connections to all.
  */
 static void
@@ -334,6 +356,7 @@
 
 static const suite_test_t tests[] = {
     {"requests with a crashing part", test_requests_with_crashing_part},
+    {"a crashing request", test_crashing_request},
     {"crashes on reused connections", test_crashes_on_reused_connections},
     {"absent hosts learn the part", test_absent_hosts_learn},
     {"items with a crashing part", test_items_with_crashing_part},
