--- a/src/forward.c
+++ b/src/forward.c
@@ -1,20 +1,15 @@
 /* Forwards online requests to endpoints without interpreting their content. */
-#include "forward.h"
+#include "forward_state.h"
 
 #include <math.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
-#include <sys/queue.h>
 
-#include "attempt.h"
 #include "clock.h"
-#include "forward_counters.h"
-#include "forward_plan.h"
 #include "logger.h"
 #include "result.h"
-#include "run_times.h"
 
 /*
  * A resumable stream without an event for longer fails over to another endpoint
@@ -22,46 +17,9 @@
  */
 #define RESPONSE_TIMEOUT_S 1.5
 #define EVENT_TIMEOUT_S	   1.0
-/* More attempts than a request makes; see may_retry(). */
-#define MAX_TRIED 16
 /* Limit for the bytes of a stream that the caller has not read yet. */
 #define MAX_BACKLOG_BYTES (512U << 10)
 
-struct forwarder_t {
-	forwarder_params_t params;
-	LIST_HEAD(, forward_t) forwards;
-	size_t open_count;
-	ev_timer drain_timer; /* closes the queue for slots */
-	bool stopping;	      /* a graceful shutdown has begun */
-	bool queue_closed;    /* nothing waits for a slot any more */
-	double stop_at;	      /* monotonic time of the exit, if stopping */
-	run_times_t run_times;
-	forward_counters_t counters;
-};
-
-/* A request of a caller. */
-typedef struct forward_t {
-	forwarder_t *forwarder;
-	http_request_t *request; /* NULL once the caller has disconnected */
-	routing_table_t *table;
-	const request_route_t *route;
-	request_info_t info;
-	forward_state_t state;
-	header_list_t headers;
-	event_relay_t relay;
-	grant_t *grant;
-	attempt_t *attempt;
-	char endpoint[ENDPOINT_NAME_SIZE]; /* of the last attempt */
-	uint64_t tried[MAX_TRIED]; /* hashes of the endpoints of all attempts */
-	size_t tried_count;
-	double arrived_at;
-	double granted_at;     /* 0: not yet */
-	double first_event_at; /* 0: none yet */
-	unsigned events;       /* passed on to the caller */
-	ev_timer deadline_timer;
-	LIST_ENTRY(forward_t) entry;
-} forward_t;
-
 static void forward_request_grant(forward_t *f);
 
 /* Reports to the caller that a request has not run and will not run. */
@@ -78,7 +36,8 @@
 	http_request_reply_error(request, rc, detail);
 }
 
-static void
+/* Frees a request without a response to its caller. */
+void
 forward_free(forward_t *f)
 {
 	forwarder_t *forwarder = f->forwarder;
@@ -336,7 +295,7 @@
 }
 
 /* Ends a request without a running attempt, depending on what has run. */
-static void
+void
 forward_terminate(forward_t *f, int rc, double retry_after)
 {
 	if (f->state.response_started)
@@ -379,7 +338,7 @@
  * Ends a request whose prompt has a part that is held back. Returns whether it
  * did.
  */
-static bool
+bool
 forward_refuse_held(forward_t *f)
 {
 	const quarantine_net_t *quarantine = f->forwarder->params.quarantine;
@@ -565,89 +524,3 @@
 	else
 		forward_request_grant(f);
 }
-
-/* Ends the requests without an attempt whose prompts have a held part. */
-void
-forwarder_recheck_parts(forwarder_t *forwarder)
-{
-	forward_t *f = LIST_FIRST(&forwarder->forwards);
-
-	while (f != NULL) {
-		forward_t *next = LIST_NEXT(f, entry);
-
-		if (f->attempt == NULL)
-			(void)forward_refuse_held(f);
-		f = next;
-	}
-}
-
-/* Refuses the requests that still wait for a slot; attempts continue. */
-static void
-on_drain_queue(struct ev_loop *loop, ev_timer *timer, int events)
-{
-	forwarder_t *forwarder = timer->data;
-	forward_t *f = LIST_FIRST(&forwarder->forwards);
-
-	(void)loop;
-	(void)events;
-	forwarder->queue_closed = true;
-	while (f != NULL) {
-		forward_t *next = LIST_NEXT(f, entry);
-
-		if (f->attempt == NULL)
-			forward_terminate(f, -RESULT_STOPPING, 0);
-		f = next;
-	}
-}
-
-/*
- * Begins a graceful shutdown; the host exits at stop_at, a monotonic time. From
- * now on, requests that might not end before that are refused instead of sent.
- * After queue_seconds, those that still wait for a slot are refused as well. In
- * both cases the callers can retry on another host at once.
- */
-void
-forwarder_drain(forwarder_t *forwarder, double queue_seconds, double stop_at)
-{
-	forwarder->stopping = true;
-	forwarder->stop_at = stop_at;
-	ev_timer_set(&forwarder->drain_timer, queue_seconds, 0);
-	ev_timer_start(forwarder->params.loop, &forwarder->drain_timer);
-}
-
-/* Returns the number of unfinished requests. */
-size_t
-forwarder_open_count(const forwarder_t *forwarder)
-{
-	return (forwarder->open_count);
-}
-
-forwarder_t *
-forwarder_new(const forwarder_params_t *params)
-{
-	forwarder_t *forwarder = xcalloc(1, sizeof(*forwarder));
-
-	forwarder->params = *params;
-	LIST_INIT(&forwarder->forwards);
-	LIST_INIT(&forwarder->run_times.routes);
-	ev_timer_init(&forwarder->drain_timer, on_drain_queue, 0, 0);
-	forwarder->drain_timer.data = forwarder;
-	forward_counters_init(&forwarder->counters);
-	return (forwarder);
-}
-
-/* Drops all open requests without a response and frees the forwarder. */
-void
-forwarder_delete(forwarder_t *forwarder)
-{
-	forward_t *f;
-
-	ev_timer_stop(forwarder->params.loop, &forwarder->drain_timer);
-	while ((f = LIST_FIRST(&forwarder->forwards)) != NULL) {
-		if (f->request != NULL)
-			http_request_on_close(f->request, NULL, NULL);
-		forward_free(f);
-	}
-	run_times_free(&forwarder->run_times);
-	free(forwarder);
-}
--- /dev/null
+++ b/src/forward_state.h
@@ -0,0 +1,56 @@
+/* Private state of the forwarder, shared by its source files. */
+#ifndef DAISYPIER_FORWARD_STATE_H
+#define DAISYPIER_FORWARD_STATE_H
+
+#include <sys/queue.h>
+
+#include "attempt.h"
+#include "forward.h"
+#include "forward_counters.h"
+#include "forward_plan.h"
+#include "run_times.h"
+
+/* More attempts than a request makes; see may_retry(). */
+#define MAX_TRIED 16
+
+struct forwarder_t {
+	forwarder_params_t params;
+	LIST_HEAD(, forward_t) forwards;
+	size_t open_count;
+	ev_timer drain_timer; /* closes the queue for slots */
+	bool stopping;	      /* a graceful shutdown has begun */
+	bool queue_closed;    /* nothing waits for a slot any more */
+	double stop_at;	      /* monotonic time of the exit, if stopping */
+	run_times_t run_times;
+	forward_counters_t counters;
+};
+
+/* A request of a caller. */
+typedef struct forward_t {
+	forwarder_t *forwarder;
+	http_request_t *request; /* NULL once the caller has disconnected */
+	routing_table_t *table;
+	const request_route_t *route;
+	request_info_t info;
+	forward_state_t state;
+	header_list_t headers;
+	event_relay_t relay;
+	grant_t *grant;
+	attempt_t *attempt;
+	char endpoint[ENDPOINT_NAME_SIZE]; /* of the last attempt */
+	uint64_t tried[MAX_TRIED]; /* hashes of the endpoints of all attempts */
+	size_t tried_count;
+	double arrived_at;
+	double granted_at;     /* 0: not yet */
+	double first_event_at; /* 0: none yet */
+	unsigned events;       /* passed on to the caller */
+	ev_timer deadline_timer;
+	LIST_ENTRY(forward_t) entry;
+} forward_t;
+
+/* forward.c */
+void forward_free(forward_t *f);
+void forward_terminate(forward_t *f, int rc, double retry_after);
+bool forward_refuse_held(forward_t *f);
+
+#endif
