--- a/tests/harness_gateways.h
+++ b/tests/harness_gateways.h
@@ -6,6 +6,8 @@
 
 #define GATEWAYS_MAX_HOSTS   8
 #define GATEWAYS_MAX_ENGINES 8
+/* Tokens of each event of an engine. */
+#define GATEWAYS_EVENT_TOKENS 8
 /* Host name of the routes of the fleet's configuration. */
 #define GATEWAYS_HOST	     "calls.example"
 #define GATEWAYS_HOST_HEADER "Host: calls.example"
