attempt: say why a response is not believed

Change: the check of a head stands in response_check.c, a pure function that names the fault; a line response_rejected and a counter for each fault; the line request says how many events were passed on. What is believed stays as it was.

Measured: test_response_check (new), test_http, test_fail_hostile, test_event_relay, test_forward_plan, test_day_report pass with sanitizers.

--- a/src/attempt.c
+++ b/src/attempt.c
@@ -7,7 +7,9 @@
 #include <string.h>
 
 #include "clock.h"
+#include "counter.h"
 #include "logger.h"
+#include "response_check.h"
 #include "result.h"
 
 /* Allows for a few round trips to the endpoint. */
@@ -20,10 +22,6 @@
 /* Limit for the body of a response that is not the expected event stream. */
 #define MAX_NON_STREAM_BODY_BYTES (64U << 10)
 
-enum {
-	STATUS_MISDIRECTED_REQUEST = 421,
-};
-
 struct attempt_t {
 	attempt_params_t params;
 	http_call_t *call;
@@ -31,50 +29,29 @@
 	double first_event_at; /* 0: no event yet */
 	int status;
 	unsigned events;
-	bool streaming;	 /* events are delivered as they arrive */
-	bool unframed;	 /* the response ends with its connection */
-	bool refused;	 /* the endpoint states that it did not run it */
-	bool mismatch;	 /* unsigned, or the response to another request */
-	bool discarding; /* invalid event, or the callback returned false */
+	response_fault_t fault;
+	bool head_rejected; /* this host broke the response off for its head */
+	bool streaming;	    /* events are delivered as they arrive */
+	bool unframed;	    /* the response ends with its connection */
+	bool refused;	    /* the endpoint states that it did not run it */
+	bool discarding;    /* invalid event, or the callback returned false */
 };
 
-/* Returns whether the response belongs to this request; true if it has no id.
- */
-static bool
-request_id_matches(attempt_t *attempt)
-{
-	const char *id = http_call_header(
-	    attempt->call, attempt->params.dialect->request_id_header);
-
-	return (id == NULL || strcmp(id, attempt->params.request_id) == 0);
-}
-
-/*
- * Returns whether a refusal may be that of another request: it has no id, and
- * an endpoint may send an earlier one once more on a kept connection.
- */
-static bool
-is_refusal_ambiguous(attempt_t *attempt)
-{
-	return (http_call_header(attempt->call,
-		    attempt->params.dialect->request_id_header) == NULL &&
-		http_call_reuses_connection(attempt->call));
-}
-
-/*
- * Returns whether the response carries the endpoint's signature and a request
- * id. A response with a content encoding is not accepted.
- */
-static bool
-is_signed(attempt_t *attempt)
+/* Reads what the head of the response says. */
+static response_head_t
+read_head(attempt_t *attempt)
 {
 	const dialect_t *dialect = attempt->params.dialect;
-
-	return (http_call_header(attempt->call, dialect->signature_header) !=
-		    NULL &&
-		http_call_header(attempt->call, dialect->request_id_header) !=
-		    NULL &&
-		http_call_header(attempt->call, "Content-Encoding") == NULL);
+	http_call_t *call = attempt->call;
+
+	return ((response_head_t){
+	    .status = attempt->status,
+	    .request_id = http_call_header(call, dialect->request_id_header),
+	    .signature = http_call_header(call, dialect->signature_header),
+	    .encoding = http_call_header(call, "Content-Encoding"),
+	    .not_run = http_call_header(call, dialect->not_run_header) != NULL,
+	    .reused = http_call_reuses_connection(call),
+	});
 }
 
 /* Any response tells whether its endpoint leaves, even one to be discarded. */
@@ -96,23 +73,18 @@
 {
 	attempt_t *attempt = ctx;
 	const attempt_params_t *params = &attempt->params;
+	response_head_t head;
 
 	attempt->status = status;
 	report_leaving(attempt);
-	attempt->mismatch = !request_id_matches(attempt);
-	if (attempt->mismatch)
+	head = read_head(attempt);
+	attempt->fault = response_head_fault(&head, params->request_id);
+	attempt->head_rejected = attempt->fault != RESPONSE_SOUND;
+	if (attempt->head_rejected)
 		return (false);
-	if (status == STATUS_MISDIRECTED_REQUEST ||
-	    http_call_header(attempt->call, params->dialect->not_run_header) !=
-		NULL) {
-		attempt->mismatch = is_refusal_ambiguous(attempt);
-		attempt->refused = !attempt->mismatch;
-		return (attempt->refused);
-	}
-	if (status >= 200 && status < 300 && !is_signed(attempt)) {
-		attempt->mismatch = true;
-		return (false);
-	}
+	attempt->refused = response_is_refusal(&head);
+	if (attempt->refused)
+		return (true);
 	attempt->streaming = params->relay != NULL && status == 200;
 	attempt->unframed =
 	    http_call_header(attempt->call, "Content-Length") == NULL &&
@@ -172,13 +144,27 @@
 	return (attempt->unframed && attempt->events == 0);
 }
 
+/* Returns why a response that has ended is not believed. */
+static response_fault_t
+find_fault(const attempt_t *attempt, const http_result_t *http)
+{
+	if (attempt->fault != RESPONSE_SOUND)
+		return (attempt->fault);
+	if (http->head_broken)
+		return (RESPONSE_HEAD_BROKEN);
+	if (http->rc == 0 && attempt->streaming &&
+	    is_empty_until_close(attempt))
+		return (RESPONSE_EMPTY);
+	return (RESPONSE_SOUND);
+}
+
 static attempt_outcome_t
 determine_outcome(const attempt_t *attempt, const http_result_t *http, int *rc)
 {
 	*rc = http->rc;
 	if (!http->sent)
 		return (ATTEMPT_UNREACHABLE);
-	if (attempt->refused && !attempt->mismatch) {
+	if (attempt->refused) {
 		/* 421: the address now belongs to another endpoint. */
 		*rc = attempt->status == STATUS_MISDIRECTED_REQUEST
 			  ? -RESULT_STOPPING
@@ -189,9 +175,9 @@
 		*rc = -RESULT_BROKEN_ANSWER;
 	if (http->rc != 0)
 		return (ATTEMPT_INCOMPLETE);
-	if (attempt->streaming &&
-	    (event_relay_has_partial(attempt->params.relay) ||
-		is_empty_until_close(attempt))) {
+	if (attempt->fault == RESPONSE_EMPTY ||
+	    (attempt->streaming &&
+		event_relay_has_partial(attempt->params.relay))) {
 		*rc = -RESULT_BROKEN_ANSWER;
 		return (ATTEMPT_INCOMPLETE);
 	}
@@ -210,8 +196,8 @@
 	bool closed =
 	    http->rc != -RESULT_TOO_LARGE && rc == -RESULT_BROKEN_ANSWER;
 
-	return (
-	    http->sent && closed && !attempt->mismatch && !attempt->discarding);
+	return (http->sent && closed && !attempt->head_rejected &&
+		!attempt->discarding);
 }
 
 /* Logs and records which request the endpoint had not finished. */
@@ -235,6 +221,27 @@
 		    params->endpoint->name, params->endpoint->address);
 }
 
+/* Logs and counts why a response was not believed. */
+static void
+report_rejected(const attempt_t *attempt, const http_result_t *http)
+{
+	const char *fault = response_fault_name(attempt->fault);
+	char metric[96];
+
+	snprintf(metric, sizeof(metric),
+	    "daisypier_responses_rejected_total{fault=\"%s\"}", fault);
+	counter_add(counter_get(metric,
+			"Responses that were not taken for that of their "
+			"request"),
+	    1);
+	LOG_INFO("response_rejected",
+	    "request=%s endpoint=%s fault=%s status=%d reused=%d events=%u "
+	    "ran_ms=%.0f",
+	    attempt->params.request_id, attempt->params.endpoint->name, fault,
+	    http->status, http->reused, attempt->events,
+	    (clock_monotonic() - attempt->started_at) * 1e3);
+}
+
 static void
 on_done(void *ctx, const http_result_t *http)
 {
@@ -245,6 +252,9 @@
 	    .body = http->body,
 	};
 
+	attempt->fault = find_fault(attempt, http);
+	if (attempt->fault != RESPONSE_SOUND)
+		report_rejected(attempt, http);
 	result.outcome = determine_outcome(attempt, http, &result.rc);
 	if (is_disconnected(attempt, http, result.rc))
 		handle_disconnect(attempt, http);
--- a/src/forward.c
+++ b/src/forward.c
@@ -68,11 +68,11 @@
 		    f->info.output_tokens, now - f->granted_at, now);
 	LOG_INFO("request",
 	    "request=%s route=%s config=%llu endpoint=%s outcome=%s status=%d "
-	    "cause=%s sent=%u unreached=%u wait_ms=%.0f first_ms=%.0f "
-	    "total_ms=%.0f patience_ms=%.0f",
+	    "cause=%s sent=%u unreached=%u events=%u wait_ms=%.0f "
+	    "first_ms=%.0f total_ms=%.0f patience_ms=%.0f",
 	    f->info.id, f->route->name, (unsigned long long)f->table->version,
 	    f->endpoint, outcome, status, result_name(rc),
-	    f->state.attempts_sent, f->state.unavailable,
+	    f->state.attempts_sent, f->state.unavailable, f->events,
 	    f->granted_at > 0 ? (f->granted_at - f->arrived_at) * 1e3 : -1.0,
 	    f->first_event_at > 0 ? (f->first_event_at - f->arrived_at) * 1e3
 				  : -1.0,
--- a/src/http_call.c
+++ b/src/http_call.c
@@ -83,6 +83,7 @@
 	    .rc = rc,
 	    .sent = call->sent,
 	    .reused = call->sent && http_call_reuses_connection(call),
+	    .head_broken = call->header_bytes > 0 && !call->head_complete,
 	};
 	http_done_cb_t on_done = call->on_done;
 	void *ctx = call->ctx;
--- a/src/httpc.h
+++ b/src/httpc.h
@@ -19,8 +19,9 @@
 	int rc;
 	int status;
 	bool sent;
-	bool reused; /* it went over a connection that had served others */
-	str_t body;  /* empty if passed to on_data */
+	bool reused;	  /* it went over a connection that had served others */
+	bool head_broken; /* the response began, but its head has no end */
+	str_t body;	  /* empty if passed to on_data */
 } http_result_t;
 
 typedef void (*http_done_cb_t)(void *ctx, const http_result_t *result);
