tests: a file of its own for the fleet with faulty servers

A pure move out of test_fail_hostile.c, with the names of a harness; a second program is to use it. No check changes: test_fail_hostile has the tests that it had.

--- a/tests/test_fail_hostile.c
+++ b/tests/test_fail_hostile.c
@@ -10,185 +10,32 @@
 #include <unistd.h>
 
 #include "clock.h"
-#include "harness_gateways.h"
-#include "harness_hostile.h"
-
-#define HOSTILE_SLOTS		 64
-#define HEARTBEAT_S		 0.3
-#define ENDPOINT_KNOWN_TIMEOUT_S 20
-#define CALLERS			 12
-#define CALLER_TIMEOUT_S	 2.5
+#include "harness_hostile_fleet.h"
+
+#define CALLERS 12
 /* A caller must get a failure at most this long after its timeout. */
 #define RESPONSE_SLACK_S 0.7
 /* Concurrent endless responses, and the memory that a host may use for them. */
-#define ENDLESS_CALLERS 64
+#define ENDLESS_CALLERS HOSTILE_MAX_CALLERS
 #define MAX_GROWTH_KB	(64 * 1024)
 /* Memory for all responses that are kept until they are whole. */
 #define MAX_KEPT_KB (64 * 1024)
 /* More than the headers and the 64 events that a request may have. */
 #define MAX_BROKEN_OFF_BYTES (64U << 10)
 
-static gateways_t fleet;
-
-typedef struct caller_t {
-	const char *prefix;
-	char id[48];
-	double seconds;
-	gateways_stream_t result;
-} caller_t;
-
-static void *
-call_once(void *ctx)
-{
-	caller_t *caller = ctx;
-	double started_at = clock_monotonic();
-
-	caller->result = gateways_stream(
-	    &fleet, 0, caller->prefix, caller->id, 8, CALLER_TIMEOUT_S);
-	caller->seconds = clock_monotonic() - started_at;
-	return (NULL);
-}
-
-/* Makes count concurrent calls and waits for all responses. */
-static void
-call_concurrently(caller_t *callers, unsigned count, const char *name)
-{
-	pthread_t threads[ENDLESS_CALLERS];
-
-	for (unsigned i = 0; i < count; i++) {
-		callers[i].prefix =
-		    i % 2 == 0 ? GATEWAYS_ONCE : GATEWAYS_RESUME;
-		snprintf(
-		    callers[i].id, sizeof(callers[i].id), "%s-%u", name, i);
-		pthread_create(&threads[i], NULL, call_once, &callers[i]);
-	}
-	for (unsigned i = 0; i < count; i++)
-		pthread_join(threads[i], NULL);
-}
-
-/* Keeps a faulty server registered: its entry expires unless renewed. */
-typedef struct heartbeat_t {
-	char id[16];
-	char address[64];
-	hostile_t *server;
-	volatile bool stop;
-	pthread_t thread;
-} heartbeat_t;
-
-static void *
-renew_entry(void *ctx)
-{
-	heartbeat_t *heartbeat = ctx;
-
-	while (!heartbeat->stop) {
-		gateways_register(
-		    &fleet, heartbeat->id, heartbeat->address, HOSTILE_SLOTS);
-		harness_sleep(HEARTBEAT_S);
-	}
-	return (NULL);
-}
-
-static void
-log_path(unsigned host, char *out, size_t size)
-{
-	snprintf(out, size, "%s/host-%u.log", harness_folder(), host);
-}
-
-/* Starts a fleet with one engine and new logs. */
-static void
-start_fleet(unsigned hosts)
-{
-	char path[512];
-
-	for (unsigned i = 0; i < hosts; i++) {
-		log_path(i, path, sizeof(path));
-		(void)unlink(path);
-	}
-	gateways_start(&fleet,
-	    &(gateways_params_t){
-		.hosts = hosts, .engines = 1, .logs = harness_folder()});
-}
-
-/* Whether the log of a host shows that it uses the endpoint. */
-static bool
-host_knows_endpoint(unsigned host, const char *endpoint)
-{
-	char path[512];
-	char line[1024];
-	char event[64];
-	bool found = false;
-	FILE *log;
-
-	log_path(host, path, sizeof(path));
-	snprintf(event, sizeof(event), "endpoint_added endpoint=%s ", endpoint);
-	log = fopen(path, "r");
-	while (log != NULL && fgets(line, sizeof(line), log) != NULL)
-		found = found || strstr(line, event) != NULL;
-	if (log != NULL)
-		fclose(log);
-	return (found);
-}
-
-static bool
-is_endpoint_known(void *ctx)
-{
-	const heartbeat_t *heartbeat = ctx;
-
-	for (unsigned i = 0; i < fleet.params.hosts; i++)
-		if (!host_knows_endpoint(i, heartbeat->id))
-			return (false);
-	return (true);
-}
-
-/* Starts a faulty server and registers it in the pool of the engine. */
-static hostile_t *
-hostile_register(
-    heartbeat_t *heartbeat, unsigned number, hostile_mode_t mode, bool slow)
-{
-	char ip[32];
-
-	*heartbeat = (heartbeat_t){0};
-	snprintf(ip, sizeof(ip), "127.0.0.%u", 141 + number);
-	snprintf(heartbeat->id, sizeof(heartbeat->id), "h%u", number);
-	snprintf(heartbeat->address, sizeof(heartbeat->address), "%s:%u", ip,
-	    fleet.engine_port);
-	heartbeat->server = hostile_start(ip, fleet.engine_port, mode, slow);
-	CU_ASSERT_FATAL(heartbeat->server != NULL);
-	pthread_create(&heartbeat->thread, NULL, renew_entry, heartbeat);
-	CU_ASSERT(harness_wait(
-	    is_endpoint_known, heartbeat, ENDPOINT_KNOWN_TIMEOUT_S));
-	return (heartbeat->server);
-}
-
-/* Removes the entry; the server keeps running. */
-static void
-hostile_unregister(heartbeat_t *heartbeat)
-{
-	heartbeat->stop = true;
-	pthread_join(heartbeat->thread, NULL);
-	gateways_unregister(&fleet, heartbeat->id);
-}
-
-static void
-hostile_stop(heartbeat_t *heartbeat)
-{
-	hostile_unregister(heartbeat);
-	hostile_end(heartbeat->server);
-	harness_sleep(0.7);
-}
-
 /*
  * A caller must get its complete response or a failure, but neither 503 nor
  * 429: these state that the request did not run.
  */
 static void
-check_caller(const caller_t *caller)
+check_caller(const hostile_caller_t *caller)
 {
 	const gateways_stream_t *s = &caller->result;
 
 	CU_ASSERT(!(s->whole && s->status == 200) || s->right);
 	CU_ASSERT(!(s->whole && (s->status == 503 || s->status == 429)));
-	CU_ASSERT(caller->seconds < CALLER_TIMEOUT_S + RESPONSE_SLACK_S);
+	CU_ASSERT(
+	    caller->seconds < HOSTILE_CALLER_TIMEOUT_S + RESPONSE_SLACK_S);
 	/* Resumable streams must be completed by another endpoint in time. */
 	if (strcmp(caller->prefix, GATEWAYS_RESUME) == 0)
 		CU_ASSERT(s->right);
@@ -197,17 +44,17 @@
 static void
 check_mode(unsigned number, hostile_mode_t mode, bool slow)
 {
-	caller_t callers[CALLERS] = {{0}};
-	heartbeat_t heartbeat;
-	hostile_t *hostile = hostile_register(&heartbeat, number, mode, slow);
+	hostile_caller_t callers[CALLERS] = {{0}};
+	hostile_entry_t entry;
+	hostile_t *hostile = hostile_register(&entry, number, mode, slow);
 	char name[32];
 
 	snprintf(name, sizeof(name), "m%u", number);
-	call_concurrently(callers, CALLERS, name);
+	hostile_call_all(callers, CALLERS, name);
 	CU_ASSERT(hostile_answers(hostile) > 0);
 	for (unsigned i = 0; i < CALLERS; i++)
 		check_caller(&callers[i]);
-	hostile_stop(&heartbeat);
+	hostile_stop(&entry);
 }
 
 /*
@@ -217,12 +64,12 @@
 static void
 test_endless_answers(void)
 {
-	start_fleet(1);
+	hostile_start_fleet(1);
 	for (unsigned mode = 0; mode < HOSTILE_ENDLESS; mode++) {
 		check_mode(2 * mode, (hostile_mode_t)mode, false);
 		check_mode(2 * mode + 1, (hostile_mode_t)mode, true);
 	}
-	gateways_end(&fleet);
+	gateways_end(&hostile_fleet);
 }
 
 /* Returns the peak resident memory of a process in kB, or 0 if unknown. */
@@ -249,8 +96,8 @@
 static int
 call_without_reading(unsigned number)
 {
-	struct sockaddr_in address = {
-	    .sin_family = AF_INET, .sin_port = htons(fleet.callers_port)};
+	struct sockaddr_in address = {.sin_family = AF_INET,
+	    .sin_port = htons(hostile_fleet.callers_port)};
 	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
 	buf_t request = {0};
 
@@ -272,7 +119,7 @@
 static size_t
 read_to_end(int fd)
 {
-	struct timeval timeout = {.tv_sec = (time_t)CALLER_TIMEOUT_S};
+	struct timeval timeout = {.tv_sec = (time_t)HOSTILE_CALLER_TIMEOUT_S};
 	char buffer[4096];
 	size_t total = 0;
 	ssize_t n;
@@ -291,11 +138,11 @@
 static void
 test_endless_events_are_broken_off(void)
 {
-	heartbeat_t heartbeat;
+	hostile_entry_t entry;
 	hostile_t *hostile;
 
-	start_fleet(1);
-	hostile = hostile_register(&heartbeat, 0, HOSTILE_ENDLESS, false);
+	hostile_start_fleet(1);
+	hostile = hostile_register(&entry, 0, HOSTILE_ENDLESS, false);
 	for (unsigned i = 0; i < CALLERS; i++) {
 		int fd = call_without_reading(i);
 
@@ -303,8 +150,8 @@
 		close(fd);
 	}
 	CU_ASSERT(hostile_answers(hostile) > 0);
-	hostile_stop(&heartbeat);
-	gateways_end(&fleet);
+	hostile_stop(&entry);
+	gateways_end(&hostile_fleet);
 }
 
 /*
@@ -320,30 +167,30 @@
 	/* Freed memory in the sanitizer's quarantine would count as used. */
 	setenv("ASAN_OPTIONS", "quarantine_size_mb=1", 1);
 	for (unsigned i = 0; i < sizeof(modes) / sizeof(modes[0]); i++) {
-		caller_t callers[ENDLESS_CALLERS] = {{0}};
+		hostile_caller_t callers[ENDLESS_CALLERS] = {{0}};
 		int unread[ENDLESS_CALLERS];
-		heartbeat_t heartbeat;
+		hostile_entry_t entry;
 		hostile_t *hostile;
 		long before;
 
-		start_fleet(1);
-		hostile = hostile_register(&heartbeat, i, modes[i], false);
-		before = peak_memory_kb(fleet.hosts[0]);
+		hostile_start_fleet(1);
+		hostile = hostile_register(&entry, i, modes[i], false);
+		before = peak_memory_kb(hostile_fleet.hosts[0]);
 		if (modes[i] == HOSTILE_ENDLESS) {
 			for (unsigned k = 0; k < ENDLESS_CALLERS; k++)
 				unread[k] = call_without_reading(k);
-			harness_sleep(CALLER_TIMEOUT_S);
+			harness_sleep(HOSTILE_CALLER_TIMEOUT_S);
 			for (unsigned k = 0; k < ENDLESS_CALLERS; k++)
 				close(unread[k]);
 		} else {
-			call_concurrently(callers, ENDLESS_CALLERS, "many");
+			hostile_call_all(callers, ENDLESS_CALLERS, "many");
 		}
 		CU_ASSERT(hostile_answers(hostile) > 0);
 		CU_ASSERT(before > 0);
-		CU_ASSERT(
-		    peak_memory_kb(fleet.hosts[0]) - before < MAX_GROWTH_KB);
-		hostile_stop(&heartbeat);
-		gateways_end(&fleet);
+		CU_ASSERT(peak_memory_kb(hostile_fleet.hosts[0]) - before <
+			  MAX_GROWTH_KB);
+		hostile_stop(&entry);
+		gateways_end(&hostile_fleet);
 	}
 	unsetenv("ASAN_OPTIONS");
 }
@@ -356,35 +203,36 @@
 static void
 test_endless_bodies_bounded_in_memory(void)
 {
-	caller_t callers[ENDLESS_CALLERS] = {{0}};
+	hostile_caller_t callers[ENDLESS_CALLERS] = {{0}};
 	pthread_t threads[ENDLESS_CALLERS];
-	heartbeat_t heartbeat;
+	hostile_entry_t entry;
 	hostile_t *hostile;
 	long before;
 
 	setenv("ASAN_OPTIONS", "quarantine_size_mb=1", 1);
-	start_fleet(1);
-	gateways_configure(&fleet,
+	hostile_start_fleet(1);
+	gateways_configure(&hostile_fleet,
 	    ",{\"name\":\"plain\",\"path-prefix\":\"/plain/\",\"host\":"
 	    "\"" GATEWAYS_HOST "\",\"service\":\"m\",\"type\":\"safe\","
 	    "\"timeout-ms\":5000,\"target-latency-ms\":300,\"priority\":0,"
 	    "\"max-attempts\":1}");
-	hostile = hostile_register(&heartbeat, 0, HOSTILE_BODY, false);
-	before = peak_memory_kb(fleet.hosts[0]);
+	hostile = hostile_register(&entry, 0, HOSTILE_BODY, false);
+	before = peak_memory_kb(hostile_fleet.hosts[0]);
 	for (unsigned i = 0; i < ENDLESS_CALLERS; i++) {
 		callers[i].prefix = "/plain/";
 		snprintf(callers[i].id, sizeof(callers[i].id), "body-%u", i);
-		pthread_create(&threads[i], NULL, call_once, &callers[i]);
+		pthread_create(&threads[i], NULL, hostile_call, &callers[i]);
 	}
 	for (unsigned i = 0; i < ENDLESS_CALLERS; i++)
 		pthread_join(threads[i], NULL);
-	printf("[grown by %ld kB] ", peak_memory_kb(fleet.hosts[0]) - before);
+	printf("[grown by %ld kB] ",
+	    peak_memory_kb(hostile_fleet.hosts[0]) - before);
 	CU_ASSERT(hostile_answers(hostile) > 0);
 	CU_ASSERT(before > 0);
-	CU_ASSERT(peak_memory_kb(fleet.hosts[0]) - before <
+	CU_ASSERT(peak_memory_kb(hostile_fleet.hosts[0]) - before <
 		  MAX_KEPT_KB + MAX_GROWTH_KB);
-	hostile_stop(&heartbeat);
-	gateways_end(&fleet);
+	hostile_stop(&entry);
+	gateways_end(&hostile_fleet);
 	unsetenv("ASAN_OPTIONS");
 }
 
@@ -399,19 +247,20 @@
 	    HOSTILE_COMMENTS, HOSTILE_HEADERS, HOSTILE_ENDLESS};
 
 	for (unsigned i = 0; i < sizeof(modes) / sizeof(modes[0]); i++) {
-		heartbeat_t heartbeat;
+		hostile_entry_t entry;
 		hostile_t *hostile;
 		char job[16];
 
-		start_fleet(1);
+		hostile_start_fleet(1);
 		hostile = hostile_register(
-		    &heartbeat, i, modes[i], modes[i] != HOSTILE_ENDLESS);
+		    &entry, i, modes[i], modes[i] != HOSTILE_ENDLESS);
 		snprintf(job, sizeof(job), "job-e%u", i);
-		CU_ASSERT(gateways_submit(&fleet, 0, job, 8, 12) == 202);
-		CU_ASSERT(gateways_wait_job(&fleet, job, 8, 12, 40));
+		CU_ASSERT(
+		    gateways_submit(&hostile_fleet, 0, job, 8, 12) == 202);
+		CU_ASSERT(gateways_wait_job(&hostile_fleet, job, 8, 12, 40));
 		CU_ASSERT(hostile_answers(hostile) > 0);
-		hostile_stop(&heartbeat);
-		gateways_end(&fleet);
+		hostile_stop(&entry);
+		gateways_end(&hostile_fleet);
 	}
 }
 
@@ -426,27 +275,27 @@
 	    HOSTILE_SECOND_COPY, HOSTILE_LATE_COPY};
 
 	for (unsigned i = 0; i < sizeof(modes) / sizeof(modes[0]); i++) {
-		heartbeat_t heartbeat;
+		hostile_entry_t entry;
 		hostile_t *hostile;
 		unsigned right = 0;
 
-		start_fleet(1);
-		hostile = hostile_register(&heartbeat, i, modes[i], false);
+		hostile_start_fleet(1);
+		hostile = hostile_register(&entry, i, modes[i], false);
 		for (unsigned k = 0; k < 40; k++) {
-			caller_t caller = {.prefix = k % 2 == 0
-							 ? GATEWAYS_ONCE
-							 : GATEWAYS_RESUME};
+			hostile_caller_t caller = {
+			    .prefix =
+				k % 2 == 0 ? GATEWAYS_ONCE : GATEWAYS_RESUME};
 
 			snprintf(caller.id, sizeof(caller.id), "c%u-%u", i, k);
-			call_once(&caller);
+			hostile_call(&caller);
 			check_caller(&caller);
 			right += caller.result.right;
 			harness_sleep(k % 4 == 0 ? 2 * 0.02 : 0);
 		}
 		CU_ASSERT(right >= 20);
 		CU_ASSERT(hostile_copies(hostile) > 0);
-		hostile_stop(&heartbeat);
-		gateways_end(&fleet);
+		hostile_stop(&entry);
+		gateways_end(&hostile_fleet);
 	}
 }
 
@@ -460,45 +309,45 @@
 {
 	for (unsigned mode = HOSTILE_OLD_REFUSAL_WITHOUT_ID;
 	     mode <= HOSTILE_OLD_REFUSAL_OF_RETRY; mode++) {
-		heartbeat_t heartbeat;
+		hostile_entry_t entry;
 		hostile_t *hostile;
 		unsigned run = 0;
 
-		start_fleet(1);
-		hostile = hostile_register(&heartbeat,
+		hostile_start_fleet(1);
+		hostile = hostile_register(&entry,
 		    mode - HOSTILE_OLD_REFUSAL_WITHOUT_ID, (hostile_mode_t)mode,
 		    false);
 		/* Without another endpoint, a refused request comes again. */
 		if (mode == HOSTILE_OLD_REFUSAL_OF_RETRY)
-			harness_kill(fleet.engines[0]);
-		gateways_configure(&fleet,
+			harness_kill(hostile_fleet.engines[0]);
+		gateways_configure(&hostile_fleet,
 		    ",{\"name\":\"twice\",\"host\":\"" GATEWAYS_HOST
 		    "\",\"path-prefix\":\"/twice/\",\"type\":\"stream\","
 		    "\"service\":\"m\",\"max-attempts\":3,\"resumable\":"
 		    "false,\"timeout-ms\":5000}");
 		harness_sleep(2);
 		for (unsigned i = 0; i < 40; i++) {
-			caller_t caller = {.prefix = "/twice/"};
+			hostile_caller_t caller = {.prefix = "/twice/"};
 			const gateways_stream_t *s = &caller.result;
 			bool ran;
 
 			snprintf(
 			    caller.id, sizeof(caller.id), "r%u-%u", mode, i);
-			call_once(&caller);
+			hostile_call(&caller);
 			ran = hostile_has_run(hostile, caller.id);
 			run += ran;
 			CU_ASSERT(
 			    !ran || (s->status != 503 && s->status != 429));
 			if (mode != HOSTILE_OLD_REFUSAL_OF_RETRY)
-				CU_ASSERT(
-				    !ran ||
-				    gateways_runs(&fleet, caller.id).runs == 0);
+				CU_ASSERT(!ran || gateways_runs(
+						      &hostile_fleet, caller.id)
+							  .runs == 0);
 		}
 		CU_ASSERT(run > 0);
 		if (mode != HOSTILE_OLD_REFUSAL_OF_RETRY)
 			CU_ASSERT(hostile_copies(hostile) > 0);
-		hostile_stop(&heartbeat);
-		gateways_end(&fleet);
+		hostile_stop(&entry);
+		gateways_end(&hostile_fleet);
 	}
 }
 
@@ -514,22 +363,22 @@
 	    HOSTILE_ERROR_500, HOSTILE_ERROR_404, HOSTILE_ERROR_TEXT};
 
 	for (unsigned i = 0; i < sizeof(modes) / sizeof(modes[0]); i++) {
-		heartbeat_t first;
-		heartbeat_t second;
+		hostile_entry_t first;
+		hostile_entry_t second;
 		hostile_t *breaks;
 		hostile_t *fails;
 		unsigned begun = 0;
 
-		start_fleet(1);
+		hostile_start_fleet(1);
 		breaks = hostile_register(&first, 0, HOSTILE_BREAK, false);
 		fails = hostile_register(&second, 1, modes[i], false);
-		harness_kill(fleet.engines[0]);
+		harness_kill(hostile_fleet.engines[0]);
 		for (unsigned k = 0; k < 30; k++) {
-			caller_t caller = {.prefix = GATEWAYS_RESUME};
+			hostile_caller_t caller = {.prefix = GATEWAYS_RESUME};
 			const gateways_stream_t *s = &caller.result;
 
 			snprintf(caller.id, sizeof(caller.id), "e%u-%u", i, k);
-			call_once(&caller);
+			hostile_call(&caller);
 			begun += s->has_events;
 			CU_ASSERT(!s->has_events || s->begins_right);
 			CU_ASSERT(!s->has_events || !s->whole);
@@ -540,7 +389,7 @@
 		CU_ASSERT(begun > 0);
 		hostile_stop(&first);
 		hostile_stop(&second);
-		gateways_end(&fleet);
+		gateways_end(&hostile_fleet);
 	}
 }
 
@@ -556,25 +405,25 @@
 	    HOSTILE_EMPTY_END, HOSTILE_HEAD_WITHOUT_END, HOSTILE_TORN_HEAD};
 
 	for (unsigned i = 0; i < sizeof(modes) / sizeof(modes[0]); i++) {
-		heartbeat_t heartbeat;
+		hostile_entry_t entry;
 		hostile_t *hostile;
 
-		start_fleet(1);
-		hostile = hostile_register(&heartbeat, i, modes[i], false);
+		hostile_start_fleet(1);
+		hostile = hostile_register(&entry, i, modes[i], false);
 		for (unsigned k = 0; k < 20; k++) {
-			caller_t caller = {.prefix = k % 2 == 0
-							 ? GATEWAYS_ONCE
-							 : GATEWAYS_RESUME};
+			hostile_caller_t caller = {
+			    .prefix =
+				k % 2 == 0 ? GATEWAYS_ONCE : GATEWAYS_RESUME};
 
 			snprintf(caller.id, sizeof(caller.id), "n%u-%u", i, k);
-			call_once(&caller);
+			hostile_call(&caller);
 			check_caller(&caller);
 			CU_ASSERT(caller.result.status != 200 ||
 				  caller.result.begins_right);
 		}
 		CU_ASSERT(hostile_answers(hostile) > 0);
-		hostile_stop(&heartbeat);
-		gateways_end(&fleet);
+		hostile_stop(&entry);
+		gateways_end(&hostile_fleet);
 	}
 }
 
@@ -587,16 +436,16 @@
 {
 	gateways_stream_t s;
 
-	gateways_start(&fleet, &(gateways_params_t){.event_ms = 1300});
-	gateways_configure(&fleet,
+	gateways_start(&hostile_fleet, &(gateways_params_t){.event_ms = 1300});
+	gateways_configure(&hostile_fleet,
 	    ",{\"name\":\"slow\",\"host\":\"" GATEWAYS_HOST
 	    "\",\"path-prefix\":\"/slow/\",\"type\":\"stream\",\"service\":"
 	    "\"m\",\"max-attempts\":2,\"resumable\":true,\"gap-aim-ms\":500,"
 	    "\"timeout-ms\":20000}");
 	harness_sleep(2);
-	s = gateways_stream(&fleet, 0, "/slow/", "slow-1", 6, 15);
+	s = gateways_stream(&hostile_fleet, 0, "/slow/", "slow-1", 6, 15);
 	CU_ASSERT(s.right);
-	gateways_end(&fleet);
+	gateways_end(&hostile_fleet);
 }
 
 /*
@@ -610,32 +459,32 @@
 	static const char *const faults[] = {"", "forget=1"};
 
 	for (unsigned i = 0; i < sizeof(faults) / sizeof(faults[0]); i++) {
-		heartbeat_t heartbeat;
+		hostile_entry_t entry;
 		hostile_t *departed;
-		caller_t callers[CALLERS] = {{0}};
+		hostile_caller_t callers[CALLERS] = {{0}};
 		unsigned before;
 
-		start_fleet(2);
+		hostile_start_fleet(2);
 		departed =
-		    hostile_register(&heartbeat, i, HOSTILE_SECOND_COPY, false);
-		call_concurrently(callers, CALLERS, "before");
+		    hostile_register(&entry, i, HOSTILE_SECOND_COPY, false);
+		hostile_call_all(callers, CALLERS, "before");
 		before = hostile_answers(departed);
 		CU_ASSERT(before > 0);
-		hostile_unregister(&heartbeat);
+		hostile_unregister(&entry);
 		harness_sleep(1);
-		gateways_store_faults(&fleet, faults[i]);
+		gateways_store_faults(&hostile_fleet, faults[i]);
 		for (unsigned k = 0; k < 2; k++) {
-			harness_kill(fleet.hosts[k]);
-			gateways_start_host(&fleet, k);
+			harness_kill(hostile_fleet.hosts[k]);
+			gateways_start_host(&hostile_fleet, k);
 		}
 		for (unsigned k = 0; k < 2; k++)
-			CU_ASSERT(gateways_wait_ready(&fleet, k));
-		call_concurrently(callers, CALLERS, "after");
+			CU_ASSERT(gateways_wait_ready(&hostile_fleet, k));
+		hostile_call_all(callers, CALLERS, "after");
 		CU_ASSERT(hostile_answers(departed) == before);
 		for (unsigned k = 0; k < CALLERS; k++)
 			CU_ASSERT(callers[k].result.right);
 		hostile_end(departed);
-		gateways_end(&fleet);
+		gateways_end(&hostile_fleet);
 	}
 }
 
