--- a/tests/harness_hostile.c
+++ b/tests/harness_hostile.c
@@ -12,11 +12,15 @@
 
 #include "harness.h"
 
-#define MAX_CONNECTIONS 256
+#define MAX_CONNECTIONS 1024
 /* Bytes of one write of an endless answer. */
 #define BLOCK_SIZE  8192
 #define SLOW_BYTE_S 0.05
 #define LATE_COPY_S 0.02
+/* Late stray bytes come less than this after an answer. */
+#define LATE_STRAY_MS 60
+/* Bytes of a torn head; it ends in the name of its second header. */
+#define STRAY_HEAD_BYTES 60
 static const char error_text[] = "Error: no such thing\n\nGo away.\n\n";
 
 #define TOKENS_HEADER "X-Daisypier-Token-Usage: "
@@ -40,6 +44,7 @@
 	atomic_uint copies;
 	pthread_mutex_t lock;
 	buf_t runs; /* ids of the requests that were run, a line each */
+	stray_t stray;
 	connection_t connections[MAX_CONNECTIONS];
 	unsigned count;
 };
@@ -308,6 +313,95 @@
 	return (open);
 }
 
+/* Makes a success without events for the request of a connection. */
+static void
+append_empty_success(
+    const connection_t *connection, const char *framing, buf_t *out)
+{
+	char id[128];
+
+	header_value(
+	    connection->request, "X-Daisypier-Request-Id: ", id, sizeof(id));
+	buf_printf(out, "HTTP/1.1 200 OK\r\nX-Daisypier-Request-Id: %s\r\n%s",
+	    id, framing);
+}
+
+/* Makes stray bytes; previous is an earlier answer on the connection. */
+static void
+append_stray(const connection_t *connection, stray_kind_t kind, str_t previous,
+    buf_t *out)
+{
+	static const char *const texts[STRAY_KINDS] = {
+	    [STRAY_TORN_STATUS] = "HTTP/1.1 500 Fai",
+	    [STRAY_TORN_HEADER] = "HTTP/1.1 500 Failed\r\nDate: Sa",
+	    [STRAY_FAILURE] =
+		"HTTP/1.1 500 Failed\r\nContent-Length: 4\r\n\r\nfail",
+	    [STRAY_REJECTION] =
+		"HTTP/1.1 422 Rejected\r\nContent-Length: 0\r\n\r\n",
+	    [STRAY_NO_CONTENT] = "HTTP/1.1 204 No Content\r\n\r\n",
+	    [STRAY_INTERIM] = "HTTP/1.1 100 Continue\r\n\r\n",
+	    [STRAY_BLANK_LINES] = "\r\n\r\n",
+	    /* These three follow the head of a success. */
+	    [STRAY_UNSIGNED] = "Content-Length: 0\r\n\r\n",
+	    [STRAY_EMPTY_SIGNATURE] = "X-Daisypier-Response-Signature: \r\n"
+				      "Content-Length: 0\r\n\r\n",
+	    [STRAY_EMPTY] = "X-Daisypier-Response-Signature: h.stray\r\n"
+			    "Content-Length: 0\r\n\r\n",
+	    [STRAY_EMPTY_CHUNKED] =
+		"X-Daisypier-Response-Signature: h.stray\r\n"
+		"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+	};
+
+	if (kind == STRAY_COPY)
+		buf_append(out, previous);
+	else if (kind == STRAY_TORN_HEAD)
+		buf_append(out, (str_t){previous.data, STRAY_HEAD_BYTES});
+	else if (kind == STRAY_TORN_BODY)
+		buf_append(out, (str_t){previous.data, previous.len - 10});
+	else if (kind >= STRAY_UNSIGNED && kind <= STRAY_EMPTY_CHUNKED)
+		append_empty_success(connection, texts[kind], out);
+	else
+		buf_append(out, str_of(texts[kind]));
+}
+
+/* Answers a request rightly, with stray bytes before or after the answer. */
+static bool
+answer_with_stray(connection_t *connection)
+{
+	hostile_t *hostile = connection->hostile;
+	stray_t stray;
+	buf_t bytes = {0};
+	buf_t answer = {0};
+	bool strays;
+	bool open = true;
+
+	pthread_mutex_lock(&hostile->lock);
+	stray = hostile->stray;
+	pthread_mutex_unlock(&hostile->lock);
+	append_answer(connection, &answer);
+	/* The first request of a connection gets its answer alone. */
+	strays = stray.late || connection->answer.len > 0;
+	if (strays) {
+		append_stray(connection, stray.kind,
+		    str_buf(stray.late ? &answer : &connection->answer),
+		    &bytes);
+		hostile->copies++;
+	}
+	if (!stray.late && strays)
+		open =
+		    send_all(connection->fd, str_buf(&bytes)) && !stray.closes;
+	open = open && send_all(connection->fd, str_buf(&answer));
+	if (stray.late && open) {
+		harness_sleep(hostile->answers % LATE_STRAY_MS * 1e-3);
+		open =
+		    send_all(connection->fd, str_buf(&bytes)) && !stray.closes;
+	}
+	buf_free(&connection->answer);
+	connection->answer = answer;
+	buf_free(&bytes);
+	return (open);
+}
+
 /* Reads a request with its body; false when the connection is closed. */
 static bool
 read_request(connection_t *connection)
@@ -350,6 +444,8 @@
 		if (hostile->mode < HOSTILE_MODES) {
 			answer_endless(connection);
 			open = false;
+		} else if (hostile->mode == HOSTILE_STRAY) {
+			open = answer_with_stray(connection);
 		} else if (hostile->mode >= HOSTILE_BREAK) {
 			open = answer_in_part(connection);
 		} else if (hostile->mode >= HOSTILE_OLD_REFUSAL_WITHOUT_ID) {
@@ -410,6 +506,14 @@
 	return (hostile);
 }
 
+void
+hostile_set_stray(hostile_t *hostile, stray_t stray)
+{
+	pthread_mutex_lock(&hostile->lock);
+	hostile->stray = stray;
+	pthread_mutex_unlock(&hostile->lock);
+}
+
 /* Returns how many requests were read. */
 unsigned
 hostile_answers(const hostile_t *hostile)
--- a/tests/harness_hostile.h
+++ b/tests/harness_hostile.h
@@ -37,13 +37,41 @@
 	HOSTILE_ERROR_500, /* signed errors with a body of text */
 	HOSTILE_ERROR_404,
 	HOSTILE_ERROR_TEXT, /* text where events are due, with status 200 */
+	HOSTILE_STRAY,	    /* right answers, and stray bytes beside them */
 } hostile_mode_t;
 
+/* Bytes that a server sends besides its right answers. */
+typedef enum stray_kind_t {
+	STRAY_COPY,	       /* the previous answer once more */
+	STRAY_TORN_HEAD,       /* the first part of its head */
+	STRAY_TORN_BODY,       /* its head and the first part of its body */
+	STRAY_TORN_STATUS,     /* the first part of a failure's status line */
+	STRAY_TORN_HEADER,     /* a failure's head, up to its first header */
+	STRAY_FAILURE,	       /* a whole failure without an id */
+	STRAY_REJECTION,       /* the same with status 422 */
+	STRAY_NO_CONTENT,      /* status 204 without an id */
+	STRAY_UNSIGNED,	       /* an empty success with the request's id */
+	STRAY_EMPTY_SIGNATURE, /* the same with an empty signature */
+	STRAY_EMPTY,	       /* the same, signed */
+	STRAY_EMPTY_CHUNKED,   /* the same in chunks */
+	STRAY_INTERIM,	       /* 100 Continue */
+	STRAY_BLANK_LINES,
+	STRAY_KINDS, /* number of values */
+} stray_kind_t;
+
+typedef struct stray_t {
+	stray_kind_t kind;
+	bool late;   /* after an answer; otherwise before the next one */
+	bool closes; /* the connection ends with these bytes */
+} stray_t;
+
 typedef struct hostile_t hostile_t;
 
 /* slow: an endless answer comes byte by byte. */
 hostile_t *hostile_start(
     const char *ip, uint16_t port, hostile_mode_t mode, bool slow);
+/* What a server in mode HOSTILE_STRAY sends from now on. */
+void hostile_set_stray(hostile_t *hostile, stray_t stray);
 unsigned hostile_answers(const hostile_t *hostile);
 unsigned hostile_copies(const hostile_t *hostile);
 bool hostile_has_run(hostile_t *hostile, const char *id);
