httpc: two responses that are read as one are broken

Cause: an endpoint sends the beginning of a second answer and stops inside its status line or its first header. The connection stays open, and the next answer follows at once: libcurl reads one head, with the status of the first and the headers of the second. Id and signature are the right ones, so nothing was wrong with it.

Change: a line of a head with a status line inside it, or without the name of a header, ends the call as broken (http_head.c, pure).

--- a/src/http_call.c
+++ b/src/http_call.c
@@ -8,6 +8,7 @@
 #include <sys/ioctl.h>
 #include <sys/socket.h>
 
+#include "http_head.h"
 #include "result.h"
 
 #define DEFAULT_CONNECT_TIMEOUT_S 1.0
@@ -195,11 +196,17 @@
 	return (CURL_PREREQFUNC_OK);
 }
 
-/* Returns whether a line ends a head. */
+/*
+ * Returns whether a line may follow what has come of the head. A head that is
+ * no single response ends the call as broken.
+ */
 static bool
-is_blank_line(str_t line)
+call_accepts_head_line(http_call_t *call, str_t line)
 {
-	return (str_equal(line, STR("\r\n")) || str_equal(line, STR("\n")));
+	bool is_status_line = !call->in_head;
+
+	call->in_head = !http_head_line_ends_head(line);
+	return (http_head_line_is_valid(line, is_status_line));
 }
 
 static size_t
@@ -215,7 +222,12 @@
 	call->header_bytes += len;
 	if (call->header_bytes > MAX_HEADER_BYTES)
 		return (0);
-	if (call->head_complete || !is_blank_line((str_t){data, len}))
+	/* A trailer of a chunked body. */
+	if (call->head_complete)
+		return (len);
+	if (!call_accepts_head_line(call, (str_t){data, len}))
+		return (0);
+	if (call->in_head)
 		return (len);
 	curl_easy_getinfo(call->easy, CURLINFO_RESPONSE_CODE, &status);
 	if (status < 200)
--- a/src/httpc_state.h
+++ b/src/httpc_state.h
@@ -32,6 +32,7 @@
 	buf_t response;
 	bool overflow;
 	size_t header_bytes;  /* received, including interim responses */
+	bool in_head;	      /* inside a head, interim or final */
 	bool productive;      /* the last read brought a header or data */
 	size_t framing_bytes; /* of the reads since then */
 	size_t next_bytes;    /* available to the next read */
--- a/tests/harness_hostile.c
+++ b/tests/harness_hostile.c
@@ -254,6 +254,9 @@
 		    "Content-Length: %zu\r\n\r\n%s",
 		    mode == HOSTILE_ERROR_500 ? "500" : "404", id, id,
 		    sizeof(error_text) - 1, error_text);
+	} else if (mode == HOSTILE_TWO_HEADS) {
+		buf_append(&out, STR("HTTP/1.1 500 Fai"));
+		append_answer(connection, &out);
 	} else {
 		append_head(connection, &out);
 		if (mode == HOSTILE_BREAK || mode == HOSTILE_ERROR_TEXT)
@@ -276,8 +279,8 @@
 	}
 	(void)send_all(connection->fd, str_buf(&out));
 	buf_free(&out);
-	return (mode == HOSTILE_ERROR_500 || mode == HOSTILE_ERROR_404 ||
-		mode == HOSTILE_ERROR_TEXT);
+	return (mode == HOSTILE_TWO_HEADS || mode == HOSTILE_ERROR_500 ||
+		mode == HOSTILE_ERROR_404 || mode == HOSTILE_ERROR_TEXT);
 }
 
 /* Refuses the first request; sends that refusal again before later answers. */
--- a/tests/harness_hostile.h
+++ b/tests/harness_hostile.h
@@ -34,6 +34,8 @@
 	HOSTILE_EMPTY_END, /* a head without a length, then it closes */
 	HOSTILE_HEAD_WITHOUT_END, /* the lines of a head, then it closes */
 	HOSTILE_TORN_HEAD, /* it closes in the middle of a line of the head */
+	HOSTILE_TWO_HEADS, /* a failure's status line stops, a success follows
+			    */
 	HOSTILE_ERROR_500, /* signed errors with a body of text */
 	HOSTILE_ERROR_404,
 	HOSTILE_ERROR_TEXT, /* text where events are due, with status 200 */
--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -370,16 +370,16 @@
 
 /*
  * Guards against a response whose head stops that is taken for a whole one
- * without a body: libcurl reports it as complete.
+ * without a body, as libcurl reports it, or for the head of the next response.
  */
 static void
 test_head_without_end_is_broken(void)
 {
 	static const hostile_mode_t modes[] = {
-	    HOSTILE_HEAD_WITHOUT_END, HOSTILE_TORN_HEAD};
+	    HOSTILE_HEAD_WITHOUT_END, HOSTILE_TORN_HEAD, HOSTILE_TWO_HEADS};
 	static const char *const address = "127.0.0.1";
 
-	for (unsigned i = 0; i < 2; i++) {
+	for (unsigned i = 0; i < sizeof(modes) / sizeof(modes[0]); i++) {
 		uint16_t port = harness_free_port(&address, 1);
 		hostile_t *server =
 		    hostile_start(address, port, modes[i], false);
