--- a/src/http_call.c
+++ b/src/http_call.c
@@ -412,6 +412,13 @@
 	return (connects == 0);
 }
 
+/* libcurl leaves the end of the line in a value that is empty. */
+static const char *
+header_value(const struct curl_header *header)
+{
+	return (strspn(header->value, "\r\n") > 0 ? "" : header->value);
+}
+
 /* Returns a header of the final response, or NULL; valid until the next call.
  */
 const char *
@@ -422,7 +429,7 @@
 	if (curl_easy_header(call->easy, name, 0, CURLH_HEADER, -1, &header) !=
 	    CURLHE_OK)
 		return (NULL);
-	return (header->value);
+	return (header_value(header));
 }
 
 /* Passes each header of the final response to a callback, in order. */
@@ -433,5 +440,5 @@
 
 	while ((header = curl_easy_nextheader(
 		    call->easy, CURLH_HEADER, -1, header)) != NULL)
-		on_header(ctx, header->name, header->value);
+		on_header(ctx, header->name, header_value(header));
 }
--- a/src/response_check.c
+++ b/src/response_check.c
@@ -14,7 +14,8 @@
 static response_fault_t
 success_fault(const response_head_t *head)
 {
-	if (head->signature == NULL || head->request_id == NULL)
+	if (head->request_id == NULL || head->signature == NULL ||
+	    head->signature[0] == '\0')
 		return (RESPONSE_UNSIGNED);
 	return (head->encoding == NULL ? RESPONSE_SOUND : RESPONSE_ENCODED);
 }
--- a/tests/harness_hostile.c
+++ b/tests/harness_hostile.c
@@ -106,7 +106,7 @@
 	buf_printf(out,
 	    "HTTP/1.1 200 OK\r\nX-Daisypier-Request-Id: %s\r\n"
 	    "X-Daisypier-Response-Signature: h.%s\r\n"
-	    "Content-Type: text/event-stream\r\n",
+	    "Content-Type: text/event-stream\r\nX-Empty: \r\n",
 	    id, id);
 }
 
--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -23,6 +23,7 @@
 	int done;
 	bool stops_listening; /* before it closes a connection */
 	int crashes;
+	bool has_empty_header;
 	char url[64];
 } http_test_t;
 
@@ -395,6 +396,50 @@
 	}
 }
 
+/* Notes whether the response has an empty header "X-Empty". */
+static bool
+on_head_with_empty_header(void *ctx, int status)
+{
+	http_test_t *test = ctx;
+	const char *value = http_call_header(test->call, "X-Empty");
+
+	(void)status;
+	test->has_empty_header = value != NULL && value[0] == '\0';
+	return (true);
+}
+
+/*
+ * Guards against a header without a value that passes for one with a value,
+ * such as an empty signature: libcurl leaves the end of its line in it.
+ */
+static void
+test_empty_header_is_empty(void)
+{
+	static const char *const address = "127.0.0.1";
+	uint16_t port = harness_free_port(&address, 1);
+	hostile_t *server =
+	    hostile_start(address, port, HOSTILE_ERROR_TEXT, false);
+	http_test_t test;
+
+	CU_ASSERT_FATAL(server != NULL);
+	setup(&test);
+	snprintf(test.url, sizeof(test.url), "http://%s:%u/", address, port);
+	test.call = http_call_start(
+	    test.httpc, &(http_call_params_t){
+			    .method = "POST",
+			    .url = test.url,
+			    .timeout = 5,
+			    .on_head = on_head_with_empty_header,
+			    .on_done = on_done,
+			    .ctx = &test,
+			});
+	ev_run(test.loop, 0);
+	CU_ASSERT(test.result.rc == 0);
+	CU_ASSERT(test.has_empty_header);
+	teardown(&test);
+	hostile_end(server);
+}
+
 static const suite_test_t tests[] = {
     {"body round trip", test_body_round_trip},
     {"oversized body is rejected", test_oversized_body_is_rejected},
@@ -406,6 +451,7 @@
     {"call started inside a callback", test_call_started_inside_a_callback},
     {"lost connection is broken", test_lost_connection_is_broken},
     {"head without end is broken", test_head_without_end_is_broken},
+    {"empty header is empty", test_empty_header_is_empty},
     {"endless framing ends the call", test_endless_framing_ends_the_call},
 };
 
--- a/tests/test_response_check.c
+++ b/tests/test_response_check.c
@@ -39,6 +39,8 @@
 
 	head.signature = NULL;
 	CU_ASSERT(fault(head) == RESPONSE_UNSIGNED);
+	head.signature = "";
+	CU_ASSERT(fault(head) == RESPONSE_UNSIGNED);
 	head = sound;
 	head.request_id = NULL;
 	CU_ASSERT(fault(head) == RESPONSE_UNSIGNED);
