attempt: a response without an id on a reused connection is not believed

Cause: only successes and refusals had to bear an id. Any other response without one was taken for that of the request that waited, also when the connection had served others before. An endpoint echoes the id in its responses; one that answers a second time, late and without it, is indistinguishable from the answer that is due.

Change: without an id only the first response on a connection is believed.

--- a/src/response_check.c
+++ b/src/response_check.c
@@ -22,20 +22,20 @@
 
 /*
  * Returns why a response with this head cannot be that of a request, or
- * RESPONSE_SOUND. A refusal without an id may be an earlier one that the
- * endpoint sends once more on a kept connection.
+ * RESPONSE_SOUND. Without an id it may be one that the endpoint sends once
+ * more, or late, on a kept connection.
  */
 response_fault_t
 response_head_fault(const response_head_t *head, const char *request_id)
 {
+	bool success = head->status >= 200 && head->status < 300;
+
 	if (head->request_id != NULL &&
 	    strcmp(head->request_id, request_id) != 0)
 		return (RESPONSE_OTHER_REQUEST);
-	if (response_is_refusal(head))
-		return (head->request_id == NULL && head->reused
-			    ? RESPONSE_UNIDENTIFIED
-			    : RESPONSE_SOUND);
-	if (head->status >= 200 && head->status < 300)
+	if (head->request_id == NULL && head->reused)
+		return (RESPONSE_UNIDENTIFIED);
+	if (success && !response_is_refusal(head))
 		return (success_fault(head));
 	return (RESPONSE_SOUND);
 }
--- a/tests/test_response_check.c
+++ b/tests/test_response_check.c
@@ -43,21 +43,31 @@
 	CU_ASSERT(fault(head) == RESPONSE_UNSIGNED);
 	head = sound;
 	head.request_id = NULL;
+	head.reused = false;
 	CU_ASSERT(fault(head) == RESPONSE_UNSIGNED);
 	head = sound;
 	head.encoding = "gzip";
 	CU_ASSERT(fault(head) == RESPONSE_ENCODED);
 }
 
-/* Guards against an earlier refusal that is taken for this request's. */
+/*
+ * Guards against an earlier refusal or failure that is taken for that of this
+ * request. The first response on a connection can be no earlier one.
+ */
 static void
-test_refusal_without_id(void)
+test_responses_without_id(void)
 {
-	response_head_t head = {.status = 503, .not_run = true};
+	static const int statuses[] = {400, 404, 421, 422, 500, 503};
 
-	CU_ASSERT(fault(head) == RESPONSE_SOUND);
-	head.reused = true;
-	CU_ASSERT(fault(head) == RESPONSE_UNIDENTIFIED);
+	for (unsigned i = 0; i < sizeof(statuses) / sizeof(statuses[0]); i++) {
+		response_head_t head = {.status = statuses[i]};
+
+		CU_ASSERT(fault(head) == RESPONSE_SOUND);
+		head.reused = true;
+		CU_ASSERT(fault(head) == RESPONSE_UNIDENTIFIED);
+		head.not_run = true;
+		CU_ASSERT(fault(head) == RESPONSE_UNIDENTIFIED);
+	}
 }
 
 static void
@@ -70,7 +80,7 @@
 static const suite_test_t tests[] = {
     {"id of another request", test_id_of_another_request},
     {"unsigned success", test_unsigned_success},
-    {"refusal without id", test_refusal_without_id},
+    {"responses without id", test_responses_without_id},
     {"every fault has a name", test_names},
 };
 
