attempt: a stream without an event is broken

Cause: a stream that ended as its framing said was whole, whatever it held. A success with the right id and a signature but without an event, with a length of 0 or in chunks, was passed on, and the right answer behind it was lost.

A resumed one may be empty, as its last event may have arrived before. Text in place of events is still passed on as it is where no stream has begun.

--- a/src/attempt.c
+++ b/src/attempt.c
@@ -135,13 +135,22 @@
 }
 
 /*
- * Returns whether a stream ended with its connection before any event. Nothing
- * tells it from one whose endpoint ended.
+ * Returns whether a stream ended without an event although one was due. One
+ * that is resumed may have had its last event already, but if it also ends with
+ * its connection, nothing tells it from one whose endpoint ended. Text in place
+ * of events is passed on where the relay lets it.
  */
 static bool
-is_empty_until_close(const attempt_t *attempt)
+is_empty_stream(const attempt_t *attempt)
 {
-	return (attempt->unframed && attempt->events == 0);
+	const attempt_params_t *params = &attempt->params;
+	bool has_text = event_relay_trailing(params->relay).len > 0;
+
+	if (attempt->events > 0)
+		return (false);
+	return (
+	    attempt->unframed ||
+	    (!params->resumes && (!has_text || params->relay->reject_text)));
 }
 
 /* Returns why a response that has ended is not believed. */
@@ -152,8 +161,7 @@
 		return (attempt->fault);
 	if (http->head_broken)
 		return (RESPONSE_HEAD_BROKEN);
-	if (http->rc == 0 && attempt->streaming &&
-	    is_empty_until_close(attempt))
+	if (http->rc == 0 && attempt->streaming && is_empty_stream(attempt))
 		return (RESPONSE_EMPTY);
 	return (RESPONSE_SOUND);
 }
