job_run: an item never meets the endpoint's earlier response again

Cause: all runs of an item bear the same id. The second copy of the first run's response, late on the same connection, passes every check of the second run. Online requests had a connection of their own for a second try at an endpoint; items had not.

Change: after a whole response of an endpoint, an item runs there again on a connection of its own only. The list of tried endpoints is one type for both (tried_endpoints.c).

--- a/src/forward.c
+++ b/src/forward.c
@@ -237,22 +237,6 @@
 	}
 }
 
-/* Returns whether the endpoint had the request before, and remembers it. */
-static bool
-forward_mark_tried(forward_t *f, const char *endpoint)
-{
-	uint64_t hash = str_hash(str_of(endpoint), 0);
-
-	for (size_t i = 0; i < f->tried_count; i++)
-		if (f->tried[i] == hash)
-			return (true);
-	/* With a full list, all endpoints count as tried. */
-	if (f->tried_count == MAX_TRIED)
-		return (true);
-	f->tried[f->tried_count++] = hash;
-	return (false);
-}
-
 static void
 forward_send(forward_t *f, const grant_endpoint_t *endpoint)
 {
@@ -282,7 +266,7 @@
 	    .resumes = f->relay.has_last_id,
 	    .last_event = f->relay.last_id,
 	    /* Its refusal may come once more, with the same request id. */
-	    .fresh_connection = forward_mark_tried(f, endpoint->name),
+	    .fresh_connection = tried_endpoints_has(&f->tried, endpoint->name),
 	    .response_timeout = can_fail_over ? RESPONSE_TIMEOUT_S : 0,
 	    .event_timeout = can_fail_over ? EVENT_TIMEOUT_S : 0,
 	    .relay = stream ? &f->relay : NULL,
@@ -292,6 +276,7 @@
 	    .on_done = on_attempt_done,
 	    .ctx = f,
 	});
+	tried_endpoints_add(&f->tried, endpoint->name);
 }
 
 /* Ends a request without a running attempt, depending on what has run. */
--- a/src/forward_state.h
+++ b/src/forward_state.h
@@ -9,9 +9,7 @@
 #include "forward_counters.h"
 #include "forward_plan.h"
 #include "run_times.h"
-
-/* More attempts than a request makes; see may_retry(). */
-#define MAX_TRIED 16
+#include "tried_endpoints.h"
 
 struct forwarder_t {
 	forwarder_params_t params;
@@ -38,8 +36,7 @@
 	grant_t *grant;
 	attempt_t *attempt;
 	char endpoint[ENDPOINT_NAME_SIZE]; /* of the last attempt */
-	uint64_t tried[MAX_TRIED]; /* hashes of the endpoints of all attempts */
-	size_t tried_count;
+	tried_endpoints_t tried;
 	double arrived_at;
 	double granted_at;     /* 0: not yet */
 	double first_event_at; /* 0: none yet */
--- a/src/job_run_state.h
+++ b/src/job_run_state.h
@@ -6,8 +6,9 @@
 
 #include "attempt.h"
 #include "counter.h"
-#include "job_schedule.h"
 #include "job_run.h"
+#include "job_schedule.h"
+#include "tried_endpoints.h"
 
 typedef enum item_run_state_t {
 	ITEM_WAITING,
@@ -41,6 +42,7 @@
 	header_list_t headers;
 	char *target;
 	char endpoint[ENDPOINT_NAME_SIZE];
+	tried_endpoints_t answered; /* endpoints with a whole response */
 } item_run_t;
 
 /* Execution state of one job. */
--- a/tests/harness_hostile.c
+++ b/tests/harness_hostile.c
@@ -237,6 +237,38 @@
 	    STR("X-Daisypier-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"));
 }
 
+/* Fails a request's first run; sends that failure again before its answer. */
+static bool
+answer_after_failure(connection_t *connection)
+{
+	hostile_t *hostile = connection->hostile;
+	char id[128];
+	buf_t out = {0};
+	bool open;
+
+	header_value(
+	    connection->request, "X-Daisypier-Request-Id: ", id, sizeof(id));
+	if (!hostile_has_run(hostile, id) ||
+	    strcmp(connection->refused, id) == 0) {
+		buf_printf(&out,
+		    "HTTP/1.1 500 Failed\r\nX-Daisypier-Request-Id: %s\r\n"
+		    "X-Daisypier-Response-Signature: h.%s\r\n"
+		    "Content-Length: 0\r\n\r\n",
+		    id, id);
+	}
+	if (!hostile_has_run(hostile, id)) {
+		record_run(hostile, id);
+		str_copy(connection->refused, sizeof(connection->refused),
+		    str_of(id));
+	} else {
+		hostile->copies += out.len > 0;
+		append_answer(connection, &out);
+	}
+	open = send_all(connection->fd, str_buf(&out));
+	buf_free(&out);
+	return (open);
+}
+
 /* Sends a part of the right answer, or an error in its place. */
 static bool
 answer_in_part(const connection_t *connection)
@@ -451,6 +483,8 @@
 			open = answer_with_stray(connection);
 		} else if (hostile->mode >= HOSTILE_BREAK) {
 			open = answer_in_part(connection);
+		} else if (hostile->mode == HOSTILE_OLD_FAILURE) {
+			open = answer_after_failure(connection);
 		} else if (hostile->mode >= HOSTILE_OLD_REFUSAL_WITHOUT_ID) {
 			open = answer_with_old_refusal(connection);
 		} else {
--- a/tests/harness_hostile.h
+++ b/tests/harness_hostile.h
@@ -28,6 +28,8 @@
 	HOSTILE_OLD_REFUSAL_WITHOUT_ID,
 	HOSTILE_OLD_REFUSAL,
 	HOSTILE_OLD_REFUSAL_OF_RETRY,
+	/* Fails each request once; before its next answer comes a copy. */
+	HOSTILE_OLD_FAILURE,
 	HOSTILE_BREAK,	   /* the first two events, then it closes */
 	HOSTILE_TORN_END,  /* without a length, in the middle of the third event
 			    */
--- a/tests/test_fail_stray_bytes.c
+++ b/tests/test_fail_stray_bytes.c
@@ -77,7 +77,37 @@
 	gateways_end(&hostile_fleet);
 }
 
+/*
+ * A failure that an endpoint sends once more when an item runs there again must
+ * not count twice: the item would be given up before it has failed that often.
+ */
+static void
+test_old_failures_of_items(void)
+{
+	hostile_entry_t entry;
+
+	hostile_start_fleet(1);
+	gateways_configure(&hostile_fleet,
+	    ",{\"name\":\"twice\",\"path-prefix\":\"/twice/\",\"host\":"
+	    "\"" GATEWAYS_HOST "\",\"service\":\"m\",\"type\":\"batch\","
+	    "\"max-attempts\":2,\"resumable\":true,\"timeout-ms\":5000,"
+	    "\"completion-window-ms\":18000,\"retention-s\":60}");
+	(void)hostile_register(&entry, 0, HOSTILE_OLD_FAILURE, false);
+	harness_kill(hostile_fleet.engines[0]);
+	for (unsigned i = 0; i < 6; i++) {
+		char job[16];
+
+		snprintf(job, sizeof(job), "job-f%u", i);
+		CU_ASSERT(gateways_submit_to(
+			      &hostile_fleet, 0, "/twice/", job, 1, 4) == 202);
+		CU_ASSERT(gateways_wait_job(&hostile_fleet, job, 1, 4, 20));
+	}
+	hostile_stop(&entry);
+	gateways_end(&hostile_fleet);
+}
+
 static const suite_test_t tests[] = {
+    {"old failures of items", test_old_failures_of_items},
     {"stray bytes", test_stray_bytes},
 };
 
