--- a/tests/test_platform_store.c
+++ b/tests/test_platform_store.c
@@ -23,6 +23,7 @@
 	int rc;
 	uint64_t end;
 	size_t records;
+	uint64_t first; /* offset of the first record */
 	bool done;
 } store_test_t;
 
@@ -100,6 +101,7 @@
 	test->rc = read->rc;
 	test->end = read->end;
 	test->records = read->count;
+	test->first = read->count > 0 ? read->records[0].offset : 0;
 	ev_break(test->loop, EVBREAK_ONE);
 }
 
@@ -223,6 +225,30 @@
 	teardown(&test);
 }
 
+/*
+ * Guards against records that are taken at offsets of others. A read that has
+ * more of them than there are up to the end answers another one.
+ */
+static void
+test_records_beyond_the_end(void)
+{
+	store_test_t test;
+	buf_t body = {0};
+
+	setup(&test);
+	make_records(&body, 10, 2, 3);
+	add_whole(&test, "200 OK", str_buf(&body));
+	add_whole(&test, "200 OK", str_buf(&body));
+	start(&test);
+	CU_ASSERT(read_from(&test, 7) == 0);
+	CU_ASSERT(test.records == 3 && test.first == 7 && test.end == 10);
+	/* The same once more, in place of the answer to the second read. */
+	CU_ASSERT(read_from(&test, 10) == -RESULT_LOG_UNAVAILABLE);
+	CU_ASSERT(test.records == 0);
+	teardown(&test);
+	buf_free(&body);
+}
+
 /* Guards against an answer that is cut and read as "no records", or as some. */
 static void
 test_cut_answers_to_reads(void)
@@ -252,6 +278,7 @@
     {"answer to another append", test_answer_to_another_append},
     {"refusal of another append", test_refusal_of_another_append},
     {"cut answers to appends", test_cut_answers_to_appends},
+    {"records beyond the end", test_records_beyond_the_end},
     {"cut answers to reads", test_cut_answers_to_reads},
 };
 
