logclient: a read has the records from its own offset, without gaps

What callers see: nothing seen so far. If the log service gives the answer to an earlier read once more on a kept connection, the records between are skipped: an owner's state lacks the items or jobs in them, and it believes that it has read to the end.

Cause: each record comes with its offset, but the reader takes any that is not below the one it asked for and goes on after it.

Evidence, test_logclient without the change:

Test: answer to another read ...FAILED 1. test.rc == -RESULT_LOG_UNAVAILABLE && test.count == 0 2. test.rc == -RESULT_LOG_UNAVAILABLE && test.count == 0 3. test.rc == -RESULT_LOG_UNAVAILABLE && test.count == 0

Why it works: offsets of a stream have no gaps, so the records of a read are those from the offset asked for, or from the first that is retained, one after the other and before the next one. Any other answer fails the read, which is repeated. What remains: the answer to a read of another stream at the same offset; nothing in it names the stream. Appends have a connection of their own and are not affected.

--- a/src/logclient.c
+++ b/src/logclient.c
@@ -26,6 +26,7 @@
 	http_call_t *http;
 	log_append_cb_t on_append;
 	log_read_cb_t on_read;
+	uint64_t from; /* reads: first offset */
 	void *ctx;
 	LIST_ENTRY(log_call_t) entry;
 } log_call_t;
@@ -198,6 +199,21 @@
 	return (records && read->first > 0 && read->next >= read->first);
 }
 
+/*
+ * Returns whether the records are those that a read from an offset gets; those
+ * of another read on the same connection would be taken for them otherwise.
+ */
+static bool
+is_read_from(const log_read_t *read, uint64_t from)
+{
+	uint64_t offset = from > read->first ? from : read->first;
+
+	for (size_t i = 0; i < read->count; i++)
+		if (read->records[i].offset != offset + i)
+			return (false);
+	return (read->count == 0 || offset + read->count <= read->next);
+}
+
 static void
 on_read_response(void *ctx, const http_result_t *result)
 {
@@ -208,7 +224,9 @@
 
 	if (result->rc == 0 && result->status == 200)
 		decoded = wire_message_decode(&message, result->body) == 0;
-	if (decoded && parse_read_response(wire_message_root(&message), &read))
+	if (decoded &&
+	    parse_read_response(wire_message_root(&message), &read) &&
+	    is_read_from(&read, call->from))
 		read.rc = 0;
 	if (read.rc != 0) {
 		free((void *)read.records);
@@ -230,6 +248,7 @@
 	buf_t url = {0};
 
 	call->on_read = on_done;
+	call->from = from;
 	counter_add(log->reads, 1);
 	buf_printf(&url, "%s/v1/streams/" STR_FMT "/records?from=%llu&max=%zu",
 	    log->base_url, STR_ARG(stream), (unsigned long long)from, max);
--- a/tests/test_logclient.c
+++ b/tests/test_logclient.c
@@ -187,6 +187,37 @@
 	teardown(&test);
 }
 
+static void
+read_from(fixture_t *test, uint64_t from)
+{
+	logclient_read(test->log, STR("s"), from, 10, on_read, test);
+	ev_run(test->loop, 0);
+}
+
+/*
+ * Guards against records of another read: those between would be skipped, and
+ * the state of a shard would be that of another stream.
+ */
+static void
+test_answer_to_another_read(void)
+{
+	fixture_t test;
+
+	setup(&test);
+	/* The response has the record 5 of a stream that begins at 4. */
+	read_from(&test, 5);
+	CU_ASSERT(test.rc == 0 && test.count == 1);
+	read_from(&test, 4);
+	CU_ASSERT(test.rc == -RESULT_LOG_UNAVAILABLE && test.count == 0);
+	read_from(&test, 1);
+	CU_ASSERT(test.rc == -RESULT_LOG_UNAVAILABLE && test.count == 0);
+	read_from(&test, 6);
+	CU_ASSERT(test.rc == -RESULT_LOG_UNAVAILABLE && test.count == 0);
+	read_from(&test, 5);
+	CU_ASSERT(test.rc == 0 && test.count == 1);
+	teardown(&test);
+}
+
 /* Guards against callbacks of pending calls that are lost at deletion. */
 static void
 test_delete_ends_pending_calls(void)
@@ -242,6 +273,7 @@
 static const suite_test_t tests[] = {
     {"append outcomes", test_append_outcomes},
     {"read responses", test_read_responses},
+    {"answer to another read", test_answer_to_another_read},
     {"delete ends pending calls", test_delete_ends_pending_calls},
     {"memory faults", test_memory_faults},
 };
