generation: each request to an engine has its own connection

What callers see: nothing seen so far. If an engine sends a refusal (422) once more, late, on a kept connection, the next request is refused for good: an item of a job ends as failed and a caller gets a 4xx for a request that the engine would have answered.

Cause: events name their request, so those of others are dropped, but a refusal or a failure doesn't; a repeatable first request could take any connection that had served others.

Evidence, test_generation without the change:

Test: refusal of another request ...FAILED 1. t.rc == 0 2. str_equal(str_buf(&(t).text), STR("t0"))

Why it works: a connection that has served nothing before can't bring the answer to an earlier request. Resumes and requests that must not run twice had one already. The price is one connection for each generation, which lasts seconds.

--- a/src/generation.c
+++ b/src/generation.c
@@ -321,6 +321,10 @@
 	    "request_id", g->attempt_id, "start_index", (int)p->start_index));
 }
 
+/*
+ * Each request has a connection of its own. Events name their request, but a
+ * refusal doesn't, so on a connection that has served others it may be theirs.
+ */
 static void
 generation_connect(generation_t *g, bool resume)
 {
@@ -337,18 +341,18 @@
 	g->token_received = false;
 	snprintf(url, sizeof(url), "http://%s/v1/%s", g->address,
 	    resume ? "resume" : "completions");
-	g->call = http_call_start(
-	    g->httpc, &(http_call_params_t){
-			  .method = "POST",
-			  .url = url,
-			  .headers = headers,
-			  .body = str_of(text),
-			  .connect_timeout = CONNECT_TIMEOUT_S,
-			  .fresh_connection = resume || !g->params.repeatable,
-			  .on_data = on_data,
-			  .on_done = on_done,
-			  .ctx = g,
-		      });
+	g->call =
+	    http_call_start(g->httpc, &(http_call_params_t){
+					  .method = "POST",
+					  .url = url,
+					  .headers = headers,
+					  .body = str_of(text),
+					  .connect_timeout = CONNECT_TIMEOUT_S,
+					  .fresh_connection = true,
+					  .on_data = on_data,
+					  .on_done = on_done,
+					  .ctx = g,
+				      });
 	free(text);
 	json_decref(object);
 	generation_set_token_timeout(g, g->next_index > g->params.start_index
--- a/src/generation.h
+++ b/src/generation.h
@@ -27,8 +27,8 @@
 	str_t prompt;
 	unsigned max_tokens;
 	unsigned start_index; /* tokens delivered by earlier attempts */
-	bool repeatable;      /* false: one request on a fresh connection and no
-			       * resume, which the engine could run anew */
+	bool repeatable;      /* false: one request and no resume, which the
+			       * engine could run anew */
 	double first_token_timeout; /* seconds */
 	double token_timeout;	    /* seconds between tokens */
 	double deadline;	    /* clock_monotonic() seconds */
--- a/tests/harness_script.c
+++ b/tests/harness_script.c
@@ -4,7 +4,6 @@
 #include <arpa/inet.h>
 #include <stdlib.h>
 #include <string.h>
-#include <strings.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -42,12 +41,16 @@
 {
 	script_server_t *server = connection->server;
 	const script_answer_t *next;
+	str_t bytes;
 
 	if (server->requests++ >= server->count)
 		return;
 	next = &server->answers[server->requests - 1];
-	CU_ASSERT(send(connection->fd, next->bytes.data, next->bytes.len,
-		      MSG_NOSIGNAL) == (ssize_t)next->bytes.len);
+	bytes = connection->served && next->reused.len > 0 ? next->reused
+							   : next->bytes;
+	connection->served = true;
+	CU_ASSERT(send(connection->fd, bytes.data, bytes.len, MSG_NOSIGNAL) ==
+		  (ssize_t)bytes.len);
 	if (next->closes)
 		connection_close(connection);
 }
--- a/tests/harness_script.h
+++ b/tests/harness_script.h
@@ -11,6 +11,8 @@
 /* What is sent when a request has arrived, whatever it asks. */
 typedef struct script_answer_t {
 	str_t bytes;
+	/* Sent instead if the connection has served a request, unless empty. */
+	str_t reused;
 	bool closes; /* the connection ends with these bytes */
 } script_answer_t;
 
@@ -18,7 +20,8 @@
 
 typedef struct script_connection_t {
 	script_server_t *server;
-	int fd; /* -1: closed */
+	int fd;	     /* -1: closed */
+	bool served; /* a request before */
 	buf_t input;
 	ev_io io;
 } script_connection_t;
--- a/tests/test_generation.c
+++ b/tests/test_generation.c
@@ -8,6 +8,7 @@
 
 #include "clock.h"
 #include "generation.h"
+#include "harness_script.h"
 #include "httpd.h"
 #include "result.h"
 #include "sse.h"
@@ -540,6 +541,77 @@
 	teardown(&t);
 }
 
+#define EVENT_HEAD                                               \
+	"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n" \
+	"Content-Length: %zu\r\n\r\n%s"
+#define REFUSAL                                                           \
+	"HTTP/1.1 422 Unprocessable Entity\r\nContent-Length: 17\r\n\r\n" \
+	"{\"error\":\"never\"}"
+
+/* Runs a generation against a server with a script. */
+static void
+run_script(generation_test_t *t, const script_server_t *server)
+{
+	char address[32];
+
+	snprintf(address, sizeof(address), "127.0.0.1:%u", server->port);
+	t->next_index = 0;
+	t->done = 0;
+	t->generation =
+	    generation_start(t->httpc, &(generation_params_t){
+					   .address = address,
+					   .attempt_id = "a1",
+					   .model = "m",
+					   .prompt = STR("hello"),
+					   .max_tokens = 8,
+					   .repeatable = true,
+					   .first_token_timeout = 0.5,
+					   .token_timeout = 0.5,
+					   .deadline = clock_monotonic() + 5,
+					   .on_token = on_token,
+					   .on_done = on_done,
+					   .ctx = t,
+				       });
+	ev_timer_set(&t->stop_timer, 8, 0);
+	ev_timer_start(t->loop, &t->stop_timer);
+	ev_run(t->loop, 0);
+	CU_ASSERT(t->done == 1);
+}
+
+/*
+ * Guards against a refusal that an engine sends once more, late, on the
+ * connection of the next request: a batch item would fail for good.
+ */
+static void
+test_refusal_of_another_request(void)
+{
+	generation_test_t t;
+	script_server_t server;
+	buf_t whole = {0};
+	buf_t late = {0};
+	script_answer_t answers[2];
+	const char *events = TOKEN(0) FINISH(1);
+
+	buf_printf(&whole, EVENT_HEAD, strlen(events), events);
+	buf_append(&late, STR(REFUSAL));
+	buf_append(&late, str_buf(&whole));
+	answers[0] = (script_answer_t){.bytes = STR(REFUSAL)};
+	/* The refusal comes where the answer to the second request is due. */
+	answers[1] = (script_answer_t){
+	    .bytes = str_buf(&whole), .reused = str_buf(&late)};
+	setup(&t, NULL);
+	script_server_start(&server, t.loop, "127.0.0.1", answers, 2);
+	run_script(&t, &server);
+	CU_ASSERT(t.rc == -RESULT_ENDPOINT_REFUSED);
+	run_script(&t, &server);
+	CU_ASSERT(t.rc == 0);
+	CHECK_TEXT(t, "t0");
+	script_server_end(&server);
+	teardown(&t);
+	buf_free(&whole);
+	buf_free(&late);
+}
+
 static const suite_test_t tests[] = {
     {"split at every byte", test_split_at_every_byte},
     {"sse parser chunks", test_sse_parser_chunks},
@@ -556,6 +628,7 @@
     {"non-repeatable is not resumed", test_non_repeatable_is_not_resumed},
     {"refusal has detail", test_refusal_has_detail},
     {"unreachable is not sent", test_unreachable_is_not_sent},
+    {"refusal of another request", test_refusal_of_another_request},
     {"start index", test_start_index},
     {"cancel inside a callback", test_cancel_inside_a_callback},
 };
