online_call: each call to a service has its own connection

What callers see: nothing seen so far. If a service sends an answer once more, late, on a kept connection, the caller of the next call gets it as the answer to its own: another caller's data with status 200.

Cause: the answers of a plain service bear no id (docs/design.md 7.4), and calls that may be repeated shared connections.

Evidence, test_online without the change:

Test: answer to another call ...FAILED 1. t.result.status == 200 && body_contains(&t, "{\"x\":2}")

Why it works: on a connection that has served nothing before there is no earlier answer. Calls that must not run twice had one already. Keeping connections would need an id in the answers, which the protocol of plain services lacks. The price is one connection for each call.

--- a/src/online_call.c
+++ b/src/online_call.c
@@ -48,7 +48,8 @@
 
 /*
  * All attempts send the same X-Request-Key, so that a service can detect
- * duplicate calls.
+ * duplicate calls. Answers do not bear it: on a connection that has served
+ * another call, that call's answer may come once more.
  */
 static void
 call_start(online_request_t *r)
@@ -70,7 +71,7 @@
 					 .body = str_buf(&r->body),
 					 .timeout = left > 0.001 ? left : 0.001,
 					 .max_body = MAX_RESPONSE_BYTES,
-					 .fresh_connection = !r->repeatable,
+					 .fresh_connection = true,
 					 .on_done = on_done,
 					 .ctx = r,
 				     });
--- a/tests/test_online.c
+++ b/tests/test_online.c
@@ -10,6 +10,7 @@
 #include <jansson.h>
 
 #include "clock.h"
+#include "harness_script.h"
 #include "online.h"
 #include "require.h"
 #include "result.h"
@@ -271,8 +272,10 @@
 	return (httpd);
 }
 
+/* Service s is at the port of the first engine unless it has one of its own. */
 static void
-configure(online_test_t *t, unsigned queue_limit, unsigned silence_ms)
+configure_service(online_test_t *t, unsigned queue_limit, unsigned silence_ms,
+    uint16_t service_port)
 {
 	buf_t text = {0};
 	config_faults_t faults;
@@ -290,7 +293,7 @@
 	buf_printf(&text,
 	    "[endpoint s0]\naddress = 127.0.0.2:%u\nzone = z\n"
 	    "service = s\nslots = 1\n",
-	    httpd_port(t->engines[0]));
+	    service_port != 0 ? service_port : httpd_port(t->engines[0]));
 	if (config_parse(str_buf(&text), STR(""), &t->config, &faults) != 0)
 		fprintf(stderr, "line %u: %s\n", faults.items[0].line,
 		    faults.items[0].text);
@@ -299,6 +302,12 @@
 	REQUIRE(t->config != NULL);
 }
 
+static void
+configure(online_test_t *t, unsigned queue_limit, unsigned silence_ms)
+{
+	configure_service(t, queue_limit, silence_ms, 0);
+}
+
 static void
 setup(online_test_t *t, const script_t *script)
 {
@@ -685,6 +694,38 @@
 	teardown(&t);
 }
 
+#define CALL_ANSWER(text)                                       \
+	"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n" \
+	"Content-Length: 7\r\n\r\n{\"x\":" text "}"
+
+/*
+ * Guards against the answer to one call that another caller gets: a service
+ * sends it once more, late, on the connection of the next call.
+ */
+static void
+test_answer_to_another_call(void)
+{
+	static const script_answer_t answers[] = {
+	    {.bytes = STR(CALL_ANSWER("1"))},
+	    {.bytes = STR(CALL_ANSWER("2")),
+		.reused = STR(CALL_ANSWER("1") CALL_ANSWER("2"))},
+	};
+	online_test_t t;
+	script_server_t service;
+
+	setup(&t, &(script_t){0});
+	script_server_start(&service, t.loop, "127.0.0.2", answers, 2);
+	config_unref(t.config);
+	configure_service(&t, 10, 300, service.port);
+	send_and_wait(&t, "/v1/call/s", NULL, "{}");
+	CU_ASSERT(t.result.status == 200 && body_contains(&t, "{\"x\":1}"));
+	send_and_wait(&t, "/v1/call/s", NULL, "{}");
+	CU_ASSERT(t.result.status == 200 && body_contains(&t, "{\"x\":2}"));
+	CU_ASSERT(service.requests == 2);
+	script_server_end(&service);
+	teardown(&t);
+}
+
 /* Guards against an engine that continues after the caller disconnected. */
 static void
 test_caller_disconnects(void)
@@ -830,6 +871,7 @@
     {"not run after an intent requires a void",
 	test_not_run_after_an_intent_requires_a_void},
     {"validation", test_validation},
+    {"answer to another call", test_answer_to_another_call},
     {"caller disconnects", test_caller_disconnects},
     {"deadline", test_deadline},
     {"slow caller is dropped", test_slow_caller_is_dropped},
