online_call: a success whose body is not JSON is not whole

What callers see: nothing seen so far. If a service breaks off an answer that has no length, the caller gets status 200 with a part of the body, or with none; with "Content-Length: 0" it gets an empty one.

Cause: without a length the end of the connection is the end of the answer, and nothing else said whether the body was whole.

Evidence, test_online without the change (the two cuts without a length, and the empty body; answers cut in their head or against their length were read rightly before):

Test: cut answers to calls ...FAILED 1. body_contains(&t, "{\"x\":2}") 2. service.requests == 2 3. body_contains(&t, "{\"x\":2}") 4. service.requests == 2 5. body_contains(&t, "{\"x\":2}") 6. service.requests == 2

Why it works: answers of plain services are JSON (docs/design.md 7.4), and a part of a JSON object or array, or nothing, is not. Such an attempt is a broken answer: calls that may be repeated go on elsewhere, others end with outcome "unknown". What remains: a number that is cut stays a number; statuses other than 200 are passed on as they come.

--- a/src/online_call.c
+++ b/src/online_call.c
@@ -26,6 +26,22 @@
 	return (*detail != NULL ? -RESULT_BAD_REQUEST : 0);
 }
 
+/*
+ * Returns whether the body of a success is whole. Without a length, an answer
+ * ends with its connection, also when its service broke off.
+ */
+static bool
+is_whole(const http_result_t *result)
+{
+	json_t *root =
+	    json_loadb(result->body.data != NULL ? result->body.data : "",
+		result->body.len, JSON_DECODE_ANY | JSON_ALLOW_NUL, NULL);
+	bool whole = root != NULL;
+
+	json_decref(root);
+	return (whole);
+}
+
 static void
 on_done(void *ctx, const http_result_t *result)
 {
@@ -36,6 +52,8 @@
 	r->call = NULL;
 	if (rc == 0 && result->status >= 500)
 		rc = -RESULT_ENDPOINT_FAILED;
+	if (rc == 0 && result->status == 200 && !is_whole(result))
+		rc = -RESULT_BROKEN_ANSWER;
 	if (rc == 0) {
 		/* Any other status is a valid response of the service. */
 		r->status = result->status;
--- a/tests/test_online.c
+++ b/tests/test_online.c
@@ -726,6 +726,44 @@
 	teardown(&t);
 }
 
+/*
+ * Guards against an answer that is cut and passed on as a whole one: without a
+ * length, the end of the connection is its end.
+ */
+static void
+test_cut_answers_to_calls(void)
+{
+	static const char head[] = "HTTP/1.1 200 OK\r\n";
+	static const str_t cut[] = {
+	    STR("HTTP/1.1 200 OK\r\n\r\n{\"x\":"),
+	    STR("HTTP/1.1 200 OK\r\n\r\n"),
+	    STR("HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\n{\"x\":"),
+	    STR("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"),
+	    {head, sizeof(head) - 1},
+	    STR("HTTP/1.1 404 N"),
+	};
+
+	for (size_t i = 0; i < sizeof(cut) / sizeof(cut[0]); i++) {
+		const script_answer_t answers[] = {
+		    {.bytes = cut[i], .closes = true},
+		    {.bytes = STR(CALL_ANSWER("2"))},
+		};
+		online_test_t t;
+		script_server_t service;
+
+		setup(&t, &(script_t){0});
+		script_server_start(&service, t.loop, "127.0.0.2", answers, 2);
+		config_unref(t.config);
+		configure_service(&t, 10, 300, service.port);
+		send_and_wait(&t, "/v1/call/s", NULL, "{}");
+		CU_ASSERT(t.result.status == 200);
+		CU_ASSERT(body_contains(&t, "{\"x\":2}"));
+		CU_ASSERT(service.requests == 2);
+		script_server_end(&service);
+		teardown(&t);
+	}
+}
+
 /* Guards against an engine that continues after the caller disconnected. */
 static void
 test_caller_disconnects(void)
@@ -872,6 +910,7 @@
 	test_not_run_after_an_intent_requires_a_void},
     {"validation", test_validation},
     {"answer to another call", test_answer_to_another_call},
+    {"cut answers to calls", test_cut_answers_to_calls},
     {"caller disconnects", test_caller_disconnects},
     {"deadline", test_deadline},
     {"slow caller is dropped", test_slow_caller_is_dropped},
