httpd: no end of chunks after the head of a HEAD response

No handler streams to HEAD today: the gateway begins a stream with its first event, and a HEAD has none.

Cause: libmicrohttpd 0.9.75 ends the chunks of a response of unknown size also where it has sent none.

Evidence, test_httpd without the change:

(size_t)(end + 4 - test.received.data) == test.received.len

The other cases held before and stay guarded: pipelined requests, streams that are cut by their handler or by a stop, 204 with a body, a caller that left and whose descriptor another one got, requests that are cut.

Why it works: such a response is made without chunks; its connection is closed after the head, so nothing stands where an answer is due.

--- a/src/httpd.c
+++ b/src/httpd.c
@@ -599,6 +599,13 @@
 	request->stream_state = STREAM_OPEN;
 	request->response = MHD_create_response_from_callback(
 	    MHD_SIZE_UNKNOWN, STREAM_BLOCK_BYTES, stream_read, request, NULL);
+	/*
+	 * libmicrohttpd ends the chunks also where it sends none, so that the
+	 * client would take that for the next response.
+	 */
+	if (strcmp(request->method, MHD_HTTP_METHOD_HEAD) == 0)
+		MHD_set_response_options(request->response,
+		    MHD_RF_HTTP_1_0_COMPATIBLE_STRICT, MHD_RO_END);
 	if (content_type != NULL)
 		MHD_add_response_header(request->response,
 		    MHD_HTTP_HEADER_CONTENT_TYPE, content_type);
