httpd: a stream that is cut is reset for callers without chunks

Cause: without chunks the end of the connection is the end of the answer, and libmicrohttpd shuts the connection down before it closes it.

Evidence, test_httpd without the change:

Test: cut stream without chunks ...FAILED 1. test.reset

Why it works: disconnecting the socket sends a reset instead of a FIN, and the caller's read fails. Connections with chunks end as before, so that data already written still arrives.

--- a/src/httpd.c
+++ b/src/httpd.c
@@ -52,6 +52,7 @@
 	char *target; /* as received */
 	char *path;   /* decoded; NULL until all headers have arrived */
 	const char *method;
+	bool knows_chunks; /* the client's version of HTTP has them */
 	char client[INET6_ADDRSTRLEN];
 	buf_t body;
 	bool too_large;
@@ -292,11 +293,12 @@
 	httpd_t *httpd = ctx;
 	http_request_t *request = *slot;
 
-	(void)version;
 	(void)connection;
 	if (request->path == NULL) {
 		request->path = xstrdup(url);
 		request->method = method;
+		request->knows_chunks =
+		    strcmp(version, MHD_HTTP_VERSION_1_0) != 0;
 		return (MHD_YES);
 	}
 	if (*size > 0) {
@@ -569,6 +571,22 @@
 	json_decref(object);
 }
 
+/*
+ * Resets the connection. To a client without chunks, the end of a connection is
+ * the end of the response, and libmicrohttpd ends it in order, with a FIN.
+ */
+static void
+request_reset(const http_request_t *request)
+{
+	const union MHD_ConnectionInfo *info = MHD_get_connection_info(
+	    request->connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+	const struct sockaddr nowhere = {.sa_family = AF_UNSPEC};
+
+	/* Disconnecting a TCP socket sends a reset. */
+	if (info != NULL)
+		(void)connect(info->connect_fd, &nowhere, sizeof(nowhere));
+}
+
 /* Provides buffered stream data; suspends the connection if there is none. */
 static ssize_t
 stream_read(void *ctx, uint64_t position, char *out, size_t max)
@@ -582,8 +600,11 @@
 		buf_consume(&request->stream, n);
 		return ((ssize_t)n);
 	}
-	if (request->stream_state == STREAM_ABORTED)
+	if (request->stream_state == STREAM_ABORTED) {
+		if (!request->knows_chunks)
+			request_reset(request);
 		return (MHD_CONTENT_READER_END_WITH_ERROR);
+	}
 	if (request->stream_state == STREAM_ENDED)
 		return (MHD_CONTENT_READER_END_OF_STREAM);
 	request_suspend(request);
--- a/tests/test_httpd.c
+++ b/tests/test_httpd.c
@@ -258,6 +258,27 @@
 	}
 }
 
+/*
+ * Guards against the same for callers that know no chunks: for them the end of
+ * the connection ends the answer, so only a reset says that it is cut.
+ */
+static void
+test_cut_stream_without_chunks(void)
+{
+	httpd_test_t test;
+
+	setup(&test);
+	send_text(&test, "GET /stream HTTP/1.0\r\nHost: h\r\n\r\n");
+	CU_ASSERT(run_until(&test, NULL, 0));
+	CU_ASSERT(count_text(&test, "whole") == 1 && !test.reset);
+	teardown(&test);
+	setup(&test);
+	send_text(&test, "GET /cut HTTP/1.0\r\nHost: h\r\n\r\n");
+	CU_ASSERT(run_until(&test, NULL, 0));
+	CU_ASSERT(test.reset);
+	teardown(&test);
+}
+
 /* Guards against a body where none may be: it would begin the next answer. */
 static void
 test_answers_without_body(void)
@@ -366,6 +387,7 @@
 static const suite_test_t tests[] = {
     {"pipelined requests", test_pipelined_requests},
     {"cut streams", test_cut_streams},
+    {"cut stream without chunks", test_cut_stream_without_chunks},
     {"answers without body", test_answers_without_body},
     {"caller that left", test_caller_that_left},
     {"stop cuts streams", test_stop_cuts_streams},
