peer: a call that times out with its link may be cancelled by another

What callers see: a crash, or memory that is freed twice, where a call ends on a silent link and the callback of another call on that link cancels it. No such callback was found by reading; the calls of one pool, of jobs and of the store's relay share links, so nothing rules it out. It was found while late replies and replies to a former life of a host were tried (both get no call but their own; the two new tests guard that).

Cause: the call that timed out was unlinked first, then the others ended with the link, and only then its own callback ran. A cancel in between unlinked it once more and freed it.

Evidence, test_peer without the change:

Test: cancel while a link is dropped ...

Why it works: the call stays in the list of its link and ends there like the others, with its own code. A cancelled one is no longer in the list.

--- a/src/peer.c
+++ b/src/peer.c
@@ -201,14 +201,12 @@
 
 	(void)loop;
 	(void)events;
-	if (silent) {
-		peer_call_unlink(call);
+	/* One of the other calls that end with the link may cancel this one. */
+	call->timed_out = true;
+	if (silent)
 		peer_link_drop(link);
-		call->on_reply(call->ctx, &reply);
-		free(call);
-		return;
-	}
-	peer_call_finish(call, &reply);
+	else
+		peer_call_finish(call, &reply);
 }
 
 /*
--- a/src/peer_link.c
+++ b/src/peer_link.c
@@ -276,10 +276,8 @@
 peer_link_drop(peer_link_t *link)
 {
 	struct ev_loop *loop = link->peer->loop;
-	peer_reply_t reply = {
-	    .rc = -RESULT_PEER_UNREACHABLE,
-	    .sent = link->session.has_key,
-	};
+	peer_reply_t reply = {.sent = link->session.has_key};
+	peer_call_t *call;
 
 	counter_add(link->peer->links_dropped, 1);
 	ev_io_stop(loop, &link->io);
@@ -291,8 +289,11 @@
 		LIST_REMOVE(link, outgoing_entry);
 	while (!LIST_EMPTY(&link->requests))
 		peer_request_unlink(LIST_FIRST(&link->requests));
-	while (!LIST_EMPTY(&link->calls))
-		peer_call_finish(LIST_FIRST(&link->calls), &reply);
+	while ((call = LIST_FIRST(&link->calls)) != NULL) {
+		reply.rc = call->timed_out ? -RESULT_TIMEOUT
+					   : -RESULT_PEER_UNREACHABLE;
+		peer_call_finish(call, &reply);
+	}
 	buf_free(&link->input);
 	buf_free(&link->output);
 	buf_free(&link->pending);
--- a/src/peer_state.h
+++ b/src/peer_state.h
@@ -63,6 +63,7 @@
 	peer_link_t *link; /* NULL if no link could be opened */
 	uint64_t id;
 	double started_at;
+	bool timed_out; /* it ends with its link because of its timeout */
 	ev_timer timer;
 	peer_reply_cb_t on_reply;
 	void *ctx;
--- a/tests/test_peer.c
+++ b/tests/test_peer.c
@@ -126,10 +126,160 @@
 	ev_loop_destroy(exchange.loop);
 }
 
+/* Requests that are kept, to be answered late. */
+typedef struct late_t {
+	peer_request_t *requests[4];
+	unsigned count;
+} late_t;
+
+static void
+on_late_request(void *ctx, peer_request_t *request, const msgpack_object *body)
+{
+	late_t *late = ctx;
+
+	(void)body;
+	late->requests[late->count++] = request;
+}
+
+static void
+reply_number(peer_request_t *request, uint64_t n)
+{
+	buf_t reply = {0};
+	msgpack_packer packer;
+
+	wire_packer_init(&packer, &reply);
+	msgpack_pack_uint64(&packer, n);
+	peer_request_reply(request, 0, str_buf(&reply));
+	buf_free(&reply);
+}
+
+/* Guards against a reply after its call's timeout that another call gets. */
+static void
+test_late_reply(void)
+{
+	exchange_t exchange = {.loop = ev_loop_new(0)};
+	exchange_t late_exchange = {.loop = exchange.loop};
+	late_t late = {0};
+	peer_t *a = start_peer(exchange.loop, "127.0.0.2", 0, STR("secret"));
+	peer_t *b =
+	    start_peer(exchange.loop, "127.0.0.3", peer_port(a), STR("secret"));
+
+	peer_set_handler(b, PEER_JOB_READ, on_late_request, &late);
+	peer_set_handler(b, PEER_JOB_GET, on_double_request, NULL);
+	peer_call(a, "127.0.0.3", PEER_JOB_READ, (str_t){0}, 0.2, on_reply,
+	    &late_exchange);
+	/* The link is not silent, so that the timeout leaves it open. */
+	call_and_wait(a, "127.0.0.3", 1, &exchange);
+	ev_run(exchange.loop, 0);
+	CU_ASSERT(late_exchange.rc == -RESULT_TIMEOUT && late.count == 1);
+	peer_call(a, "127.0.0.3", PEER_JOB_READ, (str_t){0}, 5.0, on_reply,
+	    &late_exchange);
+	while (late.count < 2)
+		ev_run(exchange.loop, EVRUN_ONCE);
+	reply_number(late.requests[0], 1001);
+	call_and_wait(a, "127.0.0.3", 2, &exchange);
+	CU_ASSERT(exchange.rc == 0 && exchange.value == 4);
+	CU_ASSERT(late_exchange.replies == 1);
+	reply_number(late.requests[1], 1002);
+	ev_run(exchange.loop, 0);
+	CU_ASSERT(late_exchange.replies == 2 && late_exchange.rc == 0);
+	CU_ASSERT(late_exchange.value == 1002);
+	peer_delete(a);
+	peer_delete(b);
+	ev_loop_destroy(exchange.loop);
+}
+
+/*
+ * Guards against a reply to a host's former life, which numbered its calls from
+ * 1 as well.
+ */
+static void
+test_reply_to_a_former_life(void)
+{
+	exchange_t exchange = {.loop = ev_loop_new(0)};
+	exchange_t former = {.loop = exchange.loop};
+	late_t late = {0};
+	peer_t *a = start_peer(exchange.loop, "127.0.0.2", 0, STR("secret"));
+	uint16_t port = peer_port(a);
+	peer_t *b = start_peer(exchange.loop, "127.0.0.3", port, STR("secret"));
+
+	peer_set_handler(b, PEER_JOB_READ, on_late_request, &late);
+	peer_call(
+	    a, "127.0.0.3", PEER_JOB_READ, (str_t){0}, 5.0, on_reply, &former);
+	while (late.count < 1)
+		ev_run(exchange.loop, EVRUN_ONCE);
+	peer_delete(a);
+	CU_ASSERT(former.rc == -RESULT_PEER_UNREACHABLE);
+	a = start_peer(exchange.loop, "127.0.0.2", port, STR("secret"));
+	peer_call(a, "127.0.0.3", PEER_JOB_READ, (str_t){0}, 5.0, on_reply,
+	    &exchange);
+	while (late.count < 2)
+		ev_run(exchange.loop, EVRUN_ONCE);
+	reply_number(late.requests[0], 1001);
+	reply_number(late.requests[1], 1002);
+	ev_run(exchange.loop, 0);
+	CU_ASSERT(exchange.replies == 1 && exchange.rc == 0);
+	CU_ASSERT(exchange.value == 1002 && former.replies == 1);
+	peer_delete(a);
+	peer_delete(b);
+	ev_loop_destroy(exchange.loop);
+}
+
+typedef struct canceller_t {
+	exchange_t exchange;
+	peer_call_t *other;
+} canceller_t;
+
+static void
+on_reply_cancel_other(void *ctx, const peer_reply_t *reply)
+{
+	canceller_t *canceller = ctx;
+
+	if (canceller->other != NULL)
+		peer_call_cancel(canceller->other);
+	canceller->other = NULL;
+	on_reply(&canceller->exchange, reply);
+}
+
+/*
+ * Guards against a call that ends twice: the first that times out on a silent
+ * link ends the others, and one of these cancels the first.
+ */
+static void
+test_cancel_while_a_link_is_dropped(void)
+{
+	canceller_t canceller = {.exchange = {.loop = ev_loop_new(0)}};
+	struct ev_loop *loop = canceller.exchange.loop;
+	exchange_t first = {.loop = loop};
+	late_t late = {0};
+	peer_t *a = start_peer(loop, "127.0.0.2", 0, STR("secret"));
+	peer_t *b = start_peer(loop, "127.0.0.3", peer_port(a), STR("secret"));
+
+	peer_set_handler(b, PEER_JOB_READ, on_late_request, &late);
+	peer_set_handler(b, PEER_JOB_GET, on_double_request, NULL);
+	call_and_wait(a, "127.0.0.3", 1, &first);
+	canceller.other = peer_call(
+	    a, "127.0.0.3", PEER_JOB_READ, (str_t){0}, 0.1, on_reply, &first);
+	peer_call(a, "127.0.0.3", PEER_JOB_READ, (str_t){0}, 5.0,
+	    on_reply_cancel_other, &canceller);
+	ev_run(loop, 0);
+	CU_ASSERT(canceller.exchange.replies == 1);
+	CU_ASSERT(canceller.exchange.rc == -RESULT_PEER_UNREACHABLE);
+	CU_ASSERT(first.replies == 1);
+	peer_delete(a);
+	peer_delete(b);
+	for (unsigned i = 0; i < late.count; i++)
+		peer_request_reply(late.requests[i], 0, (str_t){0});
+	ev_loop_destroy(loop);
+}
+
 static const suite_test_t tests[] = {
     {"call and reply", test_call_and_reply},
     {"wrong key is rejected", test_wrong_key_is_rejected},
     {"unreachable host is reported", test_unreachable_host_is_reported},
+    {"late reply", test_late_reply},
+    {"reply to a former life", test_reply_to_a_former_life},
+    {"cancel while a link is dropped", test_cancel_while_a_link_is_dropped},
 };
 
 SUITE_MAIN("peer", tests)
