cli: an answer that is cut is a failure

What callers see: "daisypier config apply" ends with exit code 0, without a word, if the host ends within the head of its answer, or after a head without a length; so do members, config status and config history. An operator, or a script, takes a change for made that may not be.

Cause: libcurl takes a head that ends with its connection for a whole answer, and an answer without a length for whole when the connection ends.

Why it works: the last line of a head is blank, and hosts state the length of each answer or send it in chunks, with which libcurl reports a cut. An answer without these is reported as "Transferred a partial file".

--- a/src/cli_http.c
+++ b/src/cli_http.c
@@ -64,6 +64,33 @@
 	return (size * count);
 }
 
+/*
+ * Hosts state the length of each answer or send it in chunks, so that libcurl
+ * reports one that is cut. It takes an answer without either, also one that
+ * ends within its head, for whole when the connection ends.
+ */
+static bool
+is_framed(CURL *curl)
+{
+	struct curl_header *header;
+
+	return (curl_easy_header(curl, "Content-Length", 0, CURLH_HEADER, -1,
+		    &header) == CURLHE_OK ||
+		curl_easy_header(curl, "Transfer-Encoding", 0, CURLH_HEADER, -1,
+		    &header) == CURLHE_OK);
+}
+
+/* Notes where the head of the final answer ends. */
+static size_t
+on_header(char *data, size_t size, size_t count, void *ctx)
+{
+	bool *complete = ctx;
+	str_t line = {data, size * count};
+
+	*complete = str_equal(line, STR("\r\n")) || str_equal(line, STR("\n"));
+	return (line.len);
+}
+
 /* Returns the Authorization header, or an empty one without a token. */
 static int
 load_token(const cli_server_t *server, buf_t *header)
@@ -92,6 +119,7 @@
 {
 	CURL *curl = curl_easy_init();
 	struct curl_slist *headers = NULL;
+	bool complete = false;
 	long status = 0;
 	CURLcode rc;
 
@@ -108,10 +136,14 @@
 	}
 	curl_easy_setopt(curl, CURLOPT_WRITEFUNCTION, on_body);
 	curl_easy_setopt(curl, CURLOPT_WRITEDATA, &answer->body);
+	curl_easy_setopt(curl, CURLOPT_HEADERFUNCTION, on_header);
+	curl_easy_setopt(curl, CURLOPT_HEADERDATA, &complete);
 	curl_easy_setopt(curl, CURLOPT_TIMEOUT, TIMEOUT_S);
 	curl_easy_setopt(curl, CURLOPT_CONNECTTIMEOUT, CONNECT_TIMEOUT_S);
 	curl_easy_setopt(curl, CURLOPT_NOPROXY, "*");
 	rc = curl_easy_perform(curl);
+	if (rc == CURLE_OK && (!complete || !is_framed(curl)))
+		rc = CURLE_PARTIAL_FILE;
 	curl_easy_getinfo(curl, CURLINFO_RESPONSE_CODE, &status);
 	answer->status = rc == CURLE_OK ? (int)status : 0;
 	snprintf(answer->error, sizeof(answer->error), "%s",
--- a/tests/test_cli.c
+++ b/tests/test_cli.c
@@ -14,6 +14,7 @@
 
 #include "harness.h"
 #include "harness_config.h"
+#include "harness_script.h"
 #include "operator_http.h"
 #include "require.h"
 
@@ -210,11 +211,71 @@
 	buf_free(&output);
 }
 
+/* Starts a host that answers each request with the same bytes, and ends. */
+static pid_t
+script_begin(str_t bytes)
+{
+	script_answer_t answers[SCRIPT_MAX_CONNECTIONS];
+	int fds[2];
+	uint16_t port = 0;
+	char url[64];
+	pid_t pid;
+
+	for (size_t i = 0; i < SCRIPT_MAX_CONNECTIONS; i++)
+		answers[i] = (script_answer_t){.bytes = bytes, .closes = true};
+	REQUIRE(pipe(fds) == 0);
+	pid = fork();
+	REQUIRE(pid >= 0);
+	if (pid == 0) {
+		struct ev_loop *loop = ev_loop_new(0);
+		script_server_t server;
+
+		prctl(PR_SET_PDEATHSIG, SIGKILL);
+		script_server_start(&server, loop, "127.0.0.40", answers,
+		    SCRIPT_MAX_CONNECTIONS);
+		if (write(fds[1], &server.port, sizeof(server.port)) !=
+		    sizeof(server.port))
+			_exit(1);
+		ev_run(loop, 0);
+		_exit(0);
+	}
+	close(fds[1]);
+	REQUIRE(read(fds[0], &port, sizeof(port)) == sizeof(port));
+	close(fds[0]);
+	snprintf(url, sizeof(url), "http://127.0.0.40:%u", port);
+	setenv("DAISYPIER_SERVER", url, 1);
+	return (pid);
+}
+
+/* Guards against a command that succeeds with an answer that is cut. */
+static void
+test_cut_answers(void)
+{
+	static const str_t cut[] = {
+	    STR("HTTP/1.1 200 OK\r\n"),
+	    STR("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"),
+	    STR("HTTP/1.1 200 OK\r\n\r\n"),
+	    STR("HTTP/1.1 200 OK\r\n\r\n{\"version\":"),
+	    STR("HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\n{}"),
+	};
+
+	for (size_t i = 0; i < sizeof(cut) / sizeof(cut[0]); i++) {
+		pid_t pid = script_begin(cut[i]);
+
+		CU_ASSERT(command("members") == 1);
+		CU_ASSERT(command("config status") == 1);
+		CU_ASSERT(command("config history") == 1);
+		CU_ASSERT(command("config apply --from=0 demo/base.ini") == 1);
+		host_end(pid);
+	}
+}
+
 static const suite_test_t tests[] = {
     {"usage", test_usage},
     {"check", test_check},
     {"apply", test_apply},
     {"unknown", test_unknown},
+    {"cut answers", test_cut_answers},
 };
 
 SUITE_MAIN("cli", tests)
