event_relay: events without an id are no place to go on from

If an endpoint's stream has an event without an id (text of another answer, or of a server in trouble) and then breaks off, the next run begins at the start, or at the last id: an item's output, or a stream that was resumed, then has pieces of two runs (ORDER), and an item is listed as done with it (MIXED).

Cause: the ids of events were compared, but an event without one was passed on and counted as progress. A run without any id is not asked to resume, and what it had delivered was kept.

Evidence, test_event_relay without the change:

Test: events without id ...FAILED 1. !feed(&relay, "data: a\n\n", &delivered) 2. delivered.count == 0 3. !feed(&relay, "data: a\n\nid: 3\ndata: b\n\n", &delivered) 4. delivered.count == 0 5. delivered.count == 1 6. !feed(&relay, "id: 0\ndata: a\n\n", &delivered) 7. delivered.count == 1

Why it works: the events of these streams have increasing ids, so one without is broken off before it is delivered, for items from the start and for streams once they were resumed. A stream that begins with such an event still reaches its caller, but no other run is joined to it: it ends as cut.

--- a/src/event_relay.c
+++ b/src/event_relay.c
@@ -85,6 +85,9 @@
 		return (!has_text || !relay->reject_text);
 	}
 	event.raw = (str_t){data, len};
+	if (!event.has_id && relay->reject_text)
+		return (false);
+	relay->has_unnumbered |= !event.has_id;
 	if (event.has_id) {
 		if (relay->has_last_id && event.id != relay->last_id + 1)
 			return (false);
@@ -102,8 +105,8 @@
 /*
  * Consumes bytes of the stream and delivers the events that they complete.
  * Returns false if an event's id does not follow the previous one, if an event
- * is too long, if there is text that is rejected, or if the callback returned
- * false.
+ * is too long, if there is text or an event without an id that is rejected, if
+ * no other run can continue the stream, or if the callback returned false.
  */
 bool
 event_relay_feed(
@@ -111,6 +114,8 @@
 {
 	buf_t *pending = &relay->pending;
 
+	if (relay->cannot_resume)
+		return (false);
 	buf_append(pending, bytes);
 	while (relay->scanned < pending->len) {
 		const char *end = memchr(pending->data + relay->scanned, '\n',
@@ -152,11 +157,13 @@
 
 /*
  * Discards all undelivered bytes, so that another endpoint can resume the
- * stream after the last delivered event.
+ * stream after the last delivered event. After an event without an id nobody
+ * can: where the next run begins is not known.
  */
 void
 event_relay_discard_pending(event_relay_t *relay)
 {
+	relay->cannot_resume |= relay->has_unnumbered;
 	buf_clear(&relay->pending);
 	relay->empty_len = 0;
 	relay->scanned = 0;
--- a/src/event_relay.h
+++ b/src/event_relay.h
@@ -12,10 +12,15 @@
 	size_t empty_len;  /* bytes of empty events at the start of pending */
 	size_t scanned;	   /* bytes of pending already searched for line ends */
 	size_t line_start; /* offset of the current line in pending */
-	/* Set by the owner: fail at text that is no part of an event stream. */
+	/*
+	 * Set by the owner: fail at text that is no part of an event stream,
+	 * and at events without an id.
+	 */
 	bool reject_text;
 	bool has_last_id;
 	uint64_t last_id;
+	bool has_unnumbered; /* an event without an id was delivered */
+	bool cannot_resume;  /* after one, no other run can continue */
 } event_relay_t;
 
 /*
--- a/tests/test_event_relay.c
+++ b/tests/test_event_relay.c
@@ -99,6 +99,35 @@
 	event_relay_free(&relay);
 }
 
+/*
+ * An event without an id belongs to no place of a stream: in an item's output
+ * and in a stream that another endpoint continues it must be rejected.
+ */
+static void
+test_events_without_id(void)
+{
+	event_relay_t relay = {.reject_text = true};
+	delivered_t delivered = {0};
+
+	CU_ASSERT(!feed(&relay, "data: a\n\n", &delivered));
+	CU_ASSERT(delivered.count == 0);
+	event_relay_free(&relay);
+	relay = (event_relay_t){
+	    .reject_text = true, .has_last_id = true, .last_id = 2};
+	CU_ASSERT(!feed(&relay, "data: a\n\nid: 3\ndata: b\n\n", &delivered));
+	CU_ASSERT(delivered.count == 0);
+	event_relay_free(&relay);
+	/* Passed on, but another run can't go on from there. */
+	relay = (event_relay_t){0};
+	CU_ASSERT(feed(&relay, "data: a\n\n", &delivered));
+	CU_ASSERT(delivered.count == 1);
+	event_relay_discard_pending(&relay);
+	CU_ASSERT(!feed(&relay, "id: 0\ndata: a\n\n", &delivered));
+	CU_ASSERT(delivered.count == 1);
+	event_relay_free(&relay);
+	delivered_free(&delivered);
+}
+
 /* An event that never ends must not take unbounded memory. */
 static void
 test_event_size_is_bounded(void)
@@ -207,6 +236,7 @@
     {"the id must be the next one", test_id_must_be_next},
     {"resuming discards the partial event",
 	test_resume_discards_the_partial_event},
+    {"events without id", test_events_without_id},
     {"the size of an event is bounded", test_event_size_is_bounded},
     {"lines of data are joined", test_data_lines_are_joined},
     {"text is rejected", test_text_is_rejected},
