--- a/src/online_call.c
+++ b/src/online_call.c
@@ -26,6 +26,22 @@
 	return (*detail != NULL ? -RESULT_BAD_REQUEST : 0);
 }
 
+/*
+ * Returns whether the body of a success is whole. Without a length, an answer
+ * ends with its connection, also when its service broke off.
+ */
+static bool
+is_whole(const http_result_t *result)
+{
+	json_t *root =
+	    json_loadb(result->body.data != NULL ? result->body.data : "",
+		result->body.len, JSON_DECODE_ANY | JSON_ALLOW_NUL, NULL);
+	bool whole = root != NULL;
+
+	json_decref(root);
+	return (whole);
+}
+
 static void
 on_done(void *ctx, const http_result_t *result)
 {
@@ -36,6 +52,8 @@
 	r->call = NULL;
 	if (rc == 0 && result->status >= 500)
 		rc = -RESULT_ENDPOINT_FAILED;
+	if (rc == 0 && result->status == 200 && !is_whole(result))
+		rc = -RESULT_BROKEN_ANSWER;
 	if (rc == 0) {
 		/* Any other status is a valid response of the service. */
 		r->status = result->status;
@@ -48,7 +66,8 @@
 
 /*
  * All attempts send the same X-Request-Key, so that a service can detect
- * duplicate calls.
+ * duplicate calls. Answers do not bear it: on a connection that has served
+ * another call, that call's answer may come once more.
  */
 static void
 call_start(online_request_t *r)
@@ -70,7 +89,7 @@
 					 .body = str_buf(&r->body),
 					 .timeout = left > 0.001 ? left : 0.001,
 					 .max_body = MAX_RESPONSE_BYTES,
-					 .fresh_connection = !r->repeatable,
+					 .fresh_connection = true,
 					 .on_done = on_done,
 					 .ctx = r,
 				     });
