--- a/src/cli_http.c
+++ b/src/cli_http.c
@@ -7,6 +7,7 @@
 #include <string.h>
 
 #include "file.h"
+#include "http_head.h"
 
 #define TIMEOUT_S	  30L
 #define CONNECT_TIMEOUT_S 5L
@@ -87,7 +88,7 @@
 	bool *complete = ctx;
 	str_t line = {data, size * count};
 
-	*complete = str_equal(line, STR("\r\n")) || str_equal(line, STR("\n"));
+	*complete = http_head_line_ends_head(line);
 	return (line.len);
 }
 
