attempt: a response that this host refuses is no disconnect

Cause: a head that http_head refuses, and a stream that is whole by its length but has no event, ended as BROKEN_ANSWER and so counted as if the endpoint had closed the connection; each cost a check for a crash, and on an endpoint that accepts no further connection it would have counted as a crash.

Change: the HTTP client says that it ended the call because of the head (fault head_invalid, told apart from head_broken in the log); such responses, and whole empty ones, are not reported as disconnects.

--- a/src/attempt.c
+++ b/src/attempt.c
@@ -159,6 +159,8 @@
 {
 	if (attempt->fault != RESPONSE_SOUND)
 		return (attempt->fault);
+	if (http->head_invalid)
+		return (RESPONSE_HEAD_INVALID);
 	if (http->head_broken)
 		return (RESPONSE_HEAD_BROKEN);
 	if (http->rc == 0 && attempt->streaming && is_empty_stream(attempt))
@@ -194,18 +196,26 @@
 	return (ATTEMPT_COMPLETE);
 }
 
+/* Returns whether this host broke the response off. */
+static bool
+is_broken_off(const attempt_t *attempt, const http_result_t *http)
+{
+	return (attempt->head_rejected || http->head_invalid ||
+		attempt->discarding || http->rc == -RESULT_TOO_LARGE);
+}
+
 /*
  * Returns whether the endpoint closed the connection before its response was
- * complete. Responses that this host broke off do not count.
+ * complete. An empty response with a length is complete.
  */
 static bool
 is_disconnected(const attempt_t *attempt, const http_result_t *http, int rc)
 {
-	bool closed =
-	    http->rc != -RESULT_TOO_LARGE && rc == -RESULT_BROKEN_ANSWER;
+	bool framed_end =
+	    attempt->fault == RESPONSE_EMPTY && !attempt->unframed;
 
-	return (http->sent && closed && !attempt->head_rejected &&
-		!attempt->discarding);
+	return (http->sent && rc == -RESULT_BROKEN_ANSWER && !framed_end &&
+		!is_broken_off(attempt, http));
 }
 
 /* Logs and records which request the endpoint had not finished. */
--- a/src/http_call.c
+++ b/src/http_call.c
@@ -85,6 +85,7 @@
 	    .sent = call->sent,
 	    .reused = call->sent && http_call_reuses_connection(call),
 	    .head_broken = call->header_bytes > 0 && !call->head_complete,
+	    .head_invalid = call->head_invalid,
 	};
 	http_done_cb_t on_done = call->on_done;
 	void *ctx = call->ctx;
@@ -206,7 +207,8 @@
 	bool is_status_line = !call->in_head;
 
 	call->in_head = !http_head_line_ends_head(line);
-	return (http_head_line_is_valid(line, is_status_line));
+	call->head_invalid = !http_head_line_is_valid(line, is_status_line);
+	return (!call->head_invalid);
 }
 
 static size_t
--- a/src/httpc.h
+++ b/src/httpc.h
@@ -21,7 +21,8 @@
 	bool sent;
 	bool reused;	  /* it went over a connection that had served others */
 	bool head_broken; /* the response began, but its head has no end */
-	str_t body;	  /* empty if passed to on_data */
+	bool head_invalid; /* this host ended the call because of its head */
+	str_t body;	   /* empty if passed to on_data */
 } http_result_t;
 
 typedef void (*http_done_cb_t)(void *ctx, const http_result_t *result);
--- a/src/httpc_state.h
+++ b/src/httpc_state.h
@@ -40,6 +40,7 @@
 	bool send_once;
 	bool sent;	    /* libcurl has started sending the request */
 	bool head_complete; /* of the final response */
+	bool head_invalid;  /* it cannot be that of a single response */
 	bool aborted;
 	bool any_status;
 	http_headers_cb_t on_head;
--- a/src/response_check.c
+++ b/src/response_check.c
@@ -51,6 +51,7 @@
 	    [RESPONSE_UNSIGNED] = "unsigned",
 	    [RESPONSE_ENCODED] = "encoded",
 	    [RESPONSE_HEAD_BROKEN] = "head_broken",
+	    [RESPONSE_HEAD_INVALID] = "head_invalid",
 	    [RESPONSE_EMPTY] = "empty",
 	};
 
--- a/src/response_check.h
+++ b/src/response_check.h
@@ -16,6 +16,7 @@
 	RESPONSE_UNSIGNED,	/* a success without signature or id */
 	RESPONSE_ENCODED,	/* a success with a content encoding */
 	RESPONSE_HEAD_BROKEN,	/* its head has no end */
+	RESPONSE_HEAD_INVALID,	/* its head is not that of one response */
 	RESPONSE_EMPTY,		/* a whole stream without an event */
 	RESPONSE_FAULTS,	/* number of values */
 } response_fault_t;
--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -391,6 +391,9 @@
 		post_once(&test, address, port, "/");
 		CU_ASSERT(test.result.rc == -RESULT_BROKEN_ANSWER);
 		CU_ASSERT(test.result.sent);
+		CU_ASSERT(test.result.head_broken);
+		CU_ASSERT(test.result.head_invalid ==
+			  (modes[i] == HOSTILE_TWO_HEADS));
 		teardown(&test);
 		hostile_end(server);
 	}
