tests: stray bytes beside plain answers and in resumed streams (fail)

What was missing: the test called streams and ran items, but no plain answers and no streams or items that another endpoint had broken off. A success without a signature whose body was right would have passed.

Change: a case for each; an answer with status 200 that has no signature, or bytes that are not the beginning of the right ones, is wrong as well. Servers with stray bytes go on after Last-Event-Id, as right answers do. The check of each kind (none wrong, stray bytes sent, each item whole) stands in strays_end() and stream_beside_strays() now; none was dropped.

--- a/tests/harness_gateways.c
+++ b/tests/harness_gateways.c
@@ -484,6 +484,7 @@
 	char id_header[160];
 	char tokens[96];
 	char patience[96];
+	char *signature;
 	char *retry;
 
 	gateways_caller_url(fleet, host, base, sizeof(base));
@@ -512,6 +513,9 @@
 		       response.status == 200;
 	result.has_events =
 	    str_has_prefix(str_buf(&response.body), STR("id: 0"));
+	signature = harness_header(&response, "X-Daisypier-Response-Signature");
+	result.is_signed = signature != NULL && signature[0] != '\0';
+	free(signature);
 	retry = harness_header(&response, "Retry-After");
 	if (retry != NULL)
 		result.retry_after = strtod(retry, NULL);
--- a/tests/harness_hostile.c
+++ b/tests/harness_hostile.c
@@ -42,6 +42,7 @@
 	atomic_bool ended;
 	atomic_uint answers;
 	atomic_uint copies;
+	atomic_uint resumed;
 	pthread_mutex_t lock;
 	buf_t runs; /* ids of the requests that were run, a line each */
 	stray_t stray;
@@ -178,17 +179,25 @@
 {
 	char id[128];
 	char tokens[32];
+	char last[32];
 	const char *comma;
 	unsigned events;
+	unsigned next = 0;
 	buf_t body = {0};
 
 	header_value(
 	    connection->request, "X-Daisypier-Request-Id: ", id, sizeof(id));
 	header_value(
 	    connection->request, TOKENS_HEADER, tokens, sizeof(tokens));
+	header_value(
+	    connection->request, "Last-Event-Id: ", last, sizeof(last));
 	comma = strchr(tokens, ',');
 	events = comma != NULL ? (unsigned)strtoul(comma + 1, NULL, 10) / 8 : 0;
-	for (unsigned i = 0; i < events; i++)
+	if (connection->hostile->mode == HOSTILE_STRAY && last[0] != '\0') {
+		next = (unsigned)strtoul(last, NULL, 10) + 1;
+		connection->hostile->resumed++;
+	}
+	for (unsigned i = next; i < events; i++)
 		buf_printf(&body, "id: %u\ndata: %s.%u\n\n", i, id, i);
 	append_head(connection, out);
 	buf_printf(out, "Content-Length: %zu\r\n\r\n", body.len);
@@ -528,6 +537,13 @@
 	return (hostile->copies);
 }
 
+/* Returns how many streams a server in mode HOSTILE_STRAY went on with. */
+unsigned
+hostile_resumed(const hostile_t *hostile)
+{
+	return (hostile->resumed);
+}
+
 /* Whether a request was run; only refusing modes record it. */
 bool
 hostile_has_run(hostile_t *hostile, const char *id)
--- a/tests/harness_hostile.h
+++ b/tests/harness_hostile.h
@@ -74,6 +74,7 @@
 void hostile_set_stray(hostile_t *hostile, stray_t stray);
 unsigned hostile_answers(const hostile_t *hostile);
 unsigned hostile_copies(const hostile_t *hostile);
+unsigned hostile_resumed(const hostile_t *hostile);
 bool hostile_has_run(hostile_t *hostile, const char *id);
 void hostile_end(hostile_t *hostile);
 
--- a/tests/harness_hostile_fleet.c
+++ b/tests/harness_hostile_fleet.c
@@ -28,15 +28,19 @@
 	return (NULL);
 }
 
-/* Makes count concurrent calls and waits for all responses. */
+/*
+ * Makes count concurrent calls and waits for all responses. Callers without a
+ * prefix get streams, of which every other one may be resumed.
+ */
 void
 hostile_call_all(hostile_caller_t *callers, unsigned count, const char *name)
 {
 	pthread_t threads[HOSTILE_MAX_CALLERS];
 
 	for (unsigned i = 0; i < count; i++) {
-		callers[i].prefix =
-		    i % 2 == 0 ? GATEWAYS_ONCE : GATEWAYS_RESUME;
+		if (callers[i].prefix == NULL)
+			callers[i].prefix =
+			    i % 2 == 0 ? GATEWAYS_ONCE : GATEWAYS_RESUME;
 		snprintf(
 		    callers[i].id, sizeof(callers[i].id), "%s-%u", name, i);
 		pthread_create(&threads[i], NULL, hostile_call, &callers[i]);
@@ -110,9 +114,9 @@
 	return (true);
 }
 
-/* Starts a faulty server and registers it in the pool of the engine. */
+/* Starts a faulty server and writes its entry in the pool of the engine. */
 hostile_t *
-hostile_register(
+hostile_enter(
     hostile_entry_t *entry, unsigned number, hostile_mode_t mode, bool slow)
 {
 	char ip[32];
@@ -126,9 +130,26 @@
 	    hostile_start(ip, hostile_fleet.engine_port, mode, slow);
 	CU_ASSERT_FATAL(entry->server != NULL);
 	pthread_create(&entry->thread, NULL, renew_entry, entry);
+	return (entry->server);
+}
+
+/* Waits until all hosts use a server that was entered. */
+void
+hostile_wait_known(hostile_entry_t *entry)
+{
 	CU_ASSERT(
 	    harness_wait(is_endpoint_known, entry, ENDPOINT_KNOWN_TIMEOUT_S));
-	return (entry->server);
+}
+
+/* Starts a faulty server and waits until all hosts use it. */
+hostile_t *
+hostile_register(
+    hostile_entry_t *entry, unsigned number, hostile_mode_t mode, bool slow)
+{
+	hostile_t *hostile = hostile_enter(entry, number, mode, slow);
+
+	hostile_wait_known(entry);
+	return (hostile);
 }
 
 /* Removes the entry; the server keeps running. */
--- a/tests/harness_hostile_fleet.h
+++ b/tests/harness_hostile_fleet.h
@@ -34,6 +34,9 @@
 void *hostile_call(void *ctx);
 void hostile_call_all(
     hostile_caller_t *callers, unsigned count, const char *name);
+hostile_t *hostile_enter(
+    hostile_entry_t *entry, unsigned number, hostile_mode_t mode, bool slow);
+void hostile_wait_known(hostile_entry_t *entry);
 hostile_t *hostile_register(
     hostile_entry_t *entry, unsigned number, hostile_mode_t mode, bool slow);
 void hostile_unregister(hostile_entry_t *entry);
--- a/tests/test_fail_stray_bytes.c
+++ b/tests/test_fail_stray_bytes.c
@@ -7,8 +7,20 @@
 
 #define CALLERS 12
 #define ROUNDS	4
+#define ITEMS	8
 /* Servers of each kind: before or after an answer, closing or not. */
-#define VARIANTS 4
+#define VARIANTS	4
+#define PLAIN		"/plain/" /* answers that are no streams */
+#define ROUTE_TIMEOUT_S 20
+#define JOB_TIMEOUT_S	40
+
+/* The servers with stray bytes of a kind, and what their callers found. */
+typedef struct strays_t {
+	stray_kind_t kind;
+	hostile_entry_t entries[VARIANTS];
+	unsigned wrong;
+	unsigned resumed; /* streams that their servers went on with */
+} strays_t;
 
 /* Whether a caller got what its endpoint did not give as its answer. */
 static bool
@@ -17,51 +29,90 @@
 	/* The endpoints answer rightly; a host itself fails with these. */
 	bool own = s->status == 502 || s->status == 503 || s->status == 504;
 
+	/* An answer that was broken off is the first part of the right one. */
+	if (s->status == 200 && (!s->begins_right || !s->is_signed))
+		return (true);
 	return (s->whole && !own && !s->right);
 }
 
-/* Calls endpoints with stray bytes of a kind; returns the wrong answers. */
-static unsigned
-call_beside_strays(stray_kind_t kind)
+static void
+strays_start(strays_t *strays, stray_kind_t kind)
 {
-	hostile_entry_t entries[VARIANTS];
-	unsigned strays = 0;
-	unsigned wrong = 0;
-	char name[32];
-
+	*strays = (strays_t){.kind = kind};
 	for (unsigned i = 0; i < VARIANTS; i++) {
-		hostile_t *hostile = hostile_register(
-		    &entries[i], VARIANTS * kind + i, HOSTILE_STRAY, false);
+		hostile_t *hostile = hostile_enter(&strays->entries[i],
+		    VARIANTS * kind + i, HOSTILE_STRAY, false);
 
 		hostile_set_stray(hostile,
 		    (stray_t){.kind = kind, .late = i / 2, .closes = i % 2});
 	}
-	snprintf(name, sizeof(name), "job-s%u", kind);
-	CU_ASSERT(gateways_submit(&hostile_fleet, 0, name, 8, 12) == 202);
+	for (unsigned i = 0; i < VARIANTS; i++)
+		hostile_wait_known(&strays->entries[i]);
+}
+
+/* Makes concurrent calls in some rounds; prefix: see hostile_call_all(). */
+static void
+strays_call(strays_t *strays, const char *prefix)
+{
 	for (unsigned round = 0; round < ROUNDS; round++) {
 		hostile_caller_t callers[CALLERS] = {{0}};
+		char name[32];
 
-		snprintf(name, sizeof(name), "s%u-%u", kind, round);
+		snprintf(name, sizeof(name), "s%u-%u", strays->kind, round);
+		for (unsigned i = 0; i < CALLERS; i++)
+			callers[i].prefix = prefix;
 		hostile_call_all(callers, CALLERS, name);
 		for (unsigned i = 0; i < CALLERS; i++) {
 			if (!is_wrong(&callers[i].result))
 				continue;
-			wrong++;
-			printf("[%s: status %d] ", callers[i].id,
-			    callers[i].result.status);
+			strays->wrong++;
+			printf("[%s%s: status %d] ", callers[i].prefix,
+			    callers[i].id, callers[i].result.status);
 		}
 	}
-	snprintf(name, sizeof(name), "job-s%u", kind);
-	CU_ASSERT(gateways_wait_job(&hostile_fleet, name, 8, 12, 40));
-	for (unsigned i = 0; i < VARIANTS; i++)
-		strays += hostile_copies(entries[i].server);
-	CU_ASSERT(strays > 0);
-	for (unsigned i = 0; i < VARIANTS; i++)
-		hostile_unregister(&entries[i]);
+}
+
+/* Ends the servers; checks that they sent stray bytes and none did harm. */
+static void
+strays_end(strays_t *strays)
+{
+	unsigned sent = 0;
+
+	for (unsigned i = 0; i < VARIANTS; i++) {
+		hostile_unregister(&strays->entries[i]);
+		sent += hostile_copies(strays->entries[i].server);
+		strays->resumed += hostile_resumed(strays->entries[i].server);
+	}
 	for (unsigned i = 0; i < VARIANTS; i++)
-		hostile_end(entries[i].server);
-	printf("[kind %u: %u strays, %u wrong] ", kind, strays, wrong);
-	return (wrong);
+		hostile_end(strays->entries[i].server);
+	printf("[kind %u: %u strays, %u wrong] ", strays->kind, sent,
+	    strays->wrong);
+	CU_ASSERT(sent > 0);
+	CU_ASSERT(strays->wrong == 0);
+}
+
+/*
+ * Calls servers of a kind for streams and has them run a job. Returns how many
+ * streams and items they went on with.
+ */
+static unsigned
+stream_beside_strays(stray_kind_t kind, const char *prefix)
+{
+	strays_t strays;
+	char job[16];
+	bool whole;
+
+	strays_start(&strays, kind);
+	snprintf(job, sizeof(job), "job-s%u", kind);
+	CU_ASSERT(gateways_submit(&hostile_fleet, 0, job, ITEMS, 12) == 202);
+	strays_call(&strays, prefix);
+	whole =
+	    gateways_wait_job(&hostile_fleet, job, ITEMS, 12, JOB_TIMEOUT_S);
+	if (!whole)
+		printf("[%s: not whole] ", job);
+	CU_ASSERT(whole);
+	strays_end(&strays);
+	return (strays.resumed);
 }
 
 /*
@@ -73,12 +124,73 @@
 {
 	hostile_start_fleet(1);
 	for (unsigned kind = 0; kind < STRAY_KINDS; kind++)
-		CU_ASSERT(call_beside_strays((stray_kind_t)kind) == 0);
+		(void)stream_beside_strays((stray_kind_t)kind, NULL);
+	gateways_end(&hostile_fleet);
+}
+
+/* The same for streams and items that another endpoint has broken off. */
+static void
+test_resumed_streams(void)
+{
+	unsigned broken = 0;
+	unsigned resumed = 0;
+
+	hostile_start_fleet(1);
+	for (unsigned kind = 0; kind < STRAY_KINDS; kind++) {
+		hostile_entry_t entry;
+		hostile_t *breaks = hostile_register(&entry,
+		    VARIANTS * STRAY_KINDS + kind, HOSTILE_BREAK, false);
+
+		resumed +=
+		    stream_beside_strays((stray_kind_t)kind, GATEWAYS_RESUME);
+		hostile_unregister(&entry);
+		broken += hostile_answers(breaks);
+		hostile_end(breaks);
+	}
+	printf("[%u broken off, %u resumed] ", broken, resumed);
+	CU_ASSERT(broken > 0);
+	CU_ASSERT(resumed > 0);
+	gateways_end(&hostile_fleet);
+}
+
+static bool
+is_plain_route_known(void *ctx)
+{
+	unsigned *calls = ctx;
+	char id[32];
+
+	snprintf(id, sizeof(id), "plain-%u", (*calls)++);
+	return (
+	    gateways_stream(&hostile_fleet, 0, PLAIN, id, 8, 2).status == 200);
+}
+
+/* The same for answers that a host keeps until they are whole. */
+static void
+test_plain_answers(void)
+{
+	unsigned calls = 0;
+
+	hostile_start_fleet(1);
+	gateways_configure(&hostile_fleet,
+	    ",{\"name\":\"plain\",\"path-prefix\":\"" PLAIN "\",\"host\":"
+	    "\"" GATEWAYS_HOST "\",\"service\":\"m\",\"type\":\"safe\","
+	    "\"timeout-ms\":5000,\"target-latency-ms\":300,\"priority\":0,"
+	    "\"max-attempts\":2}");
+	CU_ASSERT(harness_wait(is_plain_route_known, &calls, ROUTE_TIMEOUT_S));
+	for (unsigned kind = 0; kind < STRAY_KINDS; kind++) {
+		strays_t strays;
+
+		strays_start(&strays, (stray_kind_t)kind);
+		strays_call(&strays, PLAIN);
+		strays_end(&strays);
+	}
 	gateways_end(&hostile_fleet);
 }
 
 static const suite_test_t tests[] = {
     {"stray bytes", test_stray_bytes},
+    {"stray bytes in resumed streams", test_resumed_streams},
+    {"stray bytes beside plain answers", test_plain_answers},
 };
 
 SUITE_MAIN("fail_stray_bytes", tests)
