tests: pages of the newest records that are cut

Seven kinds of answers that are cut, or that are those of other calls, fail the read of a page; none ends a load with keys missing.

--- a/tests/test_platform_store.c
+++ b/tests/test_platform_store.c
@@ -144,6 +144,22 @@
 	return (test->rc);
 }
 
+/* Reads the newest records; returns the result code. */
+static int
+read_newest(store_test_t *test)
+{
+	test->done = false;
+	test->store->class->newest(test->store, &(store_query_t){
+						    .topic = "keyed.t",
+						    .timeout = 1,
+						    .on_done = on_read,
+						    .ctx = test,
+						});
+	ev_run(test->loop, 0);
+	CU_ASSERT(test->done);
+	return (test->rc);
+}
+
 static void
 append_u64(buf_t *out, uint64_t value)
 {
@@ -274,12 +290,39 @@
 	buf_free(&body);
 }
 
+/* Guards against a page that is cut and read as the last one, or as empty. */
+static void
+test_cut_answers_to_newest(void)
+{
+	static const char page[] =
+	    "{\"items\":[{\"key\":\"k\",\"value\":\"dg==\",\"offset\":3}],"
+	    "\"has-more\":false,\"end\":4}";
+	store_test_t test;
+
+	setup(&test);
+	add_whole(&test, "200 OK", str_of(page));
+	add_answer(&test, HEAD "\r\n", (str_t){page, sizeof(page) - 2}, true);
+	add_answer(&test, HEAD "\r\n", (str_t){page, 10}, true);
+	add_answer(&test, HEAD "\r\n", STR(""), true);
+	add_answer(&test, HEAD, STR(""), true);
+	add_answer(
+	    &test, HEAD "Content-Length: 200\r\n\r\n", str_of(page), true);
+	add_whole(&test, "200 OK", STR("{\"offset\":6,\"end\":7}"));
+	add_whole(&test, "200 OK", STR("{}"));
+	start(&test);
+	CU_ASSERT(read_newest(&test) == 0 && test.records == 1);
+	for (size_t i = 1; i < test.count; i++)
+		CU_ASSERT(read_newest(&test) == -RESULT_LOG_UNAVAILABLE);
+	teardown(&test);
+}
+
 static const suite_test_t tests[] = {
     {"answer to another append", test_answer_to_another_append},
     {"refusal of another append", test_refusal_of_another_append},
     {"cut answers to appends", test_cut_answers_to_appends},
     {"records beyond the end", test_records_beyond_the_end},
     {"cut answers to reads", test_cut_answers_to_reads},
+    {"cut answers to newest", test_cut_answers_to_newest},
 };
 
 SUITE_MAIN("platform_store", tests)
