orders: the state of an endpoint is read on a connection of its own

What callers see: nothing seen so far. If an engine sends the answer to an earlier read of its state once more on a kept connection, the owner takes the state before its order for the one after it and sends the order again: weights are loaded twice.

Cause: a state bears nothing that says which read it answers.

Evidence, test_orders without the change (an endpoint that sends the former state where the state after the order is due):

Test: former state ...FAILED 1. counter_value(sent) - sent_before == 1

Why it works: on a connection that has served nothing before there is no former state. Orders themselves had their own already.

--- a/src/orders.c
+++ b/src/orders.c
@@ -308,6 +308,10 @@
 	}
 }
 
+/*
+ * Reads the state on a connection of its own: on one that has served another
+ * read, a former state may come once more.
+ */
 static void
 read_state(order_task_t *task)
 {
@@ -319,6 +323,7 @@
 					    .method = "GET",
 					    .url = url,
 					    .timeout = STATE_TIMEOUT_S,
+					    .fresh_connection = true,
 					    .on_done = on_state,
 					    .ctx = task,
 					});
--- a/tests/harness_script.c
+++ b/tests/harness_script.c
@@ -35,15 +35,25 @@
 	return (size <= input.len ? size : 0);
 }
 
-/* Answers the next request; requests beyond the script get no answer. */
+/* Answers a request; requests beyond the script get no answer. */
 static void
-answer(script_connection_t *connection)
+answer(script_connection_t *connection, bool posted)
 {
 	script_server_t *server = connection->server;
 	const script_answer_t *next;
 	str_t bytes;
 
-	if (server->requests++ >= server->count)
+	if (posted && server->post.len > 0) {
+		CU_ASSERT(
+		    send(connection->fd, server->post.data, server->post.len,
+			MSG_NOSIGNAL) == (ssize_t)server->post.len);
+		connection->served = true;
+		server->posts++;
+		return;
+	}
+	if (server->post.len == 0 || server->posts > 0 || server->requests == 0)
+		server->requests++;
+	if (server->requests > server->count)
 		return;
 	next = &server->answers[server->requests - 1];
 	bytes = connection->served && next->reused.len > 0 ? next->reused
@@ -72,8 +82,11 @@
 	buf_append(&connection->input, (str_t){bytes, (size_t)n});
 	while (connection->fd >= 0 &&
 	       (size = request_size(str_buf(&connection->input))) > 0) {
+		bool posted =
+		    str_has_prefix(str_buf(&connection->input), STR("POST "));
+
 		buf_consume(&connection->input, size);
-		answer(connection);
+		answer(connection, posted);
 	}
 }
 
--- a/tests/harness_script.h
+++ b/tests/harness_script.h
@@ -6,7 +6,7 @@
 
 #include "str.h"
 
-#define SCRIPT_MAX_CONNECTIONS 16
+#define SCRIPT_MAX_CONNECTIONS 64
 
 /* What is sent when a request has arrived, whatever it asks. */
 typedef struct script_answer_t {
@@ -32,7 +32,13 @@
 	uint16_t port;
 	const script_answer_t *answers; /* one for each request, in order */
 	size_t count;
+	/*
+	 * Unless empty, answers all POST instead. The first answer is then that
+	 * to all requests before the first POST.
+	 */
+	str_t post;
 	size_t requests;    /* that have arrived */
+	size_t posts;	    /* that post has answered */
 	size_t connections; /* that were accepted */
 	ev_io io;
 	script_connection_t accepted[SCRIPT_MAX_CONNECTIONS];
--- a/tests/test_orders.c
+++ b/tests/test_orders.c
@@ -2,9 +2,12 @@
 #include "suite.h"
 
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include "clock.h"
+#include "counter.h"
+#include "harness_script.h"
 #include "httpd.h"
 #include "orders.h"
 #include "require.h"
@@ -13,6 +16,8 @@
 #define LEASE_S		1.1
 #define ORDER_TIMEOUT_S 1.0
 #define CHECK_PERIOD_S	0.1
+/* Answers of an endpoint with a script. */
+#define STATES 6
 
 static order_t
 plan_order(const char *version, const char *role, const char *adapters,
@@ -130,6 +135,7 @@
 	struct ev_loop *loop;
 	httpc_t *httpc;
 	httpd_t *httpd;
+	uint16_t port; /* of the endpoint */
 	owner_t old;
 	owner_t new;
 } fixture_t;
@@ -212,8 +218,7 @@
 	    "weight_loads_per_minute = 100000\n"
 	    "[model m]\n[endpoint e]\naddress = 127.0.0.60:%u\nzone = z\n"
 	    "model = m\nversion = %s\nfencing = %s\n",
-	    httpd_port(fixture->httpd), version,
-	    fencing ? "checked" : "ignored");
+	    fixture->port, version, fencing ? "checked" : "ignored");
 	REQUIRE(config_parse(
 		    str_buf(&text), (str_t){0}, &owner->config, &faults) == 0);
 	buf_free(&text);
@@ -243,6 +248,7 @@
 			.handler = on_request,
 		    },
 		    &fixture->httpd) == 0);
+	fixture->port = httpd_port(fixture->httpd);
 }
 
 static void
@@ -335,12 +341,79 @@
 	fixture_stop(&fixture);
 }
 
+/* Makes the answer to a read of the engine's state as it is now. */
+static void
+make_state(buf_t *out)
+{
+	json_t *state = standin_orders_state(engine);
+	char *text = json_dumps(state, 0);
+
+	buf_printf(out,
+	    "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
+	    "Content-Length: %zu\r\n\r\n%s",
+	    strlen(text), text);
+	free(text);
+	json_decref(state);
+}
+
+/*
+ * Guards against an order that is sent once more, because an endpoint sends the
+ * state before it once more where the state after it is due.
+ */
+static void
+test_former_state(void)
+{
+	script_answer_t answers[STATES];
+	fixture_t fixture;
+	script_server_t endpoint;
+	buf_t before = {0};
+	buf_t after = {0};
+	buf_t both = {0};
+	json_t *order = json_pack("{s:s,s:i,s:s,s:s}", "op", "load", "fence", 5,
+	    "model", "m", "version", "1");
+	counter_t *sent = counter_get("daisypier_orders_total", "");
+	double sent_before = counter_value(sent);
+
+	fixture_start(&fixture, true);
+	make_state(&before);
+	CU_ASSERT(standin_orders_apply(engine, order) == 0);
+	run_loop_for(&fixture, 0.1);
+	CU_ASSERT(engine_runs_version("1"));
+	make_state(&after);
+	buf_append(&both, str_buf(&before));
+	buf_append(&both, str_buf(&after));
+	/* The state before the order, once more after it, then the new one. */
+	answers[0] = (script_answer_t){.bytes = str_buf(&before)};
+	answers[1] = (script_answer_t){
+	    .bytes = str_buf(&after), .reused = str_buf(&both)};
+	for (size_t i = 2; i < STATES; i++)
+		answers[i] = (script_answer_t){.bytes = str_buf(&after)};
+	script_server_start(
+	    &endpoint, fixture.loop, "127.0.0.60", answers, STATES);
+	endpoint.post =
+	    STR("HTTP/1.1 202 Accepted\r\nContent-Length: 2\r\n\r\n{}");
+	fixture.port = endpoint.port;
+	owner_start(&fixture, &fixture.old, 5, true, "1");
+	for (unsigned i = 0; endpoint.requests < STATES - 1 && i < 100; i++)
+		run_loop_for(&fixture, 0.1);
+	CU_ASSERT(counter_value(sent) - sent_before == 1);
+	script_server_end(&endpoint);
+	/* Owns nothing; the end of a fixture expects two owners. */
+	owner_start(&fixture, &fixture.new, 0, true, "1");
+	fixture_stop(&fixture);
+	json_decref(order);
+	buf_free(&before);
+	buf_free(&after);
+	buf_free(&both);
+}
+
 static const suite_test_t tests[] = {
     {"plan", test_plan},
     {"lease", test_lease},
     {"loads are shared", test_loads_are_shared},
     {"checked fencing", test_checked_fencing},
     {"ignored fencing", test_ignored_fencing},
+    {"former state", test_former_state},
 };
 
 SUITE_MAIN("orders", tests)
