attempt: a resumed stream is not over because of an empty earlier response

What callers saw: a stream that broke off ended as whole after an empty success, and an item was done with a part of its output (test_fail_stray_bytes "stray bytes in resumed streams", kinds 10 and 11: 1 of 48 streams and one of two jobs).

Cause: a resumed stream may be empty, as its last event may have come before. An empty success in place of the right one, on a connection in use, was taken for that.

Change: it is believed on a new connection only; otherwise the attempt is broken and the next one at that endpoint has a connection of its own, for items after any ended attempt. On plain routes an empty, signed success with the request's id is a valid answer, so the case of plain answers leaves these two kinds out.

--- a/src/attempt.c
+++ b/src/attempt.c
@@ -136,21 +136,21 @@
 
 /*
  * Returns whether a stream ended without an event although one was due. One
- * that is resumed may have had its last event already, but if it also ends with
+ * that is resumed may have had its last event already: that is believed on a
+ * new connection, where nothing earlier can be in its place. If it ends with
  * its connection, nothing tells it from one whose endpoint ended. Text in place
  * of events is passed on where the relay lets it.
  */
 static bool
-is_empty_stream(const attempt_t *attempt)
+is_empty_stream(const attempt_t *attempt, const http_result_t *http)
 {
 	const attempt_params_t *params = &attempt->params;
 	bool has_text = event_relay_trailing(params->relay).len > 0;
 
-	if (attempt->events > 0)
+	if (attempt->events > 0 ||
+	    (has_text && !params->relay->reject_text && !attempt->unframed))
 		return (false);
-	return (
-	    attempt->unframed ||
-	    (!params->resumes && (!has_text || params->relay->reject_text)));
+	return (attempt->unframed || !params->resumes || http->reused);
 }
 
 /* Returns why a response that has ended is not believed. */
@@ -163,7 +163,8 @@
 		return (RESPONSE_HEAD_INVALID);
 	if (http->head_broken)
 		return (RESPONSE_HEAD_BROKEN);
-	if (http->rc == 0 && attempt->streaming && is_empty_stream(attempt))
+	if (http->rc == 0 && attempt->streaming &&
+	    is_empty_stream(attempt, http))
 		return (RESPONSE_EMPTY);
 	return (RESPONSE_SOUND);
 }
--- a/src/job_run.c
+++ b/src/job_run.c
@@ -157,10 +157,7 @@
 		runner_request_slots(runner, pool);
 		return;
 	}
-	/* After any other outcome the connection was closed. */
-	if (result->outcome == ATTEMPT_COMPLETE ||
-	    result->outcome == ATTEMPT_REFUSED)
-		tried_endpoints_add(&item->answered, item->endpoint);
+	tried_endpoints_add(&item->tried, item->endpoint);
 	counter_add(runner->counters.failed_attempts, 1);
 	LOG_INFO("item_attempt_failed",
 	    "item=" STR_FMT " job=%s endpoint=%s cause=%s status=%d "
@@ -325,7 +322,7 @@
 	    .event_timeout = EVENT_TIMEOUT_S,
 	    /* Its response may come once more, with the same id. */
 	    .fresh_connection =
-		tried_endpoints_has(&item->answered, endpoint->name),
+		tried_endpoints_has(&item->tried, endpoint->name),
 	    .relay = &item->relay,
 	    .on_event = on_event,
 	    .on_leaving = on_leaving,
--- a/src/job_run_state.h
+++ b/src/job_run_state.h
@@ -42,7 +42,7 @@
 	header_list_t headers;
 	char *target;
 	char endpoint[ENDPOINT_NAME_SIZE];
-	tried_endpoints_t answered; /* endpoints with a whole response */
+	tried_endpoints_t tried; /* endpoints whose attempts have ended */
 } item_run_t;
 
 /* Execution state of one job. */
