--- a/tests/harness_hostile.c
+++ b/tests/harness_hostile.c
@@ -343,6 +343,8 @@
 	static const char *const texts[STRAY_KINDS] = {
 	    [STRAY_TORN_STATUS] = "HTTP/1.1 500 Fai",
 	    [STRAY_TORN_HEADER] = "HTTP/1.1 500 Failed\r\nDate: Sa",
+	    [STRAY_TORN_SIGNATURE] =
+		"HTTP/1.1 200 OK\r\nX-Daisypier-Response-Signature:",
 	    [STRAY_FAILURE] =
 		"HTTP/1.1 500 Failed\r\nContent-Length: 4\r\n\r\nfail",
 	    [STRAY_REJECTION] =
--- a/tests/harness_hostile.h
+++ b/tests/harness_hostile.h
@@ -47,6 +47,7 @@
 	STRAY_TORN_BODY,       /* its head and the first part of its body */
 	STRAY_TORN_STATUS,     /* the first part of a failure's status line */
 	STRAY_TORN_HEADER,     /* a failure's head, up to its first header */
+	STRAY_TORN_SIGNATURE,  /* a success's head, up to its signature */
 	STRAY_FAILURE,	       /* a whole failure without an id */
 	STRAY_REJECTION,       /* the same with status 422 */
 	STRAY_NO_CONTENT,      /* status 204 without an id */
