httpc: a head with two different lengths is broken

Cause: of two Content-Length lines libcurl believes the last one, so a head that was joined from two, or is wrong in itself, makes a part of a body look like all of it.

Change: different lengths end the call as broken, as they can't be recovered from.

--- a/src/http_call.c
+++ b/src/http_call.c
@@ -211,6 +211,26 @@
 	return (!call->head_invalid);
 }
 
+/*
+ * Returns whether a head states different lengths. libcurl believes the last
+ * one, so a part of the body could pass for all of it.
+ */
+static bool
+call_has_two_lengths(http_call_t *call)
+{
+	struct curl_header *header;
+	const char *length = NULL;
+
+	for (size_t i = 0; curl_easy_header(call->easy, "Content-Length", i,
+			       CURLH_HEADER, -1, &header) == CURLHE_OK;
+	     i++) {
+		if (length != NULL && strcmp(header->value, length) != 0)
+			return (true);
+		length = header->value;
+	}
+	return (false);
+}
+
 static size_t
 on_curl_header(char *data, size_t size, size_t count, void *ctx)
 {
@@ -234,6 +254,9 @@
 	curl_easy_getinfo(call->easy, CURLINFO_RESPONSE_CODE, &status);
 	if (status < 200)
 		return (len);
+	call->head_invalid = call_has_two_lengths(call);
+	if (call->head_invalid)
+		return (0);
 	call->head_complete = true;
 	if (call->on_head == NULL)
 		return (len);
@@ -418,7 +441,9 @@
 static const char *
 header_value(const struct curl_header *header)
 {
-	return (strspn(header->value, "\r\n") > 0 ? "" : header->value);
+	const char *value = header->value;
+
+	return (value[strspn(value, " \t\r\n")] == '\0' ? "" : value);
 }
 
 /* Returns a header of the final response, or NULL; valid until the next call.
--- a/src/http_head.c
+++ b/src/http_head.c
@@ -11,15 +11,15 @@
 	return (str_equal(line, STR("\r\n")) || str_equal(line, STR("\n")));
 }
 
-/* Returns whether bytes begin like a status line: "HTTP/1.1 200". */
+/* Returns whether bytes begin like a pattern, in which d stands for a digit. */
 static bool
-begins_status_line(str_t bytes)
+matches(str_t bytes, const char *pattern)
 {
-	static const char pattern[] = "HTTP/1.d ddd"; /* d: a digit */
+	size_t len = strlen(pattern);
 
-	if (bytes.len < sizeof(pattern) - 1)
+	if (bytes.len < len)
 		return (false);
-	for (size_t i = 0; i < sizeof(pattern) - 1; i++) {
+	for (size_t i = 0; i < len; i++) {
 		unsigned char c = (unsigned char)bytes.data[i];
 
 		if (pattern[i] == 'd' ? !isdigit(c) : c != pattern[i])
@@ -28,6 +28,12 @@
 	return (true);
 }
 
+static bool
+begins_status_line(str_t bytes)
+{
+	return (matches(bytes, "HTTP/d.d ddd") || matches(bytes, "HTTP/d ddd"));
+}
+
 /* Returns whether a status line begins at or after an offset. */
 static bool
 has_status_line(str_t line, size_t offset)
--- a/tests/harness_hostile.c
+++ b/tests/harness_hostile.c
@@ -295,6 +295,11 @@
 		    "Content-Length: %zu\r\n\r\n%s",
 		    mode == HOSTILE_ERROR_500 ? "500" : "404", id, id,
 		    sizeof(error_text) - 1, error_text);
+	} else if (mode == HOSTILE_TWO_LENGTHS) {
+		append_head(connection, &out);
+		buf_append(
+		    &out, STR("Content-Length: 9\r\nContent-Length: 3\r\n\r\n"
+			      "123456789"));
 	} else if (mode == HOSTILE_TWO_HEADS) {
 		buf_append(&out, STR("HTTP/1.1 500 Fai"));
 		append_answer(connection, &out);
@@ -387,7 +392,7 @@
 	    [STRAY_NO_CONTENT] = "HTTP/1.1 204 No Content\r\n\r\n",
 	    [STRAY_INTERIM] = "HTTP/1.1 100 Continue\r\n\r\n",
 	    [STRAY_BLANK_LINES] = "\r\n\r\n",
-	    /* These three follow the head of a success. */
+	    /* Up to STRAY_COMMENT_BODY these follow the head of a success. */
 	    [STRAY_UNSIGNED] = "Content-Length: 0\r\n\r\n",
 	    [STRAY_EMPTY_SIGNATURE] = "X-Daisypier-Response-Signature: \r\n"
 				      "Content-Length: 0\r\n\r\n",
@@ -396,6 +401,10 @@
 	    [STRAY_EMPTY_CHUNKED] =
 		"X-Daisypier-Response-Signature: h.stray\r\n"
 		"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+	    [STRAY_BLANK_BODY] = "X-Daisypier-Response-Signature: h.stray\r\n"
+				 "Content-Length: 2\r\n\r\n\n\n",
+	    [STRAY_COMMENT_BODY] = "X-Daisypier-Response-Signature: h.stray\r\n"
+				   "Content-Length: 5\r\n\r\n: x\n\n",
 	};
 
 	if (kind == STRAY_COPY)
@@ -404,12 +413,29 @@
 		buf_append(out, (str_t){previous.data, STRAY_HEAD_BYTES});
 	else if (kind == STRAY_TORN_BODY)
 		buf_append(out, (str_t){previous.data, previous.len - 10});
-	else if (kind >= STRAY_UNSIGNED && kind <= STRAY_EMPTY_CHUNKED)
+	else if (kind >= STRAY_UNSIGNED && kind <= STRAY_COMMENT_BODY)
 		append_empty_success(connection, texts[kind], out);
 	else
 		buf_append(out, str_of(texts[kind]));
 }
 
+/* Sends the first events of the right answer and part of the next one. */
+static bool
+answer_until_break(const connection_t *connection)
+{
+	buf_t out = {0};
+	const char *event;
+
+	append_answer(connection, &out);
+	buf_append(&out, (str_t){"", 1});
+	event = strstr(out.data, "\nid: 3\n");
+	if (event != NULL)
+		(void)send_all(connection->fd,
+		    (str_t){out.data, (size_t)(event - out.data) + 4});
+	buf_free(&out);
+	return (false);
+}
+
 /* Answers a request rightly, with stray bytes before or after the answer. */
 static bool
 answer_with_stray(connection_t *connection)
@@ -424,9 +450,16 @@
 	pthread_mutex_lock(&hostile->lock);
 	stray = hostile->stray;
 	pthread_mutex_unlock(&hostile->lock);
+	if (stray.on_resume &&
+	    strstr(connection->request, "Last-Event-Id: ") == NULL &&
+	    connection->answer.len > 0)
+		return (answer_until_break(connection));
 	append_answer(connection, &answer);
 	/* The first request of a connection gets its answer alone. */
 	strays = stray.late || connection->answer.len > 0;
+	if (stray.on_resume)
+		strays = strays &&
+			 strstr(connection->request, "Last-Event-Id: ") != NULL;
 	if (strays) {
 		append_stray(connection, stray.kind,
 		    str_buf(stray.late ? &answer : &connection->answer),
--- a/tests/harness_hostile.h
+++ b/tests/harness_hostile.h
@@ -35,10 +35,11 @@
 			    */
 	HOSTILE_EMPTY_END, /* a head without a length, then it closes */
 	HOSTILE_HEAD_WITHOUT_END, /* the lines of a head, then it closes */
-	HOSTILE_TORN_HEAD, /* it closes in the middle of a line of the head */
-	HOSTILE_TWO_HEADS, /* a failure's status line stops, a success follows
-			    */
-	HOSTILE_ERROR_500, /* signed errors with a body of text */
+	HOSTILE_TORN_HEAD,   /* it closes in the middle of a line of the head */
+	HOSTILE_TWO_HEADS,   /* a failure's status line stops, a success follows
+			      */
+	HOSTILE_TWO_LENGTHS, /* the second one is that of a part of the body */
+	HOSTILE_ERROR_500,   /* signed errors with a body of text */
 	HOSTILE_ERROR_404,
 	HOSTILE_ERROR_TEXT, /* text where events are due, with status 200 */
 	HOSTILE_STRAY,	    /* right answers, and stray bytes beside them */
@@ -59,6 +60,8 @@
 	STRAY_EMPTY_SIGNATURE, /* the same with an empty signature */
 	STRAY_EMPTY,	       /* the same, signed */
 	STRAY_EMPTY_CHUNKED,   /* the same in chunks */
+	STRAY_BLANK_BODY,      /* the same with blank lines as its body */
+	STRAY_COMMENT_BODY,    /* the same with a comment as its body */
 	STRAY_INTERIM,	       /* 100 Continue */
 	STRAY_BLANK_LINES,
 	STRAY_KINDS, /* number of values */
@@ -68,6 +71,12 @@
 	stray_kind_t kind;
 	bool late;   /* after an answer; otherwise before the next one */
 	bool closes; /* the connection ends with these bytes */
+	/*
+	 * Stray bytes come only before answers that go on after an event. Other
+	 * answers end with their connection in the fourth event, but for the
+	 * first one on each connection.
+	 */
+	bool on_resume;
 } stray_t;
 
 typedef struct hostile_t hostile_t;
--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -371,13 +371,14 @@
 
 /*
  * Guards against a response whose head stops that is taken for a whole one
- * without a body, as libcurl reports it, or for the head of the next response.
+ * without a body, as libcurl reports it, for the head of the next response, or
+ * for one of a shorter body.
  */
 static void
 test_head_without_end_is_broken(void)
 {
-	static const hostile_mode_t modes[] = {
-	    HOSTILE_HEAD_WITHOUT_END, HOSTILE_TORN_HEAD, HOSTILE_TWO_HEADS};
+	static const hostile_mode_t modes[] = {HOSTILE_HEAD_WITHOUT_END,
+	    HOSTILE_TORN_HEAD, HOSTILE_TWO_HEADS, HOSTILE_TWO_LENGTHS};
 	static const char *const address = "127.0.0.1";
 
 	for (unsigned i = 0; i < sizeof(modes) / sizeof(modes[0]); i++) {
@@ -393,7 +394,7 @@
 		CU_ASSERT(test.result.sent);
 		CU_ASSERT(test.result.head_broken);
 		CU_ASSERT(test.result.head_invalid ==
-			  (modes[i] == HOSTILE_TWO_HEADS));
+			  (modes[i] >= HOSTILE_TWO_HEADS));
 		teardown(&test);
 		hostile_end(server);
 	}
--- a/tests/test_http_head.c
+++ b/tests/test_http_head.c
@@ -17,6 +17,28 @@
 		CU_ASSERT(http_head_line_is_valid(str_of(lines[i]), false));
 }
 
+/* Whether all lines of a head, whose bytes come in two parts, are valid. */
+static bool
+is_valid_head(str_t first, str_t second)
+{
+	buf_t head = {0};
+	str_t rest;
+	str_t line;
+	bool valid = true;
+	bool is_status_line = true;
+
+	buf_append(&head, first);
+	buf_append(&head, second);
+	rest = str_buf(&head);
+	while (str_split(&rest, '\n', &line) && line.len > 0) {
+		line.len++; /* with its line feed */
+		valid = valid && http_head_line_is_valid(line, is_status_line);
+		is_status_line = false;
+	}
+	buf_free(&head);
+	return (valid);
+}
+
 /*
  * Guards against two responses that are read as one: the first one stops at any
  * byte of its head, and the second one follows.
@@ -25,28 +47,15 @@
 test_two_heads_read_as_one(void)
 {
 	static const char first[] = "HTTP/1.1 200 OK\r\nServer: x\r\n";
-	static const char second[] = "HTTP/1.1 500 Failed\r\n";
+	static const char *const seconds[] = {
+	    "HTTP/1.1 500 Failed\r\n", "HTTP/2 500\r\n"};
 
 	for (size_t cut = sizeof("HTTP/1.1 200") - 1; cut < sizeof(first) - 1;
-	     cut++) {
-		buf_t head = {0};
-		str_t rest;
-		str_t line;
-		bool valid = true;
-		bool is_status_line = true;
-
-		buf_append(&head, (str_t){first, cut});
-		buf_append(&head, str_of(second));
-		rest = str_buf(&head);
-		while (str_split(&rest, '\n', &line) && line.len > 0) {
-			line.len++; /* with its line feed */
-			valid = valid &&
-				http_head_line_is_valid(line, is_status_line);
-			is_status_line = false;
-		}
-		CU_ASSERT(!valid);
-		buf_free(&head);
-	}
+	     cut++)
+		for (size_t i = 0; i < sizeof(seconds) / sizeof(seconds[0]);
+		     i++)
+			CU_ASSERT(!is_valid_head(
+			    (str_t){first, cut}, str_of(seconds[i])));
 }
 
 static void
