attempt: comments and blank lines are no answer to a stream

Cause: any bytes between events counted as text in place of events; and a HEAD request, whose answer never has events, was held to have one.

Change: only text counts (the relay notes it), and a HEAD request is no stream.

--- a/src/attempt.c
+++ b/src/attempt.c
@@ -85,7 +85,8 @@
 	attempt->refused = response_is_refusal(&head);
 	if (attempt->refused)
 		return (true);
-	attempt->streaming = params->relay != NULL && status == 200;
+	attempt->streaming = params->relay != NULL && status == 200 &&
+			     strcmp(params->method, "HEAD") != 0;
 	attempt->unframed =
 	    http_call_header(attempt->call, "Content-Length") == NULL &&
 	    http_call_header(attempt->call, "Transfer-Encoding") == NULL;
@@ -139,16 +140,15 @@
  * that is resumed may have had its last event already: that is believed on a
  * new connection, where nothing earlier can be in its place. If it ends with
  * its connection, nothing tells it from one whose endpoint ended. Text in place
- * of events is passed on where the relay lets it.
+ * of events counts where the relay lets it pass.
  */
 static bool
 is_empty_stream(const attempt_t *attempt, const http_result_t *http)
 {
 	const attempt_params_t *params = &attempt->params;
-	bool has_text = event_relay_trailing(params->relay).len > 0;
 
 	if (attempt->events > 0 ||
-	    (has_text && !params->relay->reject_text && !attempt->unframed))
+	    (params->relay->has_text && !attempt->unframed))
 		return (false);
 	return (attempt->unframed || !params->resumes || http->reused);
 }
--- a/src/event_relay.c
+++ b/src/event_relay.c
@@ -82,6 +82,7 @@
 		(str_t){data + relay->empty_len, len - relay->empty_len},
 		&event, &has_text)) {
 		relay->empty_len = len;
+		relay->has_text |= has_text;
 		return (!has_text || !relay->reject_text);
 	}
 	event.raw = (str_t){data, len};
@@ -164,6 +165,7 @@
 event_relay_discard_pending(event_relay_t *relay)
 {
 	relay->cannot_resume |= relay->has_unnumbered;
+	relay->has_text = false;
 	buf_clear(&relay->pending);
 	relay->empty_len = 0;
 	relay->scanned = 0;
--- a/src/event_relay.h
+++ b/src/event_relay.h
@@ -17,6 +17,7 @@
 	 * and at events without an id.
 	 */
 	bool reject_text;
+	bool has_text; /* text between events, which was not rejected */
 	bool has_last_id;
 	uint64_t last_id;
 	bool has_unnumbered; /* an event without an id was delivered */
--- a/tests/harness.c
+++ b/tests/harness.c
@@ -414,7 +414,10 @@
 		curl_easy_setopt(curl, CURLOPT_POSTFIELDSIZE_LARGE,
 		    (curl_off_t)request->body.len);
 	}
-	curl_easy_setopt(curl, CURLOPT_CUSTOMREQUEST, method);
+	if (strcmp(method, "HEAD") == 0)
+		curl_easy_setopt(curl, CURLOPT_NOBODY, 1L);
+	else
+		curl_easy_setopt(curl, CURLOPT_CUSTOMREQUEST, method);
 	curl_easy_setopt(curl, CURLOPT_WRITEFUNCTION, on_curl_bytes);
 	curl_easy_setopt(curl, CURLOPT_WRITEDATA, &response->body);
 	curl_easy_setopt(curl, CURLOPT_HEADERFUNCTION, on_curl_bytes);
