httpd: a caller that left is noticed behind its next request

What callers see: nothing. If a caller sends a next request while one is waiting and then closes its connection, the first one goes on to the end: its endpoint works for nobody (GONE, and its price).

Cause: the end of the connection was looked for by peeking at the next byte, and the next request stands before it; nothing is read from a connection whose request waits.

Evidence, test_httpd without the change:

Test: caller that left after more ...FAILED 1. test.closed == 1 && test.handled == 1

Why it works: the kernel reports that the other side has closed (POLLRDHUP) whatever is still to be read. A caller that only shuts down its sending side counted as gone before and still does.

--- a/src/httpd.c
+++ b/src/httpd.c
@@ -3,6 +3,7 @@
 
 #include <arpa/inet.h>
 #include <errno.h>
+#include <poll.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/queue.h>
@@ -148,18 +149,22 @@
 		on_close(request->on_close_ctx);
 }
 
+/*
+ * Returns whether the client has closed the connection, also if a next request
+ * that nobody has read yet stands before its end.
+ */
 static bool
 request_is_disconnected(const http_request_t *request)
 {
 	const union MHD_ConnectionInfo *info = MHD_get_connection_info(
 	    request->connection, MHD_CONNECTION_INFO_CONNECTION_FD);
-	char byte;
-	ssize_t n;
+	struct pollfd poll_fd = {.events = POLLRDHUP};
 
 	if (info == NULL)
 		return (false);
-	n = recv(info->connect_fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-	return (n == 0 || (n < 0 && errno != EAGAIN && errno != EINTR));
+	poll_fd.fd = info->connect_fd;
+	return (poll(&poll_fd, 1, 0) == 1 &&
+		(poll_fd.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0);
 }
 
 static void
--- a/tests/test_httpd.c
+++ b/tests/test_httpd.c
@@ -335,6 +335,29 @@
 	teardown(&test);
 }
 
+/*
+ * Guards against work that goes on for a caller that left after it had sent
+ * more: its next request stands before the end of the connection.
+ */
+static void
+test_caller_that_left_after_more(void)
+{
+	httpd_test_t test;
+
+	setup(&test);
+	send_text(&test, GET("/hold") GET("/stream"));
+	REQUIRE(run_until_pending(&test, 1));
+	/* Too much for the buffer of the server's connection. */
+	for (unsigned i = 0; i < 2000; i++)
+		send_text(&test, GET("/stream"));
+	close_caller(&test);
+	connect_caller(&test);
+	for (unsigned i = 0; i < 50 && test.closed == 0; i++)
+		run_for(&test, 0.1);
+	CU_ASSERT(test.closed == 1 && test.handled == 1);
+	teardown(&test);
+}
+
 /* Guards against a stop that makes a stream look whole. */
 static void
 test_stop_cuts_streams(void)
@@ -390,6 +413,7 @@
     {"cut stream without chunks", test_cut_stream_without_chunks},
     {"answers without body", test_answers_without_body},
     {"caller that left", test_caller_that_left},
+    {"caller that left after more", test_caller_that_left_after_more},
     {"stop cuts streams", test_stop_cuts_streams},
     {"cut request", test_cut_request},
 };
