--- a/tests/harness_hostile.h
+++ b/tests/harness_hostile.h
@@ -28,12 +28,16 @@
 	HOSTILE_OLD_REFUSAL_WITHOUT_ID,
 	HOSTILE_OLD_REFUSAL,
 	HOSTILE_OLD_REFUSAL_OF_RETRY,
+	/* Fails each request once; before its next answer comes a copy. */
+	HOSTILE_OLD_FAILURE,
 	HOSTILE_BREAK,	   /* the first two events, then it closes */
 	HOSTILE_TORN_END,  /* without a length, in the middle of the third event
 			    */
 	HOSTILE_EMPTY_END, /* a head without a length, then it closes */
 	HOSTILE_HEAD_WITHOUT_END, /* the lines of a head, then it closes */
 	HOSTILE_TORN_HEAD, /* it closes in the middle of a line of the head */
+	HOSTILE_TWO_HEADS, /* a failure's status line stops, a success follows
+			    */
 	HOSTILE_ERROR_500, /* signed errors with a body of text */
 	HOSTILE_ERROR_404,
 	HOSTILE_ERROR_TEXT, /* text where events are due, with status 200 */
