grants: a request that moved to another admitting host is granted once

What callers saw: a request that must not be repeated ran twice (TWICE), and the host ended with a segmentation fault.

Cause: a request that waits at its own host, which admits, is sent to the next admitting host when the pool moves, but stays in the own host's queue.

Change: what resolves a grant ends the call that asks another host for it.

--- a/src/grants.c
+++ b/src/grants.c
@@ -66,7 +66,11 @@
 		ev_timer_start(grants->params.loop, &grants->deferred_timer);
 }
 
-/* Sets the result of a request; on_grant runs later from the event loop. */
+/*
+ * Sets the result of a request; on_grant runs later from the event loop. If
+ * this host's admission grants a request that has been sent to its successor
+ * meanwhile, the successor's reply must not resolve it once more.
+ */
 void
 grant_resolve(grant_t *grant, int rc, double retry_after,
     const grant_endpoint_t *endpoint)
@@ -74,6 +78,9 @@
 	if (grant->state == GRANT_STATE_RESOLVED ||
 	    grant->state == GRANT_STATE_HELD)
 		return;
+	if (grant->call != NULL)
+		peer_call_cancel(grant->call);
+	grant->call = NULL;
 	grant->state = GRANT_STATE_RESOLVED;
 	grant->rc = rc;
 	grant->retry_after = retry_after;
@@ -356,9 +363,6 @@
 		str_copy(endpoint.address, sizeof(endpoint.address), m.address);
 		str_copy(grant->granted_by, sizeof(grant->granted_by),
 		    str_of(peer_request_address(request)));
-		if (grant->call != NULL)
-			peer_call_cancel(grant->call);
-		grant->call = NULL;
 		grant_resolve(grant, m.rc, m.retry_after, &endpoint);
 	}
 	/* An unknown id was released before, so GRANT_RELEASE was sent. */
--- a/tests/test_grants.c
+++ b/tests/test_grants.c
@@ -1,12 +1,16 @@
 /* Tests of grants between three hosts on loopback, all in one process. */
 #include "suite.h"
 
+#include <arpa/inet.h>
 #include <stdio.h>
 #include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include "admission.h"
 #include "clock.h"
 #include "grants.h"
+#include "placement.h"
 #include "require.h"
 #include "result.h"
 
@@ -624,6 +628,60 @@
 	teardown(&t);
 }
 
+/* Listens at an address without accepting; returns the socket. */
+static int
+listen_silently(const char *address, uint16_t port)
+{
+	struct sockaddr_in bound = {
+	    .sin_family = AF_INET, .sin_port = htons(port)};
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+
+	inet_pton(AF_INET, address, &bound.sin_addr);
+	REQUIRE(bind(fd, (struct sockaddr *)&bound, sizeof(bound)) == 0);
+	REQUIRE(listen(fd, 16) == 0);
+	return (fd);
+}
+
+/*
+ * Guards against a request that is granted twice, and so runs twice: it waits
+ * at its own host, goes to the next admitting host, which is silent, and is
+ * then granted by its own host after all.
+ */
+static void
+test_moved_request_is_granted_once(void)
+{
+	grants_test_t t;
+	test_request_t held[8] = {0};
+	test_request_t waiting = {0};
+	int silent;
+
+	setup(&t, 1, GRANTS_POOL);
+	wait_for_takeover(&t);
+	for (size_t i = 0; i < 8; i++)
+		request_grant(&t, 0, GRANT_ONLINE, &held[i]);
+	run_for(&t, 0.1);
+	request_grant(&t, 1, GRANT_ONLINE, &waiting);
+	run_for(&t, 0.1);
+	CU_ASSERT(waiting.answers == 0);
+	/* Only host b notices that host c admits, which does not answer. */
+	stop_host(&t, 2);
+	silent = listen_silently(host_addresses[2], peer_port(t.peers[0]));
+	t.members[2].ready = true;
+	/* A host with less than half of the largest does not admit. */
+	for (size_t i = 0; i < HOSTS; i++)
+		t.members[i].millicores = i == 2 ? 1000 : 400;
+	REQUIRE(placement_owner(t.members, HOSTS, STR(POOL)) == &t.members[2]);
+	grants_fleet_changed(t.grants[1]);
+	run_for(&t, 0.07);
+	for (size_t i = 0; i < 8; i++)
+		release_grant(&held[i]);
+	run_for(&t, 0.5);
+	CU_ASSERT(waiting.answers == 1 && waiting.rc == 0);
+	close(silent);
+	release_grant(&waiting);
+	teardown(&t);
+}
+
 static const suite_test_t tests[] = {
     {"grants on own and other host", test_grants_on_own_and_other_host},
     {"online revokes batch of other host",
@@ -636,6 +694,7 @@
     {"takeover ends with the reports", test_takeover_ends_with_the_reports},
     {"takeover waits for silent hosts", test_takeover_waits_for_silent_hosts},
     {"takeover learns grants", test_takeover_learns_grants},
+    {"moved request is granted once", test_moved_request_is_granted_once},
     {"grants of dead host are reclaimed",
 	test_grants_of_dead_host_are_reclaimed},
     {"leaving endpoint gets nothing", test_leaving_endpoint_gets_nothing},
