http_head: compare bytes as unsigned on every machine

Change: the byte of the pattern is converted as well. The patterns are ASCII, so the result is the same.

--- a/src/http_head.c
+++ b/src/http_head.c
@@ -22,7 +22,8 @@
 	for (size_t i = 0; i < len; i++) {
 		unsigned char c = (unsigned char)bytes.data[i];
 
-		if (pattern[i] == 'd' ? !isdigit(c) : c != pattern[i])
+		if (pattern[i] == 'd' ? !isdigit(c)
+				      : c != (unsigned char)pattern[i])
 			return (false);
 	}
 	return (true);
