Interfaces for organisations, priorities and measured speed of endpoints

Change: org_t in the routing table; priority, limited and output_tokens in GRANT_REQUEST; run_seconds and events in GRANT_RELEASE, both as trailing elements that hosts of earlier versions leave out. Nothing decides by them yet.

--- a/src/admission.h
+++ b/src/admission.h
@@ -33,6 +33,9 @@
 	const char *zone; /* of the holder */
 	grant_class_t class;
 	const char *org;
+	unsigned priority; /* 0 is the most urgent */
+	bool limited;	   /* counts against the organisation's rate limit */
+	unsigned output_tokens; /* maximum; 0: unknown */
 	unsigned weight;
 	double requests_per_s; /* 0: unlimited */
 	unsigned concurrency;  /* 0: unlimited */
--- a/src/attempt.c
+++ b/src/attempt.c
@@ -285,6 +285,8 @@
 	if (attempt->first_event_at > 0)
 		result.first_event_seconds =
 		    attempt->first_event_at - attempt->started_at;
+	result.run_seconds = clock_monotonic() - attempt->started_at;
+	result.events = attempt->events;
 	free(attempt);
 	params.on_done(params.ctx, &result);
 }
--- a/src/attempt.h
+++ b/src/attempt.h
@@ -24,6 +24,8 @@
 	int status; /* 0: no status was received */
 	str_t body; /* of a complete response, without delivered events */
 	double first_event_seconds; /* since the start; 0: no event */
+	double run_seconds;	    /* from the start to the end */
+	unsigned events;	    /* received */
 } attempt_result_t;
 
 typedef struct attempt_params_t {
--- a/src/config.h
+++ b/src/config.h
@@ -43,6 +43,7 @@
 	char *token_hash; /* hex of the token's 32-byte generic hash */
 	unsigned weight;
 	double requests_per_s; /* 0: unlimited */
+	double burst;	       /* requests; 0: one second of the rate */
 	unsigned concurrency;  /* requests at a time in a pool; 0: unlimited */
 } config_org_t;
 
--- a/src/forward.c
+++ b/src/forward.c
@@ -165,6 +165,8 @@
 	    /* A stalled caller is no failure of the endpoint. */
 	    .rc = f->state.caller_stalled ? -RESULT_CANCELLED : result->rc,
 	    .first_token_seconds = result->first_event_seconds,
+	    .run_seconds = result->run_seconds,
+	    .events = result->events,
 	};
 
 	grant_release(f->grant, &report);
@@ -403,6 +405,8 @@
 		.pool = pool,
 		.class = GRANT_ONLINE,
 		.org = f->route->name,
+		.priority = f->route->priority,
+		.output_tokens = f->info.output_tokens,
 		.prefix_hash = f->info.prefix_hash,
 		.deadline =
 		    fmin(f->state.deadline, forward_queue_deadline(f->route,
--- a/src/grants.h
+++ b/src/grants.h
@@ -25,6 +25,8 @@
 typedef struct grant_report_t {
 	int rc;			    /* 0 or the negative result code */
 	double first_token_seconds; /* 0: no token arrived */
+	double run_seconds;	    /* of the attempt; 0: unknown */
+	unsigned events;	    /* received in that time */
 } grant_report_t;
 
 /*
@@ -39,6 +41,9 @@
 	const char *pool;
 	grant_class_t class;
 	const char *org;
+	unsigned priority; /* 0 is the most urgent */
+	bool limited;	   /* counts against the organisation's rate limit */
+	unsigned output_tokens;	    /* maximum; 0: unknown */
 	uint64_t prefix_hash;	    /* of the prompt prefix; 0: none */
 	double deadline;	    /* clock_monotonic() seconds */
 	double start_by;	    /* latest on-time start; 0: unspecified */
--- a/src/grants_admit.c
+++ b/src/grants_admit.c
@@ -187,6 +187,9 @@
 	    .zone = pool->grants->zone,
 	    .class = grant->params.class,
 	    .org = grant->org,
+	    .priority = grant->params.priority,
+	    .limited = grant->params.limited,
+	    .output_tokens = grant->params.output_tokens,
 	    .prefix_hash = grant->params.prefix_hash,
 	    .deadline = grant->params.deadline,
 	    .start_by = grant->params.start_by,
@@ -304,6 +307,9 @@
 	ask.zone = zone;
 	ask.class = m.class;
 	ask.org = org;
+	ask.priority = m.priority;
+	ask.limited = m.limited;
+	ask.output_tokens = m.output_tokens;
 	ask.prefix_hash = m.prefix_hash;
 	ask.deadline = now + m.remaining;
 	ask.start_by = grant_start_by(now, m.slack);
--- a/src/grants_wire.c
+++ b/src/grants_wire.c
@@ -27,7 +27,7 @@
 	msgpack_packer packer;
 
 	wire_packer_init(&packer, out);
-	msgpack_pack_array(&packer, 10);
+	msgpack_pack_array(&packer, 13);
 	msgpack_pack_uint64(&packer, grant->id);
 	wire_pack_str(&packer, str_of(grant->pool->name));
 	msgpack_pack_uint64(&packer, grant->params.class);
@@ -38,6 +38,9 @@
 	wire_pack_str(&packer, str_of(grant->grants->host));
 	wire_pack_str(&packer, str_of(grant->grants->zone));
 	msgpack_pack_double(&packer, grant_slack_at(grant, now));
+	msgpack_pack_uint64(&packer, grant->params.priority);
+	wire_pack_bool(&packer, grant->params.limited);
+	msgpack_pack_uint64(&packer, grant->params.output_tokens);
 }
 
 static grant_class_t
@@ -63,6 +66,12 @@
 	out->holder = wire_read_str(&reader);
 	out->zone = wire_read_str(&reader);
 	out->slack = read_slack(&reader);
+	/* Hosts of earlier versions do not send the following fields. */
+	if (reader.left > 0) {
+		out->priority = (unsigned)wire_read_u64(&reader);
+		out->limited = wire_read_bool(&reader);
+		out->output_tokens = (unsigned)wire_read_u64(&reader);
+	}
 	return (!reader.fault);
 }
 
@@ -77,7 +86,7 @@
 	msgpack_packer packer;
 
 	wire_packer_init(&packer, out);
-	msgpack_pack_array(&packer, 6);
+	msgpack_pack_array(&packer, 8);
 	msgpack_pack_uint64(&packer, grant->id);
 	wire_pack_str(&packer, str_of(grant->pool->name));
 	wire_pack_str(&packer, str_of(grant->grants->host));
@@ -85,6 +94,8 @@
 	msgpack_pack_int(&packer, report != NULL ? report->rc : 1);
 	msgpack_pack_double(
 	    &packer, report != NULL ? report->first_token_seconds : 0);
+	msgpack_pack_double(&packer, report != NULL ? report->run_seconds : 0);
+	msgpack_pack_uint64(&packer, report != NULL ? report->events : 0);
 }
 
 /* A report with rc 1 stands for no report. */
@@ -99,6 +110,11 @@
 	out->endpoint = wire_read_str(&reader);
 	out->report.rc = (int)wire_read_i64(&reader);
 	out->report.first_token_seconds = wire_read_double(&reader);
+	/* Hosts of earlier versions do not send the following fields. */
+	if (reader.left > 0) {
+		out->report.run_seconds = wire_read_double(&reader);
+		out->report.events = (unsigned)wire_read_u64(&reader);
+	}
 	return (!reader.fault);
 }
 
--- a/src/grants_wire.h
+++ b/src/grants_wire.h
@@ -14,6 +14,9 @@
 	uint64_t id;
 	grant_class_t class;
 	str_t org;
+	unsigned priority;
+	bool limited;
+	unsigned output_tokens;
 	uint64_t prefix_hash;
 	double remaining; /* seconds until the deadline */
 	double slack; /* seconds until the latest on-time start, or INFINITY */
--- a/src/job_run.c
+++ b/src/job_run.c
@@ -144,6 +144,8 @@
 	grant_report_t report = {
 	    .rc = result->rc,
 	    .first_token_seconds = result->first_event_seconds,
+	    .run_seconds = result->run_seconds,
+	    .events = result->events,
 	};
 
 	str_copy(pool, sizeof(pool), str_of(item->slot->pool));
--- a/src/routing_table.c
+++ b/src/routing_table.c
@@ -48,6 +48,9 @@
 		route_free(&table->routes[i]);
 	for (size_t i = 0; i < table->pool_count; i++)
 		free(table->pools[i].name);
+	for (size_t i = 0; i < table->org_count; i++)
+		free(table->orgs[i].name);
+	free(table->orgs);
 	free(table->routes);
 	free(table->pools);
 	free(table);
--- a/src/routing_table.h
+++ b/src/routing_table.h
@@ -24,6 +24,7 @@
 	request_kind_t kind;
 	bool resumable;
 	bool has_prompt;   /* requests contain the parts of a prompt */
+	bool is_public;	   /* requests need no key */
 	unsigned priority; /* 0 is the most urgent */
 	unsigned max_attempts;
 	double timeout;		  /* seconds until a request must be answered */
@@ -43,6 +44,15 @@
 	unsigned max_connections;
 } route_pool_t;
 
+/* An organisation: a customer whose requests carry one of its keys. */
+typedef struct org_t {
+	char *name;
+	bool has_priority; /* then it takes precedence over the route's */
+	unsigned priority;
+	double requests_per_s; /* over all hosts; 0: unlimited */
+	double burst;	       /* requests, in addition to the rate */
+} org_t;
+
 /* Immutable once published; shared by reference counting. */
 typedef struct routing_table_t {
 	unsigned refs;
@@ -51,6 +61,9 @@
 	size_t route_count;
 	route_pool_t *pools;
 	size_t pool_count;
+	bool has_orgs; /* requests need a key, unless their route is public */
+	org_t *orgs;
+	size_t org_count;
 } routing_table_t;
 
 routing_table_t *routing_table_new(size_t routes, size_t pools);
