Organisations: requests need a key of an organisation

Change: the configuration's organisations and the hashes of their keys are part of the routing table; a request without a valid key gets 401 before anything else is done with it; the endpoint gets the organisation's name and never the key, also for items of jobs. A job belongs to its organisation: its key in the store is preceded by a hash of the organisation's name, and calls with a key of another organisation do not find it. Without organisations headers and records are as before. An invalid list of organisations is rejected with the faulty field; the former version stays in force.

--- a/src/dialect.h
+++ b/src/dialect.h
@@ -35,7 +35,7 @@
 
 typedef struct job_call_t {
 	job_call_kind_t kind;
-	char job[JOB_ID_SIZE];
+	char job[JOB_KEY_SIZE];
 	char item[JOB_ID_SIZE];
 	uint64_t position; /* of the first result to return */
 	double wait;	   /* seconds to wait for a result */
@@ -50,6 +50,8 @@
 	const char *signature_header; /* on complete endpoint responses */
 	const char *resume_header;    /* number of the last event received */
 	const char *prompt_header;    /* parts of the prompt */
+	const char *key_header;	      /* with the caller's key */
+	const char *org_header;	      /* the caller's organisation */
 	const char *config_topic;
 	const char *config_key;
 	const char *endpoints_topic;
@@ -62,13 +64,18 @@
 	/* Reads the shared parts from the value of prompt_header. */
 	void (*read_prompt)(str_t value, prompt_parts_t *out);
 	void (*read_job_call)(const http_request_t *request, job_call_t *out);
+	/* Returns the caller's key; empty if the request has none. */
+	str_t (*read_key)(const http_request_t *request);
 	/* Returns 0 or -RESULT_BAD_REQUEST. */
 	int (*read_job)(str_t body, job_t *out);
-	int (*read_routes)(str_t text, routing_table_t **out);
+	/* Appends the faulty field to fault, if the text is refused. */
+	int (*read_routes)(str_t text, routing_table_t **out, buf_t *fault);
 	int (*read_endpoint)(str_t id, str_t text, endpoint_entry_t *out);
 	void (*write_results)(buf_t *out, const job_results_t *results);
 	void (*write_entries)(buf_t *out, const char *const *addresses,
 	    size_t count, double keep_s);
 } dialect_t;
 
+bool dialect_identifies_org(const dialect_t *dialect, const char *header);
+
 #endif
--- a/src/forward.c
+++ b/src/forward.c
@@ -9,6 +9,7 @@
 
 #include "clock.h"
 #include "logger.h"
+#include "org_access.h"
 #include "result.h"
 
 /*
@@ -67,12 +68,13 @@
 		run_times_add(&f->forwarder->run_times, str_of(f->route->name),
 		    f->info.output_tokens, now - f->granted_at, now);
 	LOG_INFO("request",
-	    "request=%s route=%s config=%llu endpoint=%s outcome=%s status=%d "
-	    "cause=%s sent=%u unreached=%u events=%u wait_ms=%.0f "
+	    "request=%s route=%s org=%s config=%llu endpoint=%s outcome=%s "
+	    "status=%d cause=%s sent=%u unreached=%u events=%u wait_ms=%.0f "
 	    "first_ms=%.0f total_ms=%.0f patience_ms=%.0f",
-	    f->info.id, f->route->name, (unsigned long long)f->table->version,
-	    f->endpoint, outcome, status, result_name(rc),
-	    f->state.attempts_sent, f->state.unavailable, f->events,
+	    f->info.id, f->route->name, f->org != NULL ? f->org->name : "",
+	    (unsigned long long)f->table->version, f->endpoint, outcome, status,
+	    result_name(rc), f->state.attempts_sent, f->state.unavailable,
+	    f->events,
 	    f->granted_at > 0 ? (f->granted_at - f->arrived_at) * 1e3 : -1.0,
 	    f->first_event_at > 0 ? (f->first_event_at - f->arrived_at) * 1e3
 				  : -1.0,
@@ -404,8 +406,11 @@
 	    &(grant_params_t){
 		.pool = pool,
 		.class = GRANT_ONLINE,
-		.org = f->route->name,
-		.priority = f->route->priority,
+		.org = f->org != NULL ? f->org->name : f->route->name,
+		.priority = org_priority(f->org, f->route),
+		/* Further attempts belong to the same request. */
+		.limited = f->org != NULL && f->granted_at <= 0 &&
+			   f->state.unavailable == 0,
 		.output_tokens = f->info.output_tokens,
 		.prefix_hash = f->info.prefix_hash,
 		.deadline =
@@ -459,17 +464,20 @@
 	    strcasecmp(name, dialect->endpoint_id_header) == 0 ||
 	    strcasecmp(name, dialect->resume_header) == 0)
 		return;
+	if (f->table->has_orgs && dialect_identifies_org(dialect, name))
+		return;
 	header_list_add(&f->headers, name, str_of(value));
 }
 
 /*
  * Takes ownership of a request that arrived at the given monotonic time and
- * forwards it on its route. The table, which owns the route, is referenced
- * until the request is finished.
+ * forwards it on its route for an organisation, which may be NULL. The table,
+ * which owns both, is referenced until the request is finished.
  */
 void
 forwarder_accept(forwarder_t *forwarder, http_request_t *request,
-    routing_table_t *table, const request_route_t *route, double arrived_at)
+    routing_table_t *table, const request_route_t *route, const org_t *org,
+    double arrived_at)
 {
 	double time_limit = route->timeout;
 	request_info_t info;
@@ -488,6 +496,7 @@
 	f->request = request;
 	f->table = routing_table_ref(table);
 	f->route = route;
+	f->org = org;
 	f->arrived_at = arrived_at;
 	if (f->info.caller_timeout > 0)
 		time_limit = fmin(time_limit, f->info.caller_timeout);
@@ -500,6 +509,9 @@
 	    .deadline = f->arrived_at + time_limit,
 	};
 	http_request_each_header(request, copy_request_header, f);
+	if (org != NULL)
+		header_list_add(&f->headers,
+		    forwarder->params.dialect->org_header, str_of(org->name));
 	http_request_on_close(request, on_caller_disconnect, f);
 	LIST_INSERT_HEAD(&forwarder->forwards, f, entry);
 	forwarder->open_count++;
--- a/src/forward.h
+++ b/src/forward.h
@@ -26,7 +26,8 @@
 forwarder_t *forwarder_new(const forwarder_params_t *params);
 void forwarder_delete(forwarder_t *forwarder);
 void forwarder_accept(forwarder_t *forwarder, http_request_t *request,
-    routing_table_t *table, const request_route_t *route, double arrived_at);
+    routing_table_t *table, const request_route_t *route, const org_t *org,
+    double arrived_at);
 void forwarder_recheck_parts(forwarder_t *forwarder);
 void forwarder_drain(
     forwarder_t *forwarder, double queue_seconds, double stop_at);
--- a/src/forward_state.h
+++ b/src/forward_state.h
@@ -29,6 +29,7 @@
 	http_request_t *request; /* NULL once the caller has disconnected */
 	routing_table_t *table;
 	const request_route_t *route;
+	const org_t *org; /* of the table; NULL: none */
 	request_info_t info;
 	forward_state_t state;
 	header_list_t headers;
--- a/src/gateway_http.c
+++ b/src/gateway_http.c
@@ -9,6 +9,7 @@
 #include "counter.h"
 #include "entries.h"
 #include "logger.h"
+#include "org_access.h"
 #include "result.h"
 
 /* Long, because callers reuse connections after minutes without a request. */
@@ -16,6 +17,27 @@
 /* Maximum number of hosts in a directory response. */
 #define MAX_DIRECTORY_ENTRIES 64
 
+/*
+ * Finds the organisation of a request by its key; *org is NULL if none is
+ * needed. Returns false if the request was refused.
+ */
+static bool
+identify_caller(gateway_t *gateway, http_request_t *request, bool is_public,
+    const org_t **org)
+{
+	org_access_t access = org_access_check(gateway->table, is_public,
+	    gateway->params.dialect->read_key(request), org);
+
+	if (org_access_allowed(access))
+		return (true);
+	counter_add(gateway->unidentified_requests, 1);
+	LOG_INFO("request_unidentified", "target=%s cause=%s config=%llu",
+	    http_request_target(request), org_access_name(access),
+	    (unsigned long long)gateway->table->version);
+	http_request_reply_error(request, -RESULT_UNAUTHORIZED, NULL);
+	return (false);
+}
+
 /*
  * Passes a request to its handler by job call or route. The routing table must
  * be loaded; arrived is a monotonic time.
@@ -25,11 +47,13 @@
 {
 	const char *host = http_request_header(request, "Host");
 	const request_route_t *route;
+	const org_t *org;
 	job_call_t call = {0};
 
 	gateway->params.dialect->read_job_call(request, &call);
 	if (call.kind != JOB_CALL_NONE) {
-		jobs_call(gateway->jobs, request, &call);
+		if (identify_caller(gateway, request, false, &org))
+			jobs_call(gateway->jobs, request, &call, org);
 		return;
 	}
 	route = routing_table_match(gateway->table,
@@ -41,12 +65,15 @@
 		    http_request_target(request),
 		    (unsigned long long)gateway->table->version);
 		http_request_reply_error(request, -RESULT_NO_ROUTE, NULL);
-	} else if (route->kind == REQUEST_BATCH) {
-		jobs_submit(gateway->jobs, request, gateway->table, route);
-	} else {
-		forwarder_accept(gateway->forwarder, request, gateway->table,
-		    route, arrived);
+		return;
 	}
+	if (!identify_caller(gateway, request, route->is_public, &org))
+		return;
+	if (route->kind == REQUEST_BATCH)
+		jobs_submit(gateway->jobs, request, org);
+	else
+		forwarder_accept(gateway->forwarder, request, gateway->table,
+		    route, org, arrived);
 }
 
 static void
--- a/src/gateway_state.h
+++ b/src/gateway_state.h
@@ -43,6 +43,8 @@
 	routing_table_t *table; /* NULL until the first one is read */
 	endpoint_set_t *endpoints;
 	counter_t *leaving_endpoints; /* that said so */
+	counter_t *rejected_configs;
+	counter_t *unidentified_requests; /* without a valid key */
 	/* Built from routes and endpoints, for admission; NULL before both. */
 	fleet_config_t *fleet_config;
 	store_call_t *announce_call;
--- a/src/gateway_store.c
+++ b/src/gateway_store.c
@@ -40,15 +40,21 @@
 	gateway_t *gateway = ctx;
 	const dialect_t *dialect = gateway->params.dialect;
 	routing_table_t *table;
+	buf_t fault = {0};
 	uint64_t previous_version =
 	    gateway->table != NULL ? gateway->table->version : 0;
 
 	if (record->removed ||
 	    !str_equal(record->key, str_of(dialect->config_key)))
 		return;
-	if (dialect->read_routes(record->value, &table) != 0) {
-		LOG_ERROR("config_unreadable", "offset=%llu bytes=%zu",
-		    (unsigned long long)record->offset, record->value.len);
+	if (dialect->read_routes(record->value, &table, &fault) != 0) {
+		counter_add(gateway->rejected_configs, 1);
+		LOG_ERROR("config_rejected",
+		    "offset=%llu bytes=%zu in_force=%llu fault=" STR_FMT,
+		    (unsigned long long)record->offset, record->value.len,
+		    (unsigned long long)previous_version,
+		    STR_ARG(str_buf(&fault)));
+		buf_free(&fault);
 		return;
 	}
 	if (gateway->table != NULL && table->version <= previous_version) {
@@ -56,10 +62,13 @@
 		return;
 	}
 	LOG_INFO("config_in_force",
-	    "version=%llu before=%llu routes=%zu pools=%zu offset=%llu",
+	    "version=%llu before=%llu routes=%zu pools=%zu orgs=%zu keys=%zu "
+	    "offset=%llu",
 	    (unsigned long long)table->version,
 	    (unsigned long long)previous_version, table->route_count,
-	    table->pool_count, (unsigned long long)record->offset);
+	    table->pool_count, table->org_count,
+	    table->keys != NULL ? key_index_count(table->keys) : 0,
+	    (unsigned long long)record->offset);
 	routing_table_unref(gateway->table);
 	gateway->table = table;
 	if (gateway->membership != NULL)
--- a/src/job.c
+++ b/src/job.c
@@ -1,6 +1,7 @@
 /* Jobs of many items: memory and serialization for the store and peers. */
 #include "job.h"
 
+#include <stdio.h>
 #include <stdlib.h>
 
 #include "result.h"
@@ -8,6 +9,21 @@
 
 #define JOB_FORMAT 1
 
+/*
+ * Writes the key that identifies a job. Organisations choose the identifiers of
+ * their jobs independently, so that of an organisation's job is preceded by a
+ * hash of the organisation's name.
+ */
+void
+job_key(char out[JOB_KEY_SIZE], str_t org, str_t id)
+{
+	if (org.len == 0)
+		str_copy(out, JOB_KEY_SIZE, id);
+	else
+		snprintf(out, JOB_KEY_SIZE, "%016llx:" STR_FMT,
+		    (unsigned long long)str_hash(org, 0), STR_ARG(id));
+}
+
 /* Returns a copy of a string that job_free() frees. */
 str_t
 job_copy_str(job_t *job, str_t s)
@@ -45,7 +61,7 @@
 	msgpack_packer packer;
 
 	wire_packer_init(&packer, out);
-	msgpack_pack_array(&packer, 6);
+	msgpack_pack_array(&packer, job->org.len > 0 ? 7 : 6);
 	msgpack_pack_uint32(&packer, JOB_FORMAT);
 	wire_pack_str(&packer, job->id);
 	wire_pack_str(&packer, job->host);
@@ -54,6 +70,8 @@
 	msgpack_pack_array(&packer, job->item_count);
 	for (size_t i = 0; i < job->item_count; i++)
 		pack_item(&packer, &job->items[i]);
+	if (job->org.len > 0)
+		wire_pack_str(&packer, job->org);
 }
 
 static void
@@ -101,6 +119,8 @@
 	while (items.left > 0 && !items.fault)
 		unpack_item(out, wire_read_array(&items),
 		    &out->items[out->item_count++]);
+	if (reader.left > 0)
+		out->org = job_copy_str(out, wire_read_str(&reader));
 	malformed |= reader.fault || items.fault || out->id.len == 0;
 	wire_message_free(&message);
 	if (!malformed)
--- a/src/job.h
+++ b/src/job.h
@@ -6,6 +6,11 @@
 
 /* Buffer size of the identifier of a request, job or item, with its NUL. */
 #define JOB_ID_SIZE 96
+/*
+ * Buffer size of the key of a job, with its NUL: its identifier and, before it,
+ * the organisation that owns the job, if any.
+ */
+#define JOB_KEY_SIZE (JOB_ID_SIZE + 17)
 
 typedef struct job_header_t {
 	str_t name;
@@ -24,7 +29,8 @@
 
 /* A job as its caller submitted it. */
 typedef struct job_t {
-	str_t id;
+	str_t id;  /* its key, see job_key() */
+	str_t org; /* organisation that owns it; empty: none */
 	str_t host;
 	str_t target;	  /* path to which it was submitted */
 	double submitted; /* wall clock seconds */
@@ -55,6 +61,7 @@
 	size_t count;
 } job_results_t;
 
+void job_key(char out[JOB_KEY_SIZE], str_t org, str_t id);
 str_t job_copy_str(job_t *job, str_t s);
 void job_pack(const job_t *job, buf_t *out);
 int job_unpack(str_t data, job_t *out);
--- a/src/job_partition_state.h
+++ b/src/job_partition_state.h
@@ -9,7 +9,7 @@
 
 /* A result that is not stored yet. */
 typedef struct pending_result_t {
-	char job[JOB_ID_SIZE];
+	char job[JOB_KEY_SIZE];
 	char item[JOB_ID_SIZE];
 	job_outcome_t outcome;
 	buf_t output;
@@ -20,7 +20,7 @@
 
 /* Progress from the previous owner on an item whose job is not known yet. */
 typedef struct imported_item_t {
-	char job[JOB_ID_SIZE];
+	char job[JOB_KEY_SIZE];
 	char item[JOB_ID_SIZE];
 	buf_t output;
 	item_progress_t progress;
--- a/src/job_run.c
+++ b/src/job_run.c
@@ -8,6 +8,7 @@
 #include "clock.h"
 #include "counter.h"
 #include "logger.h"
+#include "org_access.h"
 #include "result.h"
 
 /* Interval at which an item with a held part asks whether it may run. */
@@ -183,19 +184,26 @@
 static void
 item_prepare_request(item_run_t *item)
 {
-	const dialect_t *dialect = item->run->runner->params.dialect;
+	const job_runner_params_t *params = &item->run->runner->params;
+	const dialect_t *dialect = params->dialect;
+	const routing_table_t *table = params->routes(params->ctx);
 	const job_item_t *source = item->item;
+	str_t org = item->run->job->job.org;
+	bool has_orgs = org.len > 0 || (table != NULL && table->has_orgs);
 
 	if (item->headers.count > 0)
 		return;
 	for (size_t i = 0; i < source->header_count; i++) {
 		char *name = str_dup(source->headers[i].name);
 
-		if (!header_is_hop_by_hop(name))
+		if (!header_is_hop_by_hop(name) &&
+		    !(has_orgs && dialect_identifies_org(dialect, name)))
 			header_list_add(
 			    &item->headers, name, source->headers[i].value);
 		free(name);
 	}
+	if (org.len > 0)
+		header_list_add(&item->headers, dialect->org_header, org);
 	header_list_add(&item->headers, "Host", item->run->job->job.host);
 	header_list_add(&item->headers, dialect->request_id_header, source->id);
 	item->target = str_dup(source->target);
@@ -387,6 +395,10 @@
     job_runner_t *runner, const char *pool, const item_candidate_t *candidate)
 {
 	item_slot_t *slot = xcalloc(1, sizeof(*slot));
+	const routing_table_t *table =
+	    runner->params.routes(runner->params.ctx);
+	const request_route_t *route = item_route(candidate->item);
+	str_t org = candidate->item->run->job->job.org;
 
 	slot->runner = runner;
 	str_copy(slot->pool, sizeof(slot->pool), str_of(pool));
@@ -395,7 +407,8 @@
 	    &(grant_params_t){
 		.pool = slot->pool,
 		.class = GRANT_BATCH,
-		.org = item_route(candidate->item)->name,
+		.org = org.len > 0 ? org.data : route->name,
+		.priority = org_priority(routing_table_org(table, org), route),
 		.deadline = clock_monotonic() + SLOT_REQUEST_TIMEOUT_S,
 		.start_by = item_candidate_start_by(candidate),
 		.avoid_endpoint = "",
--- a/src/job_table.c
+++ b/src/job_table.c
@@ -177,7 +177,7 @@
 		slash--;
 	}
 	*job = (str_t){key.data + 1, slash - 1};
-	return (job->len > 0 && job->len < JOB_ID_SIZE);
+	return (job->len > 0 && job->len < JOB_KEY_SIZE);
 }
 
 static void
--- a/src/job_table.h
+++ b/src/job_table.h
@@ -24,7 +24,7 @@
 } stored_result_t;
 
 typedef struct stored_job_t {
-	char id[JOB_ID_SIZE];
+	char id[JOB_KEY_SIZE];
 	bool accepted; /* all chunks were read: job below is valid */
 	bool ended;    /* by its caller */
 	bool seen;     /* a record was applied since the last reload began */
--- a/src/job_write.c
+++ b/src/job_write.c
@@ -24,7 +24,7 @@
 
 struct job_write_t {
 	job_write_params_t params;
-	char job[JOB_ID_SIZE];
+	char job[JOB_KEY_SIZE];
 	double started;
 	size_t stored;	    /* records */
 	size_t in_flight;   /* records of the append in progress */
--- a/src/jobs.c
+++ b/src/jobs.c
@@ -340,19 +340,26 @@
 	});
 }
 
-/* Stores a submitted job; the client gets its answer once that is done. */
+static str_t
+org_name(const org_t *org)
+{
+	return (org != NULL ? str_of(org->name) : (str_t){0});
+}
+
+/*
+ * Stores a job that an organisation, which may be NULL, submitted; the client
+ * gets its answer once that is done.
+ */
 void
-jobs_submit(jobs_t *jobs, http_request_t *request, routing_table_t *table,
-    const request_route_t *route)
+jobs_submit(jobs_t *jobs, http_request_t *request, const org_t *org)
 {
 	const char *host = http_request_header(request, "Host");
 	request_info_t info = {0};
 	job_records_t records = {0};
 	job_t job = {0};
+	char key[JOB_KEY_SIZE];
 	int rc;
 
-	(void)table;
-	(void)route;
 	jobs->params.dialect->read_request(request, &info);
 	if (info.id[0] == '\0' || info.id_too_long)
 		rc = -RESULT_BAD_REQUEST;
@@ -364,7 +371,10 @@
 		return;
 	}
 	counter_add(jobs->counters.submitted, 1);
-	job.id = job_copy_str(&job, str_of(info.id));
+	job_key(key, org_name(org), str_of(info.id));
+	job.id = job_copy_str(&job, str_of(key));
+	if (org != NULL)
+		job.org = job_copy_str(&job, str_of(org->name));
 	job.host = job_copy_str(&job, str_of(host != NULL ? host : ""));
 	job.target = job_copy_str(&job, str_of(http_request_target(request)));
 	job.submitted = clock_wall();
@@ -504,20 +514,26 @@
 		query_answer(query, -RESULT_NOT_OWNER, (str_t){0});
 }
 
-/* Handles a client's read of an accepted job, or its request to end the job. */
+/*
+ * Handles a client's read of an accepted job, or its request to end the job. It
+ * reaches only the jobs of the client's organisation, which may be NULL.
+ */
 void
-jobs_call(jobs_t *jobs, http_request_t *request, const job_call_t *call)
+jobs_call(jobs_t *jobs, http_request_t *request, const job_call_t *call,
+    const org_t *org)
 {
 	job_records_t records = {0};
+	job_call_t own = *call;
 
+	job_key(own.job, org_name(org), str_of(call->job));
 	switch (call->kind) {
 	case JOB_CALL_RESULTS:
 	case JOB_CALL_ITEM:
-		query_start(jobs, request, call);
+		query_start(jobs, request, &own);
 		break;
 	case JOB_CALL_END:
-		job_records_end(&records, str_of(call->job));
-		write_start(jobs, request, call->job, "end", &records, 200);
+		job_records_end(&records, str_of(own.job));
+		write_start(jobs, request, own.job, "end", &records, 200);
 		break;
 	case JOB_CALL_MALFORMED:
 	case JOB_CALL_NONE:
--- a/src/jobs.h
+++ b/src/jobs.h
@@ -39,8 +39,8 @@
 void jobs_delete(jobs_t *jobs);
 void jobs_members_changed(jobs_t *jobs);
 void jobs_drain(jobs_t *jobs, double stop_at);
-void jobs_submit(jobs_t *jobs, http_request_t *request, routing_table_t *table,
-    const request_route_t *route);
-void jobs_call(jobs_t *jobs, http_request_t *request, const job_call_t *call);
+void jobs_submit(jobs_t *jobs, http_request_t *request, const org_t *org);
+void jobs_call(jobs_t *jobs, http_request_t *request, const job_call_t *call,
+    const org_t *org);
 
 #endif
--- a/src/routing_table.c
+++ b/src/routing_table.c
@@ -51,6 +51,7 @@
 	for (size_t i = 0; i < table->org_count; i++)
 		free(table->orgs[i].name);
 	free(table->orgs);
+	key_index_delete(table->keys);
 	free(table->routes);
 	free(table->pools);
 	free(table);
@@ -94,6 +95,16 @@
 	return (NULL);
 }
 
+/* Returns the organisation of the given name, or NULL. */
+const org_t *
+routing_table_org(const routing_table_t *table, str_t name)
+{
+	for (size_t i = 0; i < table->org_count; i++)
+		if (str_equal(str_of(table->orgs[i].name), name))
+			return (&table->orgs[i]);
+	return (NULL);
+}
+
 /*
  * Selects one of the route's pools by weight; equal hashes select the same
  * pool. Returns NULL if the route has none.
--- a/src/routing_table.h
+++ b/src/routing_table.h
@@ -2,6 +2,7 @@
 #ifndef DAISYPIER_ROUTING_TABLE_H
 #define DAISYPIER_ROUTING_TABLE_H
 
+#include "key_index.h"
 #include "str.h"
 
 typedef enum request_kind_t {
@@ -64,6 +65,7 @@
 	bool has_orgs; /* requests need a key, unless their route is public */
 	org_t *orgs;
 	size_t org_count;
+	key_index_t *keys; /* indices of orgs; NULL without orgs */
 } routing_table_t;
 
 routing_table_t *routing_table_new(size_t routes, size_t pools);
@@ -73,6 +75,7 @@
     const routing_table_t *table, str_t host, str_t target);
 const request_route_t *routing_table_find(
     const routing_table_t *table, str_t name);
+const org_t *routing_table_org(const routing_table_t *table, str_t name);
 const char *request_route_select_pool(
     const request_route_t *route, uint64_t hash);
 bool request_route_repeatable(const request_route_t *route);
--- a/tests/test_platform_formats.c
+++ b/tests/test_platform_formats.c
@@ -123,8 +123,9 @@
 	    "\"services\":[{\"name\":\"s\",\"engine\":{\"slots\":8,"
 	    "\"kv-capacity\":1000}}]}";
 	routing_table_t *table;
+	buf_t fault = {0};
 
-	CU_ASSERT_FATAL(platform_read_routes(STR(text), &table) == 0);
+	CU_ASSERT_FATAL(platform_read_routes(STR(text), &table, &fault) == 0);
 	CU_ASSERT(table->version == 7 && table->route_count == 2);
 	CU_ASSERT(table->routes[0].kind == REQUEST_STREAM);
 	CU_ASSERT(table->routes[0].resumable);
@@ -136,10 +137,12 @@
 	CU_ASSERT(table->routes[1].shares[0].weight == 90);
 	CU_ASSERT(table->pools[0].memory_tokens == 1000);
 	routing_table_unref(table);
-	CU_ASSERT(platform_read_routes(STR("{\"version\":8}"), &table) != 0);
+	CU_ASSERT(
+	    platform_read_routes(STR("{\"version\":8}"), &table, &fault) != 0);
 	CU_ASSERT(platform_read_routes(
 		      STR("{\"version\":8,\"services\":[],\"routes\":[{}]}"),
-		      &table) != 0);
+		      &table, &fault) != 0);
+	buf_free(&fault);
 }
 
 /* Malformed jobs are rejected, not accepted and stored incompletely. */
