Revocation: a host refuses keys when its configuration may be out of date

Change: with revoke_ms set, a host accepts keys only while the start of its last read that reached the end of the configuration's log is younger than that; before that it withdraws its readiness. After a freeze the next read does not wait for a record, and requests wait for it. When the store stops answering a host, reads that wait there move to another host at once.

--- a/src/follower.c
+++ b/src/follower.c
@@ -188,6 +188,21 @@
 	schedule(follower, read_delay);
 }
 
+/*
+ * Returns the long-poll wait of the next read. After a freeze or an outage the
+ * end of the partition is asked for at once, instead of waiting there.
+ */
+static double
+read_wait(const follower_t *follower)
+{
+	const follower_params_t *params = &follower->params;
+	double age = follower->read_started - follower->synced_at;
+
+	if (params->prompt_after > 0 && age > params->prompt_after)
+		return (0);
+	return (params->wait);
+}
+
 static void
 follower_step(follower_t *follower)
 {
@@ -210,8 +225,8 @@
 		return;
 	}
 	query.from = follower->next_offset;
-	query.wait = params->wait;
-	query.timeout += params->wait;
+	query.wait = read_wait(follower);
+	query.timeout += query.wait;
 	query.on_done = on_log_read;
 	follower->call = params->store->class->read(params->store, &query);
 }
@@ -285,3 +300,10 @@
 {
 	return (follower->synced_at);
 }
+
+/* Returns whether reads succeed: false after several have failed in a row. */
+bool
+follower_connected(const follower_t *follower)
+{
+	return (follower->connected && follower->failures == 0);
+}
--- a/src/follower.h
+++ b/src/follower.h
@@ -31,6 +31,8 @@
 	unsigned partition;
 	double wait;	   /* long-poll wait of one read, in seconds */
 	double read_delay; /* delay between two reads, in seconds */
+	/* Reads don't wait once the last sync is older, in seconds; 0: off. */
+	double prompt_after;
 	const follower_events_t *events;
 	void *ctx;
 } follower_params_t;
@@ -41,5 +43,6 @@
 bool follower_loaded(const follower_t *follower);
 uint64_t follower_end(const follower_t *follower);
 double follower_synced_at(const follower_t *follower);
+bool follower_connected(const follower_t *follower);
 
 #endif
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -320,6 +320,7 @@
     {"store", start_store, stop_store, NULL},
     {"endpoints", gateway_start_endpoints, gateway_stop_endpoints, NULL},
     {"config", gateway_start_config, gateway_stop_config, NULL},
+    {"keys", gateway_start_keys, gateway_stop_keys, NULL},
     {"hosts", gateway_start_hosts, gateway_stop_hosts, NULL},
     {"grants", start_grants, stop_grants, NULL},
     {"quarantine", start_quarantine, stop_quarantine, NULL},
--- a/src/gateway_http.c
+++ b/src/gateway_http.c
@@ -14,12 +14,14 @@
 
 /* Long, because callers reuse connections after minutes without a request. */
 #define CALLER_IDLE_TIMEOUT_S 300
+/* Longest wait of a request for this host to become ready. */
+#define MAX_QUEUE_TIME_S 2.0
 /* Maximum number of hosts in a directory response. */
 #define MAX_DIRECTORY_ENTRIES 64
 
 /*
  * Finds the organisation of a request by its key; *org is NULL if none is
- * needed. Returns false if the request was refused.
+ * needed. Returns false if the request was refused or has to wait.
  */
 static bool
 identify_caller(gateway_t *gateway, http_request_t *request, bool is_public,
@@ -28,6 +30,10 @@
 	org_access_t access = org_access_check(gateway->table, is_public,
 	    gateway->params.dialect->read_key(request), org);
 
+	/* An unknown key, too, may be known to a host that is up to date. */
+	if (access != ORG_ACCESS_OPEN &&
+	    gateway_withhold_request(gateway, request))
+		return (false);
 	if (org_access_allowed(access))
 		return (true);
 	counter_add(gateway->unidentified_requests, 1);
@@ -84,7 +90,8 @@
 	if (gateway->table != NULL && (gateway->ready || gateway->draining))
 		gateway_dispatch(gateway, request, clock_monotonic());
 	else
-		gateway_queue_request(gateway, request);
+		gateway_queue_request(
+		    gateway, request, MAX_QUEUE_TIME_S, -RESULT_NOT_READY);
 }
 
 static void
@@ -92,7 +99,9 @@
 {
 	const gateway_t *gateway = ctx;
 
-	if (gateway->ready)
+	if (gateway->ready && gateway_key_state(gateway) != KEYS_CURRENT)
+		http_request_reply_error(request, -RESULT_KEYS_STALE, NULL);
+	else if (gateway->ready)
 		http_request_reply(request, 200, "text/plain", STR("ready\n"));
 	else
 		http_request_reply_error(request,
@@ -100,6 +109,16 @@
 		    NULL);
 }
 
+/* Returns whether a member takes requests, as far as this host knows. */
+static bool
+member_takes_requests(const gateway_t *gateway, const member_t *member)
+{
+	if (member->state != MEMBER_ALIVE || !member->ready || member->leaving)
+		return (false);
+	return (strcmp(member->name, gateway->params.settings->name) != 0 ||
+		gateway_key_state(gateway) == KEYS_CURRENT);
+}
+
 /* Selects alive and ready hosts; all members, also suspects, if none are. */
 static size_t
 select_members(const gateway_t *gateway, member_t **out)
@@ -110,8 +129,7 @@
 
 	*out = xcalloc(count + 1, sizeof(**out));
 	for (size_t i = 0; i < count; i++)
-		if (all[i].state == MEMBER_ALIVE && all[i].ready &&
-		    !all[i].leaving)
+		if (member_takes_requests(gateway, &all[i]))
 			(*out)[selected_count++] = all[i];
 	if (selected_count > 0)
 		return (selected_count);
--- /dev/null
+++ b/src/gateway_keys.c
@@ -0,0 +1,109 @@
+/* Whether a gateway host may accept keys at the moment, and what it does if
+ * not.
+ */
+#include "gateway_state.h"
+
+#include "clock.h"
+#include "logger.h"
+#include "result.h"
+
+#define CHECK_INTERVAL_S 0.1
+/*
+ * After a freeze or a reload the configuration is read again within
+ * milliseconds, so that requests need not be refused.
+ */
+#define MAX_HOLD_S    0.5
+#define RETRY_AFTER_S 0.5
+
+/* Returns whether this host may accept keys now. */
+key_state_t
+gateway_key_state(const gateway_t *gateway)
+{
+	if (gateway->table == NULL || !gateway->table->has_orgs)
+		return (KEYS_CURRENT);
+	return (key_freshness_state(gateway->params.settings->revoke_ms / 1e3,
+	    follower_synced_at(gateway->config_follower), clock_monotonic()));
+}
+
+/* Logs a change of the state; readiness follows the state by itself. */
+static void
+update_key_state(gateway_t *gateway)
+{
+	key_state_t state = gateway_key_state(gateway);
+	double synced_at = follower_synced_at(gateway->config_follower);
+
+	gauge_set(gateway->key_age,
+	    synced_at > 0 ? clock_monotonic() - synced_at : 0);
+	if (state == gateway->key_state)
+		return;
+	LOG_INFO("key_state_changed", "state=%s before=%s age_ms=%.0f",
+	    key_state_name(state), key_state_name(gateway->key_state),
+	    synced_at > 0 ? (clock_monotonic() - synced_at) * 1e3 : -1.0);
+	gateway->key_state = state;
+}
+
+static void
+on_check_timer(struct ev_loop *loop, ev_timer *timer, int events)
+{
+	(void)loop;
+	(void)events;
+	update_key_state(timer->data);
+}
+
+/*
+ * Holds or refuses a request that needs a key if this host can't tell whether
+ * keys are valid. Returns false if the request may be handled.
+ */
+bool
+gateway_withhold_request(gateway_t *gateway, http_request_t *request)
+{
+	if (gateway_key_state(gateway) != KEYS_STALE)
+		return (false);
+	update_key_state(gateway);
+	counter_add(gateway->stale_key_requests, 1);
+	if (follower_connected(gateway->config_follower))
+		gateway_queue_request(
+		    gateway, request, MAX_HOLD_S, -RESULT_KEYS_STALE);
+	else
+		http_request_refuse(
+		    request, -RESULT_KEYS_STALE, RETRY_AFTER_S, NULL);
+	return (true);
+}
+
+/* Dispatches the requests that waited for a read of the configuration. */
+void
+gateway_on_config_synced(gateway_t *gateway)
+{
+	update_key_state(gateway);
+	if (gateway->waiting_count > 0 && gateway->ready &&
+	    gateway->key_state != KEYS_STALE)
+		gateway_dispatch_waiting(gateway);
+}
+
+/* Starts to watch the age of the configuration. */
+int
+gateway_start_keys(void *ctx)
+{
+	gateway_t *gateway = ctx;
+
+	gateway->stale_key_requests =
+	    counter_get("daisypier_requests_stale_keys_total",
+		"Requests that were held or refused because this host could "
+		"not tell whether keys are valid");
+	gateway->key_age = gauge_get("daisypier_key_age_seconds",
+	    "Time since the start of the last read that reached the end of the "
+	    "configuration's log");
+	ev_timer_init(&gateway->key_timer, on_check_timer, CHECK_INTERVAL_S,
+	    CHECK_INTERVAL_S);
+	gateway->key_timer.data = gateway;
+	ev_timer_start(gateway->params.loop, &gateway->key_timer);
+	return (0);
+}
+
+void
+gateway_stop_keys(void *ctx)
+{
+	gateway_t *gateway = ctx;
+
+	ev_timer_stop(gateway->params.loop, &gateway->key_timer);
+}
--- a/src/gateway_settings.c
+++ b/src/gateway_settings.c
@@ -58,6 +58,9 @@
     NUMBER(stop_s, SCHEMA_NUMBER, "s", "8", 1, 86400,
 	"Time limit of a graceful shutdown; requests still open are then "
 	"aborted"),
+    NUMBER(revoke_ms, SCHEMA_UINT, "ms", "0", 0, 3600000,
+	"Time after which a revoked key is refused on every host; a host that "
+	"cannot read the configuration refuses all keys by then; 0: no limit"),
     NUMBER(max_body_bytes, SCHEMA_UINT, NULL, "16777216", 1024, 1e9,
 	"Maximum size of a request body"),
     {.name = "log_level",
--- a/src/gateway_state.h
+++ b/src/gateway_state.h
@@ -10,6 +10,7 @@
 #include "forward.h"
 #include "gateway.h"
 #include "jobs.h"
+#include "key_freshness.h"
 #include "membership_net.h"
 #include "peer.h"
 #include "quarantine_net.h"
@@ -52,6 +53,11 @@
 	ev_timer introduce_timer;
 	bool ready;
 	double ready_since; /* monotonic */
+	/* Age of the configuration, see gateway_keys.c. */
+	key_state_t key_state; /* as of the last check */
+	ev_timer key_timer;
+	counter_t *key_age;
+	counter_t *stale_key_requests;
 	TAILQ_HEAD(, waiting_request_t) waiting_requests;
 	size_t waiting_count;
 	/* Graceful shutdown. */
@@ -88,10 +94,18 @@
 void gateway_remove_host_record(gateway_t *gateway);
 
 /* gateway_waiting.c */
-void gateway_queue_request(gateway_t *gateway, http_request_t *request);
+void gateway_queue_request(
+    gateway_t *gateway, http_request_t *request, double max_wait, int refusal);
 void gateway_dispatch_waiting(gateway_t *gateway);
 void gateway_refuse_waiting(gateway_t *gateway);
 
+/* gateway_keys.c */
+int gateway_start_keys(void *ctx);
+void gateway_stop_keys(void *ctx);
+key_state_t gateway_key_state(const gateway_t *gateway);
+bool gateway_withhold_request(gateway_t *gateway, http_request_t *request);
+void gateway_on_config_synced(gateway_t *gateway);
+
 /* gateway_http.c */
 void gateway_dispatch(
     gateway_t *gateway, http_request_t *request, double arrived);
--- a/src/gateway_store.c
+++ b/src/gateway_store.c
@@ -12,6 +12,8 @@
  * Short, so that a dead connection is detected soon.
  */
 #define CONFIG_READ_WAIT_S 1.0
+/* More than the age that a read reaches while nothing is wrong. */
+#define CONFIG_PROMPT_AFTER_S 1.5
 /*
  * Endpoint records are polled, because endpoints write so often that a
  * long-polling read would return at once.
@@ -94,8 +96,15 @@
 			: 0ULL);
 }
 
+static void
+on_config_synced(void *ctx)
+{
+	gateway_on_config_synced(ctx);
+}
+
 static const follower_events_t config_events = {
     .on_record = on_config_record,
+    .on_synced = on_config_synced,
     .on_connection_change = on_config_contact,
 };
 
@@ -110,6 +119,7 @@
 	    .store = gateway->store,
 	    .topic = gateway->params.dialect->config_topic,
 	    .wait = CONFIG_READ_WAIT_S,
+	    .prompt_after = CONFIG_PROMPT_AFTER_S,
 	    .events = &config_events,
 	    .ctx = gateway,
 	});
--- a/src/gateway_waiting.c
+++ b/src/gateway_waiting.c
@@ -13,7 +13,6 @@
  * The time in the queue is limited to a share of the caller's timeout; the rest
  * is left for a retry at another host.
  */
-#define MAX_QUEUE_TIME_S     2.0
 #define MAX_QUEUE_TIME_SHARE 0.5
 /* Timeout that is assumed for a request without one. */
 #define DEFAULT_CALLER_TIMEOUT_S 2.0
@@ -26,6 +25,7 @@
 	http_request_t *request;
 	request_info_t info;
 	double arrived;
+	int refusal; /* code if the wait is in vain */
 	ev_timer queue_timer;
 	TAILQ_ENTRY(waiting_request_t) entry;
 };
@@ -62,9 +62,11 @@
 static void
 on_queue_timeout(struct ev_loop *loop, ev_timer *timer, int events)
 {
+	waiting_request_t *waiting = timer->data;
+
 	(void)loop;
 	(void)events;
-	waiting_request_refuse(timer->data, -RESULT_NOT_READY);
+	waiting_request_refuse(waiting, waiting->refusal);
 }
 
 static void
@@ -73,9 +75,13 @@
 	waiting_request_free(ctx);
 }
 
-/* Queues a request until the host is ready, or refuses it. */
+/*
+ * Queues a request until the host can handle it, for at most max_wait seconds.
+ * Refuses it with the given code if that takes too long or too many wait.
+ */
 void
-gateway_queue_request(gateway_t *gateway, http_request_t *request)
+gateway_queue_request(
+    gateway_t *gateway, http_request_t *request, double max_wait, int refusal)
 {
 	waiting_request_t *waiting;
 	request_info_t info = {0};
@@ -85,8 +91,7 @@
 	if (gateway->draining ||
 	    gateway->waiting_count >= MAX_WAITING_REQUESTS) {
 		refuse_request(request, &info,
-		    gateway->draining ? -RESULT_STOPPING : -RESULT_NOT_READY,
-		    0);
+		    gateway->draining ? -RESULT_STOPPING : refusal, 0);
 		return;
 	}
 	timeout = info.caller_timeout > 0 ? info.caller_timeout
@@ -95,12 +100,13 @@
 	waiting->gateway = gateway;
 	waiting->request = request;
 	waiting->info = info;
+	waiting->refusal = refusal;
 	waiting->arrived = clock_monotonic();
 	TAILQ_INSERT_TAIL(&gateway->waiting_requests, waiting, entry);
 	gateway->waiting_count++;
 	http_request_on_close(request, on_connection_closed, waiting);
 	ev_timer_init(&waiting->queue_timer, on_queue_timeout,
-	    fmin(MAX_QUEUE_TIME_S, timeout * MAX_QUEUE_TIME_SHARE), 0);
+	    fmin(max_wait, timeout * MAX_QUEUE_TIME_SHARE), 0);
 	waiting->queue_timer.data = waiting;
 	ev_timer_start(gateway->params.loop, &waiting->queue_timer);
 }
--- a/src/result.h
+++ b/src/result.h
@@ -58,6 +58,8 @@
 	X(PEER_UNREACHABLE, 36, 502, UNKNOWN, "the other host is unreachable") \
 	X(QUARANTINED, 37, 503, NOT_RUN,                                       \
 	    "endpoints crash on a part of the prompt; it is held back")        \
+	X(KEYS_STALE, 38, 503, NOT_RUN,                                        \
+	    "this host cannot tell at the moment whether keys are valid")      \
 	X(CANCELLED, 40, 409, FAILED, "it was cancelled")                      \
 	X(INVALID_CONFIG, 50, 422, FAILED, "the configuration has faults")     \
 	X(SUPERSEDED, 51, 409, FAILED, "the configuration changed meanwhile")  \
--- a/src/store_relay.c
+++ b/src/store_relay.c
@@ -62,6 +62,7 @@
 } store_relay_t;
 
 static void query_direct(relay_call_t *call);
+static bool call_query_peer(relay_call_t *call);
 
 static void
 call_free(relay_call_t *call)
@@ -92,6 +93,27 @@
 	}
 }
 
+/*
+ * Restarts reads that wait at the store for a record, through other hosts: the
+ * store gave this host no answers, so these may get none either.
+ */
+static void
+move_reads_to_peers(store_relay_t *relay)
+{
+	store_t *direct = relay->params.direct;
+	relay_call_t *call;
+
+	LIST_FOREACH (call, &relay->calls, entry) {
+		store_call_t *waiting = call->direct;
+
+		if (waiting == NULL || call->kind != STORE_RELAY_READ ||
+		    call->query.wait <= 0 || !call_query_peer(call))
+			continue;
+		call->direct = NULL;
+		direct->class->cancel(direct, waiting);
+	}
+}
+
 static void
 handle_direct_result(store_relay_t *relay, int rc)
 {
@@ -101,6 +123,7 @@
 	if (relay->path.disconnected) {
 		LOG_WARN("store_contact_lost", "cause=%s failures=%u",
 		    result_name(rc), relay->path.direct_failures);
+		move_reads_to_peers(relay);
 		return;
 	}
 	LOG_INFO("store_contact_regained", "peer=%s", relay->peer);
@@ -273,25 +296,31 @@
 	return ((store_call_t *)call);
 }
 
+/* Sends a read to another host; returns false if there is none. */
+static bool
+call_query_peer(relay_call_t *call)
+{
+	store_query_t relayed = call->query;
+	buf_t body = {0};
+	bool sent;
+
+	relayed.wait = fmin(relayed.wait, PEER_READ_WAIT_S);
+	relayed.timeout =
+	    fmin(relayed.timeout, relayed.wait + PEER_READ_RESPONSE_S);
+	store_relay_pack_query(&body, call->kind, &relayed);
+	sent = call_send_to_peer(call, &body, relayed.timeout);
+	buf_free(&body);
+	return (sent);
+}
+
 static store_call_t *
 relay_query(store_t *base, store_relay_kind_t kind, const store_query_t *params)
 {
 	store_relay_t *relay = (store_relay_t *)base;
 	relay_call_t *call = call_new(relay, kind, params->ctx);
-	store_query_t relayed = *params;
-	buf_t body = {0};
-	bool sent = false;
 
 	call->query = *params;
-	if (should_relay(relay)) {
-		relayed.wait = fmin(params->wait, PEER_READ_WAIT_S);
-		relayed.timeout =
-		    fmin(params->timeout, relayed.wait + PEER_READ_RESPONSE_S);
-		store_relay_pack_query(&body, kind, &relayed);
-		sent = call_send_to_peer(call, &body, relayed.timeout);
-		buf_free(&body);
-	}
-	if (!sent)
+	if (!should_relay(relay) || !call_query_peer(call))
 		query_direct(call);
 	return ((store_call_t *)call);
 }
