--- a/src/admission.h
+++ b/src/admission.h
@@ -24,6 +24,8 @@
 	double revoke_timeout;	 /* seconds a holder has to release a slot */
 	/* Seconds after which a holder without messages is silent; 0: never. */
 	double silent_after;
+	/* Priorities, early refusals and measured speed decide; see design. */
+	bool fair_scheduling;
 } admission_settings_t;
 
 /* A request for a grant; strings are copied. */
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -194,6 +194,7 @@
 	    .zone = settings->zone,
 	    .site = settings->site,
 	    .mode = GRANTS_POOL,
+	    .fair_scheduling = settings->fair_scheduling,
 	    .config = get_fleet_config,
 	    .members = get_members,
 	    .endpoint_leaving = gateway_endpoint_leaving,
--- a/src/gateway_settings.c
+++ b/src/gateway_settings.c
@@ -61,6 +61,17 @@
     NUMBER(revoke_ms, SCHEMA_UINT, "ms", "0", 0, 3600000,
 	"Time after which a revoked key is refused on every host; a host that "
 	"cannot read the configuration refuses all keys by then; 0: no limit"),
+    {.name = "fair_scheduling",
+	.type = SCHEMA_BOOL,
+	.initial = "no",
+	.choices = "no|yes",
+	.offset = offsetof(gateway_settings_t, fair_scheduling),
+	.description = "Serve by priority and fair shares when slots are "
+		       "scarce, refuse early, and place by the endpoints' "
+		       "measured speed"},
+    NUMBER(memory_mb, SCHEMA_UINT, "MB", "0", 0, 1048576,
+	"Memory of this process; bodies and responses that it holds are "
+	"bounded by it; 0: unlimited"),
     NUMBER(max_body_bytes, SCHEMA_UINT, NULL, "16777216", 1024, 1e9,
 	"Maximum size of a request body"),
     {.name = "log_level",
--- a/src/gateway_settings.h
+++ b/src/gateway_settings.h
@@ -24,7 +24,9 @@
 	double keep_s;		/* TTL of the host list at callers */
 	double results_keep_s;	/* since submission of a job; 0: unlimited */
 	double stop_s;		/* time limit of a graceful shutdown */
-	unsigned revoke_ms; /* until a revoked key is refused; 0: no limit */
+	unsigned revoke_ms;   /* until a revoked key is refused; 0: no limit */
+	bool fair_scheduling; /* see admission_settings_t */
+	unsigned memory_mb;   /* memory of this process; 0: unlimited */
 	unsigned max_body_bytes;
 	char *log_level_name;
 	log_level_t log_level;
--- a/src/grants_admit.c
+++ b/src/grants_admit.c
@@ -83,6 +83,7 @@
 		settings.online_reserve = p->online_reserve;
 		settings.queue_limit = p->queue_limit;
 		settings.revoke_timeout = config->fleet.revoke_timeout_ms / 1e3;
+		settings.fair_scheduling = grants->params.fair_scheduling;
 		/* Hosts send nothing to one that has lost the role. */
 		if (pool->is_admitting)
 			settings.silent_after = SILENT_AFTER_S;
