gateway_waiting: requests that must wait on do not keep the loop busy

Change: one pass takes the requests that were there at its start; a request keeps its time of arrival, so that its wait is bounded as a whole.

--- a/src/gateway_waiting.c
+++ b/src/gateway_waiting.c
@@ -111,16 +111,20 @@
 	ev_timer_start(gateway->params.loop, &waiting->queue_timer);
 }
 
-/* Dispatches the queued requests in the order of their arrival. */
+/*
+ * Dispatches the queued requests in the order of their arrival. Those that have
+ * to wait on join the queue again and are left there.
+ */
 void
 gateway_dispatch_waiting(gateway_t *gateway)
 {
-	waiting_request_t *waiting;
+	size_t count = gateway->waiting_count;
 
-	if (gateway->waiting_count > 0)
-		LOG_INFO("waiting_requests_taken", "count=%zu",
-		    gateway->waiting_count);
-	while ((waiting = TAILQ_FIRST(&gateway->waiting_requests)) != NULL) {
+	if (count > 0)
+		LOG_INFO("waiting_requests_taken", "count=%zu", count);
+	for (; count > 0; count--) {
+		waiting_request_t *waiting =
+		    TAILQ_FIRST(&gateway->waiting_requests);
 		http_request_t *request = waiting->request;
 		double arrived = waiting->arrived;
 
