--- a/src/gateway_http.c
+++ b/src/gateway_http.c
@@ -25,14 +25,14 @@
  */
 static bool
 identify_caller(gateway_t *gateway, http_request_t *request, bool is_public,
-    const org_t **org)
+    double arrived, const org_t **org)
 {
 	org_access_t access = org_access_check(gateway->table, is_public,
 	    gateway->params.dialect->read_key(request), org);
 
 	/* An unknown key, too, may be known to a host that is up to date. */
 	if (access != ORG_ACCESS_OPEN &&
-	    gateway_withhold_request(gateway, request))
+	    gateway_withhold_request(gateway, request, arrived))
 		return (false);
 	if (org_access_allowed(access))
 		return (true);
@@ -58,7 +58,7 @@
 
 	gateway->params.dialect->read_job_call(request, &call);
 	if (call.kind != JOB_CALL_NONE) {
-		if (identify_caller(gateway, request, false, &org))
+		if (identify_caller(gateway, request, false, arrived, &org))
 			jobs_call(gateway->jobs, request, &call, org);
 		return;
 	}
@@ -73,7 +73,7 @@
 		http_request_reply_error(request, -RESULT_NO_ROUTE, NULL);
 		return;
 	}
-	if (!identify_caller(gateway, request, route->is_public, &org))
+	if (!identify_caller(gateway, request, route->is_public, arrived, &org))
 		return;
 	if (route->kind == REQUEST_BATCH)
 		jobs_submit(gateway->jobs, request, org);
@@ -90,8 +90,8 @@
 	if (gateway->table != NULL && (gateway->ready || gateway->draining))
 		gateway_dispatch(gateway, request, clock_monotonic());
 	else
-		gateway_queue_request(
-		    gateway, request, MAX_QUEUE_TIME_S, -RESULT_NOT_READY);
+		gateway_queue_request(gateway, request, clock_monotonic(),
+		    MAX_QUEUE_TIME_S, -RESULT_NOT_READY);
 }
 
 static void
--- a/src/gateway_keys.c
+++ b/src/gateway_keys.c
@@ -55,7 +55,8 @@
  * keys are valid. Returns false if the request may be handled.
  */
 bool
-gateway_withhold_request(gateway_t *gateway, http_request_t *request)
+gateway_withhold_request(
+    gateway_t *gateway, http_request_t *request, double arrived)
 {
 	if (gateway_key_state(gateway) != KEYS_STALE)
 		return (false);
@@ -63,7 +64,7 @@
 	counter_add(gateway->stale_key_requests, 1);
 	if (follower_connected(gateway->config_follower))
 		gateway_queue_request(
-		    gateway, request, MAX_HOLD_S, -RESULT_KEYS_STALE);
+		    gateway, request, arrived, MAX_HOLD_S, -RESULT_KEYS_STALE);
 	else
 		http_request_refuse(
 		    request, -RESULT_KEYS_STALE, RETRY_AFTER_S, NULL);
--- a/src/gateway_state.h
+++ b/src/gateway_state.h
@@ -94,8 +94,8 @@
 void gateway_remove_host_record(gateway_t *gateway);
 
 /* gateway_waiting.c */
-void gateway_queue_request(
-    gateway_t *gateway, http_request_t *request, double max_wait, int refusal);
+void gateway_queue_request(gateway_t *gateway, http_request_t *request,
+    double arrived, double max_wait, int refusal);
 void gateway_dispatch_waiting(gateway_t *gateway);
 void gateway_refuse_waiting(gateway_t *gateway);
 
@@ -103,7 +103,8 @@
 int gateway_start_keys(void *ctx);
 void gateway_stop_keys(void *ctx);
 key_state_t gateway_key_state(const gateway_t *gateway);
-bool gateway_withhold_request(gateway_t *gateway, http_request_t *request);
+bool gateway_withhold_request(
+    gateway_t *gateway, http_request_t *request, double arrived);
 void gateway_on_config_synced(gateway_t *gateway);
 
 /* gateway_http.c */
--- a/src/gateway_waiting.c
+++ b/src/gateway_waiting.c
@@ -76,22 +76,24 @@
 }
 
 /*
- * Queues a request until the host can handle it, for at most max_wait seconds.
- * Refuses it with the given code if that takes too long or too many wait.
+ * Queues a request until the host can handle it, for at most max_wait seconds
+ * since its arrival, a monotonic time. Refuses it with the given code if that
+ * takes too long or too many wait.
  */
 void
-gateway_queue_request(
-    gateway_t *gateway, http_request_t *request, double max_wait, int refusal)
+gateway_queue_request(gateway_t *gateway, http_request_t *request,
+    double arrived, double max_wait, int refusal)
 {
 	waiting_request_t *waiting;
 	request_info_t info = {0};
+	double waited = clock_monotonic() - arrived;
 	double timeout;
 
 	gateway->params.dialect->read_request(request, &info);
 	if (gateway->draining ||
 	    gateway->waiting_count >= MAX_WAITING_REQUESTS) {
 		refuse_request(request, &info,
-		    gateway->draining ? -RESULT_STOPPING : refusal, 0);
+		    gateway->draining ? -RESULT_STOPPING : refusal, waited);
 		return;
 	}
 	timeout = info.caller_timeout > 0 ? info.caller_timeout
@@ -101,12 +103,13 @@
 	waiting->request = request;
 	waiting->info = info;
 	waiting->refusal = refusal;
-	waiting->arrived = clock_monotonic();
+	waiting->arrived = arrived;
 	TAILQ_INSERT_TAIL(&gateway->waiting_requests, waiting, entry);
 	gateway->waiting_count++;
 	http_request_on_close(request, on_connection_closed, waiting);
 	ev_timer_init(&waiting->queue_timer, on_queue_timeout,
-	    fmin(max_wait, timeout * MAX_QUEUE_TIME_SHARE), 0);
+	    fmax(0, fmin(max_wait, timeout * MAX_QUEUE_TIME_SHARE) - waited),
+	    0);
 	waiting->queue_timer.data = waiting;
 	ev_timer_start(gateway->params.loop, &waiting->queue_timer);
 }
