Rate limits of organisations hold over all hosts

Cause: the limits of organisations were read and not applied; requests beyond them took the slots of others. Change: the admitting host keeps a token bucket for each organisation, for all pools of the site, and refuses requests beyond it with LIMITED (429) and successive retry times. Requests that are refused, expire or are withdrawn return their token. If an organisation has a limit, one host admits for all pools (placement key "pools"). Organisations share pools by their rates. Measured: test_org_quota checks every sliding window against rate * length + burst; test_admission, test_endpoint_set and test_grants pass with sanitizers.

--- a/src/admission.c
+++ b/src/admission.c
@@ -108,6 +108,9 @@
 
 	switch (grant->state) {
 	case SLOT_WAITING:
+		if (grant->has_token)
+			a->limits.give_back(
+			    a->limits.ctx, grant->org->name, grant->since);
 		wait_queue_remove(&grant->org->queue[class], &grant->wait);
 		a->waiting[class]--;
 		return;
@@ -211,6 +214,14 @@
 	free(a);
 }
 
+/* Sets how requests that count against their organisation's limit are checked.
+ */
+void
+admission_set_limits(admission_t *a, const admission_limits_t *limits)
+{
+	a->limits = *limits;
+}
+
 /*
  * Restricts the pool until the given time, because grants may exist that this
  * host does not know: it grants no batch requests, and online requests only
@@ -341,6 +352,21 @@
 	enforce_queue_limit(a, now);
 }
 
+/*
+ * Takes a token for a request that counts against its organisation's limit;
+ * slot_grant_delete() returns it if the request is not granted. Returns false
+ * if there is none, and sets the seconds after which to retry.
+ */
+static bool
+take_token(admission_t *a, slot_grant_t *grant, double now, double *wait)
+{
+	if (!grant->limited || a->limits.take == NULL)
+		return (true);
+	grant->has_token =
+	    a->limits.take(a->limits.ctx, grant->org->name, now, wait);
+	return (grant->has_token);
+}
+
 /*
  * Requests a slot. The answer is an action, queued now or later. Repeating the
  * request repeats the answer if it is granted and has no effect if it waits. A
@@ -373,6 +399,7 @@
 	    request->class);
 	grant->prefix_hash = request->prefix_hash;
 	grant->deadline = request->deadline;
+	grant->limited = request->limited;
 	grant->wait.start_by =
 	    request->start_by > 0 ? request->start_by : INFINITY;
 	grant->since = now;
@@ -388,6 +415,8 @@
 	}
 	if (grant->avoid[0] != '\0' && admission_has_usable_endpoint(a))
 		admission_schedule(a, now); /* admitted before */
+	else if (!take_token(a, grant, now, &wait))
+		grant_refuse(a, grant, -RESULT_LIMITED, wait);
 	else if (admission_has_usable_endpoint(a) &&
 		 now + wait > request->deadline)
 		grant_refuse(a, grant, -RESULT_OVERLOADED, wait);
--- a/src/admission.h
+++ b/src/admission.h
@@ -91,10 +91,28 @@
 typedef unsigned (*admission_allowance_cb_t)(
     void *ctx, const char *holder, const char *endpoint, unsigned slots);
 
+/*
+ * Takes a token for a request that counts against its organisation's limit.
+ * Without one, returns false and sets the seconds after which to retry.
+ */
+typedef bool (*admission_take_cb_t)(
+    void *ctx, const char *org, double now, double *retry_after);
+/* Returns a token of a request that was refused or withdrawn. */
+typedef void (*admission_give_back_cb_t)(
+    void *ctx, const char *org, double taken_at);
+
+/* The limits of organisations, which are kept outside of the pool. */
+typedef struct admission_limits_t {
+	admission_take_cb_t take; /* NULL: there are no limits */
+	admission_give_back_cb_t give_back;
+	void *ctx;
+} admission_limits_t;
+
 admission_t *admission_new(uint64_t seed);
 void admission_delete(admission_t *a);
 void admission_configure(admission_t *a, const admission_settings_t *settings,
     const admission_endpoint_t *endpoints, size_t count, double now);
+void admission_set_limits(admission_t *a, const admission_limits_t *limits);
 void admission_restrict(admission_t *a, double since, double until,
     admission_allowance_cb_t allowance, void *ctx);
 bool admission_is_restricted(const admission_t *a, double now);
--- a/src/admission_state.h
+++ b/src/admission_state.h
@@ -77,6 +77,8 @@
 	double since;			 /* time of the request or the grant */
 	double revoked_at;		 /* time of the revocation */
 	bool listed;			 /* in the current report */
+	bool limited;			 /* counts against the limit */
+	bool has_token;			 /* of its organisation's limit */
 	wait_entry_t wait;		 /* in slot_org_t.queue */
 	TAILQ_ENTRY(slot_grant_t) order; /* batch_held, revoked */
 	LIST_ENTRY(slot_grant_t) bucket_entry;
@@ -91,6 +93,7 @@
 struct admission_t {
 	rng_t rng;
 	admission_settings_t settings;
+	admission_limits_t limits;
 	slot_endpoint_t **endpoints; /* in order of name */
 	size_t endpoint_count;
 	route_endpoint_t *routes; /* parallel to endpoints */
--- a/src/endpoint_set.c
+++ b/src/endpoint_set.c
@@ -35,6 +35,9 @@
 /* Maximum number of online requests that wait for a slot, per pool. */
 #define QUEUE_LIMIT 4096
 
+/* Keeps the sum of the weights of all organisations within an unsigned. */
+#define MAX_ORG_WEIGHT 1e6
+
 #define ENDPOINT_BUCKETS 1024
 
 typedef struct known_endpoint_t {
@@ -423,24 +426,55 @@
 	    compare_names);
 }
 
+/* Organisations share a pool in proportion to their rates. */
+static unsigned
+org_weight(const org_t *org)
+{
+	double weight = fmin(round(org->requests_per_s), MAX_ORG_WEIGHT);
+
+	return (weight > 1 ? (unsigned)weight : 1);
+}
+
+/*
+ * Adds the organisations, and one for each route, under whose name requests
+ * without an organisation ask for slots.
+ */
 static void
 config_add_orgs(fleet_config_t *config, const routing_table_t *table)
 {
-	config->orgs = xcalloc(table->route_count + 1, sizeof(*config->orgs));
-	for (size_t i = 0; i < table->route_count; i++)
+	config->orgs = xcalloc(
+	    table->org_count + table->route_count + 1, sizeof(*config->orgs));
+	for (size_t i = 0; i < table->org_count; i++) {
+		const org_t *org = &table->orgs[i];
+
+		config->orgs[config->org_count++] = (config_org_t){
+		    .name = xstrdup(org->name),
+		    .token_hash = xstrdup(""),
+		    .weight = org_weight(org),
+		    .requests_per_s = org->requests_per_s,
+		    .burst = org->burst,
+		};
+		config->limits_orgs |= org->requests_per_s > 0;
+	}
+	for (size_t i = 0; i < table->route_count; i++) {
+		/* A name of both must not hide the organisation's limit. */
+		if (routing_table_org(table, str_of(table->routes[i].name)) !=
+		    NULL)
+			continue;
 		config->orgs[config->org_count++] = (config_org_t){
 		    .name = xstrdup(table->routes[i].name),
 		    .token_hash = xstrdup(""),
 		    .weight = 1,
 		};
+	}
 	qsort(config->orgs, config->org_count, sizeof(*config->orgs),
 	    compare_names);
 }
 
 /*
  * Builds the configuration for admission: the pools of the table with the
- * endpoints that are not draining, and one organisation per route, so that the
- * routes share a pool fairly.
+ * endpoints that are not draining, the organisations, and one organisation per
+ * route, so that the routes share a pool fairly.
  */
 fleet_config_t *
 endpoint_set_to_config(const endpoint_set_t *set, const routing_table_t *table)
--- a/src/grants.c
+++ b/src/grants.c
@@ -438,6 +438,7 @@
 	LIST_FOREACH (pool, &grants->pools, entry)
 		pool_tick(pool, now);
 	grants_admit_tick(grants, now);
+	grants_quota_tick(grants, now);
 	grants->fleet_changed = false;
 }
 
@@ -474,6 +475,7 @@
 	LIST_INIT(&grants->pools);
 	TAILQ_INIT(&grants->deferred);
 	counters_init(grants);
+	grants_quota_start(grants, clock_monotonic());
 	grants_refresh_members(grants);
 	ev_timer_init(
 	    &grants->tick_timer, on_tick, TICK_INTERVAL_S, TICK_INTERVAL_S);
@@ -515,6 +517,7 @@
 		LIST_REMOVE(pool, entry);
 		free(pool);
 	}
+	grants_quota_stop(grants);
 	free(grants->members);
 	allowance_delete(grants->allowance);
 	free(grants);
--- a/src/grants_admit.c
+++ b/src/grants_admit.c
@@ -154,6 +154,7 @@
 	if (pool->admission != NULL)
 		return;
 	pool->admission = admission_new(rng_next(&pool->grants->rng));
+	grants_quota_attach(pool);
 	admission_restrict(pool->admission, now, now + TAKEOVER_TIMEOUT_S,
 	    grants_allowance, pool->grants);
 	pool_configure(pool, now);
@@ -172,7 +173,8 @@
 	ask->weight = 1;
 	if (limits != NULL) {
 		ask->weight = limits->weight;
-		ask->requests_per_s = limits->requests_per_s;
+		if (!config->limits_orgs)
+			ask->requests_per_s = limits->requests_per_s;
 		ask->concurrency = limits->concurrency;
 	}
 	admission_request(pool->admission, ask, now);
--- a/src/grants_leaving.c
+++ b/src/grants_leaving.c
@@ -13,8 +13,10 @@
 {
 	const grants_t *grants = pool->grants;
 	const member_t *hosts[REPORTED_HOSTS];
-	size_t count = placement_rank_owners(grants->members,
-	    grants->member_count, str_of(pool->name), hosts, REPORTED_HOSTS);
+	size_t count =
+	    placement_rank_owners(grants->members, grants->member_count,
+		grants_placement_key(grants, str_of(pool->name)), hosts,
+		REPORTED_HOSTS);
 
 	for (size_t i = 0; i < count; i++)
 		if (strcmp(hosts[i]->name, grants->host) != 0)
--- a/src/grants_pool.c
+++ b/src/grants_pool.c
@@ -26,8 +26,9 @@
 pool_update_admitting_host(grants_pool_t *pool)
 {
 	grants_t *grants = pool->grants;
-	const member_t *member = placement_owner(
-	    grants->members, grants->member_count, str_of(pool->name));
+	const member_t *member =
+	    placement_owner(grants->members, grants->member_count,
+		grants_placement_key(grants, str_of(pool->name)));
 	const char *name = member != NULL ? member->name : "";
 
 	str_copy(pool->admitting_address, sizeof(pool->admitting_address),
--- /dev/null
+++ b/src/grants_quota.c
@@ -0,0 +1,174 @@
+/* Limits of organisations: buckets, configuration, log lines and counters. */
+#include "grants_state.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "logger.h"
+
+/* Placement key of the host that admits for all pools of a site. */
+#define SITE_KEY "pools"
+/* Least time between two log lines on the same organisation. */
+#define LIMITED_LOG_INTERVAL_S 1.0
+#define EVICT_INTERVAL_S       10.0
+
+/* An organisation that exceeds its limit. */
+typedef struct limited_org_t {
+	char name[NAME_SIZE];
+	unsigned refused; /* since the last log line */
+	double logged_at;
+	LIST_ENTRY(limited_org_t) entry;
+} limited_org_t;
+
+static const fleet_config_t *
+quota_config(const grants_t *grants)
+{
+	const fleet_config_t *config =
+	    grants->params.config(grants->params.ctx);
+
+	return (config != NULL && config->limits_orgs ? config : NULL);
+}
+
+/*
+ * Returns the placement key of a pool's admitting host. If organisations have
+ * limits, one host admits for all pools, because it keeps their buckets.
+ */
+str_t
+grants_placement_key(const grants_t *grants, str_t pool)
+{
+	return (quota_config(grants) != NULL ? STR(SITE_KEY) : pool);
+}
+
+/* Returns whether an organisation has a limit, and which. */
+static bool
+org_limit(const grants_t *grants, const char *org, org_limit_t *out)
+{
+	const fleet_config_t *config = quota_config(grants);
+	const config_org_t *entry =
+	    config != NULL ? config_org(config, str_of(org)) : NULL;
+
+	if (entry == NULL || entry->requests_per_s <= 0)
+		return (false);
+	out->requests_per_s = entry->requests_per_s;
+	out->burst = entry->burst;
+	return (true);
+}
+
+/* Logs a refusal, at most once in LIMITED_LOG_INTERVAL_S per organisation. */
+static void
+log_limited(grants_t *grants, const char *org, const org_limit_t *limit,
+    double retry_after, double now)
+{
+	limited_org_t *entry;
+
+	LIST_FOREACH (entry, &grants->quota.limited_orgs, entry)
+		if (strcmp(entry->name, org) == 0)
+			break;
+	if (entry == NULL) {
+		entry = xcalloc(1, sizeof(*entry));
+		str_copy(entry->name, sizeof(entry->name), str_of(org));
+		entry->logged_at = -LIMITED_LOG_INTERVAL_S;
+		LIST_INSERT_HEAD(&grants->quota.limited_orgs, entry, entry);
+	}
+	entry->refused++;
+	if (now - entry->logged_at < LIMITED_LOG_INTERVAL_S)
+		return;
+	LOG_INFO("org_limited",
+	    "org=%s refused=%u rate=%.1f burst=%.0f retry_after_s=%.2f", org,
+	    entry->refused, limit->requests_per_s, limit->burst, retry_after);
+	entry->refused = 0;
+	entry->logged_at = now;
+}
+
+/* An admission_take_cb_t. */
+static bool
+take_token(void *ctx, const char *org, double now, double *retry_after)
+{
+	grants_t *grants = ctx;
+	org_limit_t limit;
+
+	if (!org_limit(grants, org, &limit))
+		return (true);
+	if (org_quota_take(
+		grants->quota.buckets, str_of(org), &limit, now, retry_after)) {
+		counter_add(grants->quota.taken, 1);
+		return (true);
+	}
+	counter_add(grants->quota.limited, 1);
+	log_limited(grants, org, &limit, *retry_after, now);
+	return (false);
+}
+
+/* An admission_give_back_cb_t. */
+static void
+give_back_token(void *ctx, const char *org, double taken_at)
+{
+	grants_t *grants = ctx;
+
+	counter_add(grants->quota.returned, 1);
+	org_quota_give_back(grants->quota.buckets, str_of(org), taken_at);
+}
+
+/* Makes the pool's admission check the limits of organisations. */
+void
+grants_quota_attach(grants_pool_t *pool)
+{
+	admission_set_limits(pool->admission, &(admission_limits_t){
+						  .take = take_token,
+						  .give_back = give_back_token,
+						  .ctx = pool->grants,
+					      });
+}
+
+static void
+free_limited_org(limited_org_t *entry)
+{
+	LIST_REMOVE(entry, entry);
+	free(entry);
+}
+
+/* Frees what is kept on organisations that are not active. */
+void
+grants_quota_tick(grants_t *grants, double now)
+{
+	limited_org_t *entry = LIST_FIRST(&grants->quota.limited_orgs);
+
+	if (now - grants->quota.evicted_at < EVICT_INTERVAL_S)
+		return;
+	grants->quota.evicted_at = now;
+	while (entry != NULL) {
+		limited_org_t *next = LIST_NEXT(entry, entry);
+
+		if (now - entry->logged_at >= EVICT_INTERVAL_S)
+			free_limited_org(entry);
+		entry = next;
+	}
+	org_quota_evict_idle(grants->quota.buckets, now);
+	gauge_set(
+	    grants->quota.orgs, (double)org_quota_count(grants->quota.buckets));
+}
+
+void
+grants_quota_start(grants_t *grants, double now)
+{
+	grants->quota.buckets = org_quota_new(now);
+	LIST_INIT(&grants->quota.limited_orgs);
+	grants->quota.taken = counter_get("daisypier_org_tokens_taken_total",
+	    "Requests that this host admitted within their organisation's "
+	    "limit");
+	grants->quota.returned =
+	    counter_get("daisypier_org_tokens_returned_total",
+		"Tokens of requests that were refused or withdrawn");
+	grants->quota.limited = counter_get("daisypier_org_limited_total",
+	    "Requests that this host refused for their organisation's limit");
+	grants->quota.orgs = gauge_get("daisypier_org_buckets",
+	    "Organisations whose tokens this host keeps");
+}
+
+void
+grants_quota_stop(grants_t *grants)
+{
+	while (!LIST_EMPTY(&grants->quota.limited_orgs))
+		free_limited_org(LIST_FIRST(&grants->quota.limited_orgs));
+	org_quota_delete(grants->quota.buckets);
+}
--- a/src/grants_state.h
+++ b/src/grants_state.h
@@ -8,6 +8,7 @@
 #include "allowance.h"
 #include "clock.h"
 #include "counter.h"
+#include "org_quota.h"
 
 #define GRANTS_BUCKETS	    1024
 #define GRANTS_HOST_BUCKETS 256
@@ -49,6 +50,17 @@
 	LIST_ENTRY(grants_host_t) entry;
 } grants_host_t;
 
+/* The limits of organisations, which hold for all pools of the site. */
+typedef struct grants_quota_t {
+	org_quota_t *buckets; /* as the host that admits */
+	counter_t *taken;
+	counter_t *returned;
+	counter_t *limited;
+	counter_t *orgs;
+	double evicted_at;
+	LIST_HEAD(, limited_org_t) limited_orgs; /* refused recently */
+} grants_quota_t;
+
 struct grant_t {
 	grants_t *grants;
 	grants_pool_t *pool;
@@ -96,6 +108,7 @@
 	counter_t *refused;
 	counter_t *revoked;
 	counter_t *unreachable;
+	grants_quota_t quota;
 };
 
 /* grants_pool.c */
@@ -127,6 +140,13 @@
 void pool_report(grants_pool_t *pool, double now);
 void pool_admitting_host_changed(grants_pool_t *pool, double now);
 
+/* grants_quota.c: limits of organisations */
+void grants_quota_start(grants_t *grants, double now);
+void grants_quota_stop(grants_t *grants);
+void grants_quota_attach(grants_pool_t *pool);
+void grants_quota_tick(grants_t *grants, double now);
+str_t grants_placement_key(const grants_t *grants, str_t pool);
+
 /* grants_leaving.c */
 void grants_leaving_start(grants_t *grants);
 void grants_leaving_stop(grants_t *grants);
--- /dev/null
+++ b/src/org_quota.c
@@ -0,0 +1,256 @@
+/*
+ * Token buckets that limit the requests of organisations over all hosts. The
+ * host that admits requests keeps one bucket for each organisation. This module
+ * does no I/O and reads no clock.
+ *
+ * Load pattern: 84 organisations with limits from 5 to 342 requests per second
+ * send 1/1.6 of their limits; one at a time sends 7.5 times as much, while
+ * hosts start, freeze, die or are cut off.
+ */
+#include "org_quota.h"
+
+#include <math.h>
+#include <stdlib.h>
+#include <sys/queue.h>
+
+#include "name.h"
+
+#define BUCKETS 1024
+/*
+ * Latest time that a refused caller is told. Callers give up within 5 s, so
+ * later times would only pile up while an organisation exceeds its limit.
+ */
+#define MAX_RETRY_AFTER_S 5.0
+/* Rounding errors must not cost a caller the token that it was promised. */
+#define TOKEN_EPSILON 1e-6
+/* A full bucket that was not used for this long is like a new one. */
+#define IDLE_S 60.0
+
+typedef struct org_bucket_t {
+	char name[NAME_SIZE];
+	double rate;	    /* tokens per second */
+	double burst;	    /* capacity in tokens */
+	double tokens;	    /* at refilled_at */
+	double refilled_at; /* seconds */
+	double promised_at; /* latest time that a refused caller was told */
+	int64_t newest;	    /* number of the newest slot */
+	/* Highest level in each slot, by slot number modulo the slots. */
+	double peak[ORG_QUOTA_SLOTS];
+	LIST_ENTRY(org_bucket_t) entry;
+} org_bucket_t;
+
+struct org_quota_t {
+	double started_at;
+	size_t count;
+	LIST_HEAD(, org_bucket_t) buckets[BUCKETS];
+};
+
+static int64_t
+slot_at(double time)
+{
+	return ((int64_t)floor(time / ORG_QUOTA_SLOT_S));
+}
+
+static size_t
+slot_index(int64_t slot)
+{
+	return ((size_t)(((slot % ORG_QUOTA_SLOTS) + ORG_QUOTA_SLOTS) %
+			 ORG_QUOTA_SLOTS));
+}
+
+/*
+ * Starts without buckets. started_at is the start of this host's process: a
+ * bucket is empty then and refills, because what was used before is unknown.
+ */
+org_quota_t *
+org_quota_new(double started_at)
+{
+	org_quota_t *quota = xcalloc(1, sizeof(*quota));
+
+	quota->started_at = started_at;
+	return (quota);
+}
+
+void
+org_quota_delete(org_quota_t *quota)
+{
+	for (size_t i = 0; i < BUCKETS; i++) {
+		org_bucket_t *bucket;
+
+		while ((bucket = LIST_FIRST(&quota->buckets[i])) != NULL) {
+			LIST_REMOVE(bucket, entry);
+			free(bucket);
+		}
+	}
+	free(quota);
+}
+
+static org_bucket_t *
+bucket_find(const org_quota_t *quota, str_t org)
+{
+	org_bucket_t *bucket;
+
+	LIST_FOREACH (
+	    bucket, &quota->buckets[str_hash(org, 0) % BUCKETS], entry)
+		if (str_equal(str_of(bucket->name), org))
+			return (bucket);
+	return (NULL);
+}
+
+/* Adds the tokens of the time until now and records the highest levels. */
+static void
+bucket_refill(org_bucket_t *bucket, double now)
+{
+	int64_t slot = slot_at(now);
+	int64_t first = slot - ORG_QUOTA_SLOTS + 1;
+
+	if (now <= bucket->refilled_at)
+		return;
+	if (first < bucket->newest)
+		first = bucket->newest;
+	for (int64_t i = first; i <= slot; i++) {
+		double end = fmin(now, (double)(i + 1) * ORG_QUOTA_SLOT_S);
+		double level = fmin(bucket->burst,
+		    bucket->tokens +
+			bucket->rate * (end - bucket->refilled_at));
+		double *peak = &bucket->peak[slot_index(i)];
+
+		*peak = i > bucket->newest ? level : fmax(*peak, level);
+	}
+	if (slot > bucket->newest)
+		bucket->newest = slot;
+	bucket->tokens = fmin(bucket->burst,
+	    bucket->tokens + bucket->rate * (now - bucket->refilled_at));
+	bucket->refilled_at = now;
+}
+
+/*
+ * Applies a limit: tokens are kept up to the new capacity. A raised limit fills
+ * the bucket at the new rate from then on.
+ */
+static void
+bucket_set_limit(org_bucket_t *bucket, const org_limit_t *limit)
+{
+	double burst = limit->burst > 0 ? limit->burst : limit->requests_per_s;
+
+	/* A bucket without room for one token would refuse everything. */
+	bucket->burst = fmax(1, burst);
+	bucket->rate = limit->requests_per_s;
+	bucket->tokens = fmin(bucket->tokens, bucket->burst);
+}
+
+static org_bucket_t *
+bucket_find_or_create(
+    org_quota_t *quota, str_t org, const org_limit_t *limit, double now)
+{
+	org_bucket_t *bucket = bucket_find(quota, org);
+
+	if (bucket == NULL) {
+		bucket = xcalloc(1, sizeof(*bucket));
+		str_copy(bucket->name, sizeof(bucket->name), org);
+		bucket->refilled_at = quota->started_at;
+		bucket->newest = slot_at(quota->started_at);
+		bucket_set_limit(bucket, limit);
+		LIST_INSERT_HEAD(
+		    &quota->buckets[str_hash(org, 0) % BUCKETS], bucket, entry);
+		quota->count++;
+	}
+	bucket_refill(bucket, now);
+	bucket_set_limit(bucket, limit);
+	return (bucket);
+}
+
+/* Promises a time to a refused caller, each caller a later one. */
+static double
+bucket_promise(org_bucket_t *bucket, double now)
+{
+	double next = now + (1 - bucket->tokens) / bucket->rate;
+
+	if (bucket->promised_at > now)
+		next = fmax(next, bucket->promised_at + 1 / bucket->rate);
+	bucket->promised_at = fmin(next, now + MAX_RETRY_AFTER_S);
+	return (bucket->promised_at - now);
+}
+
+/*
+ * Takes a token of an organisation. Without one, returns false and sets the
+ * seconds after which there will be one for this caller.
+ */
+bool
+org_quota_take(org_quota_t *quota, str_t org, const org_limit_t *limit,
+    double now, double *retry_after)
+{
+	org_bucket_t *bucket = bucket_find_or_create(quota, org, limit, now);
+
+	if (bucket->tokens < 1 - TOKEN_EPSILON) {
+		*retry_after = bucket_promise(bucket, now);
+		return (false);
+	}
+	bucket->tokens -= 1;
+	return (true);
+}
+
+/*
+ * Returns a token that was taken at the given time and not used. Its bucket
+ * gets what it would hold if the token had not been taken: nothing if it was
+ * full since, because a token that came too late would allow a second burst.
+ */
+void
+org_quota_give_back(org_quota_t *quota, str_t org, double taken_at)
+{
+	org_bucket_t *bucket = bucket_find(quota, org);
+	int64_t first = slot_at(taken_at);
+	double highest = 0;
+	double credit;
+
+	if (bucket == NULL || first <= bucket->newest - ORG_QUOTA_SLOTS)
+		return;
+	for (int64_t i = first; i <= bucket->newest; i++)
+		highest = fmax(highest, bucket->peak[slot_index(i)]);
+	credit = fmin(1, bucket->burst - highest);
+	if (credit <= 0)
+		return;
+	bucket->tokens += credit;
+	for (int64_t i = first; i <= bucket->newest; i++)
+		bucket->peak[slot_index(i)] += credit;
+}
+
+/* Returns the tokens of an organisation after its last request; 0: unknown. */
+double
+org_quota_tokens(const org_quota_t *quota, str_t org)
+{
+	const org_bucket_t *bucket = bucket_find(quota, org);
+
+	return (bucket != NULL ? bucket->tokens : 0);
+}
+
+/* Returns the number of organisations that have a bucket. */
+size_t
+org_quota_count(const org_quota_t *quota)
+{
+	return (quota->count);
+}
+
+/* Frees the buckets of organisations that have sent nothing for long. */
+void
+org_quota_evict_idle(org_quota_t *quota, double now)
+{
+	for (size_t i = 0; i < BUCKETS; i++) {
+		org_bucket_t *bucket = LIST_FIRST(&quota->buckets[i]);
+
+		while (bucket != NULL) {
+			org_bucket_t *next = LIST_NEXT(bucket, entry);
+
+			double idle = now - bucket->refilled_at;
+
+			if (idle > IDLE_S &&
+			    bucket->tokens + bucket->rate * idle >=
+				bucket->burst) {
+				LIST_REMOVE(bucket, entry);
+				free(bucket);
+				quota->count--;
+			}
+			bucket = next;
+		}
+	}
+}
--- a/tests/test_admission.c
+++ b/tests/test_admission.c
@@ -818,7 +818,86 @@
 	admission_delete(t.a);
 }
 
+/* Tokens of an organisation's limit, as its bucket would keep them. */
+typedef struct test_tokens_t {
+	unsigned left;
+	unsigned given_back;
+	double taken_at;
+} test_tokens_t;
+
+static bool
+take_test_token(void *ctx, const char *org, double now, double *retry_after)
+{
+	test_tokens_t *tokens = ctx;
+
+	(void)org;
+	(void)now;
+	*retry_after = 0.7;
+	return (tokens->left > 0 && tokens->left-- > 0);
+}
+
+static void
+give_back_test_token(void *ctx, const char *org, double taken_at)
+{
+	test_tokens_t *tokens = ctx;
+
+	(void)org;
+	tokens->given_back++;
+	tokens->taken_at = taken_at;
+}
+
+/*
+ * Guards against tokens that are lost: a request that is refused, withdrawn or
+ * expires has not run and gives its token back; one that was granted does not.
+ */
+static void
+test_tokens_are_given_back(void)
+{
+	static const admission_request_t limited = {.limited = true};
+	test_tokens_t tokens = {.left = 7};
+	pool_fixture_t t;
+	uint64_t granted;
+	uint64_t waiting;
+
+	setup(&t, &settings, 1, 1);
+	admission_set_limits(t.a, &(admission_limits_t){.take = take_test_token,
+				      .give_back = give_back_test_token,
+				      .ctx = &tokens});
+	granted = request_with(&t, &limited);
+	waiting = request_with(&t, &limited);
+	request_with(
+	    &t, &(admission_request_t){.limited = true, .deadline = t.now + 1});
+	CU_ASSERT(t.granted == 1 && tokens.left == 4);
+	/* A request that does not count takes none. */
+	release(&t, request_with(&t, &(admission_request_t){0}));
+	CU_ASSERT(tokens.left == 4 && tokens.given_back == 0);
+	t.now += 0.5;
+	release(&t, waiting);
+	CU_ASSERT(tokens.given_back == 1);
+	CU_ASSERT_DOUBLE_EQUAL(tokens.taken_at, t.now - 0.5, 1e-9);
+	t.now += 1;
+	admission_tick(t.a, t.now);
+	drain_actions(&t);
+	CU_ASSERT(tokens.given_back == 2 && t.refused == 1);
+	release(&t, granted);
+	CU_ASSERT(tokens.given_back == 2);
+	/* No endpoint is left. */
+	configure(&t, &settings, 0, 0);
+	request_with(&t, &limited);
+	CU_ASSERT(t.last.rc == -RESULT_NO_ENDPOINT);
+	CU_ASSERT(tokens.given_back == 3);
+	/* Without a token the request is refused at once. */
+	configure(&t, &settings, 1, 1);
+	tokens.left = 0;
+	request_with(&t, &limited);
+	CU_ASSERT(t.last.rc == -RESULT_LIMITED);
+	CU_ASSERT_DOUBLE_EQUAL(t.last.retry_after, 0.7, 1e-9);
+	CU_ASSERT(tokens.given_back == 3);
+	admission_delete(t.a);
+}
+
 static const suite_test_t tests[] = {
+    {"tokens are given back", test_tokens_are_given_back},
     {"silent holder leaves slots to others",
 	test_silent_holder_leaves_slots_to_others},
     {"own pause reclaims nothing", test_own_pause_reclaims_nothing},
--- a/tests/test_endpoint_set.c
+++ b/tests/test_endpoint_set.c
@@ -177,7 +177,44 @@
 	endpoint_set_delete(set);
 }
 
+/*
+ * Guards against limits that are lost on their way to the admitting host, and
+ * against routes without an organisation that no longer share a pool.
+ */
+static void
+test_organisations_and_routes(void)
+{
+	endpoint_set_t *set = make_set(100);
+	routing_table_t *table = routing_table_new(2, 1);
+	fleet_config_t *view;
+
+	table->pools[table->pool_count++].name = xstrdup("m");
+	table->routes[table->route_count++].name = xstrdup("public");
+	table->routes[table->route_count++].name = xstrdup("large");
+	view = endpoint_set_to_config(set, table);
+	CU_ASSERT(view->org_count == 2 && !view->limits_orgs);
+	config_unref(view);
+	table->has_orgs = true;
+	table->orgs = xcalloc(2, sizeof(*table->orgs));
+	table->org_count = 2;
+	table->orgs[0] = (org_t){.name = xstrdup("small")};
+	table->orgs[1] = (org_t){
+	    .name = xstrdup("large"), .requests_per_s = 341.6, .burst = 50};
+	view = endpoint_set_to_config(set, table);
+	CU_ASSERT(view->org_count == 3 && view->limits_orgs);
+	CU_ASSERT(config_org(view, STR("public"))->weight == 1);
+	CU_ASSERT(config_org(view, STR("small"))->weight == 1);
+	CU_ASSERT(config_org(view, STR("small"))->requests_per_s == 0);
+	CU_ASSERT(config_org(view, STR("large"))->weight == 342);
+	CU_ASSERT(config_org(view, STR("large"))->requests_per_s == 341.6);
+	CU_ASSERT(config_org(view, STR("large"))->burst == 50);
+	config_unref(view);
+	routing_table_unref(table);
+	endpoint_set_delete(set);
+}
+
 static const suite_test_t tests[] = {
+    {"organisations and routes", test_organisations_and_routes},
     {"a leaving endpoint gets no requests",
 	test_leaving_endpoint_gets_no_requests},
     {"expiry during an outage", test_expiry_during_an_outage},
--- a/tests/test_grants.c
+++ b/tests/test_grants.c
@@ -40,6 +40,8 @@
 	grant_endpoint_t endpoint;
 	double requested_at;
 	double answered_at;
+	double retry_after;
+	bool limited; /* counts against the limit of its organisation */
 } test_request_t;
 
 typedef struct grants_test_t {
@@ -172,6 +174,7 @@
 	CU_ASSERT(request->grant == grant);
 	request->answers++;
 	request->rc = rc;
+	request->retry_after = grant_retry_after(grant);
 	request->answered_at = clock_monotonic();
 	if (rc == 0)
 		request->endpoint = *endpoint;
@@ -199,6 +202,7 @@
 	    .pool = POOL,
 	    .class = class,
 	    .org = "acme",
+	    .limited = request->limited,
 	    .deadline = clock_monotonic() + 5,
 	    .on_grant = on_grant,
 	    .on_revoke = on_revoke,
@@ -682,7 +686,64 @@
 	teardown(&t);
 }
 
+/* Sends limited requests that end at once; returns how many were granted. */
+static unsigned
+send_limited(grants_test_t *t, size_t host, unsigned count)
+{
+	unsigned granted = 0;
+
+	for (unsigned i = 0; i < count; i++) {
+		test_request_t request = {.limited = true};
+
+		request_grant(t, host, GRANT_ONLINE, &request);
+		while (request.answers == 0)
+			run_for(t, 0.002);
+		CU_ASSERT(request.rc == 0 || request.rc == -RESULT_LIMITED);
+		CU_ASSERT(request.rc == 0 || request.retry_after > 0);
+		granted += request.rc == 0;
+		release_grant(&request);
+	}
+	return (granted);
+}
+
+/* Gives the organisation a limit. */
+static void
+set_limit(grants_test_t *t, double requests_per_s, double burst)
+{
+	t->config->limits_orgs = true;
+	t->config->orgs[0].requests_per_s = requests_per_s;
+	t->config->orgs[0].burst = burst;
+	for (size_t i = 0; i < HOSTS; i++)
+		grants_fleet_changed(t->grants[i]);
+}
+
+/*
+ * Guards against limits that hold for each host or pool only, and against
+ * limits for requests that do not count, such as further attempts.
+ */
+static void
+test_limit_over_all_hosts(void)
+{
+	grants_test_t t;
+	test_request_t other = {0};
+	unsigned granted = 0;
+
+	setup(&t, 1, GRANTS_POOL);
+	set_limit(&t, 4, 6);
+	wait_for_takeover(&t);
+	for (size_t i = 0; i < HOSTS; i++)
+		granted += send_limited(&t, i, 6);
+	/* 1.7 s since the start: the bucket is full, but no more. */
+	CU_ASSERT(granted >= 6 && granted <= 8);
+	request_grant(&t, 0, GRANT_ONLINE, &other);
+	run_for(&t, 0.1);
+	CU_ASSERT(other.answers == 1 && other.rc == 0);
+	release_grant(&other);
+	teardown(&t);
+}
+
 static const suite_test_t tests[] = {
+    {"limit over all hosts", test_limit_over_all_hosts},
     {"grants on own and other host", test_grants_on_own_and_other_host},
     {"online revokes batch of other host",
 	test_online_revokes_batch_of_other_host},
--- /dev/null
+++ b/tests/test_org_quota.c
@@ -0,0 +1,285 @@
+/* Tests of the token buckets of organisations, in virtual time. */
+#include "suite.h"
+
+#include <math.h>
+#include <stdlib.h>
+
+#include "clock.h"
+#include "org_quota.h"
+
+#define ORG	 STR("acme")
+#define MAX_RUNS 40000
+/* Sum of the rounding errors of a test. */
+#define EPSILON 1e-4
+
+/* Requests that ran, in order of time, and the limit that holds for them. */
+typedef struct runs_t {
+	org_limit_t limit;
+	size_t count;
+	double at[MAX_RUNS];
+} runs_t;
+
+static runs_t runs;
+
+static void
+runs_start(double requests_per_s, double burst)
+{
+	runs = (runs_t){.limit = {requests_per_s, burst}};
+}
+
+static void
+runs_add(double now)
+{
+	if (runs.count < MAX_RUNS)
+		runs.at[runs.count++] = now;
+}
+
+static int
+compare_times(const void *a, const void *b)
+{
+	double first = *(const double *)a;
+	double second = *(const double *)b;
+
+	return ((first > second) - (first < second));
+}
+
+/*
+ * Returns by how many requests the worst of all sliding windows exceeds
+ * rate * length + burst; at most 0 if none does.
+ */
+static double
+runs_excess(void)
+{
+	double lowest = INFINITY;
+	double excess = -INFINITY;
+
+	for (size_t i = 0; i < runs.count; i++) {
+		double due = runs.limit.requests_per_s * runs.at[i];
+
+		lowest = fmin(lowest, (double)i - due);
+		excess = fmax(
+		    excess, (double)i + 1 - due - lowest - runs.limit.burst);
+	}
+	return (excess);
+}
+
+/* Takes a token at random times; returns how many requests were refused. */
+static unsigned
+send(org_quota_t *quota, rng_t *rng, double from, double to, double rate)
+{
+	unsigned refused = 0;
+	double retry_after;
+
+	for (double now = from - log(1 - rng_uniform(rng)) / rate; now < to;
+	     now -= log(1 - rng_uniform(rng)) / rate) {
+		if (org_quota_take(quota, ORG, &runs.limit, now, &retry_after))
+			runs_add(now);
+		else
+			refused++;
+	}
+	return (refused);
+}
+
+/*
+ * Guards against a window with more requests than the limit, and against
+ * refusals of an organisation that sends its usual 1/1.6 of it.
+ */
+static void
+test_sliding_windows(void)
+{
+	static const double rates[] = {342, 65, 5};
+	rng_t rng = rng_seeded(1);
+
+	for (size_t i = 0; i < 3; i++) {
+		double rate = rates[i];
+		org_quota_t *quota = org_quota_new(1000);
+		unsigned refused;
+
+		runs_start(rate, rate);
+		refused = send(quota, &rng, 1010, 1020, rate / 1.6);
+		CU_ASSERT(refused == 0);
+		refused = send(quota, &rng, 1020, 1030, rate * 7.5);
+		CU_ASSERT(refused > rate * 50);
+		/* The whole limit is used, not less. */
+		CU_ASSERT(
+		    (double)runs.count > rate * 10 / 1.6 * 0.7 + rate * 10);
+		CU_ASSERT(runs_excess() < EPSILON);
+		org_quota_delete(quota);
+	}
+}
+
+/* Guards against a full burst for each restart of all hosts. */
+static void
+test_restarts_grant_no_burst(void)
+{
+	rng_t rng = rng_seeded(2);
+
+	runs_start(50, 50);
+	for (unsigned i = 0; i < 10; i++) {
+		double start = 1000 + i * 3.0;
+		org_quota_t *quota = org_quota_new(start);
+
+		send(quota, &rng, start, start + 3, 400);
+		org_quota_delete(quota);
+	}
+	CU_ASSERT(runs.count > 1300);
+	CU_ASSERT(runs_excess() < EPSILON);
+}
+
+/* Guards against a second burst of an organisation that appears seldom. */
+static void
+test_occasional_organisation(void)
+{
+	org_quota_t *quota = org_quota_new(1000);
+	rng_t rng = rng_seeded(3);
+
+	runs_start(5, 5);
+	for (unsigned i = 0; i < 20; i++) {
+		double start = 1100 + i * 70.0;
+
+		org_quota_evict_idle(quota, start);
+		send(quota, &rng, start, start + 0.5, 400);
+	}
+	CU_ASSERT(runs.count >= 20 * 5);
+	CU_ASSERT(runs_excess() < EPSILON);
+	org_quota_delete(quota);
+}
+
+/*
+ * Requests wait for up to longest_wait seconds; half of them are refused then
+ * and return their token. Returns how many ran.
+ */
+static size_t
+run_with_returns(double longest_wait)
+{
+	org_quota_t *quota = org_quota_new(0);
+	rng_t rng = rng_seeded(4);
+	double waiting[4096];
+	size_t count = 0;
+	double retry_after;
+
+	runs_start(50, 50);
+	for (double now = 20; now < 60; now += 0.002) {
+		while (count > 0 && (waiting[0] < now - longest_wait ||
+					rng_uniform(&rng) < 0.05)) {
+			size_t i = waiting[0] < now - longest_wait
+				       ? 0
+				       : rng_below(&rng, count);
+			double taken_at = waiting[i];
+
+			memmove(&waiting[i], &waiting[i + 1],
+			    (--count - i) * sizeof(waiting[0]));
+			if (rng_uniform(&rng) < 0.5)
+				org_quota_give_back(quota, ORG, taken_at);
+			else
+				runs_add(taken_at);
+		}
+		if (org_quota_take(quota, ORG, &runs.limit, now, &retry_after))
+			waiting[count++] = now;
+	}
+	while (count > 0)
+		runs_add(waiting[--count]);
+	qsort(runs.at, runs.count, sizeof(runs.at[0]), compare_times);
+	org_quota_delete(quota);
+	return (runs.count);
+}
+
+/*
+ * Guards against returned tokens that are lost, and against those that are
+ * returned late: their bucket was full since, so that they would allow more
+ * than the burst.
+ */
+static void
+test_returned_tokens(void)
+{
+	CU_ASSERT(run_with_returns(0.2) > 50 * 40 * 0.95);
+	CU_ASSERT(runs_excess() < EPSILON);
+	CU_ASSERT(run_with_returns(5) > 50 * 40 / 2);
+	CU_ASSERT(runs_excess() < EPSILON);
+}
+
+/* Guards against a changed limit that applies late or allows a burst. */
+static void
+test_changed_limits(void)
+{
+	org_quota_t *quota = org_quota_new(0);
+	rng_t rng = rng_seeded(5);
+	size_t before;
+
+	runs_start(100, 100);
+	send(quota, &rng, 20, 30, 600);
+	CU_ASSERT(runs_excess() < EPSILON);
+	/* Lowered: the tokens above the new burst are gone. */
+	runs_start(10, 10);
+	send(quota, &rng, 35, 45, 600);
+	CU_ASSERT(runs.count <= 110 && runs.count >= 108);
+	CU_ASSERT(runs_excess() < EPSILON);
+	/* Raised: the bucket fills at the new rate, from where it was. */
+	runs_start(100, 200);
+	send(quota, &rng, 45, 46, 2000);
+	before = runs.count;
+	CU_ASSERT(before <= 101 && before >= 95);
+	send(quota, &rng, 50, 50.01, 100000);
+	CU_ASSERT(runs.count - before <= 201 && runs.count - before >= 195);
+	CU_ASSERT(runs_excess() < EPSILON);
+	org_quota_delete(quota);
+}
+
+/*
+ * Guards against a crowd that returns at the same time: callers that are
+ * refused one after the other get successive times, and find tokens then.
+ */
+static void
+test_retry_times_are_successive(void)
+{
+	org_quota_t *quota = org_quota_new(0);
+	org_limit_t limit = {10, 5};
+	double times[20];
+	double retry_after;
+
+	for (unsigned i = 0; i < 5; i++)
+		CU_ASSERT(
+		    org_quota_take(quota, ORG, &limit, 100, &retry_after));
+	for (unsigned i = 0; i < 20; i++) {
+		CU_ASSERT(!org_quota_take(quota, ORG, &limit, 100, &times[i]));
+		CU_ASSERT_DOUBLE_EQUAL(times[i], 0.1 * (i + 1), 1e-6);
+	}
+	for (unsigned i = 0; i < 20; i++)
+		CU_ASSERT(org_quota_take(
+		    quota, ORG, &limit, 100 + times[i], &retry_after));
+	/* Times beyond the patience of callers do not pile up. */
+	for (unsigned i = 0; i < 1000; i++)
+		org_quota_take(quota, ORG, &limit, 102, &retry_after);
+	CU_ASSERT(retry_after <= 5 + 1e-6);
+	org_quota_delete(quota);
+}
+
+/* Guards against organisations that use each other's tokens. */
+static void
+test_organisations_are_separate(void)
+{
+	org_quota_t *quota = org_quota_new(0);
+	org_limit_t limit = {10, 10};
+	double retry_after;
+
+	while (org_quota_take(quota, ORG, &limit, 100, &retry_after))
+		;
+	CU_ASSERT(
+	    org_quota_take(quota, STR("other"), &limit, 100, &retry_after));
+	CU_ASSERT(org_quota_count(quota) == 2);
+	org_quota_evict_idle(quota, 200);
+	CU_ASSERT(org_quota_count(quota) == 0);
+	org_quota_delete(quota);
+}
+
+static const suite_test_t tests[] = {
+    {"sliding windows", test_sliding_windows},
+    {"restarts grant no burst", test_restarts_grant_no_burst},
+    {"occasional organisation", test_occasional_organisation},
+    {"returned tokens", test_returned_tokens},
+    {"changed limits", test_changed_limits},
+    {"retry times are successive", test_retry_times_are_successive},
+    {"organisations are separate", test_organisations_are_separate},
+};
+
+SUITE_MAIN("org_quota", tests)
