Limits hold when another host begins to admit

Cause: a new admitting host knew nothing of the tokens that were used, and granted a second burst. Change: hosts remember the tokens that they used for 10 s, in slots of 0.25 s, and send them with their first report to a new admitting host. The admitting host and its deputy tell each other in each slot what they gave (QUOTA_USES, one message, none without limits). A host that stood still for over 1 s adds no tokens for that time. The limit is lowered by the share of hosts that are dead. Measured: test_org_quota (takeover, two admitting hosts, pause, share) and test_grants (limit after takeover) pass with sanitizers.

--- a/src/grants.c
+++ b/src/grants.c
@@ -87,6 +87,7 @@
 	if (rc == 0) {
 		grant->endpoint = *endpoint;
 		grant->granted_at = clock_monotonic();
+		grants_quota_note_use(grant->grants, grant);
 	}
 	grant_defer(grant);
 }
@@ -275,6 +276,7 @@
 	grants_pool_t *pool = grant->pool;
 	const fleet_config_t *config;
 
+	grant->submitted_at = now;
 	if (pool_config(pool, &config) == NULL) {
 		grant_resolve(grant,
 		    config == NULL ? -RESULT_NOT_READY : -RESULT_UNKNOWN_MODEL,
--- a/src/grants_admit.c
+++ b/src/grants_admit.c
@@ -374,8 +374,10 @@
 	} else {
 		grants_pool_t *pool = grants_get_pool(grants, m.pool);
 
-		host_set_address(
-		    grants, m.holder, peer_request_address(request));
+		grants_quota_read_history(grants,
+		    host_set_address(
+			grants, m.holder, peer_request_address(request)),
+		    &m.uses, now);
 		pool_ensure_admission(pool, now);
 		str_copy(holder, sizeof(holder), m.holder);
 		count = admission_reconcile(
--- a/src/grants_pool.c
+++ b/src/grants_pool.c
@@ -123,6 +123,7 @@
 	bool changed = false;
 
 	grants_refresh_members(grants);
+	grants_quota_refresh(grants, now);
 	LIST_FOREACH (pool, &grants->pools, entry) {
 		if (!pool_update_admitting_host(pool) ||
 		    params->mode != GRANTS_POOL)
--- a/src/grants_quota.c
+++ b/src/grants_quota.c
@@ -11,6 +11,8 @@
 /* Least time between two log lines on the same organisation. */
 #define LIMITED_LOG_INTERVAL_S 1.0
 #define EVICT_INTERVAL_S       10.0
+/* A longer time without a tick shows that this host stood still. */
+#define MAX_PAUSE_S 1.0
 
 /* An organisation that exceeds its limit. */
 typedef struct limited_org_t {
@@ -20,8 +22,9 @@
 	LIST_ENTRY(limited_org_t) entry;
 } limited_org_t;
 
-static const fleet_config_t *
-quota_config(const grants_t *grants)
+/* Returns the configuration if an organisation has a limit, or NULL. */
+const fleet_config_t *
+grants_quota_config(const grants_t *grants)
 {
 	const fleet_config_t *config =
 	    grants->params.config(grants->params.ctx);
@@ -36,16 +39,16 @@
 str_t
 grants_placement_key(const grants_t *grants, str_t pool)
 {
-	return (quota_config(grants) != NULL ? STR(SITE_KEY) : pool);
+	return (grants_quota_config(grants) != NULL ? STR(SITE_KEY) : pool);
 }
 
 /* Returns whether an organisation has a limit, and which. */
-static bool
-org_limit(const grants_t *grants, const char *org, org_limit_t *out)
+bool
+grants_org_limit(const grants_t *grants, str_t org, org_limit_t *out)
 {
-	const fleet_config_t *config = quota_config(grants);
+	const fleet_config_t *config = grants_quota_config(grants);
 	const config_org_t *entry =
-	    config != NULL ? config_org(config, str_of(org)) : NULL;
+	    config != NULL ? config_org(config, org) : NULL;
 
 	if (entry == NULL || entry->requests_per_s <= 0)
 		return (false);
@@ -80,6 +83,24 @@
 	entry->logged_at = now;
 }
 
+/*
+ * Notices that this host stood still, as when it was suspended. Another host
+ * gave tokens meanwhile. To be called before tokens are given and in each tick.
+ */
+static void
+grants_quota_check_pause(grants_t *grants, double now)
+{
+	double pause = now - grants->quota.ticked_at;
+
+	if (pause > MAX_PAUSE_S) {
+		org_quota_skip_pause(grants->quota.buckets, now);
+		LOG_INFO("quota_rebuilt", "cause=pause pause_s=%.1f orgs=%zu",
+		    pause, org_quota_count(grants->quota.buckets));
+		counter_add(grants->quota.rebuilt, 1);
+	}
+	grants->quota.ticked_at = now;
+}
+
 /* An admission_take_cb_t. */
 static bool
 take_token(void *ctx, const char *org, double now, double *retry_after)
@@ -87,8 +108,9 @@
 	grants_t *grants = ctx;
 	org_limit_t limit;
 
-	if (!org_limit(grants, org, &limit))
+	if (!grants_org_limit(grants, str_of(org), &limit))
 		return (true);
+	grants_quota_check_pause(grants, now);
 	if (org_quota_take(
 		grants->quota.buckets, str_of(org), &limit, now, retry_after)) {
 		counter_add(grants->quota.taken, 1);
@@ -127,12 +149,29 @@
 	free(entry);
 }
 
+/*
+ * Remembers that a granted request used a token of its organisation, which the
+ * host that admits took when the request arrived there.
+ */
+void
+grants_quota_note_use(grants_t *grants, const grant_t *grant)
+{
+	org_limit_t limit;
+
+	if (grant->params.limited &&
+	    grants_org_limit(grants, str_of(grant->org), &limit))
+		org_history_add(
+		    grants->quota.own, str_of(grant->org), grant->submitted_at);
+}
+
 /* Frees what is kept on organisations that are not active. */
 void
 grants_quota_tick(grants_t *grants, double now)
 {
 	limited_org_t *entry = LIST_FIRST(&grants->quota.limited_orgs);
 
+	grants_quota_check_pause(grants, now);
+	grants_quota_sync_tick(grants, now);
 	if (now - grants->quota.evicted_at < EVICT_INTERVAL_S)
 		return;
 	grants->quota.evicted_at = now;
@@ -152,6 +191,10 @@
 grants_quota_start(grants_t *grants, double now)
 {
 	grants->quota.buckets = org_quota_new(now);
+	grants->quota.own = org_history_new();
+	grants->quota.ticked_at = now;
+	grants->quota.share = 1;
+	grants->quota.epoch = 1;
 	LIST_INIT(&grants->quota.limited_orgs);
 	grants->quota.taken = counter_get("daisypier_org_tokens_taken_total",
 	    "Requests that this host admitted within their organisation's "
@@ -163,6 +206,12 @@
 	    "Requests that this host refused for their organisation's limit");
 	grants->quota.orgs = gauge_get("daisypier_org_buckets",
 	    "Organisations whose tokens this host keeps");
+	grants->quota.rebuilt = counter_get("daisypier_quota_rebuilt_total",
+	    "Times that this host filled its buckets from what others used");
+	grants->quota.share_gauge = gauge_get("daisypier_quota_share",
+	    "Share of the limits that this host gives as the one that admits");
+	gauge_set(grants->quota.share_gauge, 1);
+	grants_quota_sync_start(grants);
 }
 
 void
@@ -170,5 +219,7 @@
 {
 	while (!LIST_EMPTY(&grants->quota.limited_orgs))
 		free_limited_org(LIST_FIRST(&grants->quota.limited_orgs));
+	grants_quota_sync_stop(grants);
+	org_history_delete(grants->quota.own);
 	org_quota_delete(grants->quota.buckets);
 }
--- /dev/null
+++ b/src/grants_quota_sync.c
@@ -0,0 +1,294 @@
+/*
+ * What hosts tell each other on the tokens of organisations. The host that
+ * admits and its deputy tell each other what they gave; all hosts tell a new
+ * host that admits what they used.
+ */
+#include "grants_wire.h"
+
+#include <math.h>
+#include <string.h>
+
+#include "logger.h"
+#include "placement.h"
+
+/* A list of what organisations used, packed for a message. */
+typedef struct packed_uses_t {
+	buf_t *out;
+	size_t count;
+} packed_uses_t;
+
+/* An org_history_cb_t. */
+static void
+pack_use(void *ctx, str_t org, const unsigned counts[ORG_SLOTS])
+{
+	packed_uses_t *uses = ctx;
+
+	grants_pack_use(uses->out, org, counts);
+	uses->count++;
+}
+
+/* A list of uses that this host adds to its buckets. */
+typedef struct added_uses_t {
+	grants_t *grants;
+	org_use_t kind;
+	double now;
+	unsigned requests;
+} added_uses_t;
+
+/* An org_history_cb_t. */
+static void
+add_use(void *ctx, str_t org, const unsigned counts[ORG_SLOTS])
+{
+	added_uses_t *uses = ctx;
+	org_limit_t limit;
+
+	if (!grants_org_limit(uses->grants, org, &limit))
+		return;
+	for (size_t age = 0; age < ORG_SLOTS; age++)
+		uses->requests += counts[age];
+	org_quota_add_use(uses->grants->quota.buckets, org, &limit, uses->kind,
+	    counts, uses->now);
+}
+
+static void
+add_received_uses(added_uses_t *uses, wire_reader_t *list)
+{
+	unsigned counts[ORG_SLOTS];
+	str_t org;
+
+	while (grants_read_use(list, &org, counts))
+		add_use(uses, org, counts);
+}
+
+/* Adds the history of a report; a host's second one is the same again. */
+void
+grants_quota_read_history(
+    grants_t *grants, grants_host_t *host, wire_reader_t *list, double now)
+{
+	added_uses_t uses = {
+	    .grants = grants, .kind = ORG_USE_REPORTED, .now = now};
+
+	if (list->left == 0 || host->history_epoch == grants->quota.epoch)
+		return;
+	host->history_epoch = grants->quota.epoch;
+	add_received_uses(&uses, list);
+	LOG_INFO(
+	    "quota_history", "host=%s requests=%u", host->name, uses.requests);
+}
+
+/*
+ * Packs what this host used, if the host that admits is new and was not told
+ * in the report of another pool. Returns the number of organisations.
+ */
+size_t
+grants_quota_pack_history(
+    grants_t *grants, const grants_pool_t *pool, double now, buf_t *out)
+{
+	packed_uses_t uses = {.out = out};
+	grants_quota_t *quota = &grants->quota;
+
+	if (!quota->in_force || !quota->history_owed ||
+	    quota->history_pool != NULL)
+		return (0);
+	org_history_each(quota->own, now, pack_use, &uses);
+	if (uses.count > 0)
+		quota->history_pool = pool;
+	else
+		quota->history_owed = false;
+	return (uses.count);
+}
+
+/* Records whether the report of a pool was answered. */
+void
+grants_quota_reported(
+    grants_t *grants, const grants_pool_t *pool, bool accepted)
+{
+	if (grants->quota.history_pool != pool)
+		return;
+	grants->quota.history_pool = NULL;
+	if (accepted)
+		grants->quota.history_owed = false;
+}
+
+/* Returns whether a living member has the address of a dead one. */
+static bool
+was_replaced(const grants_t *grants, const member_t *dead)
+{
+	for (size_t i = 0; i < grants->member_count; i++)
+		if (member_is_living(&grants->members[i]) &&
+		    strcmp(grants->members[i].address, dead->address) == 0)
+			return (true);
+	return (false);
+}
+
+/*
+ * Returns the share of the site's hosts that are not dead as this host sees
+ * them. Those may be cut off and give tokens by themselves.
+ */
+static double
+living_share(const grants_t *grants)
+{
+	size_t living = 0;
+	size_t dead = 0;
+
+	for (size_t i = 0; i < grants->member_count; i++) {
+		const member_t *member = &grants->members[i];
+
+		if (member_is_living(member))
+			living++;
+		else if (member->state == MEMBER_DEAD &&
+			 !was_replaced(grants, member))
+			dead++;
+	}
+	return (living > 0 ? (double)living / (double)(living + dead) : 1);
+}
+
+static void
+set_share(grants_t *grants, double share)
+{
+	if (share == grants->quota.share)
+		return;
+	grants->quota.share = share;
+	org_quota_set_share(grants->quota.buckets, share);
+	gauge_set(grants->quota.share_gauge, share);
+	LOG_INFO("quota_share", "share=%.3f", share);
+}
+
+/* Begins to admit for the site: other hosts report what they used. */
+static void
+begin_admitting(grants_t *grants, double now)
+{
+	added_uses_t uses = {
+	    .grants = grants, .kind = ORG_USE_REPORTED, .now = now};
+
+	org_history_each(grants->quota.own, now, add_use, &uses);
+	counter_add(grants->quota.rebuilt, 1);
+	LOG_INFO("quota_rebuilt", "cause=takeover orgs=%zu",
+	    org_quota_count(grants->quota.buckets));
+}
+
+static void
+admitting_host_changed(grants_t *grants, const char *name, double now)
+{
+	grants_quota_t *quota = &grants->quota;
+	bool was_admitting = strcmp(quota->admitting, grants->host) == 0;
+
+	str_copy(quota->admitting, sizeof(quota->admitting), str_of(name));
+	quota->history_owed = true;
+	quota->history_pool = NULL;
+	if (was_admitting) {
+		org_quota_forget_reported(quota->buckets);
+		quota->epoch++;
+	}
+	if (strcmp(name, grants->host) == 0)
+		begin_admitting(grants, now);
+}
+
+/* Looks up which hosts keep the buckets, after a change of the members. */
+void
+grants_quota_refresh(grants_t *grants, double now)
+{
+	grants_quota_t *quota = &grants->quota;
+	const member_t *hosts[2] = {NULL, NULL};
+	size_t count = 0;
+
+	quota->in_force = grants_quota_config(grants) != NULL &&
+			  grants->params.mode == GRANTS_POOL;
+	if (quota->in_force)
+		count =
+		    placement_rank_owners(grants->members, grants->member_count,
+			grants_placement_key(grants, (str_t){0}), hosts, 2);
+	str_copy(quota->deputy, sizeof(quota->deputy),
+	    str_of(count > 1 ? hosts[1]->name : ""));
+	str_copy(quota->deputy_address, sizeof(quota->deputy_address),
+	    str_of(count > 1 ? hosts[1]->address : ""));
+	if (!quota->in_force)
+		return;
+	if (strcmp(quota->admitting, count > 0 ? hosts[0]->name : "") != 0)
+		admitting_host_changed(
+		    grants, count > 0 ? hosts[0]->name : "", now);
+	set_share(grants, living_share(grants));
+}
+
+/*
+ * Tells the other one of the host that admits and its deputy which tokens this
+ * host gave since the last message.
+ */
+static void
+tell_uses(grants_t *grants, const member_t *other, double now)
+{
+	grants_quota_t *quota = &grants->quota;
+	buf_t list = {0};
+	buf_t body = {0};
+	packed_uses_t uses = {.out = &list};
+
+	if (strcmp(quota->told, other->name) != 0) {
+		str_copy(quota->told, sizeof(quota->told), str_of(other->name));
+		quota->told_slot = org_slot_at(now) - ORG_SLOTS;
+	}
+	org_quota_each_given(
+	    quota->buckets, quota->told_slot, now, pack_use, &uses);
+	quota->told_slot = org_slot_at(now) - 1;
+	if (uses.count > 0) {
+		grants_pack_uses(&body, grants->host, &list, uses.count);
+		peer_send(grants->params.peer, other->address, PEER_QUOTA_USES,
+		    str_buf(&body));
+	}
+	buf_free(&list);
+	buf_free(&body);
+}
+
+static const member_t *
+find_member(const grants_t *grants, const char *name)
+{
+	for (size_t i = 0; i < grants->member_count; i++)
+		if (strcmp(grants->members[i].name, name) == 0)
+			return (&grants->members[i]);
+	return (NULL);
+}
+
+/* Tells once in a slot what this host gave, if it keeps buckets. */
+void
+grants_quota_sync_tick(grants_t *grants, double now)
+{
+	const grants_quota_t *quota = &grants->quota;
+	const member_t *other = NULL;
+
+	if (!quota->in_force || org_slot_at(now) - 1 <= quota->told_slot)
+		return;
+	if (strcmp(quota->admitting, grants->host) == 0)
+		other = find_member(grants, quota->deputy);
+	else if (strcmp(quota->deputy, grants->host) == 0)
+		other = find_member(grants, quota->admitting);
+	if (other != NULL)
+		tell_uses(grants, other, now);
+}
+
+static void
+on_peer_uses(void *ctx, peer_request_t *request, const msgpack_object *body)
+{
+	grants_t *grants = ctx;
+	grants_message_t m = {0};
+	added_uses_t uses = {
+	    .grants = grants,
+	    .kind = ORG_USE_ELSEWHERE,
+	    .now = clock_monotonic(),
+	};
+
+	if (grants_read_uses(body, &m))
+		add_received_uses(&uses, &m.uses);
+	peer_request_reply(request, 0, (str_t){0});
+}
+
+void
+grants_quota_sync_start(grants_t *grants)
+{
+	peer_set_handler(
+	    grants->params.peer, PEER_QUOTA_USES, on_peer_uses, grants);
+}
+
+void
+grants_quota_sync_stop(grants_t *grants)
+{
+	peer_set_handler(grants->params.peer, PEER_QUOTA_USES, NULL, NULL);
+}
--- a/src/grants_report.c
+++ b/src/grants_report.c
@@ -30,6 +30,7 @@
 	grant_t *grant;
 
 	pool->report_call = NULL;
+	grants_quota_reported(pool->grants, pool, reply->rc == 0);
 	if (reply->rc == 0) {
 		ids = wire_reader(reply->body);
 		while (!ids.fault && ids.left > 0) {
@@ -53,6 +54,8 @@
 	const fleet_config_t *config;
 	bool any = !LIST_EMPTY(&pool->own_grants);
 	buf_t body = {0};
+	buf_t uses = {0};
+	size_t use_count;
 
 	if (pool_config(pool, &config) == NULL ||
 	    pool->admitting_host[0] == '\0')
@@ -65,7 +68,9 @@
 	if (pool->report_call != NULL || (!any && !pool->report_when_empty))
 		return;
 	pool->report_when_empty = any;
-	grants_pack_held(&body, pool);
+	use_count = grants_quota_pack_history(pool->grants, pool, now, &uses);
+	grants_pack_held(&body, pool, use_count > 0 ? &uses : NULL, use_count);
+	buf_free(&uses);
 	pool->report_call = peer_call(pool->grants->params.peer,
 	    pool->admitting_address, PEER_GRANT_REPORT, str_buf(&body),
 	    config->fleet.grant_timeout_ms / 1e3, on_report_reply, pool);
--- a/src/grants_state.h
+++ b/src/grants_state.h
@@ -9,6 +9,7 @@
 #include "clock.h"
 #include "counter.h"
 #include "org_quota.h"
+#include "wire.h"
 
 #define GRANTS_BUCKETS	    1024
 #define GRANTS_HOST_BUCKETS 256
@@ -46,17 +47,35 @@
 typedef struct grants_host_t {
 	char name[NAME_SIZE];
 	char address[48];
-	uint64_t instance; /* 0: not yet in the member table */
+	uint64_t instance;	/* 0: not yet in the member table */
+	unsigned history_epoch; /* grants_quota_t.epoch of its history */
 	LIST_ENTRY(grants_host_t) entry;
 } grants_host_t;
 
 /* The limits of organisations, which hold for all pools of the site. */
 typedef struct grants_quota_t {
 	org_quota_t *buckets; /* as the host that admits */
+	org_history_t *own;   /* tokens that this host used */
+	bool in_force;	      /* an organisation has a limit */
+	/* Names of the host that admits for the site, and of its deputy. */
+	char admitting[NAME_SIZE];
+	char deputy[NAME_SIZE];
+	char deputy_address[48];
+	/* The history is still to be sent to the host that admits. */
+	bool history_owed;
+	const grants_pool_t *history_pool; /* whose report has it */
+	unsigned epoch; /* counts the times that this host began to admit */
+	/* Tokens given up to this slot were told to that host. */
+	int64_t told_slot;
+	char told[NAME_SIZE];
+	double ticked_at;
+	double share; /* of the limits that this host gives */
 	counter_t *taken;
 	counter_t *returned;
 	counter_t *limited;
 	counter_t *orgs;
+	counter_t *rebuilt;
+	counter_t *share_gauge;
 	double evicted_at;
 	LIST_HEAD(, limited_org_t) limited_orgs; /* refused recently */
 } grants_quota_t;
@@ -75,7 +94,8 @@
 	int rc;
 	double retry_after;
 	grant_endpoint_t endpoint;
-	double granted_at; /* clock_monotonic() seconds */
+	double submitted_at; /* clock_monotonic() seconds */
+	double granted_at;
 	bool revoke_pending;
 	bool revoked;
 	bool deferred;
@@ -145,8 +165,23 @@
 void grants_quota_stop(grants_t *grants);
 void grants_quota_attach(grants_pool_t *pool);
 void grants_quota_tick(grants_t *grants, double now);
+const fleet_config_t *grants_quota_config(const grants_t *grants);
+bool grants_org_limit(const grants_t *grants, str_t org, org_limit_t *out);
+void grants_quota_note_use(grants_t *grants, const grant_t *grant);
 str_t grants_placement_key(const grants_t *grants, str_t pool);
 
+/* grants_quota_sync.c: what hosts tell each other on tokens */
+void grants_quota_sync_start(grants_t *grants);
+void grants_quota_sync_stop(grants_t *grants);
+void grants_quota_sync_tick(grants_t *grants, double now);
+void grants_quota_refresh(grants_t *grants, double now);
+size_t grants_quota_pack_history(
+    grants_t *grants, const grants_pool_t *pool, double now, buf_t *out);
+void grants_quota_reported(
+    grants_t *grants, const grants_pool_t *pool, bool accepted);
+void grants_quota_read_history(
+    grants_t *grants, grants_host_t *host, wire_reader_t *uses, double now);
+
 /* grants_leaving.c */
 void grants_leaving_start(grants_t *grants);
 void grants_leaving_stop(grants_t *grants);
--- a/src/grants_wire.c
+++ b/src/grants_wire.c
@@ -3,6 +3,10 @@
 
 #include <math.h>
 #include <stdlib.h>
+#include <string.h>
+
+/* Larger counts of a slot are malformed. */
+#define MAX_USES 1000000
 
 /* Returns the seconds from the given time to the latest on-time start. */
 double
@@ -201,9 +205,82 @@
 	return (!reader.fault && endpoint->len > 0);
 }
 
-/* GRANT_REPORT: all requests and grants of this host for a pool. */
+/*
+ * Packs the tokens that an organisation used, by age: its name, then pairs of
+ * age in slots and count. Times are sent as ages, because clocks differ.
+ */
+void
+grants_pack_use(buf_t *out, str_t org, const unsigned counts[ORG_SLOTS])
+{
+	msgpack_packer packer;
+	size_t slots = 0;
+
+	for (size_t age = 0; age < ORG_SLOTS; age++)
+		slots += counts[age] > 0;
+	wire_packer_init(&packer, out);
+	msgpack_pack_array(&packer, 1 + 2 * slots);
+	wire_pack_str(&packer, org);
+	for (size_t age = 0; age < ORG_SLOTS; age++) {
+		if (counts[age] == 0)
+			continue;
+		msgpack_pack_uint64(&packer, age);
+		msgpack_pack_uint64(&packer, counts[age]);
+	}
+}
+
+/* Reads the next organisation of a list; returns false at its end. */
+bool
+grants_read_use(wire_reader_t *uses, str_t *org, unsigned counts[ORG_SLOTS])
+{
+	wire_reader_t item;
+
+	if (uses->left == 0)
+		return (false);
+	item = wire_read_array(uses);
+	*org = wire_read_str(&item);
+	memset(counts, 0, ORG_SLOTS * sizeof(counts[0]));
+	while (!item.fault && item.left > 0) {
+		uint64_t age = wire_read_u64(&item);
+		uint64_t count = wire_read_u64(&item);
+
+		if (!item.fault && age < ORG_SLOTS && count <= MAX_USES)
+			counts[age] = (unsigned)count;
+	}
+	return (!uses->fault && !item.fault);
+}
+
+/* QUOTA_USES: tokens that a host gave since its last message. */
+void
+grants_pack_uses(
+    buf_t *out, const char *host, const buf_t *uses, size_t use_count)
+{
+	msgpack_packer packer;
+
+	wire_packer_init(&packer, out);
+	msgpack_pack_array(&packer, 2);
+	wire_pack_str(&packer, str_of(host));
+	msgpack_pack_array(&packer, use_count);
+	buf_append(out, str_buf(uses));
+}
+
+/* Returns false when the message is malformed. */
+bool
+grants_read_uses(const msgpack_object *body, grants_message_t *out)
+{
+	wire_reader_t reader = wire_reader(body);
+
+	out->holder = wire_read_str(&reader);
+	out->uses = wire_read_array(&reader);
+	return (!reader.fault);
+}
+
+/*
+ * GRANT_REPORT: all requests and grants of this host for a pool. If uses is not
+ * NULL, the tokens that this host used follow.
+ */
 void
-grants_pack_held(buf_t *out, const grants_pool_t *pool)
+grants_pack_held(
+    buf_t *out, const grants_pool_t *pool, const buf_t *uses, size_t use_count)
 {
 	msgpack_packer packer;
 	const grant_t *grant;
@@ -212,7 +289,7 @@
 	LIST_FOREACH (grant, &pool->own_grants, pool_entry)
 		count++;
 	wire_packer_init(&packer, out);
-	msgpack_pack_array(&packer, 3);
+	msgpack_pack_array(&packer, uses != NULL ? 4 : 3);
 	wire_pack_str(&packer, str_of(pool->grants->host));
 	wire_pack_str(&packer, str_of(pool->name));
 	msgpack_pack_array(&packer, count);
@@ -226,6 +303,10 @@
 		msgpack_pack_double(
 		    &packer, grant_slack_at(grant, grant->granted_at));
 	}
+	if (uses != NULL) {
+		msgpack_pack_array(&packer, use_count);
+		buf_append(out, str_buf(uses));
+	}
 }
 
 /*
@@ -248,6 +329,8 @@
 		head->holder = (str_t){0};
 		return (0);
 	}
+	if (reader.left > 0)
+		head->uses = wire_read_array(&reader);
 	count = list.left;
 	*out = xcalloc(count, sizeof(**out));
 	for (size_t i = 0; i < count; i++) {
--- a/src/grants_wire.h
+++ b/src/grants_wire.h
@@ -27,6 +27,7 @@
 	int rc;
 	double retry_after;
 	grant_report_t report;
+	wire_reader_t uses; /* of tokens, see grants_read_use() */
 } grants_message_t;
 
 double grant_slack_at(const grant_t *grant, double time);
@@ -44,9 +45,16 @@
 void grants_pack_leaving(buf_t *out, const char *endpoint, uint64_t started_ms);
 bool grants_read_leaving(
     const msgpack_object *body, str_t *endpoint, uint64_t *started_ms);
-void grants_pack_held(buf_t *out, const grants_pool_t *pool);
+void grants_pack_held(
+    buf_t *out, const grants_pool_t *pool, const buf_t *uses, size_t use_count);
 size_t grants_read_held(const msgpack_object *body, grants_message_t *head,
     admission_held_grant_t **out);
+void grants_pack_use(buf_t *out, str_t org, const unsigned counts[ORG_SLOTS]);
+bool grants_read_use(
+    wire_reader_t *uses, str_t *org, unsigned counts[ORG_SLOTS]);
+void grants_pack_uses(
+    buf_t *out, const char *host, const buf_t *uses, size_t use_count);
+bool grants_read_uses(const msgpack_object *body, grants_message_t *out);
 void grants_pack_held_reply(buf_t *out, const uint64_t *ids, size_t count);
 
 #endif
--- a/src/org_quota.c
+++ b/src/org_quota.c
@@ -28,34 +28,32 @@
 
 typedef struct org_bucket_t {
 	char name[NAME_SIZE];
-	double rate;	    /* tokens per second */
-	double burst;	    /* capacity in tokens */
+	double rate;	   /* tokens per second, this host's share */
+	double burst;	   /* capacity in tokens, this host's share */
+	double whole_rate; /* of all hosts */
+	double whole_burst;
 	double tokens;	    /* at refilled_at */
 	double refilled_at; /* seconds */
 	double promised_at; /* latest time that a refused caller was told */
 	int64_t newest;	    /* number of the newest slot */
 	/* Highest level in each slot, by slot number modulo the slots. */
-	double peak[ORG_QUOTA_SLOTS];
+	double peak[ORG_SLOTS];
+	org_ring_t given; /* by this host */
+	org_ring_t used[ORG_USE_KINDS];
 	LIST_ENTRY(org_bucket_t) entry;
 } org_bucket_t;
 
 struct org_quota_t {
 	double started_at;
+	double share; /* of the limits that this host may give */
 	size_t count;
 	LIST_HEAD(, org_bucket_t) buckets[BUCKETS];
 };
 
-static int64_t
-slot_at(double time)
-{
-	return ((int64_t)floor(time / ORG_QUOTA_SLOT_S));
-}
-
 static size_t
 slot_index(int64_t slot)
 {
-	return ((size_t)(((slot % ORG_QUOTA_SLOTS) + ORG_QUOTA_SLOTS) %
-			 ORG_QUOTA_SLOTS));
+	return ((size_t)(((slot % ORG_SLOTS) + ORG_SLOTS) % ORG_SLOTS));
 }
 
 /*
@@ -68,6 +66,7 @@
 	org_quota_t *quota = xcalloc(1, sizeof(*quota));
 
 	quota->started_at = started_at;
+	quota->share = 1;
 	return (quota);
 }
 
@@ -101,15 +100,15 @@
 static void
 bucket_refill(org_bucket_t *bucket, double now)
 {
-	int64_t slot = slot_at(now);
-	int64_t first = slot - ORG_QUOTA_SLOTS + 1;
+	int64_t slot = org_slot_at(now);
+	int64_t first = slot - ORG_SLOTS + 1;
 
 	if (now <= bucket->refilled_at)
 		return;
 	if (first < bucket->newest)
 		first = bucket->newest;
 	for (int64_t i = first; i <= slot; i++) {
-		double end = fmin(now, (double)(i + 1) * ORG_QUOTA_SLOT_S);
+		double end = fmin(now, (double)(i + 1) * ORG_SLOT_S);
 		double level = fmin(bucket->burst,
 		    bucket->tokens +
 			bucket->rate * (end - bucket->refilled_at));
@@ -129,13 +128,15 @@
  * the bucket at the new rate from then on.
  */
 static void
-bucket_set_limit(org_bucket_t *bucket, const org_limit_t *limit)
+bucket_set_limit(org_bucket_t *bucket, const org_limit_t *limit, double share)
 {
 	double burst = limit->burst > 0 ? limit->burst : limit->requests_per_s;
 
 	/* A bucket without room for one token would refuse everything. */
-	bucket->burst = fmax(1, burst);
-	bucket->rate = limit->requests_per_s;
+	bucket->whole_burst = fmax(1, burst);
+	bucket->whole_rate = limit->requests_per_s;
+	bucket->burst = fmax(1, burst * share);
+	bucket->rate = limit->requests_per_s * share;
 	bucket->tokens = fmin(bucket->tokens, bucket->burst);
 }
 
@@ -149,14 +150,14 @@
 		bucket = xcalloc(1, sizeof(*bucket));
 		str_copy(bucket->name, sizeof(bucket->name), org);
 		bucket->refilled_at = quota->started_at;
-		bucket->newest = slot_at(quota->started_at);
-		bucket_set_limit(bucket, limit);
+		bucket->newest = org_slot_at(quota->started_at);
+		bucket_set_limit(bucket, limit, quota->share);
 		LIST_INSERT_HEAD(
 		    &quota->buckets[str_hash(org, 0) % BUCKETS], bucket, entry);
 		quota->count++;
 	}
 	bucket_refill(bucket, now);
-	bucket_set_limit(bucket, limit);
+	bucket_set_limit(bucket, limit, quota->share);
 	return (bucket);
 }
 
@@ -187,6 +188,7 @@
 		return (false);
 	}
 	bucket->tokens -= 1;
+	org_ring_add(&bucket->given, org_slot_at(now), 1);
 	return (true);
 }
 
@@ -199,12 +201,14 @@
 org_quota_give_back(org_quota_t *quota, str_t org, double taken_at)
 {
 	org_bucket_t *bucket = bucket_find(quota, org);
-	int64_t first = slot_at(taken_at);
+	int64_t first = org_slot_at(taken_at);
 	double highest = 0;
 	double credit;
 
-	if (bucket == NULL || first <= bucket->newest - ORG_QUOTA_SLOTS)
+	if (bucket == NULL || first <= bucket->newest - ORG_SLOTS)
 		return;
+	if (org_ring_get(&bucket->given, first) > 0)
+		bucket->given.counts[slot_index(first)]--;
 	for (int64_t i = first; i <= bucket->newest; i++)
 		highest = fmax(highest, bucket->peak[slot_index(i)]);
 	credit = fmin(1, bucket->burst - highest);
@@ -215,6 +219,128 @@
 		bucket->peak[slot_index(i)] += credit;
 }
 
+/* Returns the tokens used in a slot, as far as this host knows. */
+static unsigned
+bucket_used(const org_bucket_t *bucket, int64_t slot)
+{
+	unsigned given = org_ring_get(&bucket->given, slot) +
+			 org_ring_get(&bucket->used[ORG_USE_ELSEWHERE], slot);
+	unsigned reported = org_ring_get(&bucket->used[ORG_USE_REPORTED], slot);
+
+	/* Two reports on the same tokens, each of which may miss some. */
+	return (given > reported ? given : reported);
+}
+
+/*
+ * Returns the level that follows from the remembered uses. The bucket may have
+ * been empty when they began, so it is assumed to have been; but if it would be
+ * negative even if it had been full, more was used than the limit, and that is
+ * made up for.
+ */
+static double
+bucket_replay(const org_bucket_t *bucket, double now)
+{
+	int64_t current = org_slot_at(now);
+	double from_full = bucket->whole_burst;
+	double from_empty = 0;
+
+	for (int64_t slot = current - ORG_SLOTS + 1; slot <= current; slot++) {
+		double length = slot < current
+				    ? ORG_SLOT_S
+				    : now - (double)current * ORG_SLOT_S;
+		double refill = bucket->whole_rate * length;
+		double used = bucket_used(bucket, slot);
+
+		from_full =
+		    fmin(bucket->whole_burst, from_full + refill) - used;
+		from_empty = fmax(
+		    0, fmin(bucket->whole_burst, from_empty + refill) - used);
+	}
+	return (fmin(bucket->burst, fmin(from_full, from_empty)));
+}
+
+/*
+ * Adds tokens, by age, that were used and are not in this host's bucket. The
+ * level may become negative, which makes up for them.
+ */
+void
+org_quota_add_use(org_quota_t *quota, str_t org, const org_limit_t *limit,
+    org_use_t kind, const unsigned counts[ORG_SLOTS], double now)
+{
+	org_bucket_t *bucket = bucket_find_or_create(quota, org, limit, now);
+	int64_t current = org_slot_at(now);
+	double sum = 0;
+
+	for (int64_t age = ORG_SLOTS - 1; age >= 0; age--) {
+		if (counts[age] == 0)
+			continue;
+		org_ring_add(&bucket->used[kind], current - age, counts[age]);
+		sum += counts[age];
+	}
+	bucket->tokens = fmin(bucket->tokens,
+	    fmax(bucket->tokens - sum, bucket_replay(bucket, now)));
+}
+
+/* Forgets the reports of users; those who use tokens later report again. */
+void
+org_quota_forget_reported(org_quota_t *quota)
+{
+	org_bucket_t *bucket;
+
+	for (size_t i = 0; i < BUCKETS; i++)
+		LIST_FOREACH (bucket, &quota->buckets[i], entry)
+			bucket->used[ORG_USE_REPORTED] = (org_ring_t){0};
+}
+
+/*
+ * Adds no tokens for the time in which this host stood still, because another
+ * host gave them.
+ */
+void
+org_quota_skip_pause(org_quota_t *quota, double now)
+{
+	org_bucket_t *bucket;
+
+	for (size_t i = 0; i < BUCKETS; i++) {
+		LIST_FOREACH (bucket, &quota->buckets[i], entry) {
+			double tokens = bucket->tokens;
+
+			bucket_refill(bucket, now);
+			bucket->tokens = fmin(tokens, bucket->tokens);
+		}
+	}
+}
+
+/* Sets the share of the limits that this host may give. */
+void
+org_quota_set_share(org_quota_t *quota, double share)
+{
+	quota->share = share;
+}
+
+/* Calls back with the tokens that this host gave in full slots after one. */
+void
+org_quota_each_given(const org_quota_t *quota, int64_t after, double now,
+    org_history_cb_t callback, void *ctx)
+{
+	int64_t current = org_slot_at(now);
+	const org_bucket_t *bucket;
+
+	for (size_t i = 0; i < BUCKETS; i++) {
+		LIST_FOREACH (bucket, &quota->buckets[i], entry) {
+			unsigned counts[ORG_SLOTS] = {0};
+			unsigned sum = 0;
+
+			for (int64_t age = 1; age < ORG_SLOTS; age++)
+				if (current - age > after)
+					sum += counts[age] = org_ring_get(
+					    &bucket->given, current - age);
+			if (sum > 0)
+				callback(ctx, str_of(bucket->name), counts);
+		}
+	}
+}
+
 /* Returns the tokens of an organisation after its last request; 0: unknown. */
 double
 org_quota_tokens(const org_quota_t *quota, str_t org)
--- a/src/org_quota.h
+++ b/src/org_quota.h
@@ -2,13 +2,7 @@
 #ifndef DAISYPIER_ORG_QUOTA_H
 #define DAISYPIER_ORG_QUOTA_H
 
-#include <stdint.h>
-
-#include "str.h"
-
-/* The use of tokens is remembered in slots of this length. */
-#define ORG_QUOTA_SLOT_S 0.25
-#define ORG_QUOTA_SLOTS	 40
+#include "org_history.h"
 
 /* Limit of an organisation, from its configuration. */
 typedef struct org_limit_t {
@@ -16,6 +10,13 @@
 	double burst;	       /* requests; 0: one second of the rate */
 } org_limit_t;
 
+/* How this host learned that tokens were used which it did not give. */
+typedef enum org_use_t {
+	ORG_USE_REPORTED,  /* their users report all that they used */
+	ORG_USE_ELSEWHERE, /* another host reports those that it gave */
+	ORG_USE_KINDS,
+} org_use_t;
+
 typedef struct org_quota_t org_quota_t;
 
 org_quota_t *org_quota_new(double started_at);
@@ -24,6 +25,13 @@
 bool org_quota_take(org_quota_t *quota, str_t org, const org_limit_t *limit,
     double now, double *retry_after);
 void org_quota_give_back(org_quota_t *quota, str_t org, double taken_at);
+void org_quota_add_use(org_quota_t *quota, str_t org, const org_limit_t *limit,
+    org_use_t kind, const unsigned counts[ORG_SLOTS], double now);
+void org_quota_forget_reported(org_quota_t *quota);
+void org_quota_skip_pause(org_quota_t *quota, double now);
+void org_quota_set_share(org_quota_t *quota, double share);
+void org_quota_each_given(const org_quota_t *quota, int64_t after, double now,
+    org_history_cb_t callback, void *ctx);
 double org_quota_tokens(const org_quota_t *quota, str_t org);
 size_t org_quota_count(const org_quota_t *quota);
 void org_quota_evict_idle(org_quota_t *quota, double now);
--- a/tests/test_grants.c
+++ b/tests/test_grants.c
@@ -742,7 +742,48 @@
 	teardown(&t);
 }
 
+/* Makes a host die and another admit. */
+static void
+kill_admitting_host(grants_test_t *t, size_t host, size_t next)
+{
+	stop_host(t, host);
+	t->members[host].ready = false;
+	t->members[host].state = MEMBER_DEAD;
+	t->members[next].ready = true;
+	for (size_t i = 0; i < HOSTS; i++)
+		if (t->grants[i] != NULL)
+			grants_fleet_changed(t->grants[i]);
+}
+
+/*
+ * Guards against a second burst when the host that admits dies: the new one
+ * learns from the others what they used.
+ */
+static void
+test_limit_after_takeover(void)
+{
+	grants_test_t t;
+	unsigned granted;
+
+	setup(&t, 1, GRANTS_POOL);
+	set_limit(&t, 4, 12);
+	wait_for_takeover(&t);
+	run_for(&t, 1.5);
+	granted = send_limited(&t, 0, 30);
+	CU_ASSERT(granted >= 12 && granted <= 14);
+	kill_admitting_host(&t, 1, 2);
+	run_for(&t, 0.3);
+	granted = send_limited(&t, 0, 15) + send_limited(&t, 2, 15);
+	/* 2/3 of the rate and burst, because one of 3 hosts is dead. */
+	CU_ASSERT(granted <= 2);
+	run_for(&t, 1.5);
+	granted = send_limited(&t, 0, 15);
+	CU_ASSERT(granted >= 3 && granted <= 5);
+	teardown(&t);
+}
+
 static const suite_test_t tests[] = {
+    {"limit after takeover", test_limit_after_takeover},
     {"limit over all hosts", test_limit_over_all_hosts},
     {"grants on own and other host", test_grants_on_own_and_other_host},
     {"online revokes batch of other host",
--- a/tests/test_org_quota.c
+++ b/tests/test_org_quota.c
@@ -254,6 +254,157 @@
 	org_quota_delete(quota);
 }
 
+/* Passes on what a host gave or used to another one, as hosts do. */
+typedef struct passed_uses_t {
+	org_quota_t *to;
+	double now;
+	org_use_t kind;
+} passed_uses_t;
+
+static void
+pass_use(void *ctx, str_t org, const unsigned counts[ORG_SLOTS])
+{
+	const passed_uses_t *uses = ctx;
+
+	org_quota_add_use(
+	    uses->to, org, &runs.limit, uses->kind, counts, uses->now);
+}
+
+/*
+ * Guards against a second burst from a new admitting host, whether all requests
+ * came through one host or through many, and against refusals by it of an
+ * organisation within its limit.
+ */
+static void
+test_takeover_with_history(void)
+{
+	static const double loads[] = {0.6, 7.5, 7.5};
+
+	for (size_t i = 0; i < 3; i++) {
+		rng_t rng = rng_seeded(6);
+		org_quota_t *before = org_quota_new(0);
+		org_quota_t *after = org_quota_new(0);
+		org_history_t *users[3];
+		double rate = 60 * loads[i];
+		unsigned refused;
+		size_t first;
+
+		runs_start(60, 60);
+		for (size_t u = 0; u < 3; u++)
+			users[u] = org_history_new();
+		send(before, &rng, 100, 112, rate);
+		for (size_t k = 0; k < runs.count; k++)
+			org_history_add(users[i == 2 ? 0 : rng_below(&rng, 3)],
+			    ORG, runs.at[k]);
+		for (size_t u = 0; u < 3; u++)
+			org_history_each(users[u], 112.01, pass_use,
+			    &(passed_uses_t){after, 112.1, ORG_USE_REPORTED});
+		first = runs.count;
+		refused = send(after, &rng, 112.1, 122, rate);
+		CU_ASSERT(runs_excess() < EPSILON);
+		CU_ASSERT(i == 0 ? refused == 0
+				 : (double)(runs.count - first) > 0.95 * 594);
+		for (size_t u = 0; u < 3; u++)
+			org_history_delete(users[u]);
+		org_quota_delete(before);
+		org_quota_delete(after);
+	}
+}
+
+/* Guards against uses that count twice, if two hosts report the same ones. */
+static void
+test_reports_of_the_same_uses(void)
+{
+	org_quota_t *quota = org_quota_new(0);
+	org_limit_t limit = {10, 20};
+	unsigned counts[ORG_SLOTS] = {[1] = 12};
+	double retry_after;
+
+	org_quota_add_use(quota, ORG, &limit, ORG_USE_ELSEWHERE, counts, 100);
+	org_quota_add_use(quota, ORG, &limit, ORG_USE_REPORTED, counts, 100);
+	CU_ASSERT_DOUBLE_EQUAL(org_quota_tokens(quota, ORG), 8, 0.01);
+	CU_ASSERT(org_quota_take(quota, ORG, &limit, 100, &retry_after));
+	/* After a while the bucket is full whatever was reported. */
+	org_quota_take(quota, ORG, &limit, 104, &retry_after);
+	CU_ASSERT_DOUBLE_EQUAL(org_quota_tokens(quota, ORG), 19, 0.01);
+	org_quota_delete(quota);
+}
+
+/*
+ * Guards against twice the limit while two hosts admit for a moment: they tell
+ * each other what they gave, and make up for it.
+ */
+static void
+test_two_admitting_hosts(void)
+{
+	org_quota_t *quotas[2] = {org_quota_new(0), org_quota_new(0)};
+	rng_t rng = rng_seeded(7);
+	int64_t told[2] = {0, 0};
+	double retry_after;
+
+	runs_start(60, 60);
+	for (double now = 100; now < 120; now += 0.002) {
+		/* The second host admits from 105 to 108 as well. */
+		for (size_t i = 0; i < (now > 105 && now < 108 ? 2 : 1); i++)
+			if (org_quota_take(
+				quotas[i], ORG, &runs.limit, now, &retry_after))
+				runs_add(now);
+		for (size_t i = 0; i < 2; i++) {
+			if (org_slot_at(now) - 1 <= told[i] ||
+			    rng_uniform(&rng) < 0.9)
+				continue;
+			org_quota_each_given(quotas[i], told[i], now, pass_use,
+			    &(passed_uses_t){
+				quotas[1 - i], now, ORG_USE_ELSEWHERE});
+			told[i] = org_slot_at(now) - 1;
+		}
+	}
+	/* What they give before they are told: a slot and the interval. */
+	CU_ASSERT(runs_excess() < 60 * 0.5);
+	CU_ASSERT((double)runs.count > 60 * 20 * 0.95);
+	org_quota_delete(quotas[0]);
+	org_quota_delete(quotas[1]);
+}
+
+/*
+ * Guards against a full bucket of a host that stood still while its deputy
+ * gave the tokens.
+ */
+static void
+test_pause_adds_no_tokens(void)
+{
+	org_quota_t *quota = org_quota_new(0);
+	org_limit_t limit = {10, 20};
+	double retry_after;
+
+	while (org_quota_take(quota, ORG, &limit, 100, &retry_after))
+		;
+	org_quota_skip_pause(quota, 104);
+	CU_ASSERT(!org_quota_take(quota, ORG, &limit, 104, &retry_after));
+	CU_ASSERT(org_quota_take(quota, ORG, &limit, 104.2, &retry_after));
+	org_quota_delete(quota);
+}
+
+/* Guards against the full limit of a host that does not hear from others. */
+static void
+test_share_lowers_the_limit(void)
+{
+	org_quota_t *quota = org_quota_new(0);
+	rng_t rng = rng_seeded(8);
+	size_t before;
+
+	runs_start(100, 100);
+	org_quota_set_share(quota, 0.25);
+	send(quota, &rng, 100, 110, 600);
+	CU_ASSERT(runs.count <= 276 && runs.count >= 270);
+	org_quota_set_share(quota, 1);
+	before = runs.count;
+	send(quota, &rng, 110, 120, 600);
+	CU_ASSERT(runs.count - before <= 1001 && runs.count - before >= 980);
+	CU_ASSERT(runs_excess() < EPSILON);
+	org_quota_delete(quota);
+}
+
 /* Guards against organisations that use each other's tokens. */
 static void
 test_organisations_are_separate(void)
@@ -279,6 +430,11 @@
     {"returned tokens", test_returned_tokens},
     {"changed limits", test_changed_limits},
     {"retry times are successive", test_retry_times_are_successive},
+    {"takeover with history", test_takeover_with_history},
+    {"reports of the same uses", test_reports_of_the_same_uses},
+    {"two admitting hosts", test_two_admitting_hosts},
+    {"pause adds no tokens", test_pause_adds_no_tokens},
+    {"share lowers the limit", test_share_lowers_the_limit},
     {"organisations are separate", test_organisations_are_separate},
 };
 
