Deputy applies limits while the admitting host does not answer

Cause: without the admitting host, requests of limited organisations were granted from local allowances without a limit. Change: such a request goes to the next host in the placement order, which decides under restriction with a bucket of its own. Other requests and deployments without limits are served as before.

--- a/src/grants.c
+++ b/src/grants.c
@@ -201,9 +201,9 @@
 	    (pool->is_admitting ||
 		strcmp(grant->granted_by, pool->admitting_address) != 0))
 		grant_send_release(grant, grant->granted_by, report);
-	if (pool->is_admitting)
+	if (pool->is_admitting || grant_is_at_own_deputy(grant))
 		pool_admit_release(pool, grant->id, report, now);
-	else if (pool->admitting_host[0] != '\0')
+	if (!pool->is_admitting && pool->admitting_host[0] != '\0')
 		grant_send_release(grant, pool->admitting_address, report);
 }
 
@@ -237,7 +237,7 @@
 		grant_resolve(grant, reply->rc, 1, NULL);
 		return;
 	}
-	pool_mark_unreachable(grant->pool, now);
+	grant_mark_unreachable(grant, now);
 	/*
 	 * The request may have been granted and its answer lost, so it is
 	 * released there and gets a new id, which prevents double counting.
@@ -246,11 +246,12 @@
 		grant_send_release(grant, grant->granted_by, NULL);
 	grant->granted_by[0] = '\0';
 	grant_assign_id(grant);
-	grant_try_local(grant, now);
+	grant_submit_elsewhere(grant, now);
 }
 
-static void
-grant_send_request(grant_t *grant, double now)
+/* Sends the request to the host at an address. */
+void
+grant_send_request(grant_t *grant, const char *address, double now)
 {
 	grants_pool_t *pool = grant->pool;
 	const fleet_config_t *config;
@@ -261,11 +262,9 @@
 	timeout = config->fleet.grant_timeout_ms / 1e3;
 	grants_pack_ask(&body, grant, now);
 	grant->state = GRANT_STATE_REQUESTED;
-	str_copy(grant->granted_by, sizeof(grant->granted_by),
-	    str_of(pool->admitting_address));
-	grant->call = peer_call(grant->grants->params.peer,
-	    pool->admitting_address, PEER_GRANT_REQUEST, str_buf(&body),
-	    timeout, on_ask_reply, grant);
+	str_copy(grant->granted_by, sizeof(grant->granted_by), str_of(address));
+	grant->call = peer_call(grant->grants->params.peer, address,
+	    PEER_GRANT_REQUEST, str_buf(&body), timeout, on_ask_reply, grant);
 	buf_free(&body);
 }
 
@@ -277,6 +276,7 @@
 	const fleet_config_t *config;
 
 	grant->submitted_at = now;
+	grant->at_deputy = false;
 	if (pool_config(pool, &config) == NULL) {
 		grant_resolve(grant,
 		    config == NULL ? -RESULT_NOT_READY : -RESULT_UNKNOWN_MODEL,
@@ -290,9 +290,9 @@
 		pool_admit_request(pool, grant, now);
 	} else if (pool->admitting_host[0] == '\0' ||
 		   now < pool->backoff_until) {
-		grant_try_local(grant, now);
+		grant_submit_elsewhere(grant, now);
 	} else {
-		grant_send_request(grant, now);
+		grant_send_request(grant, pool->admitting_address, now);
 	}
 }
 
--- a/src/grants_admit.c
+++ b/src/grants_admit.c
@@ -40,8 +40,8 @@
 }
 
 /* Stores the address for messages to a holder; adds unknown holders. */
-static grants_host_t *
-host_set_address(grants_t *grants, str_t name, const char *address)
+grants_host_t *
+grants_host_at(grants_t *grants, str_t name, const char *address)
 {
 	grants_host_t *host = host_find(grants, name);
 
@@ -298,7 +298,7 @@
 		peer_request_reply(request, -RESULT_NOT_READY, (str_t){0});
 		return;
 	}
-	host_set_address(grants, m.holder, peer_request_address(request));
+	grants_host_at(grants, m.holder, peer_request_address(request));
 	pool = grants_get_pool(grants, m.pool);
 	pool_ensure_admission(pool, now);
 	str_copy(holder, sizeof(holder), m.holder);
@@ -375,7 +375,7 @@
 		grants_pool_t *pool = grants_get_pool(grants, m.pool);
 
 		grants_quota_read_history(grants,
-		    host_set_address(
+		    grants_host_at(
 			grants, m.holder, peer_request_address(request)),
 		    &m.uses, now);
 		pool_ensure_admission(pool, now);
--- /dev/null
+++ b/src/grants_deputy.c
@@ -0,0 +1,99 @@
+/*
+ * Requests that count against a limit while the host that admits does not
+ * answer. Its deputy, the next host in the placement order, decides on them.
+ */
+#include "grants_state.h"
+
+#include <string.h>
+
+#include "logger.h"
+
+/* A deputy that did not answer gets no requests for this time. */
+#define DEPUTY_BACKOFF_S 0.5
+
+/* Returns whether a request needs a token of its organisation's limit. */
+bool
+grant_needs_token(const grant_t *grant)
+{
+	org_limit_t limit;
+
+	return (grant->params.limited && grant->params.class == GRANT_ONLINE &&
+		grant->grants->quota.in_force &&
+		grants_org_limit(grant->grants, str_of(grant->org), &limit));
+}
+
+/* Returns whether this host decides on its own request as the deputy. */
+bool
+grant_is_at_own_deputy(const grant_t *grant)
+{
+	return (grant->at_deputy && grant->granted_by[0] == '\0');
+}
+
+/* Returns whether a request waits at a host that does not admit the pool. */
+bool
+grant_waits_at_deputy(const grant_t *grant)
+{
+	const grants_pool_t *pool = grant->pool;
+
+	if (grant_is_at_own_deputy(grant))
+		return (!pool->is_admitting);
+	return (grant->at_deputy &&
+		strcmp(grant->granted_by, pool->admitting_address) != 0);
+}
+
+/* Asks the deputy for a slot; returns false if it can't be asked. */
+static bool
+grant_ask_deputy(grant_t *grant, double now)
+{
+	grants_quota_t *quota = &grant->grants->quota;
+
+	if (!grant_needs_token(grant) || quota->deputy[0] == '\0' ||
+	    now < quota->deputy_backoff_until)
+		return (false);
+	counter_add(quota->asked_deputy, 1);
+	grants_quota_tell_deputy(grant->grants, now);
+	grant->at_deputy = true;
+	if (strcmp(quota->deputy, grant->grants->host) != 0) {
+		grant_send_request(grant, quota->deputy_address, now);
+		return (true);
+	}
+	grant->state = GRANT_STATE_QUEUED;
+	grant->granted_by[0] = '\0';
+	pool_admit_request(grant->pool, grant, now);
+	return (true);
+}
+
+/* Decides on a request without the host that admits. */
+void
+grant_submit_elsewhere(grant_t *grant, double now)
+{
+	if (!grant_ask_deputy(grant, now))
+		grant_try_local(grant, now);
+}
+
+/* Suspends requests to the host that did not answer a request. */
+void
+grant_mark_unreachable(grant_t *grant, double now)
+{
+	grants_quota_t *quota = &grant->grants->quota;
+
+	if (!grant->at_deputy) {
+		pool_mark_unreachable(grant->pool, now);
+		return;
+	}
+	grant->at_deputy = false;
+	if (quota->deputy_backoff_until <= now)
+		LOG_WARN("deputy_unreachable", "host=%s", quota->deputy);
+	quota->deputy_backoff_until = now + DEPUTY_BACKOFF_S;
+}
+
+/* Withdraws a request at the host where it waits, before it goes to another. */
+void
+grant_leave_queue(grant_t *grant, double now)
+{
+	if (grant->granted_by[0] != '\0')
+		grant_send_release(grant, grant->granted_by, NULL);
+	else if (grant_is_at_own_deputy(grant) && !grant->pool->is_admitting)
+		pool_admit_release(grant->pool, grant->id, NULL, now);
+	grant->at_deputy = false;
+}
--- a/src/grants_quota.c
+++ b/src/grants_quota.c
@@ -194,7 +194,6 @@
 	grants->quota.own = org_history_new();
 	grants->quota.ticked_at = now;
 	grants->quota.share = 1;
-	grants->quota.epoch = 1;
 	LIST_INIT(&grants->quota.limited_orgs);
 	grants->quota.taken = counter_get("daisypier_org_tokens_taken_total",
 	    "Requests that this host admitted within their organisation's "
@@ -208,6 +207,9 @@
 	    "Organisations whose tokens this host keeps");
 	grants->quota.rebuilt = counter_get("daisypier_quota_rebuilt_total",
 	    "Times that this host filled its buckets from what others used");
+	grants->quota.asked_deputy = counter_get("daisypier_deputy_asked_total",
+	    "Requests that this host sent to the deputy, because the admitting "
+	    "host did not answer");
 	grants->quota.share_gauge = gauge_get("daisypier_quota_share",
 	    "Share of the limits that this host gives as the one that admits");
 	gauge_set(grants->quota.share_gauge, 1);
--- a/src/grants_quota_sync.c
+++ b/src/grants_quota_sync.c
@@ -60,7 +60,31 @@
 		add_use(uses, org, counts);
 }
 
-/* Adds the history of a report; a host's second one is the same again. */
+/*
+ * Returns whether a host's history must be added to the buckets. One that
+ * arrives within the remembered time after another has the same uses again.
+ */
+static bool
+history_is_new(const grants_t *grants, double last_at, double now)
+{
+	return (last_at <= 0 || last_at < grants->quota.forgot_at ||
+		now - last_at > ORG_SLOTS * ORG_SLOT_S);
+}
+
+/* Adds this host's own history to its buckets. */
+static void
+add_own_history(grants_t *grants, double now)
+{
+	added_uses_t uses = {
+	    .grants = grants, .kind = ORG_USE_REPORTED, .now = now};
+
+	if (!history_is_new(grants, grants->quota.own_history_at, now))
+		return;
+	grants->quota.own_history_at = now;
+	org_history_each(grants->quota.own, now, add_use, &uses);
+}
+
+/* Adds the history of another host to the buckets. */
 void
 grants_quota_read_history(
     grants_t *grants, grants_host_t *host, wire_reader_t *list, double now)
@@ -68,9 +92,9 @@
 	added_uses_t uses = {
 	    .grants = grants, .kind = ORG_USE_REPORTED, .now = now};
 
-	if (list->left == 0 || host->history_epoch == grants->quota.epoch)
+	if (list->left == 0 || !history_is_new(grants, host->history_at, now))
 		return;
-	host->history_epoch = grants->quota.epoch;
+	host->history_at = now;
 	add_received_uses(&uses, list);
 	LOG_INFO(
 	    "quota_history", "host=%s requests=%u", host->name, uses.requests);
@@ -158,10 +182,7 @@
 static void
 begin_admitting(grants_t *grants, double now)
 {
-	added_uses_t uses = {
-	    .grants = grants, .kind = ORG_USE_REPORTED, .now = now};
-
-	org_history_each(grants->quota.own, now, add_use, &uses);
+	add_own_history(grants, now);
 	counter_add(grants->quota.rebuilt, 1);
 	LOG_INFO("quota_rebuilt", "cause=takeover orgs=%zu",
 	    org_quota_count(grants->quota.buckets));
@@ -175,10 +196,11 @@
 
 	str_copy(quota->admitting, sizeof(quota->admitting), str_of(name));
 	quota->history_owed = true;
+	quota->deputy_told_at = 0;
 	quota->history_pool = NULL;
 	if (was_admitting) {
 		org_quota_forget_reported(quota->buckets);
-		quota->epoch++;
+		quota->forgot_at = now;
 	}
 	if (strcmp(name, grants->host) == 0)
 		begin_admitting(grants, now);
@@ -230,7 +252,7 @@
 	    quota->buckets, quota->told_slot, now, pack_use, &uses);
 	quota->told_slot = org_slot_at(now) - 1;
 	if (uses.count > 0) {
-		grants_pack_uses(&body, grants->host, &list, uses.count);
+		grants_pack_uses(&body, grants->host, false, &list, uses.count);
 		peer_send(grants->params.peer, other->address, PEER_QUOTA_USES,
 		    str_buf(&body));
 	}
@@ -238,6 +260,36 @@
 	buf_free(&body);
 }
 
+/*
+ * Tells the deputy what this host used, before the first request to it: it may
+ * not know what the host that admits gave last.
+ */
+void
+grants_quota_tell_deputy(grants_t *grants, double now)
+{
+	grants_quota_t *quota = &grants->quota;
+	buf_t list = {0};
+	buf_t body = {0};
+	packed_uses_t uses = {.out = &list};
+
+	if (strcmp(quota->deputy, grants->host) == 0) {
+		add_own_history(grants, now);
+		return;
+	}
+	if (quota->deputy_told_at > 0 &&
+	    now - quota->deputy_told_at <= ORG_SLOTS * ORG_SLOT_S)
+		return;
+	quota->deputy_told_at = now;
+	org_history_each(quota->own, now, pack_use, &uses);
+	if (uses.count > 0) {
+		grants_pack_uses(&body, grants->host, true, &list, uses.count);
+		peer_send(grants->params.peer, quota->deputy_address,
+		    PEER_QUOTA_USES, str_buf(&body));
+	}
+	buf_free(&list);
+	buf_free(&body);
+}
+
 static const member_t *
 find_member(const grants_t *grants, const char *name)
 {
@@ -275,7 +327,12 @@
 	    .now = clock_monotonic(),
 	};
 
-	if (grants_read_uses(body, &m))
+	if (grants_read_uses(body, &m) && m.reported)
+		grants_quota_read_history(grants,
+		    grants_host_at(
+			grants, m.holder, peer_request_address(request)),
+		    &m.uses, uses.now);
+	else if (m.holder.len > 0)
 		add_received_uses(&uses, &m.uses);
 	peer_request_reply(request, 0, (str_t){0});
 }
--- a/src/grants_report.c
+++ b/src/grants_report.c
@@ -35,16 +35,20 @@
 		ids = wire_reader(reply->body);
 		while (!ids.fault && ids.left > 0) {
 			grant = grants_find(pool->grants, wire_read_u64(&ids));
-			if (grant != NULL && grant->state == GRANT_STATE_QUEUED)
-				grant_submit(grant, now);
+			if (grant == NULL || grant->state != GRANT_STATE_QUEUED)
+				continue;
+			if (grant_waits_at_deputy(grant))
+				grant_leave_queue(grant, now);
+			grant_submit(grant, now);
 		}
 		return;
 	}
 	/* Queued requests must not wait for an unreachable host. */
 	pool_mark_unreachable(pool, now);
 	LIST_FOREACH (grant, &pool->own_grants, pool_entry)
-		if (grant->state == GRANT_STATE_QUEUED)
-			grant_try_local(grant, now);
+		if (grant->state == GRANT_STATE_QUEUED &&
+		    !grant_waits_at_deputy(grant))
+			grant_submit_elsewhere(grant, now);
 }
 
 /* Reports this host's requests and grants to the pool's admitting host. */
@@ -91,8 +95,7 @@
 	LIST_FOREACH (grant, &pool->own_grants, pool_entry) {
 		if (grant->state != GRANT_STATE_QUEUED)
 			continue;
-		if (grant->granted_by[0] != '\0')
-			grant_send_release(grant, grant->granted_by, NULL);
+		grant_leave_queue(grant, now);
 		grant_submit(grant, now);
 	}
 }
--- a/src/grants_state.h
+++ b/src/grants_state.h
@@ -47,8 +47,8 @@
 typedef struct grants_host_t {
 	char name[NAME_SIZE];
 	char address[48];
-	uint64_t instance;	/* 0: not yet in the member table */
-	unsigned history_epoch; /* grants_quota_t.epoch of its history */
+	uint64_t instance; /* 0: not yet in the member table */
+	double history_at; /* when its history was added; 0: never */
 	LIST_ENTRY(grants_host_t) entry;
 } grants_host_t;
 
@@ -61,10 +61,13 @@
 	char admitting[NAME_SIZE];
 	char deputy[NAME_SIZE];
 	char deputy_address[48];
+	double deputy_backoff_until; /* it gets no requests until then */
 	/* The history is still to be sent to the host that admits. */
 	bool history_owed;
 	const grants_pool_t *history_pool; /* whose report has it */
-	unsigned epoch; /* counts the times that this host began to admit */
+	double forgot_at; /* when this host forgot the histories of others */
+	double own_history_at; /* when its own was added to its buckets */
+	double deputy_told_at; /* when its own was sent to the deputy */
 	/* Tokens given up to this slot were told to that host. */
 	int64_t told_slot;
 	char told[NAME_SIZE];
@@ -75,6 +78,7 @@
 	counter_t *limited;
 	counter_t *orgs;
 	counter_t *rebuilt;
+	counter_t *asked_deputy;
 	counter_t *share_gauge;
 	double evicted_at;
 	LIST_HEAD(, limited_org_t) limited_orgs; /* refused recently */
@@ -89,6 +93,7 @@
 	char org[NAME_SIZE];
 	char avoid[ENDPOINT_NAME_SIZE];
 	char granted_by[48]; /* address; empty: this host or none */
+	bool at_deputy;	     /* the deputy decides, see grants_deputy.c */
 	double retry_at;
 	peer_call_t *call;
 	int rc;
@@ -147,6 +152,7 @@
 unsigned grants_allowance(
     void *ctx, const char *holder, const char *endpoint, unsigned slots);
 void grant_submit(grant_t *grant, double now);
+void grant_send_request(grant_t *grant, const char *address, double now);
 void grant_send_release(
     grant_t *grant, const char *address, const grant_report_t *report);
 
@@ -155,6 +161,14 @@
 void grant_try_local(grant_t *grant, double now);
 void pool_retry_local(grants_pool_t *pool, double now);
 
+/* grants_deputy.c: limited requests without an admitting host */
+bool grant_needs_token(const grant_t *grant);
+void grant_submit_elsewhere(grant_t *grant, double now);
+void grant_mark_unreachable(grant_t *grant, double now);
+bool grant_is_at_own_deputy(const grant_t *grant);
+bool grant_waits_at_deputy(const grant_t *grant);
+void grant_leave_queue(grant_t *grant, double now);
+
 /* grants_report.c */
 void pool_mark_unreachable(grants_pool_t *pool, double now);
 void pool_report(grants_pool_t *pool, double now);
@@ -179,6 +193,7 @@
     grants_t *grants, const grants_pool_t *pool, double now, buf_t *out);
 void grants_quota_reported(
     grants_t *grants, const grants_pool_t *pool, bool accepted);
+void grants_quota_tell_deputy(grants_t *grants, double now);
 void grants_quota_read_history(
     grants_t *grants, grants_host_t *host, wire_reader_t *uses, double now);
 
@@ -189,6 +204,8 @@
 /* grants_admit.c: the admitting side */
 void grants_admit_start(grants_t *grants);
 void grants_admit_stop(grants_t *grants);
+grants_host_t *grants_host_at(
+    grants_t *grants, str_t name, const char *address);
 void grants_admit_tick(grants_t *grants, double now);
 void grants_admit_check_hosts(grants_t *grants, double now);
 void pool_admit_request(grants_pool_t *pool, const grant_t *grant, double now);
--- a/src/grants_wire.c
+++ b/src/grants_wire.c
@@ -249,16 +249,20 @@
 	return (!uses->fault && !item.fault);
 }
 
-/* QUOTA_USES: tokens that a host gave since its last message. */
+/*
+ * QUOTA_USES: tokens that a host gave since its last message, or, if reported,
+ * all those that it used.
+ */
 void
-grants_pack_uses(
-    buf_t *out, const char *host, const buf_t *uses, size_t use_count)
+grants_pack_uses(buf_t *out, const char *host, bool reported, const buf_t *uses,
+    size_t use_count)
 {
 	msgpack_packer packer;
 
 	wire_packer_init(&packer, out);
-	msgpack_pack_array(&packer, 2);
+	msgpack_pack_array(&packer, 3);
 	wire_pack_str(&packer, str_of(host));
+	wire_pack_bool(&packer, reported);
 	msgpack_pack_array(&packer, use_count);
 	buf_append(out, str_buf(uses));
 }
@@ -270,7 +274,10 @@
 	wire_reader_t reader = wire_reader(body);
 
 	out->holder = wire_read_str(&reader);
+	out->reported = wire_read_bool(&reader);
 	out->uses = wire_read_array(&reader);
+	if (reader.fault)
+		out->holder = (str_t){0};
 	return (!reader.fault);
 }
 
--- a/src/grants_wire.h
+++ b/src/grants_wire.h
@@ -28,6 +28,7 @@
 	double retry_after;
 	grant_report_t report;
 	wire_reader_t uses; /* of tokens, see grants_read_use() */
+	bool reported;	    /* the uses are those of the holder */
 } grants_message_t;
 
 double grant_slack_at(const grant_t *grant, double time);
@@ -52,8 +53,8 @@
 void grants_pack_use(buf_t *out, str_t org, const unsigned counts[ORG_SLOTS]);
 bool grants_read_use(
     wire_reader_t *uses, str_t *org, unsigned counts[ORG_SLOTS]);
-void grants_pack_uses(
-    buf_t *out, const char *host, const buf_t *uses, size_t use_count);
+void grants_pack_uses(buf_t *out, const char *host, bool reported,
+    const buf_t *uses, size_t use_count);
 bool grants_read_uses(const msgpack_object *body, grants_message_t *out);
 void grants_pack_held_reply(buf_t *out, const uint64_t *ids, size_t count);
 
--- a/tests/test_grants.c
+++ b/tests/test_grants.c
@@ -782,7 +782,53 @@
 	teardown(&t);
 }
 
+/* Starts a limit and stops the host that admits; the others don't know it. */
+static size_t
+start_without_admitting_host(grants_test_t *t, double rate, double burst)
+{
+	size_t admitting;
+	test_request_t request = {0};
+
+	setup(t, 1, GRANTS_POOL);
+	set_limit(t, rate, burst);
+	admitting = make_all_ready(t);
+	request_grant(t, admitting, GRANT_ONLINE, &request);
+	run_for(t, 2);
+	CU_ASSERT(request.answers == 1 && request.rc == 0);
+	release_grant(&request);
+	return (admitting);
+}
+
+/*
+ * Guards against a limit that each host applies by itself, and against refusals
+ * of all limited requests, while the host that admits does not answer: the
+ * deputy decides on them.
+ */
+static void
+test_deputy_applies_the_limit(void)
+{
+	grants_test_t t;
+	size_t admitting = start_without_admitting_host(&t, 8, 16);
+	size_t hosts[2] = {(admitting + 1) % HOSTS, (admitting + 2) % HOSTS};
+	unsigned granted = send_limited(&t, hosts[0], 16);
+
+	CU_ASSERT(granted == 16);
+	stop_host(&t, admitting);
+	/* The deputy knows what was used; one of them is the deputy itself. */
+	run_for(&t, 0.3);
+	granted = send_limited(&t, hosts[0], 16);
+	granted += send_limited(&t, hosts[1], 16);
+	CU_ASSERT(granted >= 2 && granted <= 10);
+	run_for(&t, 1);
+	granted = send_limited(&t, hosts[1], 16);
+	CU_ASSERT(granted >= 8 && granted <= 11);
+	CU_ASSERT(grants_open_count(t.grants[hosts[0]]) == 0);
+	CU_ASSERT(grants_open_count(t.grants[hosts[1]]) == 0);
+	teardown(&t);
+}
+
 static const suite_test_t tests[] = {
+    {"deputy applies the limit", test_deputy_applies_the_limit},
     {"limit after takeover", test_limit_after_takeover},
     {"limit over all hosts", test_limit_over_all_hosts},
     {"grants on own and other host", test_grants_on_own_and_other_host},
