A host that reaches no other uses its share of the limits

Cause: a host that reached neither the admitting host nor the deputy granted requests of limited organisations from its local allowance without a limit. Change: it uses rate / hosts and burst / hosts of each limit; fractions of a token are decided by chance, so that the sum over all hosts is the limit on average. It tells the admitting host afterwards what it used.

--- a/src/grants_deputy.c
+++ b/src/grants_deputy.c
@@ -7,7 +7,10 @@
 #include <string.h>
 
 #include "logger.h"
+#include "result.h"
 
+/* A caller that this host refuses alone may find another host by then. */
+#define ALONE_RETRY_AFTER_S 1.0
 /* A deputy that did not answer gets no requests for this time. */
 #define DEPUTY_BACKOFF_S 0.5
 
@@ -63,6 +66,49 @@
 	return (true);
 }
 
+/*
+ * Takes a token for a request that is granted without any other host. Refuses
+ * the request and returns false if there is none.
+ */
+bool
+grant_take_alone(grant_t *grant, double now)
+{
+	grants_t *grants = grant->grants;
+	org_limit_t limit;
+
+	if (!grant_needs_token(grant) ||
+	    !grants_org_limit(grants, str_of(grant->org), &limit))
+		return (true);
+	if (org_share_take(grants->quota.alone, str_of(grant->org), &limit,
+		grants->quota.host_count, now))
+		return (true);
+	grants_log_limited(
+	    grants, grant->org, &limit, ALONE_RETRY_AFTER_S, now);
+	grant_resolve(grant, -RESULT_LIMITED, ALONE_RETRY_AFTER_S, NULL);
+	return (false);
+}
+
+/* Returns the token of a request that found no slot. */
+void
+grant_give_back_alone(grant_t *grant)
+{
+	if (grant_needs_token(grant))
+		org_share_give_back(
+		    grant->grants->quota.alone, str_of(grant->org));
+}
+
+/* Counts a token that was used; the host that admits is told later. */
+void
+grant_note_used_alone(grant_t *grant, double now)
+{
+	if (!grant_needs_token(grant))
+		return;
+	counter_add(grant->grants->quota.taken_alone, 1);
+	org_history_add(
+	    grant->grants->quota.used_alone, str_of(grant->org), now);
+	grant->pool->report_when_empty = true;
+}
+
 /* Decides on a request without the host that admits. */
 void
 grant_submit_elsewhere(grant_t *grant, double now)
--- a/src/grants_local.c
+++ b/src/grants_local.c
@@ -110,8 +110,13 @@
 	grant->retry_at = now + RETRY_INTERVAL_S;
 	if (grant->params.class != GRANT_ONLINE)
 		return;
-	if (!grant_choose_local(grant, false))
+	if (!grant_take_alone(grant, now))
 		return;
+	if (!grant_choose_local(grant, false)) {
+		grant_give_back_alone(grant);
+		return;
+	}
+	grant_note_used_alone(grant, now);
 	counter_add(grant->grants->granted_locally, 1);
 	pool_revoke_own_batch(grant->pool, grant->endpoint.name);
 }
--- a/src/grants_quota.c
+++ b/src/grants_quota.c
@@ -57,13 +57,15 @@
 	return (true);
 }
 
-/* Logs a refusal, at most once in LIMITED_LOG_INTERVAL_S per organisation. */
-static void
-log_limited(grants_t *grants, const char *org, const org_limit_t *limit,
+/* Counts and logs a refusal, at most once in LIMITED_LOG_INTERVAL_S per
+ * organisation. */
+void
+grants_log_limited(grants_t *grants, const char *org, const org_limit_t *limit,
     double retry_after, double now)
 {
 	limited_org_t *entry;
 
+	counter_add(grants->quota.limited, 1);
 	LIST_FOREACH (entry, &grants->quota.limited_orgs, entry)
 		if (strcmp(entry->name, org) == 0)
 			break;
@@ -116,8 +118,7 @@
 		counter_add(grants->quota.taken, 1);
 		return (true);
 	}
-	counter_add(grants->quota.limited, 1);
-	log_limited(grants, org, &limit, *retry_after, now);
+	grants_log_limited(grants, org, &limit, *retry_after, now);
 	return (false);
 }
 
@@ -192,6 +193,8 @@
 {
 	grants->quota.buckets = org_quota_new(now);
 	grants->quota.own = org_history_new();
+	grants->quota.alone = org_share_new(now, rng_next(&grants->rng));
+	grants->quota.used_alone = org_history_new();
 	grants->quota.ticked_at = now;
 	grants->quota.share = 1;
 	LIST_INIT(&grants->quota.limited_orgs);
@@ -210,6 +213,10 @@
 	grants->quota.asked_deputy = counter_get("daisypier_deputy_asked_total",
 	    "Requests that this host sent to the deputy, because the admitting "
 	    "host did not answer");
+	grants->quota.taken_alone = counter_get(
+	    "daisypier_org_tokens_alone_total",
+	    "Requests that this host admitted within its own share of their "
+	    "organisation's limit");
 	grants->quota.share_gauge = gauge_get("daisypier_quota_share",
 	    "Share of the limits that this host gives as the one that admits");
 	gauge_set(grants->quota.share_gauge, 1);
@@ -223,5 +230,7 @@
 		free_limited_org(LIST_FIRST(&grants->quota.limited_orgs));
 	grants_quota_sync_stop(grants);
 	org_history_delete(grants->quota.own);
+	org_history_delete(grants->quota.used_alone);
+	org_share_delete(grants->quota.alone);
 	org_quota_delete(grants->quota.buckets);
 }
--- a/src/grants_quota_sync.c
+++ b/src/grants_quota_sync.c
@@ -122,11 +122,32 @@
 	return (uses.count);
 }
 
-/* Records whether the report of a pool was answered. */
+/* Tells the host that admits which tokens this host used alone. */
+static void
+tell_used_alone(grants_t *grants, const grants_pool_t *pool, double now)
+{
+	buf_t list = {0};
+	buf_t body = {0};
+	packed_uses_t uses = {.out = &list};
+
+	org_history_each(grants->quota.used_alone, now, pack_use, &uses);
+	if (uses.count > 0) {
+		grants_pack_uses(&body, grants->host, false, &list, uses.count);
+		peer_send(grants->params.peer, pool->admitting_address,
+		    PEER_QUOTA_USES, str_buf(&body));
+		org_history_clear(grants->quota.used_alone);
+	}
+	buf_free(&list);
+	buf_free(&body);
+}
+
+/* Handles whether the report of a pool was answered. */
 void
 grants_quota_reported(
-    grants_t *grants, const grants_pool_t *pool, bool accepted)
+    grants_t *grants, const grants_pool_t *pool, bool accepted, double now)
 {
+	if (accepted && grants->quota.in_force)
+		tell_used_alone(grants, pool, now);
 	if (grants->quota.history_pool != pool)
 		return;
 	grants->quota.history_pool = NULL;
@@ -145,12 +166,24 @@
 	return (false);
 }
 
+static void
+set_share(grants_t *grants, double share)
+{
+	if (share == grants->quota.share)
+		return;
+	grants->quota.share = share;
+	org_quota_set_share(grants->quota.buckets, share);
+	gauge_set(grants->quota.share_gauge, share);
+	LOG_INFO("quota_share", "share=%.3f", share);
+}
+
 /*
- * Returns the share of the site's hosts that are not dead as this host sees
- * them. Those may be cut off and give tokens by themselves.
+ * Counts the hosts of the site, and lowers the limits by the share of those
+ * that are dead as this host sees them. Those may be cut off and give tokens by
+ * themselves.
  */
-static double
-living_share(const grants_t *grants)
+static void
+count_hosts(grants_t *grants)
 {
 	size_t living = 0;
 	size_t dead = 0;
@@ -164,18 +197,9 @@
 			 !was_replaced(grants, member))
 			dead++;
 	}
-	return (living > 0 ? (double)living / (double)(living + dead) : 1);
-}
-
-static void
-set_share(grants_t *grants, double share)
-{
-	if (share == grants->quota.share)
-		return;
-	grants->quota.share = share;
-	org_quota_set_share(grants->quota.buckets, share);
-	gauge_set(grants->quota.share_gauge, share);
-	LOG_INFO("quota_share", "share=%.3f", share);
+	grants->quota.host_count = living + dead;
+	set_share(
+	    grants, living > 0 ? (double)living / (double)(living + dead) : 1);
 }
 
 /* Begins to admit for the site: other hosts report what they used. */
@@ -229,7 +253,7 @@
 	if (strcmp(quota->admitting, count > 0 ? hosts[0]->name : "") != 0)
 		admitting_host_changed(
 		    grants, count > 0 ? hosts[0]->name : "", now);
-	set_share(grants, living_share(grants));
+	count_hosts(grants);
 }
 
 /*
--- a/src/grants_report.c
+++ b/src/grants_report.c
@@ -30,7 +30,7 @@
 	grant_t *grant;
 
 	pool->report_call = NULL;
-	grants_quota_reported(pool->grants, pool, reply->rc == 0);
+	grants_quota_reported(pool->grants, pool, reply->rc == 0, now);
 	if (reply->rc == 0) {
 		ids = wire_reader(reply->body);
 		while (!ids.fault && ids.left > 0) {
--- a/src/grants_state.h
+++ b/src/grants_state.h
@@ -8,7 +8,7 @@
 #include "allowance.h"
 #include "clock.h"
 #include "counter.h"
-#include "org_quota.h"
+#include "org_share.h"
 #include "wire.h"
 
 #define GRANTS_BUCKETS	    1024
@@ -54,9 +54,12 @@
 
 /* The limits of organisations, which hold for all pools of the site. */
 typedef struct grants_quota_t {
-	org_quota_t *buckets; /* as the host that admits */
-	org_history_t *own;   /* tokens that this host used */
-	bool in_force;	      /* an organisation has a limit */
+	org_quota_t *buckets;	   /* as the host that admits */
+	org_history_t *own;	   /* tokens that this host used */
+	org_share_t *alone;	   /* used without any other host */
+	org_history_t *used_alone; /* and not yet told to another */
+	size_t host_count; /* hosts of the site, the dead ones included */
+	bool in_force;	   /* an organisation has a limit */
 	/* Names of the host that admits for the site, and of its deputy. */
 	char admitting[NAME_SIZE];
 	char deputy[NAME_SIZE];
@@ -79,6 +82,7 @@
 	counter_t *orgs;
 	counter_t *rebuilt;
 	counter_t *asked_deputy;
+	counter_t *taken_alone;
 	counter_t *share_gauge;
 	double evicted_at;
 	LIST_HEAD(, limited_org_t) limited_orgs; /* refused recently */
@@ -165,6 +169,9 @@
 bool grant_needs_token(const grant_t *grant);
 void grant_submit_elsewhere(grant_t *grant, double now);
 void grant_mark_unreachable(grant_t *grant, double now);
+bool grant_take_alone(grant_t *grant, double now);
+void grant_give_back_alone(grant_t *grant);
+void grant_note_used_alone(grant_t *grant, double now);
 bool grant_is_at_own_deputy(const grant_t *grant);
 bool grant_waits_at_deputy(const grant_t *grant);
 void grant_leave_queue(grant_t *grant, double now);
@@ -181,6 +188,8 @@
 void grants_quota_tick(grants_t *grants, double now);
 const fleet_config_t *grants_quota_config(const grants_t *grants);
 bool grants_org_limit(const grants_t *grants, str_t org, org_limit_t *out);
+void grants_log_limited(grants_t *grants, const char *org,
+    const org_limit_t *limit, double retry_after, double now);
 void grants_quota_note_use(grants_t *grants, const grant_t *grant);
 str_t grants_placement_key(const grants_t *grants, str_t pool);
 
@@ -192,7 +201,7 @@
 size_t grants_quota_pack_history(
     grants_t *grants, const grants_pool_t *pool, double now, buf_t *out);
 void grants_quota_reported(
-    grants_t *grants, const grants_pool_t *pool, bool accepted);
+    grants_t *grants, const grants_pool_t *pool, bool accepted, double now);
 void grants_quota_tell_deputy(grants_t *grants, double now);
 void grants_quota_read_history(
     grants_t *grants, grants_host_t *host, wire_reader_t *uses, double now);
--- a/tests/test_grants.c
+++ b/tests/test_grants.c
@@ -827,7 +827,36 @@
 	teardown(&t);
 }
 
+/*
+ * Guards against a host that applies the whole limit, or refuses everything,
+ * while it reaches neither the host that admits nor the deputy; and against
+ * tokens that the host that admits never hears of.
+ */
+static void
+test_share_of_a_host_alone(void)
+{
+	grants_test_t t;
+	size_t admitting = start_without_admitting_host(&t, 30, 60);
+	size_t alone = (admitting + 1) % HOSTS;
+	unsigned granted;
+
+	for (size_t i = 0; i < HOSTS; i++)
+		if (i != alone)
+			stop_host(&t, i);
+	/* The deputy may be this host itself until it sees that it is alone. */
+	t.members[(admitting + 2) % HOSTS].millicores = 1000;
+	t.members[admitting].millicores = 1000;
+	t.members[alone].millicores = 400;
+	grants_fleet_changed(t.grants[alone]);
+	run_for(&t, 0.1);
+	granted = send_limited(&t, alone, 60);
+	/* 2 s since the start: a third of 60, and what accrues meanwhile. */
+	CU_ASSERT(granted >= 18 && granted <= 32);
+	teardown(&t);
+}
+
 static const suite_test_t tests[] = {
+    {"share of a host alone", test_share_of_a_host_alone},
     {"deputy applies the limit", test_deputy_applies_the_limit},
     {"limit after takeover", test_limit_after_takeover},
     {"limit over all hosts", test_limit_over_all_hosts},
--- a/tests/test_org_quota.c
+++ b/tests/test_org_quota.c
@@ -5,7 +5,7 @@
 #include <stdlib.h>
 
 #include "clock.h"
-#include "org_quota.h"
+#include "org_share.h"
 
 #define ORG	 STR("acme")
 #define MAX_RUNS 40000
@@ -405,6 +405,35 @@
 	org_quota_delete(quota);
 }
 
+/*
+ * Guards against more than the limit in sum, or nothing at all, when all hosts
+ * are cut off and a share is a small fraction of a token.
+ */
+static void
+test_shares_of_hosts_alone(void)
+{
+	static const double rates[] = {5, 342};
+	enum { HOSTS = 83 };
+
+	for (size_t i = 0; i < 2; i++) {
+		org_limit_t limit = {rates[i], rates[i]};
+		org_share_t *shares[HOSTS];
+		double taken = 0;
+		double due = rates[i] * 21;
+
+		for (uint64_t h = 0; h < HOSTS; h++)
+			shares[h] = org_share_new(0, h + 1);
+		for (double now = 100; now < 120; now += 0.02)
+			for (size_t h = 0; h < HOSTS; h++)
+				taken += org_share_take(
+				    shares[h], ORG, &limit, HOSTS, now);
+		/* Four times the standard deviation. */
+		CU_ASSERT(fabs(taken - due) < 4 * sqrt(due));
+		for (size_t h = 0; h < HOSTS; h++)
+			org_share_delete(shares[h]);
+	}
+}
+
 /* Guards against organisations that use each other's tokens. */
 static void
 test_organisations_are_separate(void)
@@ -435,6 +464,7 @@
     {"two admitting hosts", test_two_admitting_hosts},
     {"pause adds no tokens", test_pause_adds_no_tokens},
     {"share lowers the limit", test_share_lowers_the_limit},
+    {"shares of hosts alone", test_shares_of_hosts_alone},
     {"organisations are separate", test_organisations_are_separate},
 };
 
