--- a/src/grants_report.c
+++ b/src/grants_report.c
@@ -30,20 +30,25 @@
 	grant_t *grant;
 
 	pool->report_call = NULL;
+	grants_quota_reported(pool->grants, pool, reply->rc == 0, now);
 	if (reply->rc == 0) {
 		ids = wire_reader(reply->body);
 		while (!ids.fault && ids.left > 0) {
 			grant = grants_find(pool->grants, wire_read_u64(&ids));
-			if (grant != NULL && grant->state == GRANT_STATE_QUEUED)
-				grant_submit(grant, now);
+			if (grant == NULL || grant->state != GRANT_STATE_QUEUED)
+				continue;
+			if (grant_waits_at_deputy(grant))
+				grant_leave_queue(grant, now);
+			grant_submit(grant, now);
 		}
 		return;
 	}
 	/* Queued requests must not wait for an unreachable host. */
 	pool_mark_unreachable(pool, now);
 	LIST_FOREACH (grant, &pool->own_grants, pool_entry)
-		if (grant->state == GRANT_STATE_QUEUED)
-			grant_try_local(grant, now);
+		if (grant->state == GRANT_STATE_QUEUED &&
+		    !grant_waits_at_deputy(grant))
+			grant_submit_elsewhere(grant, now);
 }
 
 /* Reports this host's requests and grants to the pool's admitting host. */
@@ -53,6 +58,8 @@
 	const fleet_config_t *config;
 	bool any = !LIST_EMPTY(&pool->own_grants);
 	buf_t body = {0};
+	buf_t uses = {0};
+	size_t use_count;
 
 	if (pool_config(pool, &config) == NULL ||
 	    pool->admitting_host[0] == '\0')
@@ -65,7 +72,9 @@
 	if (pool->report_call != NULL || (!any && !pool->report_when_empty))
 		return;
 	pool->report_when_empty = any;
-	grants_pack_held(&body, pool);
+	use_count = grants_quota_pack_history(pool->grants, pool, now, &uses);
+	grants_pack_held(&body, pool, use_count > 0 ? &uses : NULL, use_count);
+	buf_free(&uses);
 	pool->report_call = peer_call(pool->grants->params.peer,
 	    pool->admitting_address, PEER_GRANT_REPORT, str_buf(&body),
 	    config->fleet.grant_timeout_ms / 1e3, on_report_reply, pool);
@@ -86,8 +95,7 @@
 	LIST_FOREACH (grant, &pool->own_grants, pool_entry) {
 		if (grant->state != GRANT_STATE_QUEUED)
 			continue;
-		if (grant->granted_by[0] != '\0')
-			grant_send_release(grant, grant->granted_by, NULL);
+		grant_leave_queue(grant, now);
 		grant_submit(grant, now);
 	}
 }
--- a/src/grants_state.h
+++ b/src/grants_state.h
@@ -8,7 +8,8 @@
 #include "allowance.h"
 #include "clock.h"
 #include "counter.h"
-#include "org_quota.h"
+#include "org_share.h"
+#include "wire.h"
 
 #define GRANTS_BUCKETS	    1024
 #define GRANTS_HOST_BUCKETS 256
@@ -47,16 +48,42 @@
 	char name[NAME_SIZE];
 	char address[48];
 	uint64_t instance; /* 0: not yet in the member table */
+	double history_at; /* when its history was added; 0: never */
 	LIST_ENTRY(grants_host_t) entry;
 } grants_host_t;
 
 /* The limits of organisations, which hold for all pools of the site. */
 typedef struct grants_quota_t {
-	org_quota_t *buckets; /* as the host that admits */
+	org_quota_t *buckets;	   /* as the host that admits */
+	org_history_t *own;	   /* tokens that this host used */
+	org_share_t *alone;	   /* used without any other host */
+	org_history_t *used_alone; /* and not yet told to another */
+	size_t host_count; /* hosts of the site, the dead ones included */
+	bool in_force;	   /* an organisation has a limit */
+	/* Names of the host that admits for the site, and of its deputy. */
+	char admitting[NAME_SIZE];
+	char deputy[NAME_SIZE];
+	char deputy_address[48];
+	double deputy_backoff_until; /* it gets no requests until then */
+	/* The history is still to be sent to the host that admits. */
+	bool history_owed;
+	const grants_pool_t *history_pool; /* whose report has it */
+	double forgot_at; /* when this host forgot the histories of others */
+	double own_history_at; /* when its own was added to its buckets */
+	double deputy_told_at; /* when its own was sent to the deputy */
+	/* Tokens given up to this slot were told to that host. */
+	int64_t told_slot;
+	char told[NAME_SIZE];
+	double ticked_at;
+	double share; /* of the limits that this host gives */
 	counter_t *taken;
 	counter_t *returned;
 	counter_t *limited;
 	counter_t *orgs;
+	counter_t *rebuilt;
+	counter_t *asked_deputy;
+	counter_t *taken_alone;
+	counter_t *share_gauge;
 	double evicted_at;
 	LIST_HEAD(, limited_org_t) limited_orgs; /* refused recently */
 } grants_quota_t;
@@ -70,12 +97,14 @@
 	char org[NAME_SIZE];
 	char avoid[ENDPOINT_NAME_SIZE];
 	char granted_by[48]; /* address; empty: this host or none */
+	bool at_deputy;	     /* the deputy decides, see grants_deputy.c */
 	double retry_at;
 	peer_call_t *call;
 	int rc;
 	double retry_after;
 	grant_endpoint_t endpoint;
-	double granted_at; /* clock_monotonic() seconds */
+	double submitted_at; /* clock_monotonic() seconds */
+	double granted_at;
 	bool revoke_pending;
 	bool revoked;
 	bool deferred;
@@ -127,6 +156,7 @@
 unsigned grants_allowance(
     void *ctx, const char *holder, const char *endpoint, unsigned slots);
 void grant_submit(grant_t *grant, double now);
+void grant_send_request(grant_t *grant, const char *address, double now);
 void grant_send_release(
     grant_t *grant, const char *address, const grant_report_t *report);
 
@@ -135,6 +165,17 @@
 void grant_try_local(grant_t *grant, double now);
 void pool_retry_local(grants_pool_t *pool, double now);
 
+/* grants_deputy.c: limited requests without an admitting host */
+bool grant_needs_token(const grant_t *grant);
+void grant_submit_elsewhere(grant_t *grant, double now);
+void grant_mark_unreachable(grant_t *grant, double now);
+bool grant_take_alone(grant_t *grant, double now);
+void grant_give_back_alone(grant_t *grant);
+void grant_note_used_alone(grant_t *grant, double now);
+bool grant_is_at_own_deputy(const grant_t *grant);
+bool grant_waits_at_deputy(const grant_t *grant);
+void grant_leave_queue(grant_t *grant, double now);
+
 /* grants_report.c */
 void pool_mark_unreachable(grants_pool_t *pool, double now);
 void pool_report(grants_pool_t *pool, double now);
@@ -145,8 +186,26 @@
 void grants_quota_stop(grants_t *grants);
 void grants_quota_attach(grants_pool_t *pool);
 void grants_quota_tick(grants_t *grants, double now);
+const fleet_config_t *grants_quota_config(const grants_t *grants);
+bool grants_org_limit(const grants_t *grants, str_t org, org_limit_t *out);
+void grants_log_limited(grants_t *grants, const char *org,
+    const org_limit_t *limit, double retry_after, double now);
+void grants_quota_note_use(grants_t *grants, const grant_t *grant);
 str_t grants_placement_key(const grants_t *grants, str_t pool);
 
+/* grants_quota_sync.c: what hosts tell each other on tokens */
+void grants_quota_sync_start(grants_t *grants);
+void grants_quota_sync_stop(grants_t *grants);
+void grants_quota_sync_tick(grants_t *grants, double now);
+void grants_quota_refresh(grants_t *grants, double now);
+size_t grants_quota_pack_history(
+    grants_t *grants, const grants_pool_t *pool, double now, buf_t *out);
+void grants_quota_reported(
+    grants_t *grants, const grants_pool_t *pool, bool accepted, double now);
+void grants_quota_tell_deputy(grants_t *grants, double now);
+void grants_quota_read_history(
+    grants_t *grants, grants_host_t *host, wire_reader_t *uses, double now);
+
 /* grants_leaving.c */
 void grants_leaving_start(grants_t *grants);
 void grants_leaving_stop(grants_t *grants);
@@ -154,6 +213,8 @@
 /* grants_admit.c: the admitting side */
 void grants_admit_start(grants_t *grants);
 void grants_admit_stop(grants_t *grants);
+grants_host_t *grants_host_at(
+    grants_t *grants, str_t name, const char *address);
 void grants_admit_tick(grants_t *grants, double now);
 void grants_admit_check_hosts(grants_t *grants, double now);
 void pool_admit_request(grants_pool_t *pool, const grant_t *grant, double now);
--- a/tests/test_grants.c
+++ b/tests/test_grants.c
@@ -742,7 +742,123 @@
 	teardown(&t);
 }
 
+/* Makes a host die and another admit. */
+static void
+kill_admitting_host(grants_test_t *t, size_t host, size_t next)
+{
+	stop_host(t, host);
+	t->members[host].ready = false;
+	t->members[host].state = MEMBER_DEAD;
+	t->members[next].ready = true;
+	for (size_t i = 0; i < HOSTS; i++)
+		if (t->grants[i] != NULL)
+			grants_fleet_changed(t->grants[i]);
+}
+
+/*
+ * Guards against a second burst when the host that admits dies: the new one
+ * learns from the others what they used.
+ */
+static void
+test_limit_after_takeover(void)
+{
+	grants_test_t t;
+	unsigned granted;
+
+	setup(&t, 1, GRANTS_POOL);
+	set_limit(&t, 4, 12);
+	wait_for_takeover(&t);
+	run_for(&t, 1.5);
+	granted = send_limited(&t, 0, 30);
+	CU_ASSERT(granted >= 12 && granted <= 14);
+	kill_admitting_host(&t, 1, 2);
+	run_for(&t, 0.3);
+	granted = send_limited(&t, 0, 15) + send_limited(&t, 2, 15);
+	/* 2/3 of the rate and burst, because one of 3 hosts is dead. */
+	CU_ASSERT(granted <= 2);
+	run_for(&t, 1.5);
+	granted = send_limited(&t, 0, 15);
+	CU_ASSERT(granted >= 3 && granted <= 5);
+	teardown(&t);
+}
+
+/* Starts a limit and stops the host that admits; the others don't know it. */
+static size_t
+start_without_admitting_host(grants_test_t *t, double rate, double burst)
+{
+	size_t admitting;
+	test_request_t request = {0};
+
+	setup(t, 1, GRANTS_POOL);
+	set_limit(t, rate, burst);
+	admitting = make_all_ready(t);
+	request_grant(t, admitting, GRANT_ONLINE, &request);
+	run_for(t, 2);
+	CU_ASSERT(request.answers == 1 && request.rc == 0);
+	release_grant(&request);
+	return (admitting);
+}
+
+/*
+ * Guards against a limit that each host applies by itself, and against refusals
+ * of all limited requests, while the host that admits does not answer: the
+ * deputy decides on them.
+ */
+static void
+test_deputy_applies_the_limit(void)
+{
+	grants_test_t t;
+	size_t admitting = start_without_admitting_host(&t, 8, 16);
+	size_t hosts[2] = {(admitting + 1) % HOSTS, (admitting + 2) % HOSTS};
+	unsigned granted = send_limited(&t, hosts[0], 16);
+
+	CU_ASSERT(granted == 16);
+	stop_host(&t, admitting);
+	/* The deputy knows what was used; one of them is the deputy itself. */
+	run_for(&t, 0.3);
+	granted = send_limited(&t, hosts[0], 16);
+	granted += send_limited(&t, hosts[1], 16);
+	CU_ASSERT(granted >= 2 && granted <= 10);
+	run_for(&t, 1);
+	granted = send_limited(&t, hosts[1], 16);
+	CU_ASSERT(granted >= 8 && granted <= 11);
+	CU_ASSERT(grants_open_count(t.grants[hosts[0]]) == 0);
+	CU_ASSERT(grants_open_count(t.grants[hosts[1]]) == 0);
+	teardown(&t);
+}
+
+/*
+ * Guards against a host that applies the whole limit, or refuses everything,
+ * while it reaches neither the host that admits nor the deputy; and against
+ * tokens that the host that admits never hears of.
+ */
+static void
+test_share_of_a_host_alone(void)
+{
+	grants_test_t t;
+	size_t admitting = start_without_admitting_host(&t, 30, 60);
+	size_t alone = (admitting + 1) % HOSTS;
+	unsigned granted;
+
+	for (size_t i = 0; i < HOSTS; i++)
+		if (i != alone)
+			stop_host(&t, i);
+	/* The deputy may be this host itself until it sees that it is alone. */
+	t.members[(admitting + 2) % HOSTS].millicores = 1000;
+	t.members[admitting].millicores = 1000;
+	t.members[alone].millicores = 400;
+	grants_fleet_changed(t.grants[alone]);
+	run_for(&t, 0.1);
+	granted = send_limited(&t, alone, 60);
+	/* 2 s since the start: a third of 60, and what accrues meanwhile. */
+	CU_ASSERT(granted >= 18 && granted <= 32);
+	teardown(&t);
+}
+
 static const suite_test_t tests[] = {
+    {"share of a host alone", test_share_of_a_host_alone},
+    {"deputy applies the limit", test_deputy_applies_the_limit},
+    {"limit after takeover", test_limit_after_takeover},
     {"limit over all hosts", test_limit_over_all_hosts},
     {"grants on own and other host", test_grants_on_own_and_other_host},
     {"online revokes batch of other host",
