Endpoints are chosen by their measured speed if fair_scheduling is set

Cause: the admitting host placed requests by the share of busy slots alone, so a slow endpoint got as much work as a fast one and kept it for longer. Change: endpoint_speed keeps seconds per event of each endpoint, decaying within seconds towards the mean of its pool; route_cost rates an endpoint by expected wait and run time, zone and prompt prefix; route_pick takes a random one of the least cost. Without fair_scheduling nothing changes. Measured: test_admission (23 tests) and test_route (4 tests) pass with sanitizers.

--- a/src/admission.c
+++ b/src/admission.c
@@ -372,6 +372,7 @@
 	    slot_holder_find_or_create(a, request->holder), org,
 	    request->class);
 	grant->prefix_hash = request->prefix_hash;
+	grant->output_tokens = request->output_tokens;
 	grant->deadline = request->deadline;
 	grant->wait.start_by =
 	    request->start_by > 0 ? request->start_by : INFINITY;
@@ -409,9 +410,11 @@
 		return (false);
 	grant->holder->heard_at = now;
 	if (grant->endpoint != NULL) {
-		if (report != NULL)
+		if (report != NULL) {
+			slot_endpoint_add_run(a, grant, report, now);
 			slot_endpoint_handle_report(
 			    a, grant->endpoint, report, now);
+		}
 		if (grant->class == GRANT_ONLINE) {
 			double held = now - grant->since;
 
@@ -471,6 +474,7 @@
 {
 	slot_grant_t *grant;
 
+	slot_endpoints_refresh_speed(a, now);
 	slot_endpoints_refresh_capacity(a, now);
 	refuse_expired(a, GRANT_ONLINE, now);
 	refuse_expired(a, GRANT_BATCH, now);
--- a/src/admission_endpoints.c
+++ b/src/admission_endpoints.c
@@ -148,6 +148,7 @@
 		    .zone = a->endpoints[i]->zone,
 		};
 	}
+	slot_endpoints_refresh_speed(a, now);
 	slot_endpoints_refresh_capacity(a, now);
 }
 
--- a/src/admission_reconcile.c
+++ b/src/admission_reconcile.c
@@ -25,6 +25,7 @@
 	    held_grant->class);
 	grant->state = SLOT_HELD;
 	grant->endpoint = endpoint;
+	grant->running = endpoint->in_use + 1;
 	grant->since = now;
 	grant->wait.start_by = now + held_grant->slack;
 	grant->listed = true;
--- a/src/admission_schedule.c
+++ b/src/admission_schedule.c
@@ -9,6 +9,8 @@
 #include <math.h>
 #include <string.h>
 
+#include "route_cost.h"
+
 /* Fraction of an organisation's quota that batch leaves to online requests. */
 #define BATCH_QUOTA_RESERVE 0.5
 /* A holder that found no free slot is skipped for this long. */
@@ -80,8 +82,13 @@
 	    /* Items of jobs are resumed or repeated elsewhere. */
 	    .avoid_suspects = grant->class == GRANT_ONLINE,
 	};
+	route_cost_params_t cost;
 	size_t i;
 
+	if (a->settings.fair_scheduling) {
+		admission_cost_params(a, grant, &cost);
+		params.cost = &cost;
+	}
 	if (grant->avoid[0] != '\0' && other_endpoint_usable(a, grant->avoid))
 		params.avoid = grant->avoid;
 	if (now < a->restricted_until)
@@ -142,6 +149,7 @@
 	org->virtual_start[class] += 1.0 / (org->weight > 0 ? org->weight : 1);
 	grant->state = SLOT_HELD;
 	grant->endpoint = endpoint;
+	grant->running = endpoint->in_use + 1;
 	grant->since = now;
 	if (class == GRANT_BATCH) {
 		quota_take(&org->quota, now, BATCH_QUOTA_RESERVE);
--- a/src/admission_state.h
+++ b/src/admission_state.h
@@ -7,6 +7,7 @@
 #include "admission.h"
 #include "clock.h"
 #include "ejector.h"
+#include "endpoint_speed.h"
 #include "limiter.h"
 #include "quota.h"
 #include "route.h"
@@ -48,6 +49,8 @@
 	unsigned revoking;
 	limiter_t limiter;
 	ejector_t ejector;
+	endpoint_speed_t speed;
+	bool slow;	    /* as logged last */
 	size_t route_index; /* in endpoints and routes of admission_t */
 	bool configured;
 } slot_endpoint_t;
@@ -73,6 +76,8 @@
 	char zone[NAME_SIZE];
 	char avoid[ENDPOINT_NAME_SIZE];
 	uint64_t prefix_hash;
+	unsigned output_tokens; /* maximum; 0: unknown */
+	unsigned running;	/* on the endpoint when it was granted */
 	double deadline;
 	double since;			 /* time of the request or the grant */
 	double revoked_at;		 /* time of the revocation */
@@ -104,6 +109,7 @@
 	unsigned held[ADMISSION_CLASSES];
 	unsigned waiting[ADMISSION_CLASSES];
 	double virtual_time[ADMISSION_CLASSES];
+	pool_speed_t speed;
 	double mean_hold_s; /* EWMA over online grants */
 	unsigned schedule_round;
 	unsigned revoking;
@@ -138,6 +144,14 @@
     const grant_report_t *report, double now);
 bool admission_has_usable_endpoint(const admission_t *a);
 
+/* admission_speed.c */
+struct route_cost_params_t;
+void slot_endpoint_add_run(admission_t *a, const slot_grant_t *grant,
+    const grant_report_t *report, double now);
+void slot_endpoints_refresh_speed(admission_t *a, double now);
+void admission_cost_params(const admission_t *a, const slot_grant_t *grant,
+    struct route_cost_params_t *out);
+
 /* admission_silence.c */
 bool slot_holder_is_silent(
     const admission_t *a, const slot_holder_t *holder, double now);
--- a/src/route.c
+++ b/src/route.c
@@ -4,8 +4,20 @@
 #include <math.h>
 #include <string.h>
 
+#include "route_cost.h"
+
 /* Prefix affinity may load an endpoint up to this multiple of the mean load. */
 #define AFFINITY_LOAD_FACTOR 1.25
+/*
+ * With costs, the endpoint that prefix affinity chooses saves this fraction of
+ * a mean run: it is taken unless it is clearly slower or fuller than others.
+ */
+#define AFFINITY_SAVING 0.5
+/*
+ * Costs are estimates; among endpoints within this factor of the least cost a
+ * random one is taken, so that work does not collect on a single one.
+ */
+#define NEAR_COST_FACTOR 1.05
 
 static bool
 names_equal(const char *a, const char *b)
@@ -83,16 +95,102 @@
 	return (best);
 }
 
-/* Picks an endpoint in the preferred zone if possible, else among all. */
+/* Returns the preferred zone of a request; NULL if it has none. */
+static const char *
+preferred_zone(const route_params_t *params)
+{
+	return (params->zone != NULL && params->zone[0] != '\0' ? params->zone
+								: NULL);
+}
+
+static bool
+in_zone(const route_endpoint_t *endpoint, const char *zone)
+{
+	return (zone == NULL || names_equal(endpoint->zone, zone));
+}
+
+/*
+ * Returns the endpoint with the highest hash of prefix and name among those of
+ * the zone (NULL: all zones) whose load stays within the bound.
+ */
+static size_t
+pick_affine(const route_endpoint_t *endpoints, size_t count, const char *zone,
+    const route_params_t *params)
+{
+	double limit = affinity_limit(endpoints, count, zone);
+	size_t best = ROUTE_NONE;
+	uint64_t best_hash = 0;
+
+	for (size_t i = 0; i < count; i++) {
+		const route_endpoint_t *e = &endpoints[i];
+		uint64_t hash;
+
+		if (!has_capacity(e, params) || !in_zone(e, zone) ||
+		    e->in_use + 1 > limit)
+			continue;
+		hash = str_hash(str_of(e->name), params->prefix_hash);
+		if (best == ROUTE_NONE || hash > best_hash) {
+			best = i;
+			best_hash = hash;
+		}
+	}
+	return (best);
+}
+
+/* Picks an endpoint of least cost; none that is suspect if sound_only. */
+static size_t
+pick_cheapest(const route_endpoint_t *endpoints, size_t count,
+    const route_params_t *params, bool sound_only, rng_t *rng)
+{
+	const char *zone = preferred_zone(params);
+	size_t affine = ROUTE_NONE;
+	size_t best = ROUTE_NONE;
+	double least = INFINITY;
+	uint64_t near_count = 0;
+
+	if (params->prefix_hash != 0)
+		affine = pick_affine(endpoints, count, zone, params);
+	/* The first round finds the least cost, the second chooses. */
+	for (int round = 0; round < 2; round++) {
+		for (size_t i = 0; i < count; i++) {
+			const route_endpoint_t *e = &endpoints[i];
+			route_relation_t relation = {
+			    .in_zone = in_zone(e, zone),
+			    .prompt_saving = i == affine ? AFFINITY_SAVING : 0,
+			};
+			double cost;
+
+			if (!has_capacity(e, params) ||
+			    (sound_only && e->suspect))
+				continue;
+			cost = route_cost(e, params->cost, &relation);
+			if (round == 0)
+				least = fmin(least, cost);
+			else if (cost <= least * NEAR_COST_FACTOR &&
+				 rng_below(rng, ++near_count) == 0)
+				best = i;
+		}
+	}
+	return (best);
+}
+
+/*
+ * Picks an endpoint by cost, or in the preferred zone if possible, else among
+ * all.
+ */
 static size_t
 pick_near(const route_endpoint_t *endpoints, size_t count,
     const route_params_t *params, bool sound_only, rng_t *rng)
 {
+	const char *zone = preferred_zone(params);
 	size_t i = ROUTE_NONE;
 
-	if (params->zone != NULL && params->zone[0] != '\0')
+	if (params->cost != NULL)
+		return (
+		    pick_cheapest(endpoints, count, params, sound_only, rng));
+	if (zone != NULL)
 		i = pick_in_zone(
-		    endpoints, count, params->zone, params, sound_only, rng);
+		    endpoints, count, zone, params, sound_only, rng);
 	if (i == ROUTE_NONE)
 		i = pick_in_zone(
 		    endpoints, count, NULL, params, sound_only, rng);
@@ -107,7 +205,8 @@
  * With a prefix it is the one with the highest hash of prefix and name among
  * those whose load stays within 1.25 times the mean (rendezvous hashing with
  * bounded loads); without a prefix, or if all exceed the bound, it is the least
- * loaded one. Returns its index or ROUTE_NONE.
+ * loaded one. With costs it is one of the least cost, of which zone and prefix
+ * are terms. Returns its index or ROUTE_NONE.
  */
 size_t
 route_pick(const route_endpoint_t *endpoints, size_t count,
--- a/src/route.h
+++ b/src/route.h
@@ -14,14 +14,20 @@
 	unsigned in_use;
 	unsigned capacity;
 	bool suspect; /* failed a request a short time ago */
+	/* Measured with one run; 0: unknown. Used with costs only. */
+	double seconds_per_event;
 } route_endpoint_t;
 
+struct route_cost_params_t;
+
 typedef struct route_params_t {
 	const char *zone;     /* preferred zone; NULL or empty: none */
 	const char *avoid;    /* endpoint to exclude; NULL or empty: none */
 	uint64_t prefix_hash; /* of the prompt's prefix; 0: no affinity */
 	bool
 	    avoid_suspects; /* use suspect endpoints only if no other is free */
+	/* The least cost decides, see route_cost.h; NULL: the load alone. */
+	const struct route_cost_params_t *cost;
 } route_params_t;
 
 size_t route_pick(const route_endpoint_t *endpoints, size_t count,
