--- a/src/admission.c
+++ b/src/admission.c
@@ -121,7 +121,7 @@
 			TAILQ_REMOVE(&a->batch_held, grant, order);
 		break;
 	}
-	slot_endpoint_adjust_in_use(a, grant->endpoint, -1);
+	slot_endpoint_unhold(a, grant);
 	grant->holder->no_free_slot_until = 0;
 	grant->org->held[class]--;
 	a->held[class]--;
--- a/src/admission_endpoints.c
+++ b/src/admission_endpoints.c
@@ -30,9 +30,8 @@
 }
 
 /* Changes the number of slots in use of an endpoint by 1 or -1. */
-void
-slot_endpoint_adjust_in_use(
-    admission_t *a, slot_endpoint_t *endpoint, int change)
+static void
+endpoint_adjust_in_use(admission_t *a, slot_endpoint_t *endpoint, int change)
 {
 	route_endpoint_t *route = &a->routes[endpoint->route_index];
 
@@ -42,6 +41,26 @@
 	a->free_slots += route_free_slots(route);
 }
 
+/* Gives a grant a slot of the endpoint, from now on. */
+void
+slot_endpoint_hold(
+    admission_t *a, slot_grant_t *grant, slot_endpoint_t *endpoint, double now)
+{
+	endpoint_adjust_in_use(a, endpoint, 1);
+	LIST_INSERT_HEAD(&endpoint->grants, grant, endpoint_entry);
+	grant->endpoint = endpoint;
+	grant->running = endpoint->in_use;
+	grant->since = now;
+}
+
+/* Takes the slot of a grant that is being deleted. */
+void
+slot_endpoint_unhold(admission_t *a, slot_grant_t *grant)
+{
+	LIST_REMOVE(grant, endpoint_entry);
+	endpoint_adjust_in_use(a, grant->endpoint, -1);
+}
+
 /* Updates the cached capacity of an endpoint. */
 void
 slot_endpoint_refresh_capacity(
--- a/src/admission_reconcile.c
+++ b/src/admission_reconcile.c
@@ -24,12 +24,9 @@
 	    slot_org_find_or_create(a, held_grant->org, now),
 	    held_grant->class);
 	grant->state = SLOT_HELD;
-	grant->endpoint = endpoint;
-	grant->running = endpoint->in_use + 1;
-	grant->since = now;
+	slot_endpoint_hold(a, grant, endpoint, now);
 	grant->wait.start_by = now + held_grant->slack;
 	grant->listed = true;
-	slot_endpoint_adjust_in_use(a, endpoint, 1);
 	grant->org->held[grant->class]++;
 	a->held[grant->class]++;
 	if (grant->class == GRANT_BATCH)
--- a/src/admission_schedule.c
+++ b/src/admission_schedule.c
@@ -148,14 +148,11 @@
 	    fmax(a->virtual_time[class], org->virtual_start[class]);
 	org->virtual_start[class] += 1.0 / (org->weight > 0 ? org->weight : 1);
 	grant->state = SLOT_HELD;
-	grant->endpoint = endpoint;
-	grant->running = endpoint->in_use + 1;
-	grant->since = now;
+	slot_endpoint_hold(a, grant, endpoint, now);
 	if (class == GRANT_BATCH) {
 		quota_take(&org->quota, now, BATCH_QUOTA_RESERVE);
 		slot_batch_held_insert(a, grant);
 	}
-	slot_endpoint_adjust_in_use(a, endpoint, 1);
 	admission_queue_action(a, ADMISSION_GRANT, grant, 0, 0);
 }
 
--- a/src/admission_speed.c
+++ b/src/admission_speed.c
@@ -17,12 +17,37 @@
 #define SLOW_FACTOR	 2.0
 #define RECOVERED_FACTOR 1.5
 
+/* Lists what the endpoint's running requests show of its speed. */
+static speed_overdue_t
+endpoint_overdue(
+    const admission_t *a, const slot_endpoint_t *endpoint, double now)
+{
+	speed_overdue_t overdue = {0};
+	const slot_grant_t *grant;
+
+	LIST_FOREACH (grant, &endpoint->grants, endpoint_entry) {
+		speed_run_t run = {
+		    .run_seconds = now - grant->since,
+		    .output_tokens = grant->output_tokens,
+		    .running = (grant->running + endpoint->in_use) / 2.0,
+		    .slots = endpoint->slots,
+		};
+
+		/* The holder would not have said that the run has ended. */
+		if (!grant->holder->silent)
+			endpoint_speed_add_overdue(&overdue, &a->speed, &run);
+	}
+	return (overdue);
+}
+
 /* Updates the speed by which an endpoint is chosen, and logs changes. */
 static void
 endpoint_refresh_speed(admission_t *a, slot_endpoint_t *endpoint, double now)
 {
 	double mean = endpoint_speed_mean(&a->speed);
-	double seconds = endpoint_speed_get(&endpoint->speed, &a->speed, now);
+	speed_overdue_t overdue = endpoint_overdue(a, endpoint, now);
+	double seconds =
+	    endpoint_speed_get_with(&endpoint->speed, &a->speed, &overdue, now);
 	bool slow =
 	    seconds > mean * (endpoint->slow ? RECOVERED_FACTOR : SLOW_FACTOR);
 
--- a/src/admission_state.h
+++ b/src/admission_state.h
@@ -50,7 +50,8 @@
 	limiter_t limiter;
 	ejector_t ejector;
 	endpoint_speed_t speed;
-	bool slow;	    /* as logged last */
+	bool slow; /* as logged last */
+	LIST_HEAD(, slot_grant_t) grants;
 	size_t route_index; /* in endpoints and routes of admission_t */
 	bool configured;
 } slot_endpoint_t;
@@ -86,6 +87,7 @@
 	TAILQ_ENTRY(slot_grant_t) order; /* batch_held, revoked */
 	LIST_ENTRY(slot_grant_t) bucket_entry;
 	LIST_ENTRY(slot_grant_t) holder_entry;
+	LIST_ENTRY(slot_grant_t) endpoint_entry; /* unless waiting */
 };
 
 typedef struct slot_action_t {
@@ -135,8 +137,9 @@
 /* admission_endpoints.c */
 slot_endpoint_t *slot_endpoint_find(const admission_t *a, str_t name);
 unsigned slot_endpoint_capacity(const slot_endpoint_t *endpoint, double now);
-void slot_endpoint_adjust_in_use(
-    admission_t *a, slot_endpoint_t *endpoint, int change);
+void slot_endpoint_hold(
+    admission_t *a, slot_grant_t *grant, slot_endpoint_t *endpoint, double now);
+void slot_endpoint_unhold(admission_t *a, slot_grant_t *grant);
 void slot_endpoint_refresh_capacity(
     admission_t *a, slot_endpoint_t *endpoint, double now);
 void slot_endpoints_refresh_capacity(admission_t *a, double now);
--- a/src/endpoint_speed.c
+++ b/src/endpoint_speed.c
@@ -29,9 +29,11 @@
  * endpoint at its usual load is measured and rated with the same factor.
  */
 #define FULL_LOAD_GROWTH 1.0
-/* A run without events counts as at most this multiple of the pool's mean. */
-#define MAX_EVENTLESS_FACTOR 5.0
-#define RUN_EWMA_WEIGHT	     0.02
+/* What has not been measured counts as at most this multiple of the mean. */
+#define MAX_GUESS_FACTOR 5.0
+/* A run is overdue after this multiple of the time expected at mean speed. */
+#define OVERDUE_FACTOR	1.5
+#define RUN_EWMA_WEIGHT 0.02
 /* Keeps the mean of a pool that has been idle for long. */
 #define MIN_MEAN_WEIGHT 1e-3
 
@@ -85,12 +87,45 @@
 double
 endpoint_speed_get(
     const endpoint_speed_t *speed, const pool_speed_t *pool, double now)
+{
+	return (
+	    endpoint_speed_get_with(speed, pool, &(speed_overdue_t){0}, now));
+}
+
+/*
+ * The same with the runs that are overdue. They show that an endpoint has
+ * turned slow before the first of its runs ends.
+ */
+double
+endpoint_speed_get_with(const endpoint_speed_t *speed, const pool_speed_t *pool,
+    const speed_overdue_t *overdue, double now)
 {
 	endpoint_speed_t current = *speed;
 
 	speed_decay(&current, now);
-	return ((current.seconds + MEAN_WEIGHT * endpoint_speed_mean(pool)) /
-		(current.weight + MEAN_WEIGHT));
+	return ((current.seconds + overdue->seconds +
+		    MEAN_WEIGHT * endpoint_speed_mean(pool)) /
+		(current.weight + overdue->weight + MEAN_WEIGHT));
+}
+
+/*
+ * Counts a run that has not ended if it is overdue; run_seconds is its time
+ * until now. It has not produced all its events in that time.
+ */
+void
+endpoint_speed_add_overdue(
+    speed_overdue_t *overdue, const pool_speed_t *pool, const speed_run_t *run)
+{
+	double mean = endpoint_speed_mean(pool);
+	double events = endpoint_speed_events(pool, run->output_tokens);
+	double seconds =
+	    run->run_seconds /
+	    (events * endpoint_speed_growth(run->running, run->slots));
+
+	if (mean <= 0 || seconds < OVERDUE_FACTOR * mean)
+		return;
+	overdue->seconds += fmin(seconds, MAX_GUESS_FACTOR * mean);
+	overdue->weight++;
 }
 
 /* Returns how many events a request with this maximum of tokens produces. */
@@ -136,8 +171,7 @@
 	if (run->complete || mean <= 0 ||
 	    seconds <= endpoint_speed_get(speed, pool, now))
 		return (false);
-	speed_add_sample(
-	    speed, fmin(seconds, MAX_EVENTLESS_FACTOR * mean), 1, now);
+	speed_add_sample(speed, fmin(seconds, MAX_GUESS_FACTOR * mean), 1, now);
 	speed_limit_weight(speed, MAX_WEIGHT);
 	return (true);
 }
--- a/src/endpoint_speed.h
+++ b/src/endpoint_speed.h
@@ -29,10 +29,20 @@
 	unsigned slots;
 } speed_run_t;
 
+/* Runs on an endpoint that take longer than expected, as further samples. */
+typedef struct speed_overdue_t {
+	double seconds; /* as in endpoint_speed_t */
+	double weight;
+} speed_overdue_t;
+
 double endpoint_speed_growth(double running, double slots);
 double endpoint_speed_mean(const pool_speed_t *pool);
 double endpoint_speed_get(
     const endpoint_speed_t *speed, const pool_speed_t *pool, double now);
+double endpoint_speed_get_with(const endpoint_speed_t *speed,
+    const pool_speed_t *pool, const speed_overdue_t *overdue, double now);
+void endpoint_speed_add_overdue(
+    speed_overdue_t *overdue, const pool_speed_t *pool, const speed_run_t *run);
 double endpoint_speed_events(const pool_speed_t *pool, unsigned output_tokens);
 bool endpoint_speed_add(endpoint_speed_t *speed, pool_speed_t *pool,
     const speed_run_t *run, double now);
