Slow start of endpoints, and endpoints that only some holders reach

Cause: an endpoint that joins a pool is empty and got as many requests as it has slots in one moment. A host that is cut off from an endpoint was sent there again and again, and its failures kept other hosts from the endpoint. Change, with fair_scheduling: a new endpoint gets 2 requests, doubling with the answers; this and the ramp-up after an ejection (from its first answer on) bind only while another endpoint has room. A holder that could not reach an endpoint is kept from it for 4 s, doubling to 32 s; at most 32 endpoints are remembered per holder. Its repeated failures do not count towards an ejection while the endpoint answers others, and a failed connection does not make it suspect to them.

--- a/src/admission.c
+++ b/src/admission.c
@@ -38,6 +38,7 @@
 		return (holder);
 	holder = xcalloc(1, sizeof(*holder));
 	str_copy(holder->name, sizeof(holder->name), str_of(name));
+	holder->hash = str_hash(str_of(name), 0);
 	LIST_INIT(&holder->grants);
 	LIST_INSERT_HEAD(&a->holders[holder_bucket(name)], holder, entry);
 	return (holder);
@@ -183,6 +184,7 @@
 	while (!LIST_EMPTY(&holder->grants))
 		slot_grant_delete(a, LIST_FIRST(&holder->grants));
 	LIST_REMOVE(holder, entry);
+	free(holder->path_failures);
 	free(holder);
 }
 
@@ -410,11 +412,8 @@
 		return (false);
 	grant->holder->heard_at = now;
 	if (grant->endpoint != NULL) {
-		if (report != NULL) {
-			slot_endpoint_add_run(a, grant, report, now);
-			slot_endpoint_handle_report(
-			    a, grant->endpoint, report, now);
-		}
+		if (report != NULL)
+			slot_grant_handle_report(a, grant, report, now);
 		if (grant->class == GRANT_ONLINE) {
 			double held = now - grant->since;
 
--- a/src/admission_endpoints.c
+++ b/src/admission_endpoints.c
@@ -15,10 +15,36 @@
 unsigned
 slot_endpoint_capacity(const slot_endpoint_t *endpoint, double now)
 {
+	unsigned limit = limiter_limit(&endpoint->limiter);
+	unsigned ramp_up;
+
 	if (endpoint->leaving || endpoint->slots == 0)
 		return (0);
-	return (ejector_limit(
-	    &endpoint->ejector, limiter_limit(&endpoint->limiter), now));
+	ramp_up = ejector_limit(&endpoint->ejector, limit, now);
+	/* The first request after an ejection has to succeed. */
+	return (endpoint->soft_limits && ramp_up > 1 ? limit : ramp_up);
+}
+
+/* Returns the limit while other endpoints have room. */
+static unsigned
+endpoint_soft_capacity(
+    const slot_endpoint_t *endpoint, unsigned capacity, double now)
+{
+	if (!endpoint->soft_limits)
+		return (capacity);
+	return (slow_start_limit(&endpoint->slow_start,
+	    ejector_limit(&endpoint->ejector, capacity, now)));
+}
+
+/* Updates what the choice of an endpoint goes by, except for its load. */
+static void
+route_refresh(
+    route_endpoint_t *route, const slot_endpoint_t *endpoint, double now)
+{
+	route->capacity = slot_endpoint_capacity(endpoint, now);
+	route->soft_capacity =
+	    endpoint_soft_capacity(endpoint, route->capacity, now);
+	route->suspect = ejector_is_suspect(&endpoint->ejector, now);
 }
 
 static unsigned
@@ -69,8 +95,7 @@
 	route_endpoint_t *route = &a->routes[endpoint->route_index];
 
 	a->free_slots -= route_free_slots(route);
-	route->capacity = slot_endpoint_capacity(endpoint, now);
-	route->suspect = ejector_is_suspect(&endpoint->ejector, now);
+	route_refresh(route, endpoint, now);
 	a->free_slots += route_free_slots(route);
 }
 
@@ -86,9 +111,7 @@
 		route_endpoint_t *route = &a->routes[i];
 
 		route->in_use = a->endpoints[i]->in_use;
-		route->capacity = slot_endpoint_capacity(a->endpoints[i], now);
-		route->suspect =
-		    ejector_is_suspect(&a->endpoints[i]->ejector, now);
+		route_refresh(route, a->endpoints[i], now);
 		a->free_slots += route_free_slots(route);
 	}
 }
@@ -127,6 +150,7 @@
 
 	str_copy(
 	    endpoint->id.name, sizeof(endpoint->id.name), str_of(config->name));
+	endpoint->hash = str_hash(str_of(config->name), 0);
 	limiter_init(&endpoint->limiter, config->slots, now);
 	a->endpoints = (slot_endpoint_t **)xrealloc(
 	    (void *)a->endpoints, (count + 1) * sizeof(slot_endpoint_t *));
@@ -180,6 +204,8 @@
     const admission_endpoint_t *endpoints, size_t count, double now)
 {
 	size_t total = a->endpoint_count;
+	/* The endpoints of a new pool may have been at work for long. */
+	bool pool_is_new = total == 0;
 
 	/* Holders need not have sent anything until now. */
 	if (a->settings.silent_after <= 0)
@@ -194,8 +220,12 @@
 		slot_endpoint_t *e =
 		    slot_endpoint_find(a, str_of(config->name));
 
-		if (e == NULL)
+		if (e == NULL) {
 			e = endpoint_add(a, total++, config, now);
+			if (!pool_is_new)
+				slow_start_begin(&e->slow_start);
+		}
+		e->soft_limits = settings->fair_scheduling;
 		str_copy(e->id.address, sizeof(e->id.address),
 		    str_of(config->address));
 		str_copy(e->zone, sizeof(e->zone), str_of(config->zone));
@@ -267,6 +297,8 @@
 		    report->first_token_seconds * 1e3,
 		    e->limiter.smoothed_latency * 1e3,
 		    e->limiter.min_latency * 1e3);
+	if (report->rc == 0 && slow_start_add_answer(&e->slow_start, e->slots))
+		LOG_INFO("endpoint_started", "endpoint=%s", e->id.name);
 	if (ejector_report(&e->ejector, report->rc, now))
 		handle_ejection(a, e, report->rc, now);
 	slot_endpoint_refresh_capacity(a, e, now);
--- a/src/admission_schedule.c
+++ b/src/admission_schedule.c
@@ -63,15 +63,29 @@
 }
 
 static bool
-other_endpoint_usable(const admission_t *a, const char *avoid)
+any_endpoint_usable(const admission_t *a, const route_params_t *params)
 {
 	for (size_t i = 0; i < a->endpoint_count; i++)
 		if (a->routes[i].capacity > 0 &&
-		    strcmp(a->routes[i].name, avoid) != 0)
+		    !route_is_excluded(&a->routes[i], params))
 			return (true);
 	return (false);
 }
 
+/* Excludes the endpoints that failed the request or its holder, not all. */
+static void
+exclude_failed(const admission_t *a, const slot_grant_t *grant,
+    route_params_t *params, double now)
+{
+	params->now = now;
+	params->unreachable = slot_holder_path_failures(grant->holder, now);
+	params->avoid = grant->avoid[0] != '\0' ? grant->avoid : NULL;
+	if (params->unreachable != NULL && !any_endpoint_usable(a, params))
+		params->unreachable = NULL;
+	if (params->avoid != NULL && !any_endpoint_usable(a, params))
+		params->avoid = NULL;
+}
+
 /* Returns the endpoint for a waiting request, or NULL if it has to wait. */
 static slot_endpoint_t *
 choose_endpoint(admission_t *a, const slot_grant_t *grant, double now)
@@ -89,8 +103,7 @@
 		admission_cost_params(a, grant, &cost);
 		params.cost = &cost;
 	}
-	if (grant->avoid[0] != '\0' && other_endpoint_usable(a, grant->avoid))
-		params.avoid = grant->avoid;
+	exclude_failed(a, grant, &params, now);
 	if (now < a->restricted_until)
 		routes_apply_allowance(a, grant);
 	i = route_pick(a->routes, a->endpoint_count, &params, &a->rng);
--- a/src/admission_state.h
+++ b/src/admission_state.h
@@ -9,8 +9,10 @@
 #include "ejector.h"
 #include "endpoint_speed.h"
 #include "limiter.h"
+#include "path_failures.h"
 #include "quota.h"
 #include "route.h"
+#include "slow_start.h"
 #include "wait_queue.h"
 
 #define ADMISSION_CLASSES	 2
@@ -49,6 +51,12 @@
 	unsigned revoking;
 	limiter_t limiter;
 	ejector_t ejector;
+	slow_start_t slow_start;
+	/* Ramp-up and slow start yield if no other endpoint has room. */
+	bool soft_limits;
+	uint64_t hash;		  /* of the name */
+	double answered_at;	  /* last complete answer */
+	uint64_t answered_holder; /* that got it; hash of the name */
 	endpoint_speed_t speed;
 	bool slow; /* as logged last */
 	LIST_HEAD(, slot_grant_t) grants;
@@ -63,6 +71,8 @@
 	bool silent;	    /* as of the last tick */
 	/* In a restricted pool its requests are skipped until then. */
 	double no_free_slot_until;
+	uint64_t hash;			/* of the name */
+	path_failures_t *path_failures; /* NULL: none */
 	LIST_HEAD(, slot_grant_t) grants;
 	LIST_ENTRY(slot_holder_t) entry;
 } slot_holder_t;
@@ -147,6 +157,12 @@
     const grant_report_t *report, double now);
 bool admission_has_usable_endpoint(const admission_t *a);
 
+/* admission_paths.c */
+void slot_grant_handle_report(admission_t *a, const slot_grant_t *grant,
+    const grant_report_t *report, double now);
+const path_failures_t *slot_holder_path_failures(
+    slot_holder_t *holder, double now);
+
 /* admission_speed.c */
 struct route_cost_params_t;
 void slot_endpoint_add_run(admission_t *a, const slot_grant_t *grant,
--- a/src/endpoint_speed.c
+++ b/src/endpoint_speed.c
@@ -189,7 +189,8 @@
 	double events = run->events;
 	double weight;
 
-	if (run->run_seconds <= 0)
+	/* The report comes from another host. */
+	if (!isfinite(run->run_seconds) || run->run_seconds <= 0)
 		return (false);
 	if (run->events == 0)
 		return (add_eventless(speed, pool, run, now));
--- a/src/route.c
+++ b/src/route.c
@@ -14,10 +14,11 @@
  */
 #define AFFINITY_SAVING 0.5
 /*
- * Costs are estimates; among endpoints within this factor of the least cost a
- * random one is taken, so that work does not collect on a single one.
+ * Costs are estimates; among endpoints whose cost exceeds the least one by at
+ * most this fraction a random one is taken, so that work does not collect on a
+ * single one.
  */
-#define NEAR_COST_FACTOR 1.05
+#define NEAR_COST_FRACTION 0.05
 
 static bool
 names_equal(const char *a, const char *b)
@@ -25,11 +26,23 @@
 	return (a != NULL && b != NULL && strcmp(a, b) == 0);
 }
 
+/* Returns whether a request must not use an endpoint, whatever its load. */
+bool
+route_is_excluded(
+    const route_endpoint_t *endpoint, const route_params_t *params)
+{
+	if (names_equal(endpoint->name, params->avoid))
+		return (true);
+	return (params->unreachable != NULL &&
+		path_failures_avoid(params->unreachable,
+		    str_hash(str_of(endpoint->name), 0), params->now));
+}
+
 static bool
 has_capacity(const route_endpoint_t *endpoint, const route_params_t *params)
 {
 	return (endpoint->in_use < endpoint->capacity &&
-		!names_equal(endpoint->name, params->avoid));
+		!route_is_excluded(endpoint, params));
 }
 
 /*
@@ -137,19 +150,17 @@
 	return (best);
 }
 
-/* Picks an endpoint of least cost; none that is suspect if sound_only. */
+/* Picks one of least cost among those below limit, see pick_cheapest(). */
 static size_t
-pick_cheapest(const route_endpoint_t *endpoints, size_t count,
-    const route_params_t *params, bool sound_only, rng_t *rng)
+pick_cheapest_within(const route_endpoint_t *endpoints, size_t count,
+    const route_params_t *params, size_t affine, bool sound_only,
+    bool soft_limits, rng_t *rng)
 {
 	const char *zone = preferred_zone(params);
-	size_t affine = ROUTE_NONE;
 	size_t best = ROUTE_NONE;
 	double least = INFINITY;
 	uint64_t near_count = 0;
 
-	if (params->prefix_hash != 0)
-		affine = pick_affine(endpoints, count, zone, params);
 	/* The first round finds the least cost, the second chooses. */
 	for (int round = 0; round < 2; round++) {
 		for (size_t i = 0; i < count; i++) {
@@ -161,12 +172,14 @@
 			double cost;
 
 			if (!has_capacity(e, params) ||
-			    (sound_only && e->suspect))
+			    (sound_only && e->suspect) ||
+			    (soft_limits && e->in_use >= e->soft_capacity))
 				continue;
 			cost = route_cost(e, params->cost, &relation);
 			if (round == 0)
 				least = fmin(least, cost);
-			else if (cost <= least * NEAR_COST_FACTOR &&
+			else if (cost <=
+				     least + NEAR_COST_FRACTION * fabs(least) &&
 				 rng_below(rng, ++near_count) == 0)
 				best = i;
 		}
@@ -174,6 +187,28 @@
 	return (best);
 }
 
+/*
+ * Picks an endpoint of least cost; none that is suspect if sound_only. One that
+ * is starting gets more than a few requests only if no other has room.
+ */
+static size_t
+pick_cheapest(const route_endpoint_t *endpoints, size_t count,
+    const route_params_t *params, bool sound_only, rng_t *rng)
+{
+	size_t affine = ROUTE_NONE;
+	size_t best;
+
+	if (params->prefix_hash != 0)
+		affine = pick_affine(
+		    endpoints, count, preferred_zone(params), params);
+	best = pick_cheapest_within(
+	    endpoints, count, params, affine, sound_only, true, rng);
+	if (best == ROUTE_NONE)
+		best = pick_cheapest_within(
+		    endpoints, count, params, affine, sound_only, false, rng);
+	return (best);
+}
+
 /*
  * Picks an endpoint by cost, or in the preferred zone if possible, else among
  * all.
--- a/src/route.h
+++ b/src/route.h
@@ -3,6 +3,7 @@
 #define DAISYPIER_ROUTE_H
 
 #include "clock.h"
+#include "path_failures.h"
 #include "str.h"
 
 #define ROUTE_NONE ((size_t)-1)
@@ -16,6 +17,8 @@
 	bool suspect; /* failed a request a short time ago */
 	/* Measured with one run; 0: unknown. Used with costs only. */
 	double seconds_per_event;
+	/* Bound while other endpoints have room; used with costs only. */
+	unsigned soft_capacity;
 } route_endpoint_t;
 
 struct route_cost_params_t;
@@ -28,8 +31,13 @@
 	    avoid_suspects; /* use suspect endpoints only if no other is free */
 	/* The least cost decides, see route_cost.h; NULL: the load alone. */
 	const struct route_cost_params_t *cost;
+	/* Endpoints to exclude until then; NULL: none. */
+	const path_failures_t *unreachable;
+	double now;
 } route_params_t;
 
+bool route_is_excluded(
+    const route_endpoint_t *endpoint, const route_params_t *params);
 size_t route_pick(const route_endpoint_t *endpoints, size_t count,
     const route_params_t *params, rng_t *rng);
 size_t route_two_choices(const route_endpoint_t *endpoints, size_t count,
--- a/tests/test_uneven_endpoints.c
+++ b/tests/test_uneven_endpoints.c
@@ -281,6 +281,8 @@
 	CU_ASSERT(after.p99 < before.p99);
 	CU_ASSERT(after.late_share < before.late_share);
 	CU_ASSERT(after.swing_mean <= before.swing_mean * 1.25);
+	/* No endpoint gains or loses twice its mean load within 100 ms. */
+	CU_ASSERT(after.swing_max < 2);
 }
 
 static const suite_test_t tests[] = {
