--- a/tests/harness_gateways.h
+++ b/tests/harness_gateways.h
@@ -26,6 +26,7 @@
 	unsigned event_ms;	   /* between events; 0: 10 */
 	const char *service;	   /* of the engines; NULL: "m" */
 	const char *engine_prefix; /* of the engines' ids; NULL: "e" */
+	bool fair_scheduling;
 	bool idle_service; /* configures GATEWAYS_IDLE_SERVICE as well */
 	/* Hosts reach the store and the engines through a fault proxy. */
 	bool proxied;
@@ -92,6 +93,7 @@
 	bool begins_right;  /* the body is empty or the start of a right one */
 	bool has_events;    /* the body begins with an event */
 	bool is_signed;	    /* an endpoint's signature for this request */
+	int engine;	    /* that signed it; -1: none */
 	double retry_after; /* seconds; negative: none */
 } gateways_stream_t;
 
