--- a/src/route.c
+++ b/src/route.c
@@ -14,11 +14,10 @@
  */
 #define AFFINITY_SAVING 0.5
 /*
- * Costs are estimates; among endpoints whose cost exceeds the least one by at
- * most this fraction a random one is taken, so that work does not collect on a
- * single one.
+ * Costs are estimates; each is raised by a random part of up to this fraction,
+ * so that work does not collect on one of several equal endpoints.
  */
-#define NEAR_COST_FRACTION 0.05
+#define COST_SPREAD 0.05
 
 static bool
 names_equal(const char *a, const char *b)
@@ -159,29 +158,23 @@
 	const char *zone = preferred_zone(params);
 	size_t best = ROUTE_NONE;
 	double least = INFINITY;
-	uint64_t near_count = 0;
 
-	/* The first round finds the least cost, the second chooses. */
-	for (int round = 0; round < 2; round++) {
-		for (size_t i = 0; i < count; i++) {
-			const route_endpoint_t *e = &endpoints[i];
-			route_relation_t relation = {
-			    .in_zone = in_zone(e, zone),
-			    .prompt_saving = i == affine ? AFFINITY_SAVING : 0,
-			};
-			double cost;
+	for (size_t i = 0; i < count; i++) {
+		const route_endpoint_t *e = &endpoints[i];
+		route_relation_t relation = {
+		    .in_zone = in_zone(e, zone),
+		    .prompt_saving = i == affine ? AFFINITY_SAVING : 0,
+		};
+		double cost;
 
-			if (!has_capacity(e, params) ||
-			    (sound_only && e->suspect) ||
-			    (soft_limits && e->in_use >= e->soft_capacity))
-				continue;
-			cost = route_cost(e, params->cost, &relation);
-			if (round == 0)
-				least = fmin(least, cost);
-			else if (cost <=
-				     least + NEAR_COST_FRACTION * fabs(least) &&
-				 rng_below(rng, ++near_count) == 0)
-				best = i;
+		if (!has_capacity(e, params) || (sound_only && e->suspect) ||
+		    (soft_limits && e->in_use >= e->soft_capacity))
+			continue;
+		cost = route_cost(e, params->cost, &relation);
+		cost += COST_SPREAD * fabs(cost) * rng_uniform(rng);
+		if (cost < least) {
+			least = cost;
+			best = i;
 		}
 	}
 	return (best);
