Random events of the admission with fair_scheduling as well

Cause: the invariants of the admission were checked without it only. Change: test_random_events_keep_invariants runs both ways.

--- a/tests/test_admission.c
+++ b/tests/test_admission.c
@@ -658,13 +658,13 @@
  * be issued, and online requests must not wait while batch runs unrevoked.
  */
 static void
-test_random_events_keep_invariants(void)
+check_random_events(const admission_settings_t *s)
 {
 	pool_fixture_t t;
 	admission_stats_t stats;
 	rng_t rng = rng_seeded(11);
 
-	setup(&t, &settings, 4, 3);
+	setup(&t, s, 4, 3);
 	for (int i = 0; i < 20000; i++) {
 		t.now += 0.01;
 		switch (rng_below(&rng, 5)) {
@@ -694,6 +694,16 @@
 	admission_delete(t.a);
 }
 
+static void
+test_random_events_keep_invariants(void)
+{
+	admission_settings_t fair = settings;
+
+	check_random_events(&settings);
+	fair.fair_scheduling = true;
+	check_random_events(&fair);
+}
+
 /* Requests a slot on behalf of one of two hosts. */
 static void
 request_as(pool_fixture_t *t, const char *holder)
