--- a/src/faultproxy.c
+++ b/src/faultproxy.c
@@ -1,4 +1,5 @@
 /* TCP and UDP proxy that injects faults on command. */
+#include <arpa/inet.h>
 #include <errno.h>
 #include <stdio.h>
 #include <string.h>
@@ -31,7 +32,10 @@
 	return (0);
 }
 
-/* Handles /fault?forward=INDEX&mode=NAME; without an index it is for all. */
+/*
+ * Handles /fault?forward=INDEX&mode=NAME; without an index it is for all. With
+ * &from=IP only connections from there have the fault.
+ */
 static void
 handle_fault(proxy_t *proxy, http_request_t *request)
 {
@@ -42,10 +46,12 @@
 	};
 	size_t first = index < 0 ? 0 : (size_t)index;
 	size_t last = index < 0 ? proxy->count : first + 1;
+	const char *from = http_request_query(request, "from");
 	int rc = 0;
 
 	if (link_mode_parse(http_request_query(request, "mode"), &fault.mode) !=
 		0 ||
+	    (from != NULL && inet_pton(AF_INET, from, &fault.from) != 1) ||
 	    last > proxy->count) {
 		http_request_reply(request, 400, "text/plain",
 		    STR("unknown mode or forward\n"));
--- a/src/standin_fault.h
+++ b/src/standin_fault.h
@@ -22,6 +22,11 @@
 	link_mode_t mode;
 	bool only_open; /* only connections that are open now, for good */
 	double delay;	/* seconds */
+	/*
+	 * Only TCP connections from this IP number, in network byte order;
+	 * 0: all. Connections cannot be refused or cut by it.
+	 */
+	uint32_t from;
 } link_fault_t;
 
 typedef struct forward_stats_t {
--- a/src/standin_tcp.c
+++ b/src/standin_tcp.c
@@ -42,6 +42,7 @@
 	tcp_forward_t *forward;
 	int client;
 	int target;
+	uint32_t from; /* IP number of the client in network byte order */
 	bool connected;
 	bool own_fault; /* keeps its fault for good */
 	link_fault_t fault;
@@ -67,8 +68,13 @@
 static link_fault_t
 connection_fault(const connection_t *connection)
 {
-	return (connection->own_fault ? connection->fault
-				      : connection->forward->fault);
+	const link_fault_t *fault = &connection->forward->fault;
+
+	if (connection->own_fault)
+		return (connection->fault);
+	if (fault->from != 0 && fault->from != connection->from)
+		return ((link_fault_t){.mode = LINK_PASS});
+	return (*fault);
 }
 
 /* Returns whether the fault holds back this direction. */
@@ -341,6 +347,7 @@
 	connection = xcalloc(1, sizeof(*connection));
 	connection->forward = forward;
 	connection->client = client;
+	connection->from = from.sin_addr.s_addr;
 	connection->target = target;
 	pipe_init(&connection->up, connection, client, target, true);
 	pipe_init(&connection->down, connection, target, client, false);
