--- a/src/admission.c
+++ b/src/admission.c
@@ -38,6 +38,7 @@
 		return (holder);
 	holder = xcalloc(1, sizeof(*holder));
 	str_copy(holder->name, sizeof(holder->name), str_of(name));
+	holder->hash = str_hash(str_of(name), 0);
 	LIST_INIT(&holder->grants);
 	LIST_INSERT_HEAD(&a->holders[holder_bucket(name)], holder, entry);
 	return (holder);
@@ -124,7 +125,7 @@
 			TAILQ_REMOVE(&a->batch_held, grant, order);
 		break;
 	}
-	slot_endpoint_adjust_in_use(a, grant->endpoint, -1);
+	slot_endpoint_unhold(a, grant);
 	grant->holder->no_free_slot_until = 0;
 	grant->org->held[class]--;
 	a->held[class]--;
@@ -186,6 +187,7 @@
 	while (!LIST_EMPTY(&holder->grants))
 		slot_grant_delete(a, LIST_FIRST(&holder->grants));
 	LIST_REMOVE(holder, entry);
+	free(holder->path_failures);
 	free(holder);
 }
 
@@ -398,6 +400,7 @@
 	    slot_holder_find_or_create(a, request->holder), org,
 	    request->class);
 	grant->prefix_hash = request->prefix_hash;
+	grant->output_tokens = request->output_tokens;
 	grant->deadline = request->deadline;
 	grant->limited = request->limited;
 	grant->wait.start_by =
@@ -439,8 +442,7 @@
 	grant->holder->heard_at = now;
 	if (grant->endpoint != NULL) {
 		if (report != NULL)
-			slot_endpoint_handle_report(
-			    a, grant->endpoint, report, now);
+			slot_grant_handle_report(a, grant, report, now);
 		if (grant->class == GRANT_ONLINE) {
 			double held = now - grant->since;
 
@@ -500,6 +502,7 @@
 {
 	slot_grant_t *grant;
 
+	slot_endpoints_refresh_speed(a, now);
 	slot_endpoints_refresh_capacity(a, now);
 	refuse_expired(a, GRANT_ONLINE, now);
 	refuse_expired(a, GRANT_BATCH, now);
@@ -547,4 +550,5 @@
 	out->batch_waiting = a->waiting[GRANT_BATCH];
 	for (size_t i = 0; i < a->endpoint_count; i++)
 		out->capacity += slot_endpoint_capacity(a->endpoints[i], now);
+	admission_speed_stats(a, out);
 }
--- a/src/admission_schedule.c
+++ b/src/admission_schedule.c
@@ -9,6 +9,8 @@
 #include <math.h>
 #include <string.h>
 
+#include "route_cost.h"
+
 /* Fraction of an organisation's quota that batch leaves to online requests. */
 #define BATCH_QUOTA_RESERVE 0.5
 /* A holder that found no free slot is skipped for this long. */
@@ -61,15 +63,29 @@
 }
 
 static bool
-other_endpoint_usable(const admission_t *a, const char *avoid)
+any_endpoint_usable(const admission_t *a, const route_params_t *params)
 {
 	for (size_t i = 0; i < a->endpoint_count; i++)
 		if (a->routes[i].capacity > 0 &&
-		    strcmp(a->routes[i].name, avoid) != 0)
+		    !route_is_excluded(&a->routes[i], params))
 			return (true);
 	return (false);
 }
 
+/* Excludes the endpoints that failed the request or its holder, not all. */
+static void
+exclude_failed(const admission_t *a, const slot_grant_t *grant,
+    route_params_t *params, double now)
+{
+	params->now = now;
+	params->unreachable = slot_holder_path_failures(grant->holder, now);
+	params->avoid = grant->avoid[0] != '\0' ? grant->avoid : NULL;
+	if (params->unreachable != NULL && !any_endpoint_usable(a, params))
+		params->unreachable = NULL;
+	if (params->avoid != NULL && !any_endpoint_usable(a, params))
+		params->avoid = NULL;
+}
+
 /* Returns the endpoint for a waiting request, or NULL if it has to wait. */
 static slot_endpoint_t *
 choose_endpoint(admission_t *a, const slot_grant_t *grant, double now)
@@ -80,10 +96,14 @@
 	    /* Items of jobs are resumed or repeated elsewhere. */
 	    .avoid_suspects = grant->class == GRANT_ONLINE,
 	};
+	route_cost_params_t cost;
 	size_t i;
 
-	if (grant->avoid[0] != '\0' && other_endpoint_usable(a, grant->avoid))
-		params.avoid = grant->avoid;
+	if (a->settings.fair_scheduling) {
+		admission_cost_params(a, grant, &cost);
+		params.cost = &cost;
+	}
+	exclude_failed(a, grant, &params, now);
 	if (now < a->restricted_until)
 		routes_apply_allowance(a, grant);
 	i = route_pick(a->routes, a->endpoint_count, &params, &a->rng);
@@ -141,13 +161,11 @@
 	    fmax(a->virtual_time[class], org->virtual_start[class]);
 	org->virtual_start[class] += 1.0 / (org->weight > 0 ? org->weight : 1);
 	grant->state = SLOT_HELD;
-	grant->endpoint = endpoint;
-	grant->since = now;
+	slot_endpoint_hold(a, grant, endpoint, now);
 	if (class == GRANT_BATCH) {
 		quota_take(&org->quota, now, BATCH_QUOTA_RESERVE);
 		slot_batch_held_insert(a, grant);
 	}
-	slot_endpoint_adjust_in_use(a, endpoint, 1);
 	admission_queue_action(a, ADMISSION_GRANT, grant, 0, 0);
 }
 
--- a/src/admission_state.h
+++ b/src/admission_state.h
@@ -7,9 +7,12 @@
 #include "admission.h"
 #include "clock.h"
 #include "ejector.h"
+#include "endpoint_speed.h"
 #include "limiter.h"
+#include "path_failures.h"
 #include "quota.h"
 #include "route.h"
+#include "slow_start.h"
 #include "wait_queue.h"
 
 #define ADMISSION_CLASSES	 2
@@ -48,6 +51,15 @@
 	unsigned revoking;
 	limiter_t limiter;
 	ejector_t ejector;
+	slow_start_t slow_start;
+	/* Ramp-up and slow start yield if no other endpoint has room. */
+	bool soft_limits;
+	uint64_t hash;		  /* of the name */
+	double answered_at;	  /* last complete answer */
+	uint64_t answered_holder; /* that got it; hash of the name */
+	endpoint_speed_t speed;
+	bool slow; /* as logged last */
+	LIST_HEAD(, slot_grant_t) grants;
 	size_t route_index; /* in endpoints and routes of admission_t */
 	bool configured;
 } slot_endpoint_t;
@@ -59,6 +71,8 @@
 	bool silent;	    /* as of the last tick */
 	/* In a restricted pool its requests are skipped until then. */
 	double no_free_slot_until;
+	uint64_t hash;			/* of the name */
+	path_failures_t *path_failures; /* NULL: none */
 	LIST_HEAD(, slot_grant_t) grants;
 	LIST_ENTRY(slot_holder_t) entry;
 } slot_holder_t;
@@ -73,6 +87,8 @@
 	char zone[NAME_SIZE];
 	char avoid[ENDPOINT_NAME_SIZE];
 	uint64_t prefix_hash;
+	unsigned output_tokens; /* maximum; 0: unknown */
+	unsigned running;	/* on the endpoint when it was granted */
 	double deadline;
 	double since;			 /* time of the request or the grant */
 	double revoked_at;		 /* time of the revocation */
@@ -83,6 +99,7 @@
 	TAILQ_ENTRY(slot_grant_t) order; /* batch_held, revoked */
 	LIST_ENTRY(slot_grant_t) bucket_entry;
 	LIST_ENTRY(slot_grant_t) holder_entry;
+	LIST_ENTRY(slot_grant_t) endpoint_entry; /* unless waiting */
 };
 
 typedef struct slot_action_t {
@@ -107,6 +124,7 @@
 	unsigned held[ADMISSION_CLASSES];
 	unsigned waiting[ADMISSION_CLASSES];
 	double virtual_time[ADMISSION_CLASSES];
+	pool_speed_t speed;
 	double mean_hold_s; /* EWMA over online grants */
 	unsigned schedule_round;
 	unsigned revoking;
@@ -132,8 +150,9 @@
 /* admission_endpoints.c */
 slot_endpoint_t *slot_endpoint_find(const admission_t *a, str_t name);
 unsigned slot_endpoint_capacity(const slot_endpoint_t *endpoint, double now);
-void slot_endpoint_adjust_in_use(
-    admission_t *a, slot_endpoint_t *endpoint, int change);
+void slot_endpoint_hold(
+    admission_t *a, slot_grant_t *grant, slot_endpoint_t *endpoint, double now);
+void slot_endpoint_unhold(admission_t *a, slot_grant_t *grant);
 void slot_endpoint_refresh_capacity(
     admission_t *a, slot_endpoint_t *endpoint, double now);
 void slot_endpoints_refresh_capacity(admission_t *a, double now);
@@ -141,6 +160,24 @@
     const grant_report_t *report, double now);
 bool admission_has_usable_endpoint(const admission_t *a);
 
+/* admission_paths.c */
+void slot_grant_handle_report(admission_t *a, const slot_grant_t *grant,
+    const grant_report_t *report, double now);
+const path_failures_t *slot_holder_path_failures(
+    slot_holder_t *holder, double now);
+
+/* admission_speed.c */
+struct route_cost_params_t;
+void slot_grant_add_run(admission_t *a, const slot_grant_t *grant,
+    const grant_report_t *report, double now);
+void slot_endpoint_add_run(admission_t *a, slot_endpoint_t *endpoint,
+    unsigned running, unsigned output_tokens, const grant_report_t *report,
+    double now);
+void slot_endpoints_refresh_speed(admission_t *a, double now);
+void admission_speed_stats(const admission_t *a, admission_stats_t *out);
+void admission_cost_params(const admission_t *a, const slot_grant_t *grant,
+    struct route_cost_params_t *out);
+
 /* admission_silence.c */
 bool slot_holder_is_silent(
     const admission_t *a, const slot_holder_t *holder, double now);
--- a/src/grants_state.h
+++ b/src/grants_state.h
@@ -40,6 +40,7 @@
 	double last_used; /* last request or report */
 	double next_takeover_check;
 	double state_logged_at;
+	double next_gauge_update;
 	LIST_ENTRY(grants_pool_t) entry;
 } grants_pool_t;
 
@@ -206,6 +207,9 @@
 void grants_quota_read_history(
     grants_t *grants, grants_host_t *host, wire_reader_t *uses, double now);
 
+/* grants_gauges.c */
+void pool_update_gauges(grants_pool_t *pool, double now);
+
 /* grants_leaving.c */
 void grants_leaving_start(grants_t *grants);
 void grants_leaving_stop(grants_t *grants);
--- a/src/route.h
+++ b/src/route.h
@@ -3,6 +3,7 @@
 #define DAISYPIER_ROUTE_H
 
 #include "clock.h"
+#include "path_failures.h"
 #include "str.h"
 
 #define ROUTE_NONE ((size_t)-1)
@@ -14,16 +15,29 @@
 	unsigned in_use;
 	unsigned capacity;
 	bool suspect; /* failed a request a short time ago */
+	/* Measured with one run; 0: unknown. Used with costs only. */
+	double seconds_per_event;
+	/* Bound while other endpoints have room; used with costs only. */
+	unsigned soft_capacity;
 } route_endpoint_t;
 
+struct route_cost_params_t;
+
 typedef struct route_params_t {
 	const char *zone;     /* preferred zone; NULL or empty: none */
 	const char *avoid;    /* endpoint to exclude; NULL or empty: none */
 	uint64_t prefix_hash; /* of the prompt's prefix; 0: no affinity */
 	bool
 	    avoid_suspects; /* use suspect endpoints only if no other is free */
+	/* The least cost decides, see route_cost.h; NULL: the load alone. */
+	const struct route_cost_params_t *cost;
+	/* Endpoints to exclude until then; NULL: none. */
+	const path_failures_t *unreachable;
+	double now;
 } route_params_t;
 
+bool route_is_excluded(
+    const route_endpoint_t *endpoint, const route_params_t *params);
 size_t route_pick(const route_endpoint_t *endpoints, size_t count,
     const route_params_t *params, rng_t *rng);
 size_t route_two_choices(const route_endpoint_t *endpoints, size_t count,
