Admission: priorities and early refusals with fair_scheduling

A request waited up to 0.6 of its time limit and was then refused, although it was known long before that no slot would become free for it. Slots go to the most urgent request first, then to organisations with a request that is on time, by weight. Without the setting nothing changes.

--- a/src/admission.c
+++ b/src/admission.c
@@ -163,6 +163,14 @@
 	slot_grant_delete(a, grant);
 }
 
+/* Refuses a waiting request and frees it. */
+void
+slot_grant_refuse(
+    admission_t *a, slot_grant_t *grant, int rc, double retry_after)
+{
+	grant_refuse(a, grant, rc, retry_after);
+}
+
 /* Creates a pool without endpoints; admission_configure() sets them. */
 admission_t *
 admission_new(uint64_t seed)
@@ -298,7 +306,11 @@
 		org->virtual_start[class] =
 		    fmax(org->virtual_start[class], a->virtual_time[class]);
 	grant->state = SLOT_WAITING;
-	wait_queue_add(&org->queue[class], &grant->wait, now);
+	wait_queue_add_with_priority(&org->queue[class], &grant->wait,
+	    a->settings.fair_scheduling && class == GRANT_ONLINE
+		? grant->priority
+		: 0,
+	    now);
 	a->waiting[class]++;
 }
 
@@ -337,6 +349,14 @@
 		grant_refuse(a, grant, rc, wait);
 		return;
 	}
+	if (admission_fair_decides(a, now)) {
+		slot_rate_add_arrival(&a->slot_rate, now);
+		admission_schedule(a, now);
+		if (grant->state == SLOT_WAITING)
+			admission_fair_judge(a, grant, now);
+		enforce_queue_limit(a, now);
+		return;
+	}
 	admission_schedule(a, now);
 	enforce_queue_limit(a, now);
 }
@@ -373,6 +393,8 @@
 	    request->class);
 	grant->prefix_hash = request->prefix_hash;
 	grant->deadline = request->deadline;
+	grant->caller_deadline = request->caller_deadline;
+	grant->priority = request->priority;
 	grant->wait.start_by =
 	    request->start_by > 0 ? request->start_by : INFINITY;
 	grant->since = now;
@@ -388,7 +410,8 @@
 	}
 	if (grant->avoid[0] != '\0' && admission_has_usable_endpoint(a))
 		admission_schedule(a, now); /* admitted before */
-	else if (admission_has_usable_endpoint(a) &&
+	else if (!admission_fair_decides(a, now) &&
+		 admission_has_usable_endpoint(a) &&
 		 now + wait > request->deadline)
 		grant_refuse(a, grant, -RESULT_OVERLOADED, wait);
 	else
@@ -415,6 +438,9 @@
 		if (grant->class == GRANT_ONLINE) {
 			double held = now - grant->since;
 
+			if (report == NULL ||
+			    !ejector_is_endpoint_failure(report->rc))
+				slot_rate_add(&a->slot_rate, held, now);
 			a->mean_hold_s =
 			    a->mean_hold_s > 0
 				? a->mean_hold_s + HOLD_TIME_EWMA_WEIGHT *
@@ -483,6 +509,7 @@
 		admission_revoke_excess(a, now);
 	admission_reclaim_silent(a, now);
 	admission_schedule(a, now);
+	admission_fair_tick(a, now);
 }
 
 /* Removes the next action from the queue; returns false if there is none. */
--- a/src/admission.h
+++ b/src/admission.h
@@ -42,9 +42,10 @@
 	double requests_per_s; /* 0: unlimited */
 	unsigned concurrency;  /* 0: unlimited */
 	uint64_t prefix_hash;
-	double deadline;   /* same clock as now */
-	double start_by;   /* latest start that is on time; 0: none */
-	const char *avoid; /* endpoint it failed on; NULL or empty: none */
+	double deadline;	/* same clock as now */
+	double caller_deadline; /* of the response; 0: unknown */
+	double start_by;	/* latest start that is on time; 0: none */
+	const char *avoid;	/* endpoint it failed on; NULL or empty: none */
 } admission_request_t;
 
 /* A grant, or a request for one, as listed in its holder's report. */
@@ -84,6 +85,8 @@
 	uint64_t revoked;
 	uint64_t revoke_timeouts; /* slots not released within revoke_timeout */
 	uint64_t refused;
+	/* Of these, before the end of their wait; fair scheduling only. */
+	uint64_t refused_early;
 	uint64_t reclaimed; /* grants that their holder no longer had */
 } admission_stats_t;
 
--- a/src/admission_schedule.c
+++ b/src/admission_schedule.c
@@ -106,7 +106,43 @@
 	return (quota_take(&quota, now, BATCH_QUOTA_RESERVE));
 }
 
-/* Returns the organisation with the lowest virtual start, or NULL. */
+static bool
+is_by_priority(const admission_t *a, grant_class_t class)
+{
+	return (a->settings.fair_scheduling && class == GRANT_ONLINE);
+}
+
+/* Returns the request of an organisation to try next in this round, or NULL. */
+static wait_entry_t *
+org_next_entry(const admission_t *a, const slot_org_t *org, grant_class_t class)
+{
+	if (is_by_priority(a, class) && org->tried_round == a->schedule_round)
+		return (org->untried);
+	return (wait_queue_first(&org->queue[class]));
+}
+
+/* Returns whether an organisation is served before another. */
+static bool
+org_precedes(const admission_t *a, const slot_org_t *org,
+    const slot_org_t *other, grant_class_t class)
+{
+	if (is_by_priority(a, class)) {
+		const wait_entry_t *x = org_next_entry(a, org, class);
+		const wait_entry_t *y = org_next_entry(a, other, class);
+
+		if (x->priority != y->priority)
+			return (x->priority < y->priority);
+		if (x->late != y->late)
+			return (y->late);
+	}
+	return (org->virtual_start[class] < other->virtual_start[class]);
+}
+
+/*
+ * Returns the organisation to serve next, or NULL: the one with the most urgent
+ * request, of these one with a request that is on time, of these the one with
+ * the lowest virtual start.
+ */
 static slot_org_t *
 next_org(admission_t *a, grant_class_t class, double now)
 {
@@ -114,13 +150,12 @@
 	slot_org_t *org;
 
 	LIST_FOREACH (org, &a->orgs, entry) {
-		if (org->queue[class].count == 0 ||
-		    org->skipped_round == a->schedule_round)
+		if (org->skipped_round == a->schedule_round ||
+		    org_next_entry(a, org, class) == NULL)
 			continue;
 		if (class == GRANT_BATCH && !org_admits_batch(org, now))
 			continue;
-		if (best == NULL ||
-		    org->virtual_start[class] < best->virtual_start[class])
+		if (best == NULL || org_precedes(a, org, best, class))
 			best = org;
 	}
 	return (best);
@@ -167,22 +202,50 @@
 		now >= grant->holder->no_free_slot_until);
 }
 
-/* Grants one request of an organisation; returns false if none can run now. */
+/*
+ * Notes up to which request an organisation was tried in this round, so that
+ * its less urgent requests wait for more urgent ones of others.
+ */
+static void
+org_set_untried(admission_t *a, slot_org_t *org, wait_entry_t *untried)
+{
+	org->tried_round = a->schedule_round;
+	org->untried = untried;
+}
+
+/*
+ * Grants one request of an organisation; returns false if none can run now. By
+ * priority only requests as urgent as the first are tried, and the result is
+ * true if less urgent ones are left to try.
+ */
 static bool
 org_grant_one(admission_t *a, slot_org_t *org, grant_class_t class, double now)
 {
+	bool by_priority = is_by_priority(a, class);
+	wait_entry_t *first = org_next_entry(a, org, class);
 	wait_entry_t *wait_entry;
 
-	wait_queue_demote_late(&org->queue[class], now);
-	for (wait_entry = wait_queue_first(&org->queue[class]);
-	     wait_entry != NULL; wait_entry = wait_queue_next(wait_entry)) {
+	if (!by_priority) {
+		wait_queue_demote_late(&org->queue[class], now);
+		first = wait_queue_first(&org->queue[class]);
+	}
+	for (wait_entry = first; wait_entry != NULL;
+	     wait_entry = wait_queue_next(wait_entry)) {
 		slot_grant_t *grant = slot_grant_of_wait_entry(wait_entry);
 		slot_endpoint_t *endpoint;
 
+		if (by_priority && wait_entry->priority != first->priority) {
+			org_set_untried(a, org, wait_entry);
+			return (true);
+		}
+
 		if (!holder_may_find_slot(a, grant, now))
 			continue;
 		endpoint = choose_endpoint(a, grant, now);
 		if (endpoint != NULL) {
+			if (by_priority)
+				org_set_untried(
+				    a, org, wait_queue_next(wait_entry));
 			grant_issue(a, grant, endpoint, now);
 			return (true);
 		}
@@ -201,6 +264,9 @@
 	if (a->waiting[class] == 0)
 		return;
 	a->schedule_round++;
+	if (is_by_priority(a, class))
+		LIST_FOREACH (org, &a->orgs, entry)
+			wait_queue_demote_late(&org->queue[class], now);
 	while (a->free_slots > reserved_slots &&
 	       (org = next_org(a, class, now)) != NULL)
 		if (!org_grant_one(a, org, class, now))
@@ -348,9 +414,11 @@
 {
 	bool restricted = now < a->restricted_until;
 
+	slot_rate_observe(&a->slot_rate, a->held[GRANT_ONLINE], now);
 	schedule_class(a, GRANT_ONLINE, 0, now);
 	if (!restricted && a->waiting[GRANT_ONLINE] == 0)
 		schedule_class(a, GRANT_BATCH, batch_headroom(a), now);
+	slot_rate_observe(&a->slot_rate, a->held[GRANT_ONLINE], now);
 	if (!TAILQ_EMPTY(&a->batch_held))
 		revoke_for_online(a, now);
 }
--- a/src/admission_state.h
+++ b/src/admission_state.h
@@ -10,6 +10,7 @@
 #include "limiter.h"
 #include "quota.h"
 #include "route.h"
+#include "slot_rate.h"
 #include "wait_queue.h"
 
 #define ADMISSION_CLASSES	 2
@@ -36,6 +37,8 @@
 	double virtual_start[ADMISSION_CLASSES]; /* of the next grant */
 	wait_queue_t queue[ADMISSION_CLASSES];
 	unsigned skipped_round; /* last schedule_round without a grant */
+	unsigned tried_round;	/* schedule_round to which untried applies */
+	wait_entry_t *untried;	/* first request not tried in tried_round */
 	LIST_ENTRY(slot_org_t) entry;
 } slot_org_t;
 
@@ -73,7 +76,9 @@
 	char zone[NAME_SIZE];
 	char avoid[ENDPOINT_NAME_SIZE];
 	uint64_t prefix_hash;
+	unsigned priority;
 	double deadline;
+	double caller_deadline;		 /* of the response; 0: unknown */
 	double since;			 /* time of the request or the grant */
 	double revoked_at;		 /* time of the revocation */
 	bool listed;			 /* in the current report */
@@ -105,6 +110,7 @@
 	unsigned waiting[ADMISSION_CLASSES];
 	double virtual_time[ADMISSION_CLASSES];
 	double mean_hold_s; /* EWMA over online grants */
+	slot_rate_t slot_rate;
 	unsigned schedule_round;
 	unsigned revoking;
 	struct slot_queue_t batch_held; /* largest slack first */
@@ -125,6 +131,8 @@
 slot_grant_t *slot_grant_new(admission_t *a, uint64_t id, slot_holder_t *holder,
     slot_org_t *org, grant_class_t class);
 void slot_grant_delete(admission_t *a, slot_grant_t *grant);
+void slot_grant_refuse(
+    admission_t *a, slot_grant_t *grant, int rc, double retry_after);
 
 /* admission_endpoints.c */
 slot_endpoint_t *slot_endpoint_find(const admission_t *a, str_t name);
@@ -138,6 +146,11 @@
     const grant_report_t *report, double now);
 bool admission_has_usable_endpoint(const admission_t *a);
 
+/* admission_fair.c */
+bool admission_fair_decides(const admission_t *a, double now);
+bool admission_fair_judge(admission_t *a, slot_grant_t *grant, double now);
+void admission_fair_tick(admission_t *a, double now);
+
 /* admission_silence.c */
 bool slot_holder_is_silent(
     const admission_t *a, const slot_holder_t *holder, double now);
--- a/src/forward.c
+++ b/src/forward.c
@@ -416,6 +416,7 @@
 		.deadline =
 		    fmin(f->state.deadline, forward_queue_deadline(f->route,
 						f->info.caller_timeout, now)),
+		.caller_deadline = f->state.deadline,
 		.start_by = grant_start_by(
 		    now, forward_slack(f->route, f->state.response_started,
 			     now - f->arrived_at)),
--- a/src/grants.h
+++ b/src/grants.h
@@ -46,6 +46,7 @@
 	unsigned output_tokens;	    /* maximum; 0: unknown */
 	uint64_t prefix_hash;	    /* of the prompt prefix; 0: none */
 	double deadline;	    /* clock_monotonic() seconds */
+	double caller_deadline;	    /* of the response; 0: unknown */
 	double start_by;	    /* latest on-time start; 0: unspecified */
 	const char *avoid_endpoint; /* one that just failed; NULL: none */
 	grant_cb_t on_grant;
--- a/src/grants_admit.c
+++ b/src/grants_admit.c
@@ -193,6 +193,7 @@
 	    .output_tokens = grant->params.output_tokens,
 	    .prefix_hash = grant->params.prefix_hash,
 	    .deadline = grant->params.deadline,
+	    .caller_deadline = grant->params.caller_deadline,
 	    .start_by = grant->params.start_by,
 	    .avoid = grant->avoid,
 	};
@@ -313,6 +314,8 @@
 	ask.output_tokens = m.output_tokens;
 	ask.prefix_hash = m.prefix_hash;
 	ask.deadline = now + m.remaining;
+	if (m.caller_remaining > 0)
+		ask.caller_deadline = now + m.caller_remaining;
 	ask.start_by = grant_start_by(now, m.slack);
 	ask.avoid = avoid;
 	pool_submit_request(pool, &ask, m.org, now);
--- a/src/grants_wire.c
+++ b/src/grants_wire.c
@@ -13,6 +13,15 @@
 	return (start_by > 0 ? start_by - time : INFINITY);
 }
 
+/* Returns the seconds until the caller's deadline; 0: unknown. */
+static double
+grant_caller_seconds(const grant_t *grant, double now)
+{
+	return (grant->params.caller_deadline > 0
+		    ? grant->params.caller_deadline - now
+		    : 0);
+}
+
 /* Hosts of earlier versions do not send this field. */
 static double
 read_slack(wire_reader_t *reader)
@@ -27,7 +36,7 @@
 	msgpack_packer packer;
 
 	wire_packer_init(&packer, out);
-	msgpack_pack_array(&packer, 13);
+	msgpack_pack_array(&packer, 14);
 	msgpack_pack_uint64(&packer, grant->id);
 	wire_pack_str(&packer, str_of(grant->pool->name));
 	msgpack_pack_uint64(&packer, grant->params.class);
@@ -41,6 +50,7 @@
 	msgpack_pack_uint64(&packer, grant->params.priority);
 	wire_pack_bool(&packer, grant->params.limited);
 	msgpack_pack_uint64(&packer, grant->params.output_tokens);
+	msgpack_pack_double(&packer, grant_caller_seconds(grant, now));
 }
 
 static grant_class_t
@@ -72,6 +82,8 @@
 		out->limited = wire_read_bool(&reader);
 		out->output_tokens = (unsigned)wire_read_u64(&reader);
 	}
+	if (reader.left > 0)
+		out->caller_remaining = wire_read_double(&reader);
 	return (!reader.fault);
 }
 
--- a/src/grants_wire.h
+++ b/src/grants_wire.h
@@ -18,7 +18,8 @@
 	bool limited;
 	unsigned output_tokens;
 	uint64_t prefix_hash;
-	double remaining; /* seconds until the deadline */
+	double remaining;	 /* seconds until the deadline */
+	double caller_remaining; /* until the caller's; 0: unknown */
 	double slack; /* seconds until the latest on-time start, or INFINITY */
 	str_t avoid;
 	str_t zone;
--- a/src/wait_queue.c
+++ b/src/wait_queue.c
@@ -1,6 +1,6 @@
 /*
- * Queue of the requests of one class that wait for a slot, by latest start
- * time.
+ * Queue of the requests of one class that wait for a slot, by priority and
+ * latest start time.
  *
  * When the load exceeds the slots for a while, first-come, first-served order
  * makes every request wait about as long as the backlog, so that all miss their
@@ -16,23 +16,45 @@
 	queue->count = 0;
 }
 
-/* Adds a request; those with equal start_by are served in order of arrival. */
-void
-wait_queue_add(wait_queue_t *queue, wait_entry_t *entry, double now)
+/* Returns whether a request is served before another one that was there. */
+static bool
+entry_precedes(const wait_entry_t *entry, const wait_entry_t *other)
+{
+	if (entry->priority != other->priority)
+		return (entry->priority < other->priority);
+	if (entry->late)
+		return (false);
+	return (other->late || other->start_by > entry->start_by);
+}
+
+static void
+queue_insert(wait_queue_t *queue, wait_entry_t *entry)
 {
 	wait_entry_t *predecessor = TAILQ_LAST(&queue->entries, wait_list_t);
 
-	entry->late = entry->start_by < now;
-	if (!entry->late)
-		while (predecessor != NULL &&
-		       (predecessor->late ||
-			   predecessor->start_by > entry->start_by))
-			predecessor =
-			    TAILQ_PREV(predecessor, wait_list_t, link);
+	while (predecessor != NULL && entry_precedes(entry, predecessor))
+		predecessor = TAILQ_PREV(predecessor, wait_list_t, link);
 	if (predecessor != NULL)
 		TAILQ_INSERT_AFTER(&queue->entries, predecessor, entry, link);
 	else
 		TAILQ_INSERT_HEAD(&queue->entries, entry, link);
+}
+
+/* Adds a request; those with equal start_by are served in order of arrival. */
+void
+wait_queue_add(wait_queue_t *queue, wait_entry_t *entry, double now)
+{
+	wait_queue_add_with_priority(queue, entry, 0, now);
+}
+
+/* Adds a request of a priority, of which 0 is the most urgent. */
+void
+wait_queue_add_with_priority(
+    wait_queue_t *queue, wait_entry_t *entry, unsigned priority, double now)
+{
+	entry->priority = priority;
+	entry->late = entry->start_by < now;
+	queue_insert(queue, entry);
 	queue->count++;
 }
 
@@ -43,17 +65,28 @@
 	queue->count--;
 }
 
-/* Moves the requests that have missed their start_by behind the others. */
+/*
+ * Moves the requests that have missed their start_by behind the others of their
+ * priority.
+ */
 void
 wait_queue_demote_late(wait_queue_t *queue, double now)
 {
-	wait_entry_t *entry;
+	wait_entry_t *entry = TAILQ_FIRST(&queue->entries);
+
+	while (entry != NULL) {
+		wait_entry_t *next = TAILQ_NEXT(entry, link);
 
-	while ((entry = TAILQ_FIRST(&queue->entries)) != NULL && !entry->late &&
-	       entry->start_by < now) {
-		entry->late = true;
-		TAILQ_REMOVE(&queue->entries, entry, link);
-		TAILQ_INSERT_TAIL(&queue->entries, entry, link);
+		if (!entry->late && entry->start_by < now) {
+			entry->late = true;
+			TAILQ_REMOVE(&queue->entries, entry, link);
+			queue_insert(queue, entry);
+		} else if (entry->priority ==
+			   wait_queue_last(queue)->priority) {
+			/* What follows is later, or late already. */
+			return;
+		}
+		entry = next;
 	}
 }
 
@@ -77,3 +110,10 @@
 {
 	return (TAILQ_NEXT(entry, link));
 }
+
+/* Returns the request that precedes another one, or NULL. */
+wait_entry_t *
+wait_queue_previous(const wait_entry_t *entry)
+{
+	return (TAILQ_PREV(entry, wait_list_t, link));
+}
--- a/tests/test_admission.c
+++ b/tests/test_admission.c
@@ -818,7 +818,111 @@
 	admission_delete(t.a);
 }
 
+static const admission_settings_t fair_settings = {
+    .queue_limit = 100,
+    .revoke_timeout = 0.5,
+    .fair_scheduling = true,
+};
+
+/* A slot must go to the most urgent request, whichever organisation waits. */
+static void
+test_urgent_request_first(void)
+{
+	pool_fixture_t t;
+	uint64_t ids[5];
+
+	setup(&t, &fair_settings, 1, 1);
+	ids[0] = request(&t, GRANT_ONLINE);
+	for (unsigned i = 1; i <= 3; i++)
+		ids[i] = request_with(
+		    &t, &(admission_request_t){.org = i < 3 ? "large" : "small",
+			    .priority = 4 - i,
+			    .weight = 100});
+	ids[4] = request_with(
+	    &t, &(admission_request_t){.org = "large", .priority = 0});
+	release(&t, ids[0]);
+	CU_ASSERT(t.last.id == ids[4]);
+	release(&t, ids[4]);
+	CU_ASSERT(t.last.id == ids[3]);
+	release(&t, ids[3]);
+	CU_ASSERT(t.last.id == ids[2]);
+	release(&t, ids[2]);
+	CU_ASSERT(t.last.id == ids[1]);
+	admission_delete(t.a);
+}
+
+/*
+ * A request that no endpoint can run must not hold up the less urgent ones of
+ * its organisation, nor those of others.
+ */
+static void
+test_urgent_request_without_endpoint(void)
+{
+	const admission_settings_t s = {.queue_limit = 100,
+	    .revoke_timeout = 0.5,
+	    .silent_after = 1.5,
+	    .fair_scheduling = true};
+	pool_fixture_t t;
+
+	setup(&t, &s, 1, 2);
+	admission_tick(t.a, t.now);
+	request_as(&t, "frozen");
+	request_as(&t, "frozen");
+	for (unsigned i = 0; i < 2; i++)
+		request_as(&t, "frozen");
+	/* The frozen host is silent, its requests wait with priority 0. */
+	for (unsigned i = 0; i < 32; i++)
+		admission_tick(t.a, t.now += 0.05);
+	drain_actions(&t);
+	t.granted = 0;
+	request_with(
+	    &t, &(admission_request_t){.holder = "live", .priority = 1});
+	request_with(&t, &(admission_request_t){
+			     .holder = "live", .org = "other", .priority = 2});
+	for (unsigned i = 0; i < 32; i++)
+		admission_tick(t.a, t.now += 0.05);
+	drain_actions(&t);
+	CU_ASSERT(t.granted == 2);
+	CU_ASSERT_STRING_EQUAL(t.last.holder, "live");
+	admission_delete(t.a);
+}
+
+/*
+ * A request that cannot be served in time must be refused at once, and one that
+ * waits as soon as slots become free too slowly, not at the end of its wait.
+ */
+static void
+test_refused_as_soon_as_known(void)
+{
+	pool_fixture_t t;
+	uint64_t ids[3];
+
+	setup(&t, &fair_settings, 1, 2);
+	ids[0] = request(&t, GRANT_ONLINE);
+	ids[1] = request(&t, GRANT_ONLINE);
+	t.now += 1; /* a request takes 1 s */
+	release(&t, ids[0]);
+	ids[0] = request(&t, GRANT_ONLINE);
+	CU_ASSERT(t.granted == 3);
+	/* It starts in 0.5 s and would end after 1.5 s. */
+	request_with(&t, &(admission_request_t){.deadline = t.now + 3,
+			     .caller_deadline = t.now + 1.2});
+	CU_ASSERT(t.refused == 1 && t.last.rc == -RESULT_OVERLOADED);
+	ids[2] = request_with(&t, &(admission_request_t){.deadline = t.now + 3,
+				      .caller_deadline = t.now + 5});
+	CU_ASSERT(t.refused == 1);
+	/* No request ends any more. */
+	for (unsigned i = 0; i < 50; i++)
+		admission_tick(t.a, t.now += 0.05);
+	drain_actions(&t);
+	CU_ASSERT(t.refused == 2 && t.last.id == ids[2]);
+	admission_delete(t.a);
+}
+
 static const suite_test_t tests[] = {
+    {"urgent request first", test_urgent_request_first},
+    {"urgent request without endpoint", test_urgent_request_without_endpoint},
+    {"refused as soon as known", test_refused_as_soon_as_known},
     {"silent holder leaves slots to others",
 	test_silent_holder_leaves_slots_to_others},
     {"own pause reclaims nothing", test_own_pause_reclaims_nothing},
--- a/tests/test_wait_queue.c
+++ b/tests/test_wait_queue.c
@@ -76,6 +76,34 @@
 		CU_ASSERT(wait_queue_next(&entries[i]) == &entries[i + 1]);
 }
 
+/*
+ * A more urgent request must precede all others, also when it is late, and late
+ * ones stay within their priority.
+ */
+static void
+test_priority_precedes_start_by(void)
+{
+	wait_queue_t queue;
+	wait_entry_t urgent = {.start_by = 14};
+	wait_entry_t urgent_late = {.start_by = 11};
+	wait_entry_t other = {.start_by = 12};
+	wait_entry_t other_later = {.start_by = 20};
+
+	wait_queue_init(&queue);
+	wait_queue_add_with_priority(&queue, &other_later, 1, 10);
+	wait_queue_add_with_priority(&queue, &other, 1, 10);
+	wait_queue_add_with_priority(&queue, &urgent_late, 0, 10);
+	wait_queue_add_with_priority(&queue, &urgent, 0, 10);
+	CU_ASSERT(wait_queue_first(&queue) == &urgent_late);
+	wait_queue_demote_late(&queue, 13);
+	CU_ASSERT(queue.count == 4);
+	CU_ASSERT(wait_queue_first(&queue) == &urgent);
+	CU_ASSERT(wait_queue_next(&urgent) == &urgent_late);
+	CU_ASSERT(wait_queue_next(&urgent_late) == &other_later);
+	CU_ASSERT(wait_queue_next(&other_later) == &other);
+	CU_ASSERT(wait_queue_previous(&other) == &other_later);
+}
+
 /*
  * The simulated load alternates between 2.4 s above the capacity of the slots
  * and 3.6 s below it.
@@ -196,6 +224,7 @@
     {"order by start_by", test_order_by_start_by},
     {"late requests come last", test_late_requests_come_last},
     {"arrival order without start_by", test_arrival_order_without_start_by},
+    {"priority precedes start_by", test_priority_precedes_start_by},
     {"load steps", test_load_steps},
 };
 
