Admission: refused callers are promised a time to return

A request that would be late waited for a late answer or was refused without a time at which there is room. With fair_scheduling it is refused at once with a Retry-After within a third of its remaining time, if the measured rate of free slots, less what was promised before, has room then. Promised room counts as taken for new arrivals; a caller that returns is recognised by organisation, time and deadline, and precedes the others of its priority.

--- a/src/admission.c
+++ b/src/admission.c
@@ -180,6 +180,7 @@
 	a->rng = rng_seeded(seed);
 	TAILQ_INIT(&a->batch_held);
 	TAILQ_INIT(&a->revoked);
+	return_promises_init(&a->promises);
 	LIST_INIT(&a->orgs);
 	STAILQ_INIT(&a->actions);
 	return (a);
@@ -214,6 +215,7 @@
 	}
 	for (size_t i = 0; i < a->endpoint_count; i++)
 		free(a->endpoints[i]);
+	return_promises_clear(&a->promises);
 	free((void *)a->endpoints);
 	free(a->routes);
 	free(a);
@@ -306,11 +308,11 @@
 		org->virtual_start[class] =
 		    fmax(org->virtual_start[class], a->virtual_time[class]);
 	grant->state = SLOT_WAITING;
-	wait_queue_add_with_priority(&org->queue[class], &grant->wait,
+	wait_queue_add_ranked(&org->queue[class], &grant->wait,
 	    a->settings.fair_scheduling && class == GRANT_ONLINE
 		? grant->priority
 		: 0,
-	    now);
+	    slot_grant_goes_first(grant, now), now);
 	a->waiting[class]++;
 }
 
@@ -350,7 +352,6 @@
 		return;
 	}
 	if (admission_fair_decides(a, now)) {
-		slot_rate_add_arrival(&a->slot_rate, now);
 		admission_schedule(a, now);
 		if (grant->state == SLOT_WAITING)
 			admission_fair_judge(a, grant, now);
@@ -400,6 +401,7 @@
 	grant->since = now;
 	str_copy(grant->zone, sizeof(grant->zone), str_of(request->zone));
 	str_copy(grant->avoid, sizeof(grant->avoid), str_of(request->avoid));
+	admission_fair_arrival(a, grant, now);
 	grant_enqueue(a, grant, now);
 	if (request->class == GRANT_BATCH) {
 		if (a->waiting[GRANT_BATCH] > BATCH_QUEUE_LIMIT)
@@ -543,6 +545,8 @@
 	out->revoking = a->revoking;
 	out->online_waiting = a->waiting[GRANT_ONLINE];
 	out->batch_waiting = a->waiting[GRANT_BATCH];
+	out->promises_open = (unsigned)a->promises.open_count;
+	out->promises_expired = a->promises.expired;
 	for (size_t i = 0; i < a->endpoint_count; i++)
 		out->capacity += slot_endpoint_capacity(a->endpoints[i], now);
 }
--- a/src/admission.h
+++ b/src/admission.h
@@ -81,12 +81,16 @@
 	unsigned revoking;
 	unsigned online_waiting;
 	unsigned batch_waiting;
+	unsigned promises_open; /* callers told to return, still expected */
 	/* Counters since the start. */
 	uint64_t revoked;
 	uint64_t revoke_timeouts; /* slots not released within revoke_timeout */
 	uint64_t refused;
-	/* Of these, before the end of their wait; fair scheduling only. */
-	uint64_t refused_early;
+	/* With fair scheduling only. */
+	uint64_t refused_early;	 /* before the end of their wait */
+	uint64_t refused_return; /* of these, with a promise */
+	uint64_t promises_kept;	 /* the caller returned */
+	uint64_t promises_expired;
 	uint64_t reclaimed; /* grants that their holder no longer had */
 } admission_stats_t;
 
--- a/src/admission_fair.c
+++ b/src/admission_fair.c
@@ -15,9 +15,22 @@
 
 /* Typical time a holder takes to release a revoked batch slot. */
 #define TYPICAL_RELEASE_S 0.05
-/* Retry-After of refusals without an estimate, in seconds. */
-#define UNKNOWN_RETRY_S 1.0
-#define MAX_RETRY_S	10.0
+/* Time constant of the arrival rate of an organisation. */
+#define ARRIVALS_S 1.0
+/*
+ * Fraction of the expected capacity that is promised to returning callers. When
+ * the demand is the usual one again, about as much is left; and as long as it
+ * is not, new arrivals get the other half.
+ */
+#define PROMISED_FRACTION 0.5
+/* A caller honours Retry-After up to this fraction of its remaining time. */
+#define RETURN_FRACTION (1.0 / 3)
+/* An earlier return would meet the load that refused the first try. */
+#define MIN_RETURN_S 0.2
+/* Bounds the Retry-After of refusals without a promise. */
+#define MAX_RETRY_S 10.0
+/* Spreads those returns, because nothing else keeps them apart. */
+#define RETRY_SPREAD_S 1.0
 
 /* Returns whether fair scheduling decides now; not while grants are unknown. */
 bool
@@ -26,9 +39,37 @@
 	return (a->settings.fair_scheduling && now >= a->restricted_until);
 }
 
-/* Returns the rate at which slots of running online requests become free. */
+static bool
+was_admitted_before(const slot_grant_t *grant)
+{
+	return (grant->avoid[0] != '\0');
+}
+
 static double
-online_free_rate(admission_t *a, double now)
+org_arrival_rate(const slot_org_t *org, double now)
+{
+	return (org->arrival_rate * exp((org->arrived_at - now) / ARRIVALS_S));
+}
+
+/* Returns the rate of the arrivals of priorities below the given one. */
+static double
+arrival_rate_below(const admission_t *a, unsigned priority, double now)
+{
+	const slot_org_t *org;
+	double rate = 0;
+
+	LIST_FOREACH (org, &a->orgs, entry)
+		if (org->priority < priority && org->arrival_rate > 0)
+			rate += org_arrival_rate(org, now);
+	return (rate);
+}
+
+/*
+ * Returns the rate at which slots of running online requests become free for
+ * requests of a priority. More urgent arrivals get theirs first.
+ */
+static double
+free_rate(admission_t *a, unsigned priority, double now)
 {
 	double busy = 0;
 
@@ -37,7 +78,40 @@
 			busy +=
 			    fmin(a->routes[i].in_use, a->routes[i].capacity);
 	return (slot_rate_per_slot(&a->slot_rate, now) *
-		fmax(0, busy - a->held[GRANT_BATCH]));
+		    fmax(0, busy - a->held[GRANT_BATCH]) -
+		arrival_rate_below(a, priority, now));
+}
+
+/*
+ * Notes an online request before it is queued: whether its slot was promised,
+ * and that it adds to the demand.
+ */
+void
+admission_fair_arrival(admission_t *a, slot_grant_t *grant, double now)
+{
+	slot_org_t *org = grant->org;
+
+	if (!a->settings.fair_scheduling || grant->class != GRANT_ONLINE)
+		return;
+	org->arrival_rate = org_arrival_rate(org, now) + 1 / ARRIVALS_S;
+	org->arrived_at = now;
+	org->priority = grant->priority;
+	if (was_admitted_before(grant))
+		return;
+	grant->is_return = return_promises_redeem(
+	    &a->promises, str_of(org->name), grant->caller_deadline, now);
+	a->counters.promises_kept += grant->is_return;
+}
+
+/*
+ * Returns whether a request precedes others of its priority: its slot was
+ * promised, or it lost the one it had and can still be on time.
+ */
+bool
+slot_grant_goes_first(const slot_grant_t *grant, double now)
+{
+	return (grant->is_return ||
+		(was_admitted_before(grant) && grant->wait.start_by >= now));
 }
 
 /*
@@ -89,16 +163,29 @@
 	return (ahead);
 }
 
+/* Returns how many callers are to return before a request could start. */
+static double
+returns_ahead(const admission_t *a, const slot_grant_t *grant, double start)
+{
+	if (grant->is_return)
+		return (0);
+	/* If it is late, it does not matter by how much. */
+	return ((double)return_promises_due(&a->promises, grant->priority,
+	    fmin(start, fmin(grant->wait.start_by, grant->deadline))));
+}
+
 /*
- * Estimates when a waiting request starts. Those that are late already are
- * served with the slots that the new arrivals leave.
+ * Estimates when a waiting request starts. Promised slots are not free. Those
+ * that are late already are served with the slots that the new arrivals leave.
  */
 static double
 estimate_start(admission_t *a, const slot_grant_t *grant, double now)
 {
-	double rate = online_free_rate(a, now);
+	unsigned priority = grant->priority + grant->wait.late;
 	double ahead = grant->wait.late ? a->waiting[GRANT_ONLINE] - 1
 					: requests_ahead(a, grant);
+	double rate;
+	double start;
 
 	/* Slots of batch are taken first. */
 	if (ahead < a->held[GRANT_BATCH])
@@ -106,9 +193,11 @@
 	ahead -= a->held[GRANT_BATCH];
 	if (slot_rate_per_slot(&a->slot_rate, now) <= 0)
 		return (now);
-	if (grant->wait.late)
-		rate -= slot_rate_arrivals(&a->slot_rate, now);
-	return (rate > 0 ? now + (ahead + 1) / rate : INFINITY);
+	rate = free_rate(a, priority, now);
+	if (rate <= 0)
+		return (INFINITY);
+	start = now + (ahead + 1) / rate;
+	return (start + returns_ahead(a, grant, start) / rate);
 }
 
 /* Returns the latest start after which a response is complete in time. */
@@ -122,31 +211,80 @@
 	return (fmin(grant->deadline, grant->caller_deadline - 1 / per_slot));
 }
 
+/*
+ * Returns the time at which a refused caller would be served when it returns,
+ * and in *spacing the time that serves one such caller; infinite if unknown.
+ */
+static double
+next_return(
+    admission_t *a, const slot_grant_t *grant, double now, double *spacing)
+{
+	double rate = free_rate(a, grant->priority, now);
+	double backlog = a->waiting[GRANT_ONLINE];
+
+	*spacing = 0;
+	if (rate <= 0)
+		return (INFINITY);
+	*spacing = 1 / (PROMISED_FRACTION * rate);
+	return (return_promises_offer(&a->promises, grant->priority,
+	    now + fmax(MIN_RETURN_S, backlog / rate)));
+}
+
+/*
+ * Refuses a request that would be late with the time at which it will be on
+ * time, if that is near enough for its caller. Returns whether it did.
+ */
 static bool
-was_admitted_before(const slot_grant_t *grant)
+refuse_with_promise(admission_t *a, slot_grant_t *grant, double now)
 {
-	return (grant->avoid[0] != '\0');
+	double spacing;
+	double due = next_return(a, grant, now, &spacing);
+	double remaining = grant->caller_deadline - now;
+
+	if (grant->caller_deadline <= 0 ||
+	    due - now > remaining * RETURN_FRACTION)
+		return (false);
+	return_promises_add(&a->promises, str_of(grant->org->name),
+	    grant->priority, due, spacing, grant->caller_deadline);
+	a->counters.refused_early++;
+	a->counters.refused_return++;
+	slot_grant_refuse(a, grant, -RESULT_OVERLOADED, due - now);
+	return (true);
+}
+
+static void
+refuse_without_promise(admission_t *a, slot_grant_t *grant, double now)
+{
+	double spacing;
+	double due = next_return(a, grant, now, &spacing) +
+		     RETRY_SPREAD_S * (double)rng_below(&a->rng, 1000) / 1000;
+
+	a->counters.refused_early++;
+	slot_grant_refuse(
+	    a, grant, -RESULT_OVERLOADED, fmin(due - now, MAX_RETRY_S));
 }
 
 /*
- * Refuses a waiting online request if it cannot be served before its deadline.
- * Returns whether it did; the grant is then freed.
+ * Decides about a waiting online request: it waits if it will be on time. Else
+ * it is refused with the time of a slot that is promised to it. Without such a
+ * slot it waits for a late one, unless that would come after its deadline.
+ * Returns whether it was refused; the grant is then freed.
  */
 bool
 admission_fair_judge(admission_t *a, slot_grant_t *grant, double now)
 {
+	bool may_return = !grant->is_return && !was_admitted_before(grant);
 	double start;
-	double retry_after;
 
-	if (was_admitted_before(grant) || !admission_has_usable_endpoint(a))
+	if (!admission_has_usable_endpoint(a))
 		return (false);
 	start = estimate_start(a, grant, now);
+	if (may_return && (grant->wait.late || start > grant->wait.start_by) &&
+	    refuse_with_promise(a, grant, now))
+		return (true);
 	if (start <= latest_start(a, grant, now))
 		return (false);
-	retry_after =
-	    isfinite(start) ? fmin(start - now, MAX_RETRY_S) : UNKNOWN_RETRY_S;
-	a->counters.refused_early++;
-	slot_grant_refuse(a, grant, -RESULT_OVERLOADED, retry_after);
+	refuse_without_promise(a, grant, now);
 	return (true);
 }
 
@@ -180,6 +318,7 @@
 {
 	slot_org_t *org;
 
+	return_promises_expire(&a->promises, now);
 	if (!admission_fair_decides(a, now) || a->waiting[GRANT_ONLINE] == 0)
 		return;
 	LIST_FOREACH (org, &a->orgs, entry) {
--- a/src/admission_schedule.c
+++ b/src/admission_schedule.c
@@ -132,6 +132,8 @@
 
 		if (x->priority != y->priority)
 			return (x->priority < y->priority);
+		if (x->first != y->first)
+			return (x->first);
 		if (x->late != y->late)
 			return (y->late);
 	}
@@ -140,8 +142,8 @@
 
 /*
  * Returns the organisation to serve next, or NULL: the one with the most urgent
- * request, of these one with a request that is on time, of these the one with
- * the lowest virtual start.
+ * request, of these one whose request was promised a slot, then one whose
+ * request is on time, of these the one with the lowest virtual start.
  */
 static slot_org_t *
 next_org(admission_t *a, grant_class_t class, double now)
--- a/src/admission_state.h
+++ b/src/admission_state.h
@@ -9,6 +9,7 @@
 #include "ejector.h"
 #include "limiter.h"
 #include "quota.h"
+#include "return_promises.h"
 #include "route.h"
 #include "slot_rate.h"
 #include "wait_queue.h"
@@ -31,6 +32,9 @@
 typedef struct slot_org_t {
 	char name[NAME_SIZE];
 	unsigned weight;
+	unsigned priority;   /* of its last request */
+	double arrival_rate; /* per second at arrived_at, moving over 1 s */
+	double arrived_at;
 	unsigned concurrency;
 	quota_t quota;
 	unsigned held[ADMISSION_CLASSES];
@@ -81,6 +85,7 @@
 	double caller_deadline;		 /* of the response; 0: unknown */
 	double since;			 /* time of the request or the grant */
 	double revoked_at;		 /* time of the revocation */
+	bool is_return;			 /* its slot was promised */
 	bool listed;			 /* in the current report */
 	wait_entry_t wait;		 /* in slot_org_t.queue */
 	TAILQ_ENTRY(slot_grant_t) order; /* batch_held, revoked */
@@ -111,6 +116,7 @@
 	double virtual_time[ADMISSION_CLASSES];
 	double mean_hold_s; /* EWMA over online grants */
 	slot_rate_t slot_rate;
+	return_promises_t promises;
 	unsigned schedule_round;
 	unsigned revoking;
 	struct slot_queue_t batch_held; /* largest slack first */
@@ -148,7 +154,9 @@
 
 /* admission_fair.c */
 bool admission_fair_decides(const admission_t *a, double now);
+void admission_fair_arrival(admission_t *a, slot_grant_t *grant, double now);
 bool admission_fair_judge(admission_t *a, slot_grant_t *grant, double now);
+bool slot_grant_goes_first(const slot_grant_t *grant, double now);
 void admission_fair_tick(admission_t *a, double now);
 
 /* admission_silence.c */
--- a/src/slot_rate.c
+++ b/src/slot_rate.c
@@ -80,14 +80,6 @@
 	    MEAN_RUN_EWMA_WEIGHT * (run_seconds - rate->mean_run_s);
 }
 
-/* Notes that a request asks for a slot. */
-void
-slot_rate_add_arrival(slot_rate_t *rate, double now)
-{
-	rate_advance(rate, now);
-	rate->buckets[rate->bucket % SLOT_RATE_BUCKETS].arrived++;
-}
-
 /*
  * Returns how often per second one slot in use becomes free; 0 if that is
  * unknown because no request has ended yet.
@@ -110,15 +102,3 @@
 	return (
 	    (ended + PRIOR_COUNT) / (busy_s + PRIOR_COUNT * rate->mean_run_s));
 }
-
-/* Returns how many requests per second have asked for a slot lately. */
-double
-slot_rate_arrivals(slot_rate_t *rate, double now)
-{
-	double arrived = 0;
-
-	rate_advance(rate, now);
-	for (int i = 0; i < SLOT_RATE_BUCKETS; i++)
-		arrived += rate->buckets[i].arrived;
-	return (arrived / (SLOT_RATE_BUCKETS * BUCKET_S));
-}
--- a/src/slot_rate.h
+++ b/src/slot_rate.h
@@ -8,7 +8,6 @@
 	struct {
 		double busy_s; /* slot-seconds in use */
 		double ended;  /* requests that ended */
-		double arrived;
 	} buckets[SLOT_RATE_BUCKETS];
 	long long bucket; /* number of the current bucket since time 0 */
 	double busy;	  /* slots in use since observed_at */
@@ -19,8 +18,6 @@
 void slot_rate_init(slot_rate_t *rate, double now);
 void slot_rate_observe(slot_rate_t *rate, unsigned busy, double now);
 void slot_rate_add(slot_rate_t *rate, double run_seconds, double now);
-void slot_rate_add_arrival(slot_rate_t *rate, double now);
 double slot_rate_per_slot(slot_rate_t *rate, double now);
-double slot_rate_arrivals(slot_rate_t *rate, double now);
 
 #endif
--- a/src/wait_queue.c
+++ b/src/wait_queue.c
@@ -22,6 +22,8 @@
 {
 	if (entry->priority != other->priority)
 		return (entry->priority < other->priority);
+	if (entry->first != other->first)
+		return (entry->first);
 	if (entry->late)
 		return (false);
 	return (other->late || other->start_by > entry->start_by);
@@ -44,16 +46,20 @@
 void
 wait_queue_add(wait_queue_t *queue, wait_entry_t *entry, double now)
 {
-	wait_queue_add_with_priority(queue, entry, 0, now);
+	wait_queue_add_ranked(queue, entry, 0, false, now);
 }
 
-/* Adds a request of a priority, of which 0 is the most urgent. */
+/*
+ * Adds a request of a priority, of which 0 is the most urgent; first puts it
+ * before the others of its priority, where it stays.
+ */
 void
-wait_queue_add_with_priority(
-    wait_queue_t *queue, wait_entry_t *entry, unsigned priority, double now)
+wait_queue_add_ranked(wait_queue_t *queue, wait_entry_t *entry,
+    unsigned priority, bool first, double now)
 {
 	entry->priority = priority;
-	entry->late = entry->start_by < now;
+	entry->first = first;
+	entry->late = !entry->first && entry->start_by < now;
 	queue_insert(queue, entry);
 	queue->count++;
 }
@@ -77,7 +83,9 @@
 	while (entry != NULL) {
 		wait_entry_t *next = TAILQ_NEXT(entry, link);
 
-		if (!entry->late && entry->start_by < now) {
+		if (entry->first) {
+			/* Stays where it is. */
+		} else if (!entry->late && entry->start_by < now) {
 			entry->late = true;
 			TAILQ_REMOVE(&queue->entries, entry, link);
 			queue_insert(queue, entry);
--- a/src/wait_queue.h
+++ b/src/wait_queue.h
@@ -11,6 +11,8 @@
 	double start_by;   /* latest start that is on time; may be infinite */
 	unsigned priority; /* 0 is served first */
 	bool late;	   /* start_by has passed */
+	/* Served before the others of its priority; never late. */
+	bool first;
 	TAILQ_ENTRY(wait_entry_t) link;
 } wait_entry_t;
 
@@ -28,8 +30,8 @@
 
 void wait_queue_init(wait_queue_t *queue);
 void wait_queue_add(wait_queue_t *queue, wait_entry_t *entry, double now);
-void wait_queue_add_with_priority(
-    wait_queue_t *queue, wait_entry_t *entry, unsigned priority, double now);
+void wait_queue_add_ranked(wait_queue_t *queue, wait_entry_t *entry,
+    unsigned priority, bool first, double now);
 void wait_queue_remove(wait_queue_t *queue, wait_entry_t *entry);
 void wait_queue_demote_late(wait_queue_t *queue, double now);
 wait_entry_t *wait_queue_first(const wait_queue_t *queue);
--- a/tests/test_slot_rate.c
+++ b/tests/test_slot_rate.c
@@ -106,27 +106,12 @@
 	CU_ASSERT(play(&rate, &now, 2, 10, 1) > 0.8);
 }
 
-/* The arrivals of the last 1.5 s count, older ones do not. */
-static void
-test_arrivals(void)
-{
-	slot_rate_t rate;
-	double now = 1000;
-
-	slot_rate_init(&rate, now);
-	for (int i = 0; i < 300; i++)
-		slot_rate_add_arrival(&rate, now += 0.005);
-	CU_ASSERT(fabs(slot_rate_arrivals(&rate, now) - 200) < 15);
-	CU_ASSERT(slot_rate_arrivals(&rate, now + 2) == 0);
-}
-
 static const suite_test_t tests[] = {
     {"unknown at the start", test_unknown_at_start},
     {"rise of the demand", test_rise_of_demand},
     {"slow endpoints", test_slow_endpoints},
     {"nothing ends", test_nothing_ends},
     {"pause of the host", test_pause},
-    {"arrivals", test_arrivals},
 };
 
 SUITE_MAIN("slot_rate", tests)
--- a/tests/test_wait_queue.c
+++ b/tests/test_wait_queue.c
@@ -90,10 +90,10 @@
 	wait_entry_t other_later = {.start_by = 20};
 
 	wait_queue_init(&queue);
-	wait_queue_add_with_priority(&queue, &other_later, 1, 10);
-	wait_queue_add_with_priority(&queue, &other, 1, 10);
-	wait_queue_add_with_priority(&queue, &urgent_late, 0, 10);
-	wait_queue_add_with_priority(&queue, &urgent, 0, 10);
+	wait_queue_add_ranked(&queue, &other_later, 1, false, 10);
+	wait_queue_add_ranked(&queue, &other, 1, false, 10);
+	wait_queue_add_ranked(&queue, &urgent_late, 0, false, 10);
+	wait_queue_add_ranked(&queue, &urgent, 0, false, 10);
 	CU_ASSERT(wait_queue_first(&queue) == &urgent_late);
 	wait_queue_demote_late(&queue, 13);
 	CU_ASSERT(queue.count == 4);
@@ -104,6 +104,29 @@
 	CU_ASSERT(wait_queue_previous(&other) == &other_later);
 }
 
+/*
+ * A request whose slot was promised must precede the others of its priority,
+ * also when its start_by has passed.
+ */
+static void
+test_first_of_its_priority(void)
+{
+	wait_queue_t queue;
+	wait_entry_t a = {.start_by = 11};
+	wait_entry_t promised = {.start_by = 12};
+	wait_entry_t urgent = {.start_by = 20};
+
+	wait_queue_init(&queue);
+	wait_queue_add_ranked(&queue, &a, 1, false, 10);
+	wait_queue_add_ranked(&queue, &promised, 1, true, 10);
+	wait_queue_add_ranked(&queue, &urgent, 0, false, 10);
+	wait_queue_demote_late(&queue, 13);
+	CU_ASSERT(wait_queue_first(&queue) == &urgent);
+	CU_ASSERT(wait_queue_next(&urgent) == &promised);
+	CU_ASSERT(wait_queue_next(&promised) == &a);
+	CU_ASSERT(a.late && !promised.late);
+}
+
 /*
  * The simulated load alternates between 2.4 s above the capacity of the slots
  * and 3.6 s below it.
@@ -225,6 +248,7 @@
     {"late requests come last", test_late_requests_come_last},
     {"arrival order without start_by", test_arrival_order_without_start_by},
     {"priority precedes start_by", test_priority_precedes_start_by},
+    {"first of its priority", test_first_of_its_priority},
     {"load steps", test_load_steps},
 };
 
