--- a/src/admission.c
+++ b/src/admission.c
@@ -180,6 +180,7 @@
 	a->rng = rng_seeded(seed);
 	TAILQ_INIT(&a->batch_held);
 	TAILQ_INIT(&a->revoked);
+	LIST_INIT(&a->zones);
 	return_promises_init(&a->promises);
 	LIST_INIT(&a->orgs);
 	STAILQ_INIT(&a->actions);
@@ -200,6 +201,7 @@
 admission_delete(admission_t *a)
 {
 	slot_org_t *org;
+	slot_zone_t *zone;
 	slot_action_t *item;
 
 	for (size_t i = 0; i < ADMISSION_HOLDER_BUCKETS; i++)
@@ -215,6 +217,10 @@
 	}
 	for (size_t i = 0; i < a->endpoint_count; i++)
 		free(a->endpoints[i]);
+	while ((zone = LIST_FIRST(&a->zones)) != NULL) {
+		LIST_REMOVE(zone, entry);
+		free(zone);
+	}
 	return_promises_clear(&a->promises);
 	free((void *)a->endpoints);
 	free(a->routes);
@@ -352,6 +358,7 @@
 		return;
 	}
 	if (admission_fair_decides(a, now)) {
+		admission_fair_demand(a, grant, now);
 		admission_schedule(a, now);
 		if (grant->state == SLOT_WAITING)
 			admission_fair_judge(a, grant, now);
--- a/src/admission.h
+++ b/src/admission.h
@@ -91,7 +91,8 @@
 	uint64_t refused_return; /* of these, with a promise */
 	uint64_t promises_kept;	 /* the caller returned */
 	uint64_t promises_expired;
-	uint64_t reclaimed; /* grants that their holder no longer had */
+	uint64_t granted_starved; /* out of order, against starvation */
+	uint64_t reclaimed;	  /* grants that their holder no longer had */
 } admission_stats_t;
 
 /* Returns the slots of an endpoint a holder may use without coordination. */
--- a/src/admission_fair.c
+++ b/src/admission_fair.c
@@ -9,14 +9,15 @@
 #include "admission_state.h"
 
 #include <math.h>
+#include <stdlib.h>
+#include <string.h>
 
 #include "logger.h"
 #include "result.h"
 
 /* Typical time a holder takes to release a revoked batch slot. */
 #define TYPICAL_RELEASE_S 0.05
-/* Time constant of the arrival rate of an organisation. */
-#define ARRIVALS_S 1.0
+#define MOVING_RATE_S	  1.0
 /*
  * Fraction of the expected capacity that is promised to returning callers. When
  * the demand is the usual one again, about as much is left; and as long as it
@@ -31,6 +32,8 @@
 #define MAX_RETRY_S 10.0
 /* Spreads those returns, because nothing else keeps them apart. */
 #define RETRY_SPREAD_S 1.0
+/* Hosts of more zones are not guarded against starvation. */
+#define MAX_ZONES 16
 
 /* Returns whether fair scheduling decides now; not while grants are unknown. */
 bool
@@ -46,9 +49,18 @@
 }
 
 static double
-org_arrival_rate(const slot_org_t *org, double now)
+moving_rate(const moving_rate_t *rate, double now)
 {
-	return (org->arrival_rate * exp((org->arrived_at - now) / ARRIVALS_S));
+	return (rate->rate > 0
+		    ? rate->rate * exp((rate->updated_at - now) / MOVING_RATE_S)
+		    : 0);
+}
+
+static void
+moving_rate_add(moving_rate_t *rate, double now)
+{
+	rate->rate = moving_rate(rate, now) + 1 / MOVING_RATE_S;
+	rate->updated_at = now;
 }
 
 /* Returns the rate of the arrivals of priorities below the given one. */
@@ -59,17 +71,14 @@
 	double rate = 0;
 
 	LIST_FOREACH (org, &a->orgs, entry)
-		if (org->priority < priority && org->arrival_rate > 0)
-			rate += org_arrival_rate(org, now);
+		if (org->priority < priority)
+			rate += moving_rate(&org->arrivals, now);
 	return (rate);
 }
 
-/*
- * Returns the rate at which slots of running online requests become free for
- * requests of a priority. More urgent arrivals get theirs first.
- */
+/* Returns the rate at which slots of running online requests become free. */
 static double
-free_rate(admission_t *a, unsigned priority, double now)
+free_rate(admission_t *a, double now)
 {
 	double busy = 0;
 
@@ -78,31 +87,174 @@
 			busy +=
 			    fmin(a->routes[i].in_use, a->routes[i].capacity);
 	return (slot_rate_per_slot(&a->slot_rate, now) *
-		    fmax(0, busy - a->held[GRANT_BATCH]) -
-		arrival_rate_below(a, priority, now));
+		fmax(0, busy - a->held[GRANT_BATCH]));
 }
 
 /*
- * Notes an online request before it is queued: whether its slot was promised,
- * and that it adds to the demand.
+ * Returns the rate at which slots become free for requests of a priority. More
+ * urgent arrivals and starved organisations get theirs first.
  */
+static double
+free_rate_for(admission_t *a, unsigned priority, double now)
+{
+	return (free_rate(a, now) - arrival_rate_below(a, priority, now) -
+		moving_rate(&a->starved_grants, now));
+}
+
+/* Counts a request that was served out of order. */
 void
-admission_fair_arrival(admission_t *a, slot_grant_t *grant, double now)
+admission_fair_served_starved(admission_t *a, double now)
 {
-	slot_org_t *org = grant->org;
+	a->counters.granted_starved++;
+	moving_rate_add(&a->starved_grants, now);
+}
 
+/* Notes whether the slot of an online request was promised. */
+void
+admission_fair_arrival(admission_t *a, slot_grant_t *grant, double now)
+{
 	if (!a->settings.fair_scheduling || grant->class != GRANT_ONLINE)
 		return;
-	org->arrival_rate = org_arrival_rate(org, now) + 1 / ARRIVALS_S;
-	org->arrived_at = now;
-	org->priority = grant->priority;
 	if (was_admitted_before(grant))
 		return;
-	grant->is_return = return_promises_redeem(
-	    &a->promises, str_of(org->name), grant->caller_deadline, now);
+	grant->is_return = return_promises_redeem(&a->promises,
+	    str_of(grant->org->name), grant->caller_deadline, now);
 	a->counters.promises_kept += grant->is_return;
 }
 
+/* Returns the zone of a request; NULL if it is unknown. */
+static slot_zone_t *
+zone_find_or_create(admission_t *a, const char *name)
+{
+	slot_zone_t *zone;
+	unsigned count = 0;
+
+	LIST_FOREACH (zone, &a->zones, entry) {
+		if (strcmp(zone->name, name) == 0)
+			return (zone);
+		count++;
+	}
+	if (name[0] == '\0' || count >= MAX_ZONES)
+		return (NULL);
+	zone = xcalloc(1, sizeof(*zone));
+	str_copy(zone->name, sizeof(zone->name), str_of(name));
+	LIST_INSERT_HEAD(&a->zones, zone, entry);
+	return (zone);
+}
+
+/* Counts an online request that is within its limits. */
+void
+admission_fair_demand(admission_t *a, const slot_grant_t *grant, double now)
+{
+	slot_org_t *org = grant->org;
+	slot_zone_t *zone = zone_find_or_create(a, grant->zone);
+
+	moving_rate_add(&org->arrivals, now);
+	org->priority = grant->priority;
+	/* One that returns was counted before. */
+	if (grant->is_return)
+		return;
+	served_share_add_demand(&a->share, now);
+	served_share_add_demand(&org->share, now);
+	if (zone != NULL)
+		served_share_add_demand(&zone->share, now);
+}
+
+/* Counts an online request that gets a slot. */
+void
+admission_fair_served(admission_t *a, const slot_grant_t *grant, double now)
+{
+	slot_zone_t *zone;
+
+	if (!a->settings.fair_scheduling || grant->class != GRANT_ONLINE ||
+	    was_admitted_before(grant))
+		return;
+	zone = zone_find_or_create(a, grant->zone);
+	served_share_add_served(&a->share, now);
+	served_share_add_served(&grant->org->share, now);
+	if (zone != NULL)
+		served_share_add_served(&zone->share, now);
+}
+
+/* Returns how many slots the group of a request lacks; 0: not starved. */
+static unsigned
+starvation_of(admission_t *a, const slot_grant_t *grant, double now)
+{
+	slot_zone_t *zone = zone_find_or_create(a, grant->zone);
+	unsigned org_lacks =
+	    served_share_deficit(&grant->org->share, &a->share, now);
+	unsigned zone_lacks =
+	    zone != NULL ? served_share_deficit(&zone->share, &a->share, now)
+			 : 0;
+
+	return (org_lacks > zone_lacks ? org_lacks : zone_lacks);
+}
+
+/* Returns the first request of a queue that can be on time, or NULL. */
+static slot_grant_t *
+first_on_time(const admission_t *a, const wait_queue_t *queue,
+    const slot_zone_t *zone, double now)
+{
+	wait_entry_t *entry;
+
+	for (entry = wait_queue_first(queue); entry != NULL;
+	     entry = wait_queue_next(entry)) {
+		slot_grant_t *grant = slot_grant_of_wait_entry(entry);
+
+		if (!entry->late &&
+		    !slot_holder_is_silent(a, grant->holder, now) &&
+		    (zone == NULL || strcmp(grant->zone, zone->name) == 0))
+			return (grant);
+	}
+	return (NULL);
+}
+
+/*
+ * Returns the request to serve next so that its organisation or zone is not
+ * starved, or NULL. Of several the one whose group was served the least.
+ */
+slot_grant_t *
+admission_fair_starved(admission_t *a, double now)
+{
+	slot_grant_t *best = NULL;
+	double best_fraction = INFINITY;
+	slot_org_t *org;
+	slot_zone_t *zone;
+
+	LIST_FOREACH (org, &a->orgs, entry) {
+		double fraction = served_share_fraction(&org->share, now);
+		slot_grant_t *grant;
+
+		if (org->queue[GRANT_ONLINE].count == 0 ||
+		    fraction >= best_fraction ||
+		    served_share_deficit(&org->share, &a->share, now) == 0)
+			continue;
+		grant = first_on_time(a, &org->queue[GRANT_ONLINE], NULL, now);
+		if (grant != NULL) {
+			best = grant;
+			best_fraction = fraction;
+		}
+	}
+	LIST_FOREACH (zone, &a->zones, entry) {
+		double fraction = served_share_fraction(&zone->share, now);
+
+		if (fraction >= best_fraction ||
+		    served_share_deficit(&zone->share, &a->share, now) == 0)
+			continue;
+		LIST_FOREACH (org, &a->orgs, entry) {
+			slot_grant_t *grant = first_on_time(
+			    a, &org->queue[GRANT_ONLINE], zone, now);
+
+			if (grant != NULL) {
+				best = grant;
+				best_fraction = fraction;
+				break;
+			}
+		}
+	}
+	return (best);
+}
+
 /*
  * Returns whether a request precedes others of its priority: its slot was
  * promised, or it lost the one it had and can still be on time.
@@ -140,6 +292,18 @@
 	return (urgent + fmin(equal, share));
 }
 
+/* Returns how many requests of its organisation are served before one. */
+static unsigned
+requests_ahead_own(const slot_grant_t *grant)
+{
+	const wait_entry_t *entry = &grant->wait;
+	unsigned ahead = 0;
+
+	while ((entry = wait_queue_previous(entry)) != NULL)
+		ahead++;
+	return (ahead);
+}
+
 /* Returns how many waiting requests are served before one that is on time. */
 static double
 requests_ahead(const admission_t *a, const slot_grant_t *grant)
@@ -147,15 +311,12 @@
 	const slot_org_t *org = grant->org;
 	const wait_entry_t *entry = &grant->wait;
 	double position = 1;
-	double ahead;
+	double ahead = requests_ahead_own(grant);
 	const slot_org_t *other;
 
 	while ((entry = wait_queue_previous(entry)) != NULL &&
 	       entry->priority == grant->wait.priority)
 		position++;
-	ahead = position - 1;
-	for (; entry != NULL; entry = wait_queue_previous(entry))
-		ahead++;
 	LIST_FOREACH (other, &a->orgs, entry)
 		if (other != org)
 			ahead += other_org_ahead(
@@ -181,19 +342,28 @@
 static double
 estimate_start(admission_t *a, const slot_grant_t *grant, double now)
 {
+	/* A late one leaves the slots to all arrivals of its priority. */
 	unsigned priority = grant->priority + grant->wait.late;
 	double ahead = grant->wait.late ? a->waiting[GRANT_ONLINE] - 1
 					: requests_ahead(a, grant);
+	bool starved = false;
 	double rate;
 	double start;
 
+	/* The next slots go to a starved organisation or zone. */
+	if (!grant->wait.late &&
+	    starvation_of(a, grant, now) > requests_ahead_own(grant)) {
+		ahead = requests_ahead_own(grant);
+		starved = true;
+	}
+
 	/* Slots of batch are taken first. */
 	if (ahead < a->held[GRANT_BATCH])
 		return (now + TYPICAL_RELEASE_S);
 	ahead -= a->held[GRANT_BATCH];
 	if (slot_rate_per_slot(&a->slot_rate, now) <= 0)
 		return (now);
-	rate = free_rate(a, priority, now);
+	rate = starved ? free_rate(a, now) : free_rate_for(a, priority, now);
 	if (rate <= 0)
 		return (INFINITY);
 	start = now + (ahead + 1) / rate;
@@ -219,7 +389,7 @@
 next_return(
     admission_t *a, const slot_grant_t *grant, double now, double *spacing)
 {
-	double rate = free_rate(a, grant->priority, now);
+	double rate = free_rate_for(a, grant->priority, now);
 	double backlog = a->waiting[GRANT_ONLINE];
 
 	*spacing = 0;
--- a/src/admission_schedule.c
+++ b/src/admission_schedule.c
@@ -185,6 +185,7 @@
 		slot_batch_held_insert(a, grant);
 	}
 	slot_endpoint_adjust_in_use(a, endpoint, 1);
+	admission_fair_served(a, grant, now);
 	admission_queue_action(a, ADMISSION_GRANT, grant, 0, 0);
 }
 
@@ -256,11 +257,33 @@
 	return (false);
 }
 
+/*
+ * Grants a request of an organisation or zone that would be starved by the
+ * order of all others. Returns false if there is none that can run now.
+ */
+static bool
+grant_starved(admission_t *a, double now)
+{
+	slot_grant_t *grant = admission_fair_starved(a, now);
+	slot_endpoint_t *endpoint =
+	    grant != NULL ? choose_endpoint(a, grant, now) : NULL;
+
+	if (endpoint == NULL)
+		return (false);
+	if (grant->org->tried_round == a->schedule_round &&
+	    grant->org->untried == &grant->wait)
+		grant->org->untried = wait_queue_next(&grant->wait);
+	grant_issue(a, grant, endpoint, now);
+	admission_fair_served_starved(a, now);
+	return (true);
+}
+
 /* Grants waiting requests while more than reserved_slots are free. */
 static void
 schedule_class(
     admission_t *a, grant_class_t class, unsigned reserved_slots, double now)
 {
+	bool guarded = class == GRANT_ONLINE && admission_fair_decides(a, now);
 	slot_org_t *org;
 
 	if (a->waiting[class] == 0)
@@ -269,10 +292,15 @@
 	if (is_by_priority(a, class))
 		LIST_FOREACH (org, &a->orgs, entry)
 			wait_queue_demote_late(&org->queue[class], now);
-	while (a->free_slots > reserved_slots &&
-	       (org = next_org(a, class, now)) != NULL)
+	while (a->free_slots > reserved_slots) {
+		if (guarded && grant_starved(a, now))
+			continue;
+		org = next_org(a, class, now);
+		if (org == NULL)
+			return;
 		if (!org_grant_one(a, org, class, now))
 			org->skipped_round = a->schedule_round;
+	}
 }
 
 static void
--- a/src/admission_state.h
+++ b/src/admission_state.h
@@ -11,6 +11,7 @@
 #include "quota.h"
 #include "return_promises.h"
 #include "route.h"
+#include "served_share.h"
 #include "slot_rate.h"
 #include "wait_queue.h"
 
@@ -28,13 +29,19 @@
 
 TAILQ_HEAD(slot_queue_t, slot_grant_t);
 
+/* Events per second, as an exponential average over about 1 s. */
+typedef struct moving_rate_t {
+	double rate; /* at updated_at */
+	double updated_at;
+} moving_rate_t;
+
 /* The state of an organisation in the pool. */
 typedef struct slot_org_t {
 	char name[NAME_SIZE];
 	unsigned weight;
-	unsigned priority;   /* of its last request */
-	double arrival_rate; /* per second at arrived_at, moving over 1 s */
-	double arrived_at;
+	unsigned priority;	/* of its last request */
+	moving_rate_t arrivals; /* online requests within the limits */
+	served_share_t share;
 	unsigned concurrency;
 	quota_t quota;
 	unsigned held[ADMISSION_CLASSES];
@@ -46,6 +53,13 @@
 	LIST_ENTRY(slot_org_t) entry;
 } slot_org_t;
 
+/* The online requests from the hosts of one zone. */
+typedef struct slot_zone_t {
+	char name[NAME_SIZE];
+	served_share_t share;
+	LIST_ENTRY(slot_zone_t) entry;
+} slot_zone_t;
+
 typedef struct slot_endpoint_t {
 	grant_endpoint_t id;
 	char zone[NAME_SIZE];
@@ -117,6 +131,9 @@
 	double mean_hold_s; /* EWMA over online grants */
 	slot_rate_t slot_rate;
 	return_promises_t promises;
+	served_share_t share;	      /* of all online requests */
+	moving_rate_t starved_grants; /* out of order */
+	LIST_HEAD(, slot_zone_t) zones;
 	unsigned schedule_round;
 	unsigned revoking;
 	struct slot_queue_t batch_held; /* largest slack first */
@@ -155,6 +172,12 @@
 /* admission_fair.c */
 bool admission_fair_decides(const admission_t *a, double now);
 void admission_fair_arrival(admission_t *a, slot_grant_t *grant, double now);
+void admission_fair_demand(
+    admission_t *a, const slot_grant_t *grant, double now);
+void admission_fair_served(
+    admission_t *a, const slot_grant_t *grant, double now);
+void admission_fair_served_starved(admission_t *a, double now);
+slot_grant_t *admission_fair_starved(admission_t *a, double now);
 bool admission_fair_judge(admission_t *a, slot_grant_t *grant, double now);
 bool slot_grant_goes_first(const slot_grant_t *grant, double now);
 void admission_fair_tick(admission_t *a, double now);
--- a/src/served_share.c
+++ b/src/served_share.c
@@ -65,16 +65,18 @@
 }
 
 /*
- * Returns whether the group got clearly less than half of the fraction that all
- * got. A group with so few requests that even the fraction of all would have
- * served none is not starved.
+ * Returns how many requests the group lacks to half of the fraction that all
+ * got; 0 if it is not starved. That is also so if the group has so few requests
+ * that even the fraction of all would have served none.
  */
-bool
-served_share_is_starved(served_share_t *share, served_share_t *all, double now)
+unsigned
+served_share_deficit(served_share_t *share, served_share_t *all, double now)
 {
 	double expected = served_share_fraction(all, now);
+	double lacking;
 
 	share_advance(share, now);
 	expected *= share->demand;
-	return (expected >= 1 && share->served < STARVED_RATIO * expected);
+	lacking = STARVED_RATIO * expected - share->served;
+	return (expected >= 1 && lacking > 0 ? (unsigned)ceil(lacking) : 0);
 }
--- a/src/served_share.h
+++ b/src/served_share.h
@@ -2,8 +2,6 @@
 #ifndef DAISYPIER_SERVED_SHARE_H
 #define DAISYPIER_SERVED_SHARE_H
 
-#include <stdbool.h>
-
 #define SERVED_SHARE_BUCKETS 10
 
 typedef struct served_share_t {
@@ -19,7 +17,7 @@
 void served_share_add_demand(served_share_t *share, double now);
 void served_share_add_served(served_share_t *share, double now);
 double served_share_fraction(served_share_t *share, double now);
-bool served_share_is_starved(
+unsigned served_share_deficit(
     served_share_t *share, served_share_t *all, double now);
 
 #endif
--- a/tests/test_admission.c
+++ b/tests/test_admission.c
@@ -919,7 +919,54 @@
 	admission_delete(t.a);
 }
 
+/*
+ * Hosts of a zone whose requests are all less urgent must get slots, though
+ * those of the other zone would use up all of them.
+ */
+static void
+test_zone_is_not_starved(void)
+{
+	pool_fixture_t t;
+	uint64_t running;
+	unsigned east_count = 0;
+	unsigned west_count = 0;
+
+	setup(&t, &fair_settings, 1, 1);
+	running = request_with(&t, &(admission_request_t){.zone = "east"});
+	for (unsigned i = 0; i < 400; i++) {
+		uint64_t west;
+
+		t.now += 0.05;
+		for (unsigned j = 0; j < 2; j++)
+			request_with(&t, &(admission_request_t){.zone = "east",
+					     .start_by = t.now + 0.25,
+					     .deadline = t.now + 3,
+					     .caller_deadline = t.now + 5});
+		west = request_with(&t, &(admission_request_t){.zone = "west",
+					    .priority = 5,
+					    .start_by = t.now + 0.25,
+					    .deadline = t.now + 3,
+					    .caller_deadline = t.now + 5});
+		admission_tick(t.a, t.now);
+		drain_actions(&t);
+		t.last.kind = ADMISSION_REFUSE;
+		release(&t, running);
+		CU_ASSERT_FATAL(t.last.kind == ADMISSION_GRANT);
+		running = t.last.id;
+		/* Each third request is one of the west. */
+		if (running % 3 == west % 3)
+			west_count++;
+		else
+			east_count++;
+	}
+	printf("%u of 800 east, %u of 400 west\n", east_count, west_count);
+	CU_ASSERT(west_count / 400.0 >= (east_count + west_count) / 1200.0 / 2);
+	CU_ASSERT(east_count / 800.0 > west_count / 400.0);
+	admission_delete(t.a);
+}
+
 static const suite_test_t tests[] = {
+    {"zone is not starved", test_zone_is_not_starved},
     {"urgent request first", test_urgent_request_first},
     {"urgent request without endpoint", test_urgent_request_without_endpoint},
     {"refused as soon as known", test_refused_as_soon_as_known},
--- a/tests/test_admission_fair.c
+++ b/tests/test_admission_fair.c
@@ -447,7 +447,118 @@
 	CU_ASSERT(after->all.on_time >= before->all.on_time * 0.97);
 }
 
+static double
+answered_fraction(const counts_t *c)
+{
+	return (
+	    c->callers > 0 ? (double)(c->on_time + c->late) / c->callers : 0);
+}
+
+static void
+replay_print_orgs(const replay_t *r, const char *name)
+{
+	printf("\n    %-5s %u on time, %u late, %u cut off; answered "
+	       "of all %.3f;",
+	    name, r->all.on_time, r->all.late, r->all.cut_off,
+	    answered_fraction(&r->all));
+	for (unsigned i = 0; i < r->scenario->org_count; i++)
+		printf(" %s %.2f of %u,", r->scenario->orgs[i].name,
+		    answered_fraction(&r->orgs[i]), r->orgs[i].callers);
+	printf(
+	    " out of order %llu", (unsigned long long)r->stats.granted_starved);
+}
+
+/* Asserts that each organisation got half of the fraction of all. */
+static void
+check_none_starved(const replay_t *r)
+{
+	for (unsigned i = 0; i < r->scenario->org_count; i++)
+		CU_ASSERT(answered_fraction(&r->orgs[i]) >=
+			  answered_fraction(&r->all) / 2);
+}
+
+/*
+ * An organisation with seven tenths of a demand of 2.6 times the usual must
+ * take nothing from small ones, whose demand is below their share.
+ */
+static void
+test_large_organisation(void)
+{
+	const scenario_t scenario = {
+	    .orgs = {{"large", 0.7, 1, 0}, {"s1", 0.1, 1, 0},
+		{"s2", 0.05, 1, 0}, {"s3", 0.05, 1, 0}, {"s4", 0.05, 1, 0},
+		{"s5", 0.03, 1, 0}, {"s6", 0.02, 1, 0}},
+	    .org_count = 7,
+	    .phases = {{3, 180, 0, 0}, {15, 468, 0, 0}, {20, 180, 0, 0}},
+	    .phase_count = 3,
+	};
+	const replay_t *before = replay_run(&scenario, false);
+	const replay_t *after = replay_run(&scenario, true);
+
+	replay_print_orgs(before, "off");
+	replay_print_orgs(after, "on");
+	printf("\n");
+	for (unsigned i = 1; i < scenario.org_count; i++)
+		CU_ASSERT(answered_fraction(&after->orgs[i]) > 0.95);
+	check_none_starved(after);
+	CU_ASSERT(after->all.on_time >= before->all.on_time * 0.98);
+}
+
+/*
+ * Under lasting overload the urgent requests are served first, and the least
+ * urgent ones still get half of the fraction of all.
+ */
+static void
+test_priorities(void)
+{
+	const scenario_t scenario = {
+	    .orgs = {{"urgent", 0.4, 1, 0}, {"usual", 0.3, 1, 5},
+		{"least", 0.3, 1, 9}},
+	    .org_count = 3,
+	    .phases = {{2, 180, 0, 0}, {28, 468, 0, 0}, {30, 180, 0, 0}},
+	    .phase_count = 3,
+	};
+	const replay_t *before = replay_run(&scenario, false);
+	const replay_t *after = replay_run(&scenario, true);
+
+	replay_print_orgs(before, "off");
+	replay_print_orgs(after, "on");
+	printf("\n");
+	check_none_starved(after);
+	CU_ASSERT(answered_fraction(&after->orgs[0]) >
+		  answered_fraction(&before->orgs[0]));
+	CU_ASSERT(answered_fraction(&after->orgs[0]) >
+		  answered_fraction(&after->orgs[1]));
+	CU_ASSERT(answered_fraction(&after->orgs[1]) >
+		  answered_fraction(&after->orgs[2]));
+	CU_ASSERT(after->all.on_time >= before->all.on_time * 0.98);
+}
+
+/* A load below the capacity, also after a fivefold rise: nobody is refused. */
+static void
+test_calm(void)
+{
+	const scenario_t scenario = {
+	    .orgs = {{"acme", 0.6, 1, 0}, {"other", 0.4, 1, 5}},
+	    .org_count = 2,
+	    .phases = {{4, 54, 0, 0}, {5, 160, 0, 0}, {12, 270, 0, 0},
+		{16, 54, 0, 0}, {22, 270, 0, 0}},
+	    .phase_count = 5,
+	};
+	const replay_t *before = replay_run(&scenario, false);
+	const replay_t *after = replay_run(&scenario, true);
+
+	replay_print(before, "off");
+	replay_print(after, "on");
+	printf("\n");
+	CU_ASSERT(after->refusals_early + after->refusals_at_end == 0);
+	CU_ASSERT(after->all.on_time == after->all.callers);
+}
+
 static const suite_test_t tests[] = {
+    {"large organisation", test_large_organisation},
+    {"priorities", test_priorities},
+    {"calm load", test_calm},
     {"scarcity", test_scarcity},
     {"scarcity with new limits", test_scarcity_with_new_limits},
     {"scarcity without returns", test_scarcity_without_returns},
