Admission: counters and log lines of fair scheduling; run times by organisation

Refusals before the end of the wait, promises, returns and slots granted out of order have counters and fields in pool_state; a refusal logs request_refused_early, at most ten a second. The latest start of a request is judged by the mean run time per output token of its organisation instead of the pool's mean, which refused short requests among long ones. The rate of free slots no longer loops over all endpoints for each decision.

--- a/src/admission.c
+++ b/src/admission.c
@@ -182,6 +182,8 @@
 	TAILQ_INIT(&a->revoked);
 	LIST_INIT(&a->zones);
 	return_promises_init(&a->promises);
+	admission_counters_init(a);
+	a->usable_fraction = 1;
 	LIST_INIT(&a->orgs);
 	STAILQ_INIT(&a->actions);
 	return (a);
@@ -403,6 +405,7 @@
 	grant->deadline = request->deadline;
 	grant->caller_deadline = request->caller_deadline;
 	grant->priority = request->priority;
+	grant->output_tokens = request->output_tokens;
 	grant->wait.start_by =
 	    request->start_by > 0 ? request->start_by : INFINITY;
 	grant->since = now;
@@ -449,7 +452,7 @@
 
 			if (report == NULL ||
 			    !ejector_is_endpoint_failure(report->rc))
-				slot_rate_add(&a->slot_rate, held, now);
+				admission_fair_ended(a, grant, held, now);
 			a->mean_hold_s =
 			    a->mean_hold_s > 0
 				? a->mean_hold_s + HOLD_TIME_EWMA_WEIGHT *
--- a/src/admission_fair.c
+++ b/src/admission_fair.c
@@ -9,8 +9,6 @@
 #include "admission_state.h"
 
 #include <math.h>
-#include <stdlib.h>
-#include <string.h>
 
 #include "logger.h"
 #include "result.h"
@@ -30,10 +28,12 @@
 #define MIN_RETURN_S 0.2
 /* Bounds the Retry-After of refusals without a promise. */
 #define MAX_RETRY_S 10.0
+/* Weight of one request in the mean run time of its organisation. */
+#define RUN_EWMA_WEIGHT 0.1
 /* Spreads those returns, because nothing else keeps them apart. */
 #define RETRY_SPREAD_S 1.0
-/* Hosts of more zones are not guarded against starvation. */
-#define MAX_ZONES 16
+/* Refusals that are logged per second. */
+#define MAX_LOGGED_REFUSALS 10
 
 /* Returns whether fair scheduling decides now; not while grants are unknown. */
 bool
@@ -42,52 +42,50 @@
 	return (a->settings.fair_scheduling && now >= a->restricted_until);
 }
 
-static bool
-was_admitted_before(const slot_grant_t *grant)
-{
-	return (grant->avoid[0] != '\0');
-}
-
-static double
-moving_rate(const moving_rate_t *rate, double now)
-{
-	return (rate->rate > 0
-		    ? rate->rate * exp((rate->updated_at - now) / MOVING_RATE_S)
-		    : 0);
-}
-
-static void
-moving_rate_add(moving_rate_t *rate, double now)
-{
-	rate->rate = moving_rate(rate, now) + 1 / MOVING_RATE_S;
-	rate->updated_at = now;
-}
-
 /* Returns the rate of the arrivals of priorities below the given one. */
 static double
-arrival_rate_below(const admission_t *a, unsigned priority, double now)
+arrival_rate_below(admission_t *a, unsigned priority, double now)
 {
 	const slot_org_t *org;
 	double rate = 0;
 
+	/* Judging all that wait asks the same many times. */
+	if (a->rate_below.at == now && a->rate_below.priority == priority)
+		return (a->rate_below.rate);
 	LIST_FOREACH (org, &a->orgs, entry)
 		if (org->priority < priority)
-			rate += moving_rate(&org->arrivals, now);
+			rate += moving_rate_at(&org->arrivals, now);
+	a->rate_below.at = now;
+	a->rate_below.priority = priority;
+	a->rate_below.rate = rate;
 	return (rate);
 }
 
+/*
+ * Refreshes which fraction of the slots in use is at endpoints that get
+ * requests. To be called on each tick.
+ */
+static void
+refresh_usable_fraction(admission_t *a)
+{
+	double busy = 0;
+	double usable = 0;
+
+	for (size_t i = 0; i < a->endpoint_count; i++) {
+		const route_endpoint_t *route = &a->routes[i];
+
+		busy += route->in_use;
+		usable += fmin(route->in_use, route->capacity);
+	}
+	a->usable_fraction = busy > 0 ? usable / busy : 1;
+}
+
 /* Returns the rate at which slots of running online requests become free. */
 static double
 free_rate(admission_t *a, double now)
 {
-	double busy = 0;
-
-	for (size_t i = 0; i < a->endpoint_count; i++)
-		if (a->routes[i].capacity > 0)
-			busy +=
-			    fmin(a->routes[i].in_use, a->routes[i].capacity);
-	return (slot_rate_per_slot(&a->slot_rate, now) *
-		fmax(0, busy - a->held[GRANT_BATCH]));
+	return (slot_rate_per_slot(&a->slot_rate, now) * a->held[GRANT_ONLINE] *
+		a->usable_fraction);
 }
 
 /*
@@ -98,15 +96,7 @@
 free_rate_for(admission_t *a, unsigned priority, double now)
 {
 	return (free_rate(a, now) - arrival_rate_below(a, priority, now) -
-		moving_rate(&a->starved_grants, now));
-}
-
-/* Counts a request that was served out of order. */
-void
-admission_fair_served_starved(admission_t *a, double now)
-{
-	a->counters.granted_starved++;
-	moving_rate_add(&a->starved_grants, now);
+		moving_rate_at(&a->starved_grants, now));
 }
 
 /* Notes whether the slot of an online request was promised. */
@@ -115,144 +105,12 @@
 {
 	if (!a->settings.fair_scheduling || grant->class != GRANT_ONLINE)
 		return;
-	if (was_admitted_before(grant))
+	if (slot_grant_admitted_before(grant))
 		return;
 	grant->is_return = return_promises_redeem(&a->promises,
 	    str_of(grant->org->name), grant->caller_deadline, now);
-	a->counters.promises_kept += grant->is_return;
-}
-
-/* Returns the zone of a request; NULL if it is unknown. */
-static slot_zone_t *
-zone_find_or_create(admission_t *a, const char *name)
-{
-	slot_zone_t *zone;
-	unsigned count = 0;
-
-	LIST_FOREACH (zone, &a->zones, entry) {
-		if (strcmp(zone->name, name) == 0)
-			return (zone);
-		count++;
-	}
-	if (name[0] == '\0' || count >= MAX_ZONES)
-		return (NULL);
-	zone = xcalloc(1, sizeof(*zone));
-	str_copy(zone->name, sizeof(zone->name), str_of(name));
-	LIST_INSERT_HEAD(&a->zones, zone, entry);
-	return (zone);
-}
-
-/* Counts an online request that is within its limits. */
-void
-admission_fair_demand(admission_t *a, const slot_grant_t *grant, double now)
-{
-	slot_org_t *org = grant->org;
-	slot_zone_t *zone = zone_find_or_create(a, grant->zone);
-
-	moving_rate_add(&org->arrivals, now);
-	org->priority = grant->priority;
-	/* One that returns was counted before. */
 	if (grant->is_return)
-		return;
-	served_share_add_demand(&a->share, now);
-	served_share_add_demand(&org->share, now);
-	if (zone != NULL)
-		served_share_add_demand(&zone->share, now);
-}
-
-/* Counts an online request that gets a slot. */
-void
-admission_fair_served(admission_t *a, const slot_grant_t *grant, double now)
-{
-	slot_zone_t *zone;
-
-	if (!a->settings.fair_scheduling || grant->class != GRANT_ONLINE ||
-	    was_admitted_before(grant))
-		return;
-	zone = zone_find_or_create(a, grant->zone);
-	served_share_add_served(&a->share, now);
-	served_share_add_served(&grant->org->share, now);
-	if (zone != NULL)
-		served_share_add_served(&zone->share, now);
-}
-
-/* Returns how many slots the group of a request lacks; 0: not starved. */
-static unsigned
-starvation_of(admission_t *a, const slot_grant_t *grant, double now)
-{
-	slot_zone_t *zone = zone_find_or_create(a, grant->zone);
-	unsigned org_lacks =
-	    served_share_deficit(&grant->org->share, &a->share, now);
-	unsigned zone_lacks =
-	    zone != NULL ? served_share_deficit(&zone->share, &a->share, now)
-			 : 0;
-
-	return (org_lacks > zone_lacks ? org_lacks : zone_lacks);
-}
-
-/* Returns the first request of a queue that can be on time, or NULL. */
-static slot_grant_t *
-first_on_time(const admission_t *a, const wait_queue_t *queue,
-    const slot_zone_t *zone, double now)
-{
-	wait_entry_t *entry;
-
-	for (entry = wait_queue_first(queue); entry != NULL;
-	     entry = wait_queue_next(entry)) {
-		slot_grant_t *grant = slot_grant_of_wait_entry(entry);
-
-		if (!entry->late &&
-		    !slot_holder_is_silent(a, grant->holder, now) &&
-		    (zone == NULL || strcmp(grant->zone, zone->name) == 0))
-			return (grant);
-	}
-	return (NULL);
-}
-
-/*
- * Returns the request to serve next so that its organisation or zone is not
- * starved, or NULL. Of several the one whose group was served the least.
- */
-slot_grant_t *
-admission_fair_starved(admission_t *a, double now)
-{
-	slot_grant_t *best = NULL;
-	double best_fraction = INFINITY;
-	slot_org_t *org;
-	slot_zone_t *zone;
-
-	LIST_FOREACH (org, &a->orgs, entry) {
-		double fraction = served_share_fraction(&org->share, now);
-		slot_grant_t *grant;
-
-		if (org->queue[GRANT_ONLINE].count == 0 ||
-		    fraction >= best_fraction ||
-		    served_share_deficit(&org->share, &a->share, now) == 0)
-			continue;
-		grant = first_on_time(a, &org->queue[GRANT_ONLINE], NULL, now);
-		if (grant != NULL) {
-			best = grant;
-			best_fraction = fraction;
-		}
-	}
-	LIST_FOREACH (zone, &a->zones, entry) {
-		double fraction = served_share_fraction(&zone->share, now);
-
-		if (fraction >= best_fraction ||
-		    served_share_deficit(&zone->share, &a->share, now) == 0)
-			continue;
-		LIST_FOREACH (org, &a->orgs, entry) {
-			slot_grant_t *grant = first_on_time(
-			    a, &org->queue[GRANT_ONLINE], zone, now);
-
-			if (grant != NULL) {
-				best = grant;
-				best_fraction = fraction;
-				break;
-			}
-		}
-	}
-	return (best);
+		admission_count(a, FAIR_RETURN);
 }
 
 /*
@@ -262,8 +120,8 @@
 bool
 slot_grant_goes_first(const slot_grant_t *grant, double now)
 {
-	return (grant->is_return ||
-		(was_admitted_before(grant) && grant->wait.start_by >= now));
+	return (grant->is_return || (slot_grant_admitted_before(grant) &&
+					grant->wait.start_by >= now));
 }
 
 /*
@@ -352,7 +210,7 @@
 
 	/* The next slots go to a starved organisation or zone. */
 	if (!grant->wait.late &&
-	    starvation_of(a, grant, now) > requests_ahead_own(grant)) {
+	    slot_grant_starvation(a, grant, now) > requests_ahead_own(grant)) {
 		ahead = requests_ahead_own(grant);
 		starved = true;
 	}
@@ -364,21 +222,42 @@
 	if (slot_rate_per_slot(&a->slot_rate, now) <= 0)
 		return (now);
 	rate = starved ? free_rate(a, now) : free_rate_for(a, priority, now);
+	if (rate <= 0 && free_rate(a, now) <= 0)
+		/* Nothing runs, perhaps because the endpoints are ejected. */
+		return (now + admission_estimate_wait(a, grant->org, now));
 	if (rate <= 0)
 		return (INFINITY);
 	start = now + (ahead + 1) / rate;
 	return (start + returns_ahead(a, grant, start) / rate);
 }
 
-/* Returns the latest start after which a response is complete in time. */
+/* Returns how long a request will run; 0 if none like it has ended yet. */
 static double
-latest_start(admission_t *a, const slot_grant_t *grant, double now)
+expected_run(const slot_grant_t *grant)
+{
+	return (grant->org->run_per_token * fmax(1, grant->output_tokens));
+}
+
+/* Notes how long a request held its slot, from its grant to its end. */
+void
+admission_fair_ended(
+    admission_t *a, const slot_grant_t *grant, double held, double now)
 {
-	double per_slot = slot_rate_per_slot(&a->slot_rate, now);
+	double per_token = held / fmax(1, grant->output_tokens);
+	double *mean = &grant->org->run_per_token;
 
-	if (grant->caller_deadline <= 0 || per_slot <= 0)
+	slot_rate_add(&a->slot_rate, held, now);
+	*mean += (*mean > 0 ? RUN_EWMA_WEIGHT : 1) * (per_token - *mean);
+}
+
+/* Returns the latest start after which a response is complete in time. */
+static double
+latest_start(const slot_grant_t *grant)
+{
+	if (grant->caller_deadline <= 0)
 		return (grant->deadline);
-	return (fmin(grant->deadline, grant->caller_deadline - 1 / per_slot));
+	return (fmin(
+	    grant->deadline, grant->caller_deadline - expected_run(grant)));
 }
 
 /*
@@ -400,6 +279,38 @@
 	    now + fmax(MIN_RETURN_S, backlog / rate)));
 }
 
+/* Logs a refusal unless many were logged within the current second. */
+static void
+log_refusal(admission_t *a, const slot_grant_t *grant, double retry_after,
+    bool promised, double now)
+{
+	if (now - a->refusals_logged_since >= 1) {
+		a->refusals_logged_since = now;
+		a->refusals_logged = 0;
+	}
+	if (a->refusals_logged++ >= MAX_LOGGED_REFUSALS)
+		return;
+	LOG_INFO("request_refused_early",
+	    "host=%s org=%s priority=%u waited_ms=%.0f left_ms=%.0f late=%d "
+	    "promised=%d retry_ms=%.0f waiting=%u free_per_s=%.1f "
+	    "returns_due=%zu",
+	    grant->holder->name, grant->org->name, grant->priority,
+	    (now - grant->since) * 1e3,
+	    (fmax(grant->caller_deadline, grant->deadline) - now) * 1e3,
+	    grant->wait.late, promised, retry_after * 1e3,
+	    a->waiting[GRANT_ONLINE], free_rate(a, now),
+	    a->promises.open_count);
+}
+
+static void
+refuse_early(admission_t *a, slot_grant_t *grant, double retry_after,
+    bool promised, double now)
+{
+	admission_count(a, promised ? FAIR_REFUSED_RETURN : FAIR_REFUSED);
+	log_refusal(a, grant, retry_after, promised, now);
+	slot_grant_refuse(a, grant, -RESULT_OVERLOADED, retry_after);
+}
+
 /*
  * Refuses a request that would be late with the time at which it will be on
  * time, if that is near enough for its caller. Returns whether it did.
@@ -412,13 +323,12 @@
 	double remaining = grant->caller_deadline - now;
 
 	if (grant->caller_deadline <= 0 ||
-	    due - now > remaining * RETURN_FRACTION)
+	    due - now > remaining * RETURN_FRACTION ||
+	    due + expected_run(grant) > grant->caller_deadline)
 		return (false);
 	return_promises_add(&a->promises, str_of(grant->org->name),
 	    grant->priority, due, spacing, grant->caller_deadline);
-	a->counters.refused_early++;
-	a->counters.refused_return++;
-	slot_grant_refuse(a, grant, -RESULT_OVERLOADED, due - now);
+	refuse_early(a, grant, due - now, true, now);
 	return (true);
 }
 
@@ -426,12 +336,13 @@
 refuse_without_promise(admission_t *a, slot_grant_t *grant, double now)
 {
 	double spacing;
-	double due = next_return(a, grant, now, &spacing) +
-		     RETRY_SPREAD_S * (double)rng_below(&a->rng, 1000) / 1000;
+	double due = next_return(a, grant, now, &spacing);
+
+	if (!isfinite(due))
+		due = now + admission_estimate_wait(a, grant->org, now);
+	due += RETRY_SPREAD_S * (double)rng_below(&a->rng, 1000) / 1000;
 
-	a->counters.refused_early++;
-	slot_grant_refuse(
-	    a, grant, -RESULT_OVERLOADED, fmin(due - now, MAX_RETRY_S));
+	refuse_early(a, grant, fmin(due - now, MAX_RETRY_S), false, now);
 }
 
 /*
@@ -443,7 +354,8 @@
 bool
 admission_fair_judge(admission_t *a, slot_grant_t *grant, double now)
 {
-	bool may_return = !grant->is_return && !was_admitted_before(grant);
+	bool may_return =
+	    !grant->is_return && !slot_grant_admitted_before(grant);
 	double start;
 
 	if (!admission_has_usable_endpoint(a))
@@ -452,7 +364,7 @@
 	if (may_return && (grant->wait.late || start > grant->wait.start_by) &&
 	    refuse_with_promise(a, grant, now))
 		return (true);
-	if (start <= latest_start(a, grant, now))
+	if (start <= latest_start(grant))
 		return (false);
 	refuse_without_promise(a, grant, now);
 	return (true);
@@ -489,6 +401,7 @@
 	slot_org_t *org;
 
 	return_promises_expire(&a->promises, now);
+	refresh_usable_fraction(a);
 	if (!admission_fair_decides(a, now) || a->waiting[GRANT_ONLINE] == 0)
 		return;
 	LIST_FOREACH (org, &a->orgs, entry) {
--- a/src/admission_state.h
+++ b/src/admission_state.h
@@ -6,6 +6,7 @@
 
 #include "admission.h"
 #include "clock.h"
+#include "counter.h"
 #include "ejector.h"
 #include "limiter.h"
 #include "quota.h"
@@ -29,6 +30,15 @@
 
 TAILQ_HEAD(slot_queue_t, slot_grant_t);
 
+/* Decisions of fair scheduling that are counted. */
+typedef enum fair_event_t {
+	FAIR_REFUSED, /* early, without a promise */
+	FAIR_REFUSED_RETURN,
+	FAIR_RETURN,
+	FAIR_STARVED,
+	FAIR_EVENTS,
+} fair_event_t;
+
 /* Events per second, as an exponential average over about 1 s. */
 typedef struct moving_rate_t {
 	double rate; /* at updated_at */
@@ -40,6 +50,7 @@
 	char name[NAME_SIZE];
 	unsigned weight;
 	unsigned priority;	/* of its last request */
+	double run_per_token;	/* mean hold time per output token */
 	moving_rate_t arrivals; /* online requests within the limits */
 	served_share_t share;
 	unsigned concurrency;
@@ -95,6 +106,7 @@
 	char avoid[ENDPOINT_NAME_SIZE];
 	uint64_t prefix_hash;
 	unsigned priority;
+	unsigned output_tokens; /* maximum; 0: unknown */
 	double deadline;
 	double caller_deadline;		 /* of the response; 0: unknown */
 	double since;			 /* time of the request or the grant */
@@ -133,6 +145,15 @@
 	return_promises_t promises;
 	served_share_t share;	      /* of all online requests */
 	moving_rate_t starved_grants; /* out of order */
+	double usable_fraction; /* of the slots in use; as of the last tick */
+	struct {
+		double at;
+		unsigned priority;
+		double rate;
+	} rate_below; /* last result of arrival_rate_below() */
+	double refusals_logged_since;
+	unsigned refusals_logged;
+	counter_t *metrics[FAIR_EVENTS];
 	LIST_HEAD(, slot_zone_t) zones;
 	unsigned schedule_round;
 	unsigned revoking;
@@ -169,6 +190,17 @@
     const grant_report_t *report, double now);
 bool admission_has_usable_endpoint(const admission_t *a);
 
+/* admission_share.c */
+double moving_rate_at(const moving_rate_t *rate, double now);
+void moving_rate_add(moving_rate_t *rate, double now);
+bool slot_grant_admitted_before(const slot_grant_t *grant);
+unsigned slot_grant_starvation(
+    admission_t *a, const slot_grant_t *grant, double now);
+
+/* admission_counters.c */
+void admission_counters_init(admission_t *a);
+void admission_count(admission_t *a, fair_event_t event);
+
 /* admission_fair.c */
 bool admission_fair_decides(const admission_t *a, double now);
 void admission_fair_arrival(admission_t *a, slot_grant_t *grant, double now);
@@ -179,6 +211,8 @@
 void admission_fair_served_starved(admission_t *a, double now);
 slot_grant_t *admission_fair_starved(admission_t *a, double now);
 bool admission_fair_judge(admission_t *a, slot_grant_t *grant, double now);
+void admission_fair_ended(
+    admission_t *a, const slot_grant_t *grant, double held, double now);
 bool slot_grant_goes_first(const slot_grant_t *grant, double now);
 void admission_fair_tick(admission_t *a, double now);
 
--- a/src/grants_admit.c
+++ b/src/grants_admit.c
@@ -461,11 +461,17 @@
 	LOG_INFO("pool_state",
 	    "pool=%s capacity=%u online=%u batch=%u revoking=%u "
 	    "online_waiting=%u batch_waiting=%u self=%d revoke_timeouts=%llu "
-	    "reclaimed=%llu",
+	    "reclaimed=%llu refused_early=%llu returns_promised=%llu "
+	    "returns_due=%u returned=%llu returns_expired=%llu starved=%llu",
 	    pool->name, stats.capacity, stats.online, stats.batch,
 	    stats.revoking, stats.online_waiting, stats.batch_waiting,
 	    pool->is_admitting, (unsigned long long)stats.revoke_timeouts,
-	    (unsigned long long)stats.reclaimed);
+	    (unsigned long long)stats.reclaimed,
+	    (unsigned long long)stats.refused_early,
+	    (unsigned long long)stats.refused_return, stats.promises_open,
+	    (unsigned long long)stats.promises_kept,
+	    (unsigned long long)stats.promises_expired,
+	    (unsigned long long)stats.granted_starved);
 }
 
 /*
--- a/tests/test_admission.c
+++ b/tests/test_admission.c
@@ -965,7 +965,48 @@
 	admission_delete(t.a);
 }
 
+/*
+ * A short request must not be refused because the mean request of the pool runs
+ * longer than its caller waits.
+ */
+static void
+test_short_request_among_long_ones(void)
+{
+	pool_fixture_t t;
+	uint64_t ids[4];
+
+	setup(&t, &fair_settings, 1, 4);
+	for (unsigned i = 0; i < 4; i++)
+		ids[i] =
+		    request_with(&t, &(admission_request_t){.org = "short"});
+	t.now += 0.1;
+	for (unsigned i = 0; i < 4; i++)
+		release(&t, ids[i]);
+	for (unsigned round = 0; round < 10; round++) {
+		for (unsigned i = 0; i < 4; i++)
+			ids[i] = request_with(
+			    &t, &(admission_request_t){.org = "long"});
+		t.now += 4;
+		for (unsigned i = 0; i < 4; i++)
+			release(&t, ids[i]);
+	}
+	for (unsigned i = 0; i < 4; i++)
+		request_with(&t, &(admission_request_t){.org = "long"});
+	t.now += 1;
+	CU_ASSERT(t.refused == 0);
+	request_with(&t, &(admission_request_t){.org = "long",
+			     .deadline = t.now + 3,
+			     .caller_deadline = t.now + 3});
+	CU_ASSERT(t.refused == 1);
+	request_with(&t, &(admission_request_t){.org = "short",
+			     .deadline = t.now + 3,
+			     .caller_deadline = t.now + 3});
+	CU_ASSERT(t.refused == 1);
+	admission_delete(t.a);
+}
+
 static const suite_test_t tests[] = {
+    {"short request among long ones", test_short_request_among_long_ones},
     {"zone is not starved", test_zone_is_not_starved},
     {"urgent request first", test_urgent_request_first},
     {"urgent request without endpoint", test_urgent_request_without_endpoint},
