--- a/src/admission.c
+++ b/src/admission.c
@@ -167,6 +167,14 @@
 	slot_grant_delete(a, grant);
 }
 
+/* Refuses a waiting request and frees it. */
+void
+slot_grant_refuse(
+    admission_t *a, slot_grant_t *grant, int rc, double retry_after)
+{
+	grant_refuse(a, grant, rc, retry_after);
+}
+
 /* Creates a pool without endpoints; admission_configure() sets them. */
 admission_t *
 admission_new(uint64_t seed)
@@ -176,6 +184,10 @@
 	a->rng = rng_seeded(seed);
 	TAILQ_INIT(&a->batch_held);
 	TAILQ_INIT(&a->revoked);
+	LIST_INIT(&a->zones);
+	return_promises_init(&a->promises);
+	admission_counters_init(a);
+	a->usable_fraction = 1;
 	LIST_INIT(&a->orgs);
 	STAILQ_INIT(&a->actions);
 	return (a);
@@ -196,6 +208,7 @@
 admission_delete(admission_t *a)
 {
 	slot_org_t *org;
+	slot_zone_t *zone;
 	slot_action_t *item;
 
 	for (size_t i = 0; i < ADMISSION_HOLDER_BUCKETS; i++)
@@ -211,6 +224,11 @@
 	}
 	for (size_t i = 0; i < a->endpoint_count; i++)
 		free(a->endpoints[i]);
+	while ((zone = LIST_FIRST(&a->zones)) != NULL) {
+		LIST_REMOVE(zone, entry);
+		free(zone);
+	}
+	return_promises_clear(&a->promises);
 	free((void *)a->endpoints);
 	free(a->routes);
 	free(a);
@@ -311,7 +329,11 @@
 		org->virtual_start[class] =
 		    fmax(org->virtual_start[class], a->virtual_time[class]);
 	grant->state = SLOT_WAITING;
-	wait_queue_add(&org->queue[class], &grant->wait, now);
+	wait_queue_add_ranked(&org->queue[class], &grant->wait,
+	    a->settings.fair_scheduling && class == GRANT_ONLINE
+		? grant->priority
+		: 0,
+	    slot_grant_goes_first(grant, now), now);
 	a->waiting[class]++;
 }
 
@@ -350,6 +372,14 @@
 		grant_refuse(a, grant, rc, wait);
 		return;
 	}
+	if (admission_fair_decides(a, now)) {
+		admission_fair_demand(a, grant, now);
+		admission_schedule(a, now);
+		if (grant->state == SLOT_WAITING)
+			admission_fair_judge(a, grant, now);
+		enforce_queue_limit(a, now);
+		return;
+	}
 	admission_schedule(a, now);
 	enforce_queue_limit(a, now);
 }
@@ -403,11 +433,14 @@
 	grant->output_tokens = request->output_tokens;
 	grant->deadline = request->deadline;
 	grant->limited = request->limited;
+	grant->caller_deadline = request->caller_deadline;
+	grant->priority = request->priority;
 	grant->wait.start_by =
 	    request->start_by > 0 ? request->start_by : INFINITY;
 	grant->since = now;
 	str_copy(grant->zone, sizeof(grant->zone), str_of(request->zone));
 	str_copy(grant->avoid, sizeof(grant->avoid), str_of(request->avoid));
+	admission_fair_arrival(a, grant, now);
 	grant_enqueue(a, grant, now);
 	if (request->class == GRANT_BATCH) {
 		if (a->waiting[GRANT_BATCH] > BATCH_QUEUE_LIMIT)
@@ -420,7 +453,8 @@
 		admission_schedule(a, now); /* admitted before */
 	else if (!take_token(a, grant, now, &wait))
 		grant_refuse(a, grant, -RESULT_LIMITED, wait);
-	else if (admission_has_usable_endpoint(a) &&
+	else if (!admission_fair_decides(a, now) &&
+		 admission_has_usable_endpoint(a) &&
 		 now + wait > request->deadline)
 		grant_refuse(a, grant, -RESULT_OVERLOADED, wait);
 	else
@@ -446,6 +480,9 @@
 		if (grant->class == GRANT_ONLINE) {
 			double held = now - grant->since;
 
+			if (report == NULL ||
+			    !ejector_is_endpoint_failure(report->rc))
+				admission_fair_ended(a, grant, held, now);
 			a->mean_hold_s =
 			    a->mean_hold_s > 0
 				? a->mean_hold_s + HOLD_TIME_EWMA_WEIGHT *
@@ -515,6 +552,7 @@
 		admission_revoke_excess(a, now);
 	admission_reclaim_silent(a, now);
 	admission_schedule(a, now);
+	admission_fair_tick(a, now);
 }
 
 /* Removes the next action from the queue; returns false if there is none. */
@@ -548,6 +586,8 @@
 	out->revoking = a->revoking;
 	out->online_waiting = a->waiting[GRANT_ONLINE];
 	out->batch_waiting = a->waiting[GRANT_BATCH];
+	out->promises_open = (unsigned)a->promises.open_count;
+	out->promises_expired = a->promises.expired;
 	for (size_t i = 0; i < a->endpoint_count; i++)
 		out->capacity += slot_endpoint_capacity(a->endpoints[i], now);
 	admission_speed_stats(a, out);
--- a/src/admission.h
+++ b/src/admission.h
@@ -42,9 +42,10 @@
 	double requests_per_s; /* 0: unlimited */
 	unsigned concurrency;  /* 0: unlimited */
 	uint64_t prefix_hash;
-	double deadline;   /* same clock as now */
-	double start_by;   /* latest start that is on time; 0: none */
-	const char *avoid; /* endpoint it failed on; NULL or empty: none */
+	double deadline;	/* same clock as now */
+	double caller_deadline; /* of the response; 0: unknown */
+	double start_by;	/* latest start that is on time; 0: none */
+	const char *avoid;	/* endpoint it failed on; NULL or empty: none */
 } admission_request_t;
 
 /* A grant, or a request for one, as listed in its holder's report. */
@@ -84,11 +85,18 @@
 	double mean_event_seconds;
 	double slowest_event_seconds;
 	unsigned slow_endpoints;
+	unsigned promises_open; /* callers told to return, still expected */
 	/* Counters since the start. */
 	uint64_t revoked;
 	uint64_t revoke_timeouts; /* slots not released within revoke_timeout */
 	uint64_t refused;
-	uint64_t reclaimed; /* grants that their holder no longer had */
+	/* With fair scheduling only. */
+	uint64_t refused_early;	 /* before the end of their wait */
+	uint64_t refused_return; /* of these, with a promise */
+	uint64_t promises_kept;	 /* the caller returned */
+	uint64_t promises_expired;
+	uint64_t granted_starved; /* out of order, against starvation */
+	uint64_t reclaimed;	  /* grants that their holder no longer had */
 } admission_stats_t;
 
 /* Returns the slots of an endpoint a holder may use without coordination. */
--- a/src/admission_state.h
+++ b/src/admission_state.h
@@ -6,13 +6,17 @@
 
 #include "admission.h"
 #include "clock.h"
+#include "counter.h"
 #include "ejector.h"
 #include "endpoint_speed.h"
 #include "limiter.h"
 #include "path_failures.h"
 #include "quota.h"
+#include "return_promises.h"
 #include "route.h"
 #include "slow_start.h"
+#include "served_share.h"
+#include "slot_rate.h"
 #include "wait_queue.h"
 
 #define ADMISSION_CLASSES	 2
@@ -29,19 +33,47 @@
 
 TAILQ_HEAD(slot_queue_t, slot_grant_t);
 
+/* Decisions of fair scheduling that are counted. */
+typedef enum fair_event_t {
+	FAIR_REFUSED, /* early, without a promise */
+	FAIR_REFUSED_RETURN,
+	FAIR_RETURN,
+	FAIR_STARVED,
+	FAIR_EVENTS,
+} fair_event_t;
+
+/* Events per second, as an exponential average over about 1 s. */
+typedef struct moving_rate_t {
+	double rate; /* at updated_at */
+	double updated_at;
+} moving_rate_t;
+
 /* The state of an organisation in the pool. */
 typedef struct slot_org_t {
 	char name[NAME_SIZE];
 	unsigned weight;
+	unsigned priority;	/* of its last request */
+	double run_per_token;	/* mean hold time per output token */
+	moving_rate_t arrivals; /* online requests within the limits */
+	served_share_t share;
 	unsigned concurrency;
 	quota_t quota;
 	unsigned held[ADMISSION_CLASSES];
 	double virtual_start[ADMISSION_CLASSES]; /* of the next grant */
 	wait_queue_t queue[ADMISSION_CLASSES];
 	unsigned skipped_round; /* last schedule_round without a grant */
+	unsigned tried_round;	/* schedule_round to which untried applies */
+	wait_entry_t *untried;	/* first request not tried in tried_round */
 	LIST_ENTRY(slot_org_t) entry;
 } slot_org_t;
 
+/* The online requests from the hosts of one zone. */
+typedef struct slot_zone_t {
+	char name[NAME_SIZE];
+	served_share_t share;
+	LIST_ENTRY(slot_zone_t) entry;
+} slot_zone_t;
+
 typedef struct slot_endpoint_t {
 	grant_endpoint_t id;
 	char zone[NAME_SIZE];
@@ -89,9 +121,12 @@
 	uint64_t prefix_hash;
 	unsigned output_tokens; /* maximum; 0: unknown */
 	unsigned running;	/* on the endpoint when it was granted */
+	unsigned priority;
 	double deadline;
+	double caller_deadline;		 /* of the response; 0: unknown */
 	double since;			 /* time of the request or the grant */
 	double revoked_at;		 /* time of the revocation */
+	bool is_return;			 /* its slot was promised */
 	bool listed;			 /* in the current report */
 	bool limited;			 /* counts against the limit */
 	bool has_token;			 /* of its organisation's limit */
@@ -126,6 +161,20 @@
 	double virtual_time[ADMISSION_CLASSES];
 	pool_speed_t speed;
 	double mean_hold_s; /* EWMA over online grants */
+	slot_rate_t slot_rate;
+	return_promises_t promises;
+	served_share_t share;	      /* of all online requests */
+	moving_rate_t starved_grants; /* out of order */
+	double usable_fraction; /* of the slots in use; as of the last tick */
+	struct {
+		double at;
+		unsigned priority;
+		double rate;
+	} rate_below; /* last result of arrival_rate_below() */
+	double refusals_logged_since;
+	unsigned refusals_logged;
+	counter_t *metrics[FAIR_EVENTS];
+	LIST_HEAD(, slot_zone_t) zones;
 	unsigned schedule_round;
 	unsigned revoking;
 	struct slot_queue_t batch_held; /* largest slack first */
@@ -146,6 +195,8 @@
 slot_grant_t *slot_grant_new(admission_t *a, uint64_t id, slot_holder_t *holder,
     slot_org_t *org, grant_class_t class);
 void slot_grant_delete(admission_t *a, slot_grant_t *grant);
+void slot_grant_refuse(
+    admission_t *a, slot_grant_t *grant, int rc, double retry_after);
 
 /* admission_endpoints.c */
 slot_endpoint_t *slot_endpoint_find(const admission_t *a, str_t name);
@@ -177,6 +228,31 @@
 void admission_speed_stats(const admission_t *a, admission_stats_t *out);
 void admission_cost_params(const admission_t *a, const slot_grant_t *grant,
     struct route_cost_params_t *out);
+/* admission_share.c */
+double moving_rate_at(const moving_rate_t *rate, double now);
+void moving_rate_add(moving_rate_t *rate, double now);
+bool slot_grant_admitted_before(const slot_grant_t *grant);
+unsigned slot_grant_starvation(
+    admission_t *a, const slot_grant_t *grant, double now);
+
+/* admission_counters.c */
+void admission_counters_init(admission_t *a);
+void admission_count(admission_t *a, fair_event_t event);
+
+/* admission_fair.c */
+bool admission_fair_decides(const admission_t *a, double now);
+void admission_fair_arrival(admission_t *a, slot_grant_t *grant, double now);
+void admission_fair_demand(
+    admission_t *a, const slot_grant_t *grant, double now);
+void admission_fair_served(
+    admission_t *a, const slot_grant_t *grant, double now);
+void admission_fair_served_starved(admission_t *a, double now);
+slot_grant_t *admission_fair_starved(admission_t *a, double now);
+bool admission_fair_judge(admission_t *a, slot_grant_t *grant, double now);
+void admission_fair_ended(
+    admission_t *a, const slot_grant_t *grant, double held, double now);
+bool slot_grant_goes_first(const slot_grant_t *grant, double now);
+void admission_fair_tick(admission_t *a, double now);
 
 /* admission_silence.c */
 bool slot_holder_is_silent(
--- a/src/grants_admit.c
+++ b/src/grants_admit.c
@@ -195,6 +195,7 @@
 	    .output_tokens = grant->params.output_tokens,
 	    .prefix_hash = grant->params.prefix_hash,
 	    .deadline = grant->params.deadline,
+	    .caller_deadline = grant->params.caller_deadline,
 	    .start_by = grant->params.start_by,
 	    .avoid = grant->avoid,
 	};
@@ -315,6 +316,8 @@
 	ask.output_tokens = m.output_tokens;
 	ask.prefix_hash = m.prefix_hash;
 	ask.deadline = now + m.remaining;
+	if (m.caller_remaining > 0)
+		ask.caller_deadline = now + m.caller_remaining;
 	ask.start_by = grant_start_by(now, m.slack);
 	ask.avoid = avoid;
 	pool_submit_request(pool, &ask, m.org, now);
@@ -462,11 +465,17 @@
 	LOG_INFO("pool_state",
 	    "pool=%s capacity=%u online=%u batch=%u revoking=%u "
 	    "online_waiting=%u batch_waiting=%u self=%d revoke_timeouts=%llu "
-	    "reclaimed=%llu",
+	    "reclaimed=%llu refused_early=%llu returns_promised=%llu "
+	    "returns_due=%u returned=%llu returns_expired=%llu starved=%llu",
 	    pool->name, stats.capacity, stats.online, stats.batch,
 	    stats.revoking, stats.online_waiting, stats.batch_waiting,
 	    pool->is_admitting, (unsigned long long)stats.revoke_timeouts,
-	    (unsigned long long)stats.reclaimed);
+	    (unsigned long long)stats.reclaimed,
+	    (unsigned long long)stats.refused_early,
+	    (unsigned long long)stats.refused_return, stats.promises_open,
+	    (unsigned long long)stats.promises_kept,
+	    (unsigned long long)stats.promises_expired,
+	    (unsigned long long)stats.granted_starved);
 }
 
 /*
--- a/tests/test_wait_queue.c
+++ b/tests/test_wait_queue.c
@@ -76,6 +76,57 @@
 		CU_ASSERT(wait_queue_next(&entries[i]) == &entries[i + 1]);
 }
 
+/*
+ * A more urgent request must precede all others, also when it is late, and late
+ * ones stay within their priority.
+ */
+static void
+test_priority_precedes_start_by(void)
+{
+	wait_queue_t queue;
+	wait_entry_t urgent = {.start_by = 14};
+	wait_entry_t urgent_late = {.start_by = 11};
+	wait_entry_t other = {.start_by = 12};
+	wait_entry_t other_later = {.start_by = 20};
+
+	wait_queue_init(&queue);
+	wait_queue_add_ranked(&queue, &other_later, 1, false, 10);
+	wait_queue_add_ranked(&queue, &other, 1, false, 10);
+	wait_queue_add_ranked(&queue, &urgent_late, 0, false, 10);
+	wait_queue_add_ranked(&queue, &urgent, 0, false, 10);
+	CU_ASSERT(wait_queue_first(&queue) == &urgent_late);
+	wait_queue_demote_late(&queue, 13);
+	CU_ASSERT(queue.count == 4);
+	CU_ASSERT(wait_queue_first(&queue) == &urgent);
+	CU_ASSERT(wait_queue_next(&urgent) == &urgent_late);
+	CU_ASSERT(wait_queue_next(&urgent_late) == &other_later);
+	CU_ASSERT(wait_queue_next(&other_later) == &other);
+	CU_ASSERT(wait_queue_previous(&other) == &other_later);
+}
+
+/*
+ * A request whose slot was promised must precede the others of its priority,
+ * also when its start_by has passed.
+ */
+static void
+test_first_of_its_priority(void)
+{
+	wait_queue_t queue;
+	wait_entry_t a = {.start_by = 11};
+	wait_entry_t promised = {.start_by = 12};
+	wait_entry_t urgent = {.start_by = 20};
+
+	wait_queue_init(&queue);
+	wait_queue_add_ranked(&queue, &a, 1, false, 10);
+	wait_queue_add_ranked(&queue, &promised, 1, true, 10);
+	wait_queue_add_ranked(&queue, &urgent, 0, false, 10);
+	wait_queue_demote_late(&queue, 13);
+	CU_ASSERT(wait_queue_first(&queue) == &urgent);
+	CU_ASSERT(wait_queue_next(&urgent) == &promised);
+	CU_ASSERT(wait_queue_next(&promised) == &a);
+	CU_ASSERT(a.late && !promised.late);
+}
+
 /*
  * The simulated load alternates between 2.4 s above the capacity of the slots
  * and 3.6 s below it.
@@ -196,6 +247,8 @@
     {"order by start_by", test_order_by_start_by},
     {"late requests come last", test_late_requests_come_last},
     {"arrival order without start_by", test_arrival_order_without_start_by},
+    {"priority precedes start_by", test_priority_precedes_start_by},
+    {"first of its priority", test_first_of_its_priority},
     {"load steps", test_load_steps},
 };
 
