Forward: endpoints that give no answer until the deadline are reported

A request that had a slot and reached its deadline, or whose caller left, gave the slot back without a report. Neither the limiter, which only counts first events that came, nor the ejector learned of it, and the endpoint, which looked like the least loaded one, got the next request at once. With fair_scheduling the slot is released with a report: a stream without an event for 1.5 s counts as silent, and of a stream in progress its pace and events are reported.

--- a/src/forward.c
+++ b/src/forward.c
@@ -150,6 +150,8 @@
 		    f->first_event_at - f->arrived_at);
 		http_request_stream_begin(f->request, 200, NULL);
 	}
+	if (f->attempt_events++ == 0)
+		f->attempt_first_event_at = clock_monotonic();
 	/* An endpoint that sends more events than tokens will never end. */
 	if (f->info.output_tokens > 0 && f->events >= f->info.output_tokens)
 		return (false);
@@ -253,6 +255,9 @@
 	f->relay.reject_text = f->state.response_started;
 
 	str_copy(f->endpoint, sizeof(f->endpoint), str_of(endpoint->name));
+	f->sent_at = now;
+	f->attempt_first_event_at = 0;
+	f->attempt_events = 0;
 	f->attempt = attempt_start(&(attempt_params_t){
 	    .httpc = forwarder->params.httpc,
 	    .quarantine = forwarder->params.quarantine,
@@ -426,6 +431,32 @@
 	    });
 }
 
+/* Reports the endpoint whose attempt is cut off before the caller is told. */
+static void
+forward_report_cut_off(forward_t *f)
+{
+	forward_cut_off_t cut_off = {
+	    .stream = f->route->kind == REQUEST_STREAM,
+	    .ran = clock_monotonic() - f->sent_at,
+	    .events = f->attempt_events,
+	};
+	grant_report_t report;
+
+	if (!f->forwarder->params.fair_scheduling || f->attempt == NULL ||
+	    f->grant == NULL)
+		return;
+	if (f->attempt_events > 0)
+		cut_off.first_event_seconds =
+		    f->attempt_first_event_at - f->sent_at;
+	report = forward_cut_off_report(&cut_off);
+	if (report.rc == -RESULT_ENDPOINT_SILENT)
+		LOG_INFO("endpoint_gave_no_answer",
+		    "request=%s endpoint=%s ran_ms=%.0f", f->info.id,
+		    f->endpoint, cut_off.ran * 1e3);
+	grant_release(f->grant, &report);
+	f->grant = NULL;
+}
+
 static void
 on_caller_disconnect(void *ctx)
 {
@@ -433,6 +464,7 @@
 
 	f->request = NULL;
 	counter_add(f->forwarder->counters.callers_disconnected, 1);
+	forward_report_cut_off(f);
 	forward_finish(f, "caller_gone", 0, -RESULT_CANCELLED);
 }
 
@@ -444,6 +476,7 @@
 	(void)loop;
 	(void)events;
 	counter_add(f->forwarder->counters.timeouts, 1);
+	forward_report_cut_off(f);
 	if (f->attempt != NULL && !f->state.response_started)
 		forward_fail(f, -RESULT_TIMEOUT);
 	else
--- a/src/forward.h
+++ b/src/forward.h
@@ -15,6 +15,7 @@
 	grants_t *grants;
 	quarantine_net_t *quarantine;
 	const dialect_t *dialect;
+	bool fair_scheduling; /* see admission_settings_t */
 	/* Returns whether this host may send to a granted endpoint. */
 	bool (*endpoint_usable)(void *ctx, const char *endpoint);
 	/* An endpoint says that it leaves; see attempt_params_t. */
--- a/src/forward_plan.c
+++ b/src/forward_plan.c
@@ -14,6 +14,11 @@
  * left for one more try.
  */
 #define QUEUE_TIMEOUT_RATIO 0.6
+/*
+ * An endpoint whose stream has had no event for longer is taken for silent, as
+ * where another endpoint may continue (RESPONSE_TIMEOUT_S in forward.c).
+ */
+#define SILENCE_S 1.5
 /* Allowance for the time from the grant of a slot to the first event. */
 #define FIRST_EVENT_DELAY_S 0.05
 
@@ -105,6 +110,31 @@
 	return (final_step(state));
 }
 
+/*
+ * Returns what to report of an endpoint whose attempt is cut off because the
+ * caller's time is over or the caller has left. Load pattern: endpoints so slow
+ * that no answer begins in time. Without a report the slot counts as free and
+ * the endpoint as the least loaded one, and it gets the next request at once.
+ * That no event came is a lower bound of the time to the first one.
+ */
+grant_report_t
+forward_cut_off_report(const forward_cut_off_t *cut_off)
+{
+	grant_report_t report = {
+	    .rc = -RESULT_CANCELLED,
+	    .first_token_seconds = cut_off->first_event_seconds,
+	    .run_seconds = cut_off->ran,
+	    .events = cut_off->events,
+	};
+
+	if (cut_off->stream && cut_off->events == 0 &&
+	    cut_off->ran >= SILENCE_S) {
+		report.rc = -RESULT_ENDPOINT_SILENT;
+		report.first_token_seconds = cut_off->ran;
+	}
+	return (report);
+}
+
 /*
  * Returns the result code for a request that may have run. Its HTTP status is
  * 502 or 504, which leave the outcome open. The code of the last attempt is not
--- a/src/forward_plan.h
+++ b/src/forward_plan.h
@@ -29,8 +29,17 @@
 	FORWARD_ABORT,	 /* abort the response that has begun */
 } forward_step_t;
 
+/* What is known of an attempt that is cut off. */
+typedef struct forward_cut_off_t {
+	bool stream;		    /* else no events are expected */
+	double ran;		    /* seconds */
+	double first_event_seconds; /* 0: no event */
+	unsigned events;
+} forward_cut_off_t;
+
 forward_step_t forward_plan(
     const forward_state_t *state, const attempt_result_t *result, double now);
+grant_report_t forward_cut_off_report(const forward_cut_off_t *cut_off);
 int forward_failure(int rc);
 double forward_queue_deadline(
     const request_route_t *route, double caller_timeout, double now);
--- a/src/forward_state.h
+++ b/src/forward_state.h
@@ -39,7 +39,10 @@
 	char endpoint[ENDPOINT_NAME_SIZE]; /* of the last attempt */
 	tried_endpoints_t tried;
 	double arrived_at;
-	double granted_at;     /* 0: not yet */
+	double granted_at;	       /* 0: not yet */
+	double sent_at;		       /* the attempt under way */
+	double attempt_first_event_at; /* 0: none yet */
+	unsigned attempt_events;
 	double first_event_at; /* 0: none yet */
 	unsigned events;       /* passed on to the caller */
 	ev_timer deadline_timer;
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -260,6 +260,7 @@
 	    .grants = gateway->grants,
 	    .quarantine = gateway->quarantine,
 	    .dialect = gateway->params.dialect,
+	    .fair_scheduling = gateway->params.settings->fair_scheduling,
 	    .endpoint_usable = gateway_endpoint_usable,
 	    .endpoint_says_leaving = gateway_on_endpoint_says_leaving,
 	    .ctx = gateway,
--- a/tests/harness_gateways.c
+++ b/tests/harness_gateways.c
@@ -79,9 +79,10 @@
 	    "[gateway]\nname = %s\naddress = %s\nzone = %s\nsite = here\n"
 	    "store = http://%s\ncallers = %s:%u\nreadiness = %s:%u\n"
 	    "directory = %s:%u\npeer_port = %u\nperiod_ms = 200\n"
-	    "key = a-key-for-tests-only\nkeep_s = 0.5\nstop_s = 4\n",
+	    "key = a-key-for-tests-only\nkeep_s = 0.5\nstop_s = 4\n%s",
 	    name, ip, zone_of(host), store, ip, fleet->callers_port, ip,
-	    fleet->readiness_port, ip, fleet->directory_port, fleet->peer_port);
+	    fleet->readiness_port, ip, fleet->directory_port, fleet->peer_port,
+	    fleet->params.settings != NULL ? fleet->params.settings : "");
 	harness_write_file(name, text, path, sizeof(path));
 	fleet->hosts[host] = harness_start("daisypier-gateway",
 	    (const char *const[]){"--settings", path, NULL});
--- a/tests/harness_gateways.h
+++ b/tests/harness_gateways.h
@@ -20,11 +20,12 @@
 #define GATEWAYS_IDLE_SERVICE "idle"
 
 typedef struct gateways_params_t {
-	unsigned hosts;		   /* 0: 3 */
-	unsigned engines;	   /* 0: 2 */
-	unsigned slots;		   /* of an engine; 0: 8 */
-	unsigned event_ms;	   /* between events; 0: 10 */
-	const char *service;	   /* of the engines; NULL: "m" */
+	unsigned hosts;	      /* 0: 3 */
+	unsigned engines;     /* 0: 2 */
+	unsigned slots;	      /* of an engine; 0: 8 */
+	unsigned event_ms;    /* between events; 0: 10 */
+	const char *settings; /* more lines of the hosts' settings; or NULL */
+	const char *service;  /* of the engines; NULL: "m" */
 	const char *engine_prefix; /* of the engines' ids; NULL: "e" */
 	bool idle_service; /* configures GATEWAYS_IDLE_SERVICE as well */
 	/* Hosts reach the store and the engines through a fault proxy. */
--- a/tests/test_admission_fair.c
+++ b/tests/test_admission_fair.c
@@ -11,6 +11,7 @@
 
 #include "admission.h"
 #include "clock.h"
+#include "forward_plan.h"
 #include "result.h"
 
 enum {
@@ -48,9 +49,11 @@
 typedef struct try_t {
 	unsigned caller;
 	double asked;
-	double ends; /* 0: not running */
+	double started;
+	double ends;
 	unsigned endpoint;
 	bool fails;
+	bool mute; /* its endpoint gives no answer */
 } try_t;
 
 typedef struct replay_org_t {
@@ -74,7 +77,11 @@
 	phase_t phases[MAX_PHASES];
 	unsigned phase_count;
 	double no_return; /* fraction of the callers that never return */
-	bool new_limit;	  /* a caller that returns has a new time limit */
+	/* Fraction of the endpoints without answers to new requests. */
+	double mute;
+	double mute_from;
+	double mute_until;
+	bool new_limit; /* a caller that returns has a new time limit */
 } scenario_t;
 
 typedef struct counts_t {
@@ -90,6 +97,7 @@
 typedef struct replay_t {
 	const scenario_t *scenario;
 	admission_t *a;
+	bool fair;
 	rng_t rng;
 	double begin;
 	caller_t callers[MAX_CALLERS];
@@ -133,6 +141,16 @@
 	return (endpoint < phase->slow * phase->dead * ENDPOINTS);
 }
 
+static bool
+endpoint_is_mute(const replay_t *r, unsigned endpoint, double now)
+{
+	const scenario_t *s = r->scenario;
+	double t = now - r->begin;
+
+	return (t >= s->mute_from && t < s->mute_until &&
+		ENDPOINTS - endpoint <= s->mute * ENDPOINTS);
+}
+
 static void
 replay_ask(replay_t *r, unsigned caller, const char *avoid, double now)
 {
@@ -166,11 +184,15 @@
 	double run = RUN_S * (0.5 + (double)rng_below(&r->rng, 1000) / 1000);
 
 	t->endpoint = (unsigned)strtoul(action->endpoint.name + 1, NULL, 10);
+	t->started = now;
 	t->fails = endpoint_is_dead(phase, t->endpoint);
 	if (endpoint_is_slow(phase, t->endpoint))
 		run *= 3;
 	if (t->fails)
 		run = 0.005;
+	t->mute = endpoint_is_mute(r, t->endpoint, now);
+	if (t->mute)
+		run = 2 * TIME_LIMIT_S;
 	t->ends = now + run;
 	if (t->ends > c->deadline) {
 		t->ends = c->deadline;
@@ -219,6 +241,21 @@
 	}
 }
 
+/* Releases a slot as forward.c does, with and without fair scheduling. */
+static void
+replay_release(
+    replay_t *r, unsigned id, const grant_report_t *report, double now)
+{
+	const try_t *t = &r->tries[id];
+	grant_report_t cut_off = forward_cut_off_report(
+	    &(forward_cut_off_t){.stream = true, .ran = now - t->started});
+
+	if (t->mute)
+		report = r->fair ? &cut_off : NULL;
+	admission_release(
+	    r->a, t->caller % 2 == 0 ? "h1" : "h2", id, report, now);
+}
+
 static void
 replay_ends(replay_t *r, double now)
 {
@@ -239,8 +276,7 @@
 			continue;
 		}
 		r->running[i] = r->running[--r->running_count];
-		admission_release(
-		    r->a, t->caller % 2 == 0 ? "h1" : "h2", id, &report, now);
+		replay_release(r, id, &report, now);
 		if (t->fails)
 			replay_ask(
 			    r, t->caller, endpoint_names[t->endpoint], now);
@@ -327,6 +363,7 @@
 
 	memset(r, 0, sizeof(*r));
 	r->scenario = scenario;
+	r->fair = fair;
 	r->a = admission_new(11);
 	r->rng = rng_seeded(12);
 	r->begin = 1000;
@@ -555,7 +592,35 @@
 	CU_ASSERT(after->all.on_time == after->all.callers);
 }
 
+/*
+ * A fifth of the endpoints give no answer. Requests that are granted a slot
+ * there reach their deadline without one, and without a report the slots that
+ * they leave look like the best ones.
+ */
+static void
+test_endpoints_without_answer(void)
+{
+	const scenario_t scenario = {
+	    .orgs = {{"acme", 1, 1, 0}},
+	    .org_count = 1,
+	    .phases = {{20, 150, 0, 0}},
+	    .phase_count = 1,
+	    .mute = 0.2,
+	    .mute_from = 3,
+	    .mute_until = 18,
+	};
+	const replay_t *before = replay_run(&scenario, false);
+	const replay_t *after = replay_run(&scenario, true);
+
+	replay_print(before, "off");
+	replay_print(after, "on");
+	printf("\n");
+	CU_ASSERT(after->all.cut_off * 2 < before->all.cut_off);
+	CU_ASSERT(after->all.on_time > before->all.on_time);
+}
+
 static const suite_test_t tests[] = {
+    {"endpoints without answer", test_endpoints_without_answer},
     {"large organisation", test_large_organisation},
     {"priorities", test_priorities},
     {"calm load", test_calm},
--- a/tests/test_forward_plan.c
+++ b/tests/test_forward_plan.c
@@ -191,7 +191,40 @@
 	CU_ASSERT(!forward_shows_run_time(false, 0, -RESULT_CANCELLED));
 }
 
+/*
+ * An endpoint that gave no answer until the caller's deadline must be reported;
+ * without a report it is the least loaded one and gets the next request. A
+ * request that only had little time, and one whose answer is no stream, say
+ * nothing about their endpoint.
+ */
+static void
+test_cut_off_is_reported(void)
+{
+	forward_cut_off_t cut_off = {.stream = true, .ran = 4.2};
+	grant_report_t report = forward_cut_off_report(&cut_off);
+
+	CU_ASSERT(report.rc == -RESULT_ENDPOINT_SILENT);
+	CU_ASSERT(report.first_token_seconds == 4.2);
+	CU_ASSERT(report.run_seconds == 4.2 && report.events == 0);
+	cut_off.ran = 0.4;
+	report = forward_cut_off_report(&cut_off);
+	CU_ASSERT(report.rc == -RESULT_CANCELLED);
+	CU_ASSERT(report.first_token_seconds == 0);
+	cut_off = (forward_cut_off_t){.stream = false, .ran = 4.2};
+	CU_ASSERT(forward_cut_off_report(&cut_off).rc == -RESULT_CANCELLED);
+	/* A slow stream: its pace is reported, but it is no failure. */
+	cut_off = (forward_cut_off_t){.stream = true,
+	    .ran = 4.2,
+	    .first_event_seconds = 0.6,
+	    .events = 9};
+	report = forward_cut_off_report(&cut_off);
+	CU_ASSERT(report.rc == -RESULT_CANCELLED);
+	CU_ASSERT(report.first_token_seconds == 0.6);
+	CU_ASSERT(report.run_seconds == 4.2 && report.events == 9);
+}
+
 static const suite_test_t tests[] = {
+    {"a cut off attempt is reported", test_cut_off_is_reported},
     {"failures show no run time", test_failures_show_no_run_time},
     {"a shutdown sends what ends in time",
 	test_shutdown_sends_what_ends_in_time},
