--- a/src/admission.c
+++ b/src/admission.c
@@ -397,7 +397,9 @@
 	if (org->quota.rate <= 0 && request->requests_per_s > 0)
 		quota_init(&org->quota, request->requests_per_s, now);
 	quota_set_rate(&org->quota, request->requests_per_s, now);
-	wait = admission_estimate_wait(a, org, now);
+	wait = admission_fair_decides(a, now)
+		   ? 0
+		   : admission_estimate_wait(a, org, now);
 	grant = slot_grant_new(a, request->id,
 	    slot_holder_find_or_create(a, request->holder), org,
 	    request->class);
--- a/src/admission_fair.c
+++ b/src/admission_fair.c
@@ -142,6 +142,10 @@
 		return (0);
 	if (wait_queue_last(queue)->priority < priority)
 		return ((double)queue->count);
+	/* The usual case, without a walk: late ones are few after a tick. */
+	if (entry->priority == priority &&
+	    wait_queue_last(queue)->priority == priority)
+		return (fmin((double)queue->count, share));
 	for (; entry != NULL && entry->priority <= priority;
 	     entry = wait_queue_next(entry)) {
 		urgent += entry->priority < priority;
--- a/src/admission_schedule.c
+++ b/src/admission_schedule.c
@@ -291,7 +291,8 @@
 	a->schedule_round++;
 	if (is_by_priority(a, class))
 		LIST_FOREACH (org, &a->orgs, entry)
-			wait_queue_demote_late(&org->queue[class], now);
+			if (org->queue[class].count > 0)
+				wait_queue_demote_late(&org->queue[class], now);
 	while (a->free_slots > reserved_slots) {
 		if (guarded && grant_starved(a, now))
 			continue;
--- a/src/admission_share.c
+++ b/src/admission_share.c
@@ -138,14 +138,17 @@
 	slot_zone_t *zone;
 
 	LIST_FOREACH (org, &a->orgs, entry) {
-		double fraction = served_share_fraction(&org->share, now);
+		double fraction;
 		slot_grant_t *grant;
 
 		if (org->queue[GRANT_ONLINE].count == 0 ||
-		    fraction >= best_fraction ||
 		    served_share_deficit(&org->share, &a->share, now) == 0)
 			continue;
-		grant = first_on_time(a, &org->queue[GRANT_ONLINE], NULL, now);
+		fraction = served_share_fraction(&org->share, now);
+		grant =
+		    fraction < best_fraction
+			? first_on_time(a, &org->queue[GRANT_ONLINE], NULL, now)
+			: NULL;
 		if (grant != NULL) {
 			best = grant;
 			best_fraction = fraction;
