Admission: a second try is promised nothing

A caller that was refused without a promise tries once more; a promise given to it then was never used and kept the room from others. Its deadline tells it from callers that come for the first time.

--- a/src/admission_fair.c
+++ b/src/admission_fair.c
@@ -111,6 +111,9 @@
 	    str_of(grant->org->name), grant->caller_deadline, now);
 	if (grant->is_return)
 		admission_count(a, FAIR_RETURN);
+	else
+		grant->is_second_try = return_promises_was_refused(&a->promises,
+		    str_of(grant->org->name), grant->caller_deadline, now);
 }
 
 /*
@@ -346,6 +349,8 @@
 		due = now + admission_estimate_wait(a, grant->org, now);
 	due += RETRY_SPREAD_S * (double)rng_below(&a->rng, 1000) / 1000;
 
+	return_promises_note_refusal(&a->promises, str_of(grant->org->name),
+	    grant->caller_deadline, now);
 	refuse_early(a, grant, fmin(due - now, MAX_RETRY_S), false, now);
 }
 
@@ -358,8 +363,9 @@
 bool
 admission_fair_judge(admission_t *a, slot_grant_t *grant, double now)
 {
-	bool may_return =
-	    !grant->is_return && !slot_grant_admitted_before(grant);
+	/* A caller tries twice. */
+	bool may_return = !grant->is_return && !grant->is_second_try &&
+			  !slot_grant_admitted_before(grant);
 	double start;
 
 	if (!admission_has_usable_endpoint(a))
--- a/src/admission_state.h
+++ b/src/admission_state.h
@@ -112,6 +112,7 @@
 	double since;			 /* time of the request or the grant */
 	double revoked_at;		 /* time of the revocation */
 	bool is_return;			 /* its slot was promised */
+	bool is_second_try;		 /* it was refused without a promise */
 	bool listed;			 /* in the current report */
 	wait_entry_t wait;		 /* in slot_org_t.queue */
 	TAILQ_ENTRY(slot_grant_t) order; /* batch_held, revoked */
--- a/src/return_promises.c
+++ b/src/return_promises.c
@@ -28,6 +28,8 @@
  * not taken for one.
  */
 #define RECOGNITION_S 10.0
+/* Callers return no earlier than that. */
+#define MIN_RETURN_S 0.2
 
 struct return_promise_t {
 	char org[NAME_SIZE];
@@ -139,6 +141,52 @@
 	return (true);
 }
 
+/* Returns the key of a refusal, for deadlines that differ by little. */
+static uint64_t
+refusal_key(str_t org, long long slot)
+{
+	return (str_hash(org, (uint64_t)slot));
+}
+
+/* Remembers a refusal without a promise until its caller's deadline. */
+void
+return_promises_note_refusal(
+    return_promises_t *promises, str_t org, double caller_deadline, double now)
+{
+	uint64_t key = refusal_key(
+	    org, (long long)floor(caller_deadline / DEADLINE_TOLERANCE_S));
+
+	/* The oldest of equal ones is known for the longest time. */
+	if (promises->refusals[key % RETURN_REFUSALS].key == key)
+		return;
+	promises->refusals[key % RETURN_REFUSALS].key = key;
+	promises->refusals[key % RETURN_REFUSALS].at = now;
+}
+
+/*
+ * Returns whether a request is probably the second try of a caller that was
+ * refused without a promise. The deadlines of callers that come for the first
+ * time are later than those of the refusals of MIN_RETURN_S ago.
+ */
+bool
+return_promises_was_refused(const return_promises_t *promises, str_t org,
+    double caller_deadline, double now)
+{
+	long long slot =
+	    (long long)floor(caller_deadline / DEADLINE_TOLERANCE_S);
+
+	/* On its way it may have got a little later. */
+	for (int i = -1; i <= 0; i++) {
+		uint64_t key = refusal_key(org, slot + i);
+		size_t index = key % RETURN_REFUSALS;
+
+		if (promises->refusals[index].key == key &&
+		    now - promises->refusals[index].at >= MIN_RETURN_S)
+			return (true);
+	}
+	return (false);
+}
+
 /* Removes and counts the promises whose callers have not returned. */
 void
 return_promises_expire(return_promises_t *promises, double now)
--- a/tests/test_admission_fair.c
+++ b/tests/test_admission_fair.c
@@ -592,6 +592,30 @@
 	CU_ASSERT(after->all.on_time == after->all.callers);
 }
 
+/*
+ * A burst of a second leaves room after it: callers who are told when to return
+ * must be on time then, where they would have been late or refused.
+ */
+static void
+test_short_burst(void)
+{
+	const scenario_t scenario = {
+	    .orgs = {{"acme", 1, 1, 0}},
+	    .org_count = 1,
+	    .phases = {{3, 150, 0, 0}, {4, 750, 0, 0}, {9, 150, 0, 0}},
+	    .phase_count = 3,
+	};
+	const replay_t *before = replay_run(&scenario, false);
+	const replay_t *after = replay_run(&scenario, true);
+
+	replay_print(before, "off");
+	replay_print(after, "on");
+	printf("\n");
+	CU_ASSERT(after->refusals_at_end == 0);
+	CU_ASSERT(after->all.on_time > before->all.on_time);
+	CU_ASSERT(after->all.told_refused <= after->all.told * 0.02);
+}
+
 /*
  * A fifth of the endpoints give no answer. Requests that are granted a slot
  * there reach their deadline without one, and without a report the slots that
@@ -620,6 +644,7 @@
 }
 
 static const suite_test_t tests[] = {
+    {"short burst", test_short_burst},
     {"endpoints without answer", test_endpoints_without_answer},
     {"large organisation", test_large_organisation},
     {"priorities", test_priorities},
--- a/tests/test_return_promises.c
+++ b/tests/test_return_promises.c
@@ -102,7 +102,31 @@
 	return_promises_clear(&promises);
 }
 
+/*
+ * A caller that was refused without a promise tries only once more; what is
+ * promised to it then would be lost. New callers must not be taken for one.
+ */
+static void
+test_second_try(void)
+{
+	return_promises_t promises;
+
+	return_promises_init(&promises);
+	return_promises_note_refusal(&promises, STR("acme"), 15, 10);
+	/* Another caller that came at nearly the same time. */
+	CU_ASSERT(
+	    !return_promises_was_refused(&promises, STR("acme"), 15.01, 10.01));
+	CU_ASSERT(
+	    return_promises_was_refused(&promises, STR("acme"), 15.01, 11.6));
+	CU_ASSERT(
+	    !return_promises_was_refused(&promises, STR("acme"), 16.6, 11.6));
+	CU_ASSERT(
+	    !return_promises_was_refused(&promises, STR("other"), 15, 11.6));
+	return_promises_clear(&promises);
+}
+
 static const suite_test_t tests[] = {
+    {"second try", test_second_try},
     {"times are spread", test_times_are_spread},
     {"due until returned or expired", test_due_until_returned_or_expired},
     {"recognition", test_recognition},
