--- a/src/slot_rate.c
+++ b/src/slot_rate.c
@@ -16,8 +16,8 @@
 /* 15 buckets of 0.1 s: a window of 1.5 s. */
 #define BUCKET_S 0.1
 /*
- * The mean over the last hundred requests counts as this many ended ones, so
- * that a window with few requests gives a usable rate.
+ * The mean over about the last fifty requests counts as this many ended ones,
+ * so that a window with few requests gives a usable rate.
  */
 #define PRIOR_COUNT	     3.0
 #define MEAN_RUN_EWMA_WEIGHT 0.02
--- a/tests/test_admission.c
+++ b/tests/test_admission.c
@@ -1005,7 +1005,94 @@
 	admission_delete(t.a);
 }
 
+/* Sends a request with random properties. */
+static void
+request_random(pool_fixture_t *t, rng_t *rng)
+{
+	static const char *const orgs[] = {"acme", "large", "small", "late"};
+	double limit = 0.2 + (double)rng_below(rng, 50) / 10;
+
+	request_with(t,
+	    &(admission_request_t){
+		.class = rng_below(rng, 4) == 0 ? GRANT_BATCH : GRANT_ONLINE,
+		.org = orgs[rng_below(rng, 4)],
+		.zone = rng_below(rng, 2) == 0 ? "east" : "west",
+		.priority = (unsigned)rng_below(rng, 3),
+		.weight = 1 + (unsigned)rng_below(rng, 5),
+		.output_tokens = (unsigned)rng_below(rng, 100),
+		.avoid = rng_below(rng, 20) == 0 ? "e1" : NULL,
+		.start_by = rng_below(rng, 5) == 0 ? 0 : t->now + 0.25 * limit,
+		.deadline = t->now + 0.6 * limit,
+		.caller_deadline = t->now + limit,
+	    });
+}
+
+/* Ends or withdraws one of the last requests that still exist. */
+static void
+release_random(pool_fixture_t *t, rng_t *rng)
+{
+	uint64_t id = t->next_id - 1 - rng_below(rng, 60);
+
+	while (id > 0 && t->next_id - id < 4000 &&
+	       !admission_release(t->a, "h1", id, NULL, t->now))
+		id--;
+	drain_actions(t);
+}
+
+/*
+ * The same with fair scheduling: in addition no slot may stay free while an
+ * online request waits, and no refusal may lack a time to return.
+ */
+static void
+test_random_events_with_fair_scheduling(void)
+{
+	pool_fixture_t t;
+	admission_stats_t stats;
+	rng_t rng = rng_seeded(12);
+
+	setup(&t, &fair_settings, 4, 3);
+	for (int i = 0; i < 40000; i++) {
+		t.now += 0.004;
+		t.last.kind = ADMISSION_GRANT;
+		switch (rng_below(&rng, 7)) {
+		case 0:
+			admission_tick(t.a, t.now);
+			drain_actions(&t);
+			break;
+		case 1:
+		case 2:
+			release_random(&t, &rng);
+			break;
+		default:
+			request_random(&t, &rng);
+			break;
+		}
+		admission_stats(t.a, t.now, &stats);
+		CU_ASSERT_FATAL(stats.online + stats.batch <= 12);
+		/* Some requests avoid e1. */
+		CU_ASSERT_FATAL(stats.online_waiting == 0 ||
+				admission_in_use(t.a, "e0") +
+					admission_in_use(t.a, "e2") +
+					admission_in_use(t.a, "e3") ==
+				    9);
+		CU_ASSERT_FATAL(
+		    t.last.kind != ADMISSION_REFUSE ||
+		    (t.last.retry_after >= 0 && t.last.retry_after < 60));
+	}
+	printf("%u granted, %u refused, %llu promised, %llu out of order\n",
+	    t.granted, t.refused, (unsigned long long)stats.refused_return,
+	    (unsigned long long)stats.granted_starved);
+	CU_ASSERT(stats.refused_return > 0 && stats.granted_starved > 0);
+	admission_remove_holder(t.a, "h1", t.now);
+	admission_stats(t.a, t.now, &stats);
+	CU_ASSERT(stats.online + stats.batch + stats.revoking == 0);
+	CU_ASSERT(stats.online_waiting + stats.batch_waiting == 0);
+	admission_delete(t.a);
+}
+
 static const suite_test_t tests[] = {
+    {"random events with fair scheduling",
+	test_random_events_with_fair_scheduling},
     {"short request among long ones", test_short_request_among_long_ones},
     {"zone is not starved", test_zone_is_not_starved},
     {"urgent request first", test_urgent_request_first},
