--- a/src/admission_state.h
+++ b/src/admission_state.h
@@ -127,6 +127,7 @@
 	double since;			 /* time of the request or the grant */
 	double revoked_at;		 /* time of the revocation */
 	bool is_return;			 /* its slot was promised */
+	bool is_second_try;		 /* it was refused without a promise */
 	bool listed;			 /* in the current report */
 	bool limited;			 /* counts against the limit */
 	bool has_token;			 /* of its organisation's limit */
