Admission: priorities without early refusals; measured speed apart

Change: three switches in place of one. Where the configuration holds organisations, online requests are served by priority and nobody is starved, without early refusals. fair_scheduling adds the early refusals and measured_speed the placement; both stay off unless a deployment's settings ask for them.

--- a/src/admission.c
+++ b/src/admission.c
@@ -330,9 +330,8 @@
 		    fmax(org->virtual_start[class], a->virtual_time[class]);
 	grant->state = SLOT_WAITING;
 	wait_queue_add_ranked(&org->queue[class], &grant->wait,
-	    a->settings.fair_scheduling && class == GRANT_ONLINE
-		? grant->priority
-		: 0,
+	    a->settings.by_priority && class == GRANT_ONLINE ? grant->priority
+							     : 0,
 	    slot_grant_goes_first(grant, now), now);
 	a->waiting[class]++;
 }
@@ -372,15 +371,11 @@
 		grant_refuse(a, grant, rc, wait);
 		return;
 	}
-	if (admission_fair_decides(a, now)) {
+	if (admission_guards_shares(a, now))
 		admission_fair_demand(a, grant, now);
-		admission_schedule(a, now);
-		if (grant->state == SLOT_WAITING)
-			admission_fair_judge(a, grant, now);
-		enforce_queue_limit(a, now);
-		return;
-	}
 	admission_schedule(a, now);
+	if (admission_fair_decides(a, now) && grant->state == SLOT_WAITING)
+		admission_fair_judge(a, grant, now);
 	enforce_queue_limit(a, now);
 }
 
--- a/src/admission.h
+++ b/src/admission.h
@@ -24,8 +24,12 @@
 	double revoke_timeout;	 /* seconds a holder has to release a slot */
 	/* Seconds after which a holder without messages is silent; 0: never. */
 	double silent_after;
-	/* Priorities, early refusals and measured speed decide; see design. */
+	/* Online requests are served by priority, and none is starved. */
+	bool by_priority;
+	/* The same, and what cannot be served in time is refused early. */
 	bool fair_scheduling;
+	/* The endpoints' measured speed and failing paths decide. */
+	bool measured_speed;
 } admission_settings_t;
 
 /* A request for a grant; strings are copied. */
--- a/src/admission_endpoints.c
+++ b/src/admission_endpoints.c
@@ -211,6 +211,7 @@
 	if (a->settings.silent_after <= 0)
 		a->running_since = now;
 	a->settings = *settings;
+	a->settings.by_priority |= settings->fair_scheduling;
 	for (size_t i = 0; i < a->endpoint_count; i++) {
 		a->endpoints[i]->leaving = true;
 		a->endpoints[i]->configured = false;
@@ -225,7 +226,7 @@
 			if (!pool_is_new)
 				slow_start_begin(&e->slow_start);
 		}
-		e->soft_limits = settings->fair_scheduling;
+		e->soft_limits = settings->measured_speed;
 		str_copy(e->id.address, sizeof(e->id.address),
 		    str_of(config->address));
 		str_copy(e->zone, sizeof(e->zone), str_of(config->zone));
--- a/src/admission_fair.c
+++ b/src/admission_fair.c
@@ -35,6 +35,16 @@
 /* Refusals that are logged per second. */
 #define MAX_LOGGED_REFUSALS 10
 
+/*
+ * Returns whether organisations and zones are guarded against starvation now;
+ * not while grants are unknown.
+ */
+bool
+admission_guards_shares(const admission_t *a, double now)
+{
+	return (a->settings.by_priority && now >= a->restricted_until);
+}
+
 /* Returns whether fair scheduling decides now; not while grants are unknown. */
 bool
 admission_fair_decides(const admission_t *a, double now)
--- a/src/admission_paths.c
+++ b/src/admission_paths.c
@@ -71,7 +71,7 @@
     const slot_holder_t *holder, const grant_report_t *report, double now)
 {
 	double suspect_until = endpoint->ejector.suspect_until;
-	bool keep = a->settings.fair_scheduling &&
+	bool keep = a->settings.measured_speed &&
 		    report->rc == -RESULT_ENDPOINT_UNREACHABLE &&
 		    answered_other_lately(holder, endpoint, now);
 
@@ -91,7 +91,7 @@
 	slot_endpoint_t *endpoint = grant->endpoint;
 	bool known = false;
 
-	if (a->settings.fair_scheduling && is_path_failure(report->rc)) {
+	if (a->settings.measured_speed && is_path_failure(report->rc)) {
 		known = is_known_failure(holder, endpoint, now);
 		holder_add_failure(holder, endpoint, report->rc, now);
 	} else if (report->rc == 0) {
--- a/src/admission_schedule.c
+++ b/src/admission_schedule.c
@@ -99,7 +99,7 @@
 	route_cost_params_t cost;
 	size_t i;
 
-	if (a->settings.fair_scheduling) {
+	if (a->settings.measured_speed) {
 		admission_cost_params(a, grant, &cost);
 		params.cost = &cost;
 	}
@@ -129,7 +129,7 @@
 static bool
 is_by_priority(const admission_t *a, grant_class_t class)
 {
-	return (a->settings.fair_scheduling && class == GRANT_ONLINE);
+	return (a->settings.by_priority && class == GRANT_ONLINE);
 }
 
 /* Returns the request of an organisation to try next in this round, or NULL. */
@@ -301,7 +301,7 @@
 schedule_class(
     admission_t *a, grant_class_t class, unsigned reserved_slots, double now)
 {
-	bool guarded = class == GRANT_ONLINE && admission_fair_decides(a, now);
+	bool guarded = class == GRANT_ONLINE && admission_guards_shares(a, now);
 	slot_org_t *org;
 
 	if (a->waiting[class] == 0)
--- a/src/admission_share.c
+++ b/src/admission_share.c
@@ -82,7 +82,7 @@
 {
 	slot_zone_t *zone;
 
-	if (!a->settings.fair_scheduling || grant->class != GRANT_ONLINE ||
+	if (!a->settings.by_priority || grant->class != GRANT_ONLINE ||
 	    slot_grant_admitted_before(grant))
 		return;
 	zone = zone_find_or_create(a, grant->zone);
--- a/src/admission_speed.c
+++ b/src/admission_speed.c
@@ -66,7 +66,7 @@
 void
 slot_endpoints_refresh_speed(admission_t *a, double now)
 {
-	if (!a->settings.fair_scheduling)
+	if (!a->settings.measured_speed)
 		return;
 	for (size_t i = 0; i < a->endpoint_count; i++)
 		endpoint_refresh_speed(a, a->endpoints[i], now);
@@ -92,7 +92,7 @@
 	};
 
 	/* A request that was turned away at once did not run. */
-	if (!a->settings.fair_scheduling ||
+	if (!a->settings.measured_speed ||
 	    report->rc == -RESULT_ENDPOINT_UNREACHABLE ||
 	    report->rc == -RESULT_ENDPOINT_REFUSED)
 		return;
--- a/src/admission_state.h
+++ b/src/admission_state.h
@@ -241,6 +241,7 @@
 void admission_count(admission_t *a, fair_event_t event);
 
 /* admission_fair.c */
+bool admission_guards_shares(const admission_t *a, double now);
 bool admission_fair_decides(const admission_t *a, double now);
 void admission_fair_arrival(admission_t *a, slot_grant_t *grant, double now);
 void admission_fair_demand(
--- a/src/config.h
+++ b/src/config.h
@@ -90,6 +90,7 @@
 	size_t endpoint_count;
 	config_org_t *orgs;
 	size_t org_count;
+	bool has_orgs;	  /* of the gateway: requests belong to organisations */
 	bool limits_orgs; /* the rates of orgs hold over all hosts of a site */
 	config_operator_t *operators;
 	size_t operator_count;
--- a/src/endpoint_set.c
+++ b/src/endpoint_set.c
@@ -442,6 +442,7 @@
 static void
 config_add_orgs(fleet_config_t *config, const routing_table_t *table)
 {
+	config->has_orgs = table->has_orgs;
 	config->orgs = xcalloc(
 	    table->org_count + table->route_count + 1, sizeof(*config->orgs));
 	for (size_t i = 0; i < table->org_count; i++) {
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -195,6 +195,7 @@
 	    .site = settings->site,
 	    .mode = GRANTS_POOL,
 	    .fair_scheduling = settings->fair_scheduling,
+	    .measured_speed = settings->measured_speed,
 	    .config = get_fleet_config,
 	    .members = get_members,
 	    .endpoint_leaving = gateway_endpoint_leaving,
--- a/src/gateway_settings.c
+++ b/src/gateway_settings.c
@@ -67,8 +67,15 @@
 	.choices = "no|yes",
 	.offset = offsetof(gateway_settings_t, fair_scheduling),
 	.description = "Serve by priority and fair shares when slots are "
-		       "scarce, refuse early, and place by the endpoints' "
-		       "measured speed"},
+		       "scarce, and refuse early what cannot be served"},
+    {.name = "measured_speed",
+	.type = SCHEMA_BOOL,
+	.initial = "no",
+	.choices = "no|yes",
+	.offset = offsetof(gateway_settings_t, measured_speed),
+	.description = "Place requests by the endpoints' measured speed, fill "
+		       "new endpoints slowly, and avoid endpoints that only "
+		       "this host cannot reach"},
     NUMBER(memory_mb, SCHEMA_UINT, "MB", "0", 0, 1048576,
 	"Memory of this process; bodies and responses that it holds are "
 	"bounded by it; 0: unlimited"),
--- a/src/gateway_settings.h
+++ b/src/gateway_settings.h
@@ -26,6 +26,7 @@
 	double stop_s;		/* time limit of a graceful shutdown */
 	unsigned revoke_ms;   /* until a revoked key is refused; 0: no limit */
 	bool fair_scheduling; /* see admission_settings_t */
+	bool measured_speed;  /* likewise */
 	unsigned memory_mb;   /* memory of this process; 0: unlimited */
 	unsigned max_body_bytes;
 	char *log_level_name;
--- a/src/grants.h
+++ b/src/grants.h
@@ -79,6 +79,7 @@
 	const char *site;
 	grants_mode_t mode;
 	bool fair_scheduling; /* see admission_settings_t */
+	bool measured_speed;  /* likewise */
 	/* Returns the active configuration; NULL until one has been loaded. */
 	const fleet_config_t *(*config)(void *ctx);
 	/* Returns all known hosts, including this one. */
--- a/src/grants_admit.c
+++ b/src/grants_admit.c
@@ -83,7 +83,9 @@
 		settings.online_reserve = p->online_reserve;
 		settings.queue_limit = p->queue_limit;
 		settings.revoke_timeout = config->fleet.revoke_timeout_ms / 1e3;
+		settings.by_priority = config->has_orgs;
 		settings.fair_scheduling = grants->params.fair_scheduling;
+		settings.measured_speed = grants->params.measured_speed;
 		/* Hosts send nothing to one that has lost the role. */
 		if (pool->is_admitting)
 			settings.silent_after = SILENT_AFTER_S;
--- a/src/grants_gauges.c
+++ b/src/grants_gauges.c
@@ -27,7 +27,7 @@
 {
 	admission_stats_t stats = {0};
 
-	if (!pool->grants->params.fair_scheduling ||
+	if (!pool->grants->params.measured_speed ||
 	    now < pool->next_gauge_update)
 		return;
 	pool->next_gauge_update = now + INTERVAL_S;
--- a/tests/harness_gateways.c
+++ b/tests/harness_gateways.c
@@ -82,7 +82,9 @@
 	    "key = a-key-for-tests-only\nkeep_s = 0.5\nstop_s = 4\n%s%s",
 	    name, ip, zone_of(host), store, ip, fleet->callers_port, ip,
 	    fleet->readiness_port, ip, fleet->directory_port, fleet->peer_port,
-	    fleet->params.fair_scheduling ? "fair_scheduling = yes\n" : "",
+	    fleet->params.fair_scheduling
+		? "fair_scheduling = yes\nmeasured_speed = yes\n"
+		: "",
 	    fleet->params.settings != NULL ? fleet->params.settings : "");
 	harness_write_file(name, text, path, sizeof(path));
 	fleet->hosts[host] = harness_start("daisypier-gateway",
--- a/tests/test_admission.c
+++ b/tests/test_admission.c
@@ -701,6 +701,7 @@
 
 	check_random_events(&settings);
 	fair.fair_scheduling = true;
+	fair.measured_speed = true;
 	check_random_events(&fair);
 }
 
@@ -910,6 +911,7 @@
     .queue_limit = 100,
     .revoke_timeout = 0.5,
     .fair_scheduling = true,
+    .measured_speed = true,
 };
 
 /* A slot must go to the most urgent request, whichever organisation waits. */
@@ -949,7 +951,8 @@
 	const admission_settings_t s = {.queue_limit = 100,
 	    .revoke_timeout = 0.5,
 	    .silent_after = 1.5,
-	    .fair_scheduling = true};
+	    .fair_scheduling = true,
+	    .measured_speed = true};
 	pool_fixture_t t;
 
 	setup(&t, &s, 1, 2);
--- a/tests/test_fail_scarcity.c
+++ b/tests/test_fail_scarcity.c
@@ -115,10 +115,11 @@
 {
 	scarce_caller_t sum;
 
-	gateways_start(&fleet, &(gateways_params_t){.hosts = HOSTS,
-				   .engines = 1,
-				   .event_ms = EVENT_MS,
-				   .settings = "fair_scheduling = yes\n"});
+	gateways_start(&fleet,
+	    &(gateways_params_t){.hosts = HOSTS,
+		.engines = 1,
+		.event_ms = EVENT_MS,
+		.settings = "fair_scheduling = yes\nmeasured_speed = yes\n"});
 	for (unsigned i = 0; i < 4; i++) {
 		char id[32];
 
@@ -200,9 +201,10 @@
 	mute_endpoint_t mute;
 	unsigned failed = 0;
 
-	gateways_start(&fleet, &(gateways_params_t){.hosts = 1,
-				   .engines = 1,
-				   .settings = "fair_scheduling = yes\n"});
+	gateways_start(&fleet,
+	    &(gateways_params_t){.hosts = 1,
+		.engines = 1,
+		.settings = "fair_scheduling = yes\nmeasured_speed = yes\n"});
 	mute_start(&mute);
 	for (unsigned i = 0; i < 24; i++) {
 		char id[32];
--- a/tests/test_path_failures.c
+++ b/tests/test_path_failures.c
@@ -25,8 +25,10 @@
 static void
 configure(fixture_t *t, size_t count)
 {
-	admission_settings_t settings = {
-	    .queue_limit = 100, .revoke_timeout = 0.5, .fair_scheduling = true};
+	admission_settings_t settings = {.queue_limit = 100,
+	    .revoke_timeout = 0.5,
+	    .fair_scheduling = true,
+	    .measured_speed = true};
 	admission_endpoint_t list[ENDPOINTS] = {0};
 
 	for (size_t i = 0; i < count; i++)
--- a/tests/test_uneven_endpoints.c
+++ b/tests/test_uneven_endpoints.c
@@ -227,7 +227,8 @@
 	static const char *const zones[] = {"east", "west", "north"};
 	admission_settings_t settings = {.queue_limit = 1000,
 	    .revoke_timeout = 0.5,
-	    .fair_scheduling = fair};
+	    .fair_scheduling = fair,
+	    .measured_speed = fair};
 	admission_endpoint_t list[ENDPOINTS] = {0};
 	char names[ENDPOINTS][8];
 	model_t *m = xcalloc(1, sizeof(*m));
