--- a/src/org_quota.c
+++ b/src/org_quota.c
@@ -170,7 +170,8 @@
 	if (bucket->promised_at > now)
 		next = fmax(next, bucket->promised_at + 1 / bucket->rate);
 	bucket->promised_at = fmin(next, now + MAX_RETRY_AFTER_S);
-	return (bucket->promised_at - now);
+	/* Callers are told hundredths of a second, which must not be early. */
+	return (ceil((bucket->promised_at - now) * 100 - TOKEN_EPSILON) / 100);
 }
 
 /*
