--- a/tests/test_fail_org_quota.c
+++ b/tests/test_fail_org_quota.c
@@ -20,13 +20,15 @@
 #define BEFORE_S     2.5
 #define AFTER_S	     10.0
 #define SENDERS	     6
+#define CALM_SENDERS 2
+#define FROZEN_S     4.0
 #define SENDER_PAUSE 0.015
 #define CALM_PAUSE   0.12
 #define MAX_RUNS     20000
 
 static gateways_t fleet;
 static char journal[512];
-static volatile unsigned killed_host = HOSTS;
+static volatile unsigned failed_host = HOSTS;
 static volatile bool stop_senders;
 
 /* A thread that sends requests of one organisation to the living hosts. */
@@ -66,7 +68,7 @@
 	char key[64];
 	char *retry;
 
-	if (host == killed_host)
+	if (host == failed_host)
 		host = (host + 1) % HOSTS;
 	gateways_caller_url(&fleet, host, base, sizeof(base));
 	snprintf(url, sizeof(url), "%s%s%u", base, GATEWAYS_ONCE, number);
@@ -164,46 +166,46 @@
 	return (largest);
 }
 
-/*
- * Guards against more than an organisation's limit when the host that keeps
- * its tokens is killed while it sends far more, and against refusals of an
- * organisation within its limit.
- */
+/* Sends the admitting host a signal, and a frozen one SIGCONT later. */
 static void
-test_admitting_host_killed(void)
+fail_admitting_host(FILE *file, int signal_number)
 {
-	sender_t senders[SENDERS + 2] = {0};
-	pthread_t threads[SENDERS + 2];
-	const double limit = (LARGE_RATE * WINDOW_S + LARGE_BURST) * 1.1 + 20;
-	unsigned sent = 0;
-	FILE *file;
+	unsigned host = admitting_host();
 
-	snprintf(journal, sizeof(journal), "%s/runs", harness_folder());
-	file = fopen(journal, "w+");
-	CU_ASSERT_FATAL(file != NULL);
-	gateways_start(&fleet, &(gateways_params_t){.hosts = HOSTS,
-				   .journal = journal,
-				   .logs = getenv("ORG_QUOTA_LOGS")});
-	configure_orgs();
-	/* The bucket fills from empty. */
-	harness_sleep(6);
-	for (unsigned i = 0; i < SENDERS + 2; i++) {
+	watch_runs(file, BEFORE_S);
+	failed_host = host;
+	harness_signal(fleet.hosts[host], signal_number);
+	watch_runs(file, FROZEN_S);
+	if (signal_number == SIGSTOP) {
+		harness_signal(fleet.hosts[host], SIGCONT);
+		failed_host = HOSTS;
+	}
+	watch_runs(file, AFTER_S - FROZEN_S);
+}
+
+static void
+start_senders(sender_t *senders, pthread_t *threads)
+{
+	stop_senders = false;
+	for (unsigned i = 0; i < SENDERS + CALM_SENDERS; i++) {
 		bool calm = i >= SENDERS;
 
-		senders[i].index = i;
-		senders[i].key = calm ? "key-calm" : "key-large";
-		senders[i].prefix = calm ? "C" : "L";
-		senders[i].pause = calm ? CALM_PAUSE : SENDER_PAUSE;
+		senders[i] = (sender_t){
+		    .index = i,
+		    .key = calm ? "key-calm" : "key-large",
+		    .prefix = calm ? "C" : "L",
+		    .pause = calm ? CALM_PAUSE : SENDER_PAUSE,
+		};
 		pthread_create(&threads[i], NULL, run_sender, &senders[i]);
 	}
-	watch_runs(file, BEFORE_S);
-	killed_host = admitting_host();
-	harness_kill(fleet.hosts[killed_host]);
-	fleet.hosts[killed_host] = NULL;
-	watch_runs(file, AFTER_S);
-	stop_senders = true;
-	for (unsigned i = 0; i < SENDERS + 2; i++)
-		pthread_join(threads[i], NULL);
+}
+
+static void
+check_senders(const sender_t *senders)
+{
+	const double limit = (LARGE_RATE * WINDOW_S + LARGE_BURST) * 1.1 + 20;
+	unsigned sent = 0;
+
 	for (unsigned i = 0; i < SENDERS; i++) {
 		sent +=
 		    senders[i].answered + senders[i].limited + senders[i].other;
@@ -211,7 +213,7 @@
 	}
 	printf("large: %u sent, %zu ran, at most %zu in %.0f s of %.0f; calm: ",
 	    sent, run_count, largest_window(), WINDOW_S, limit);
-	for (unsigned i = SENDERS; i < SENDERS + 2; i++) {
+	for (unsigned i = SENDERS; i < SENDERS + CALM_SENDERS; i++) {
 		printf("%u answered, %u limited, %u other; ",
 		    senders[i].answered, senders[i].limited, senders[i].other);
 		CU_ASSERT(senders[i].answered > 50);
@@ -222,12 +224,62 @@
 	/* The limit is used: no less than half of the rate. */
 	CU_ASSERT((double)run_count > (BEFORE_S + AFTER_S) * LARGE_RATE / 2);
 	CU_ASSERT((double)largest_window() <= limit);
+}
+
+static void
+run_with_failure(int signal_number)
+{
+	sender_t senders[SENDERS + CALM_SENDERS];
+	pthread_t threads[SENDERS + CALM_SENDERS];
+	FILE *file;
+
+	run_count = 0;
+	failed_host = HOSTS;
+	snprintf(journal, sizeof(journal), "%s/runs", harness_folder());
+	file = fopen(journal, "w+");
+	CU_ASSERT_FATAL(file != NULL);
+	gateways_start(&fleet, &(gateways_params_t){
+				   .hosts = HOSTS,
+				   .journal = journal,
+				   .logs = getenv("ORG_QUOTA_LOGS"),
+			       });
+	configure_orgs();
+	/* The bucket fills from empty. */
+	harness_sleep(6);
+	start_senders(senders, threads);
+	fail_admitting_host(file, signal_number);
+	stop_senders = true;
+	for (unsigned i = 0; i < SENDERS + CALM_SENDERS; i++)
+		pthread_join(threads[i], NULL);
+	check_senders(senders);
 	(void)fclose(file);
 	gateways_end(&fleet);
 }
 
+/*
+ * Guards against more than an organisation's limit when the host that keeps
+ * its tokens is killed while it sends far more, and against refusals of an
+ * organisation within its limit.
+ */
+static void
+test_admitting_host_killed(void)
+{
+	run_with_failure(SIGKILL);
+}
+
+/*
+ * The same when that host freezes and resumes: it must not give a burst for the
+ * time in which others gave the tokens.
+ */
+static void
+test_admitting_host_frozen(void)
+{
+	run_with_failure(SIGSTOP);
+}
+
 static const suite_test_t tests[] = {
     {"admitting host killed", test_admitting_host_killed},
+    {"admitting host frozen", test_admitting_host_frozen},
 };
 
 SUITE_MAIN("fail_org_quota", tests)
