Tokens of requests that reached no endpoint are returned

Cause: a request that was granted and found its endpoints unreachable or leaving kept its token although it had not run. A token that was taken in the same slot in which its bucket had been full was lost when it was returned. Change: the host returns such a token to the admitting host (QUOTA_RETURN); the level of a slot counts from its first take on.

--- a/src/forward.c
+++ b/src/forward.c
@@ -82,9 +82,21 @@
 	forward_free(f);
 }
 
+/* Returns the token of a request that no endpoint got. */
+static void
+forward_return_token(forward_t *f)
+{
+	if (f->has_token && f->state.attempts_sent == 0 &&
+	    !f->state.may_have_run)
+		grants_return_token(f->forwarder->params.grants, f->org->name,
+		    f->token_asked_at);
+	f->has_token = false;
+}
+
 static void
 forward_refuse(forward_t *f, int rc, double retry_after)
 {
+	forward_return_token(f);
 	counter_add(f->forwarder->counters.refused, 1);
 	/* Discard the headers of an endpoint whose response was incomplete. */
 	http_request_clear_headers(f->request);
@@ -370,6 +382,8 @@
 	forward_t *f = ctx;
 	const forwarder_params_t *params = &f->forwarder->params;
 
+	if (rc == 0)
+		f->has_token = f->token_asked_at > 0;
 	if (rc == 0 && !params->endpoint_usable(params->ctx, endpoint->name)) {
 		forward_decline_grant(f, endpoint);
 		return;
@@ -395,6 +409,9 @@
 	const char *pool = request_route_select_pool(
 	    f->route, str_hash(str_of(f->info.id), f->table->version));
 	double now = clock_monotonic();
+	/* Further attempts belong to the same request. */
+	bool limited =
+	    f->org != NULL && f->granted_at <= 0 && f->state.unavailable == 0;
 
 	if (pool == NULL) {
 		forward_refuse(f, -RESULT_NO_ENDPOINT, 1);
@@ -402,15 +419,15 @@
 	}
 	if (forward_refuse_unfit(f) || forward_refuse_held(f))
 		return;
+	if (limited)
+		f->token_asked_at = now;
 	f->grant = grants_request(f->forwarder->params.grants,
 	    &(grant_params_t){
 		.pool = pool,
 		.class = GRANT_ONLINE,
 		.org = f->org != NULL ? f->org->name : f->route->name,
 		.priority = org_priority(f->org, f->route),
-		/* Further attempts belong to the same request. */
-		.limited = f->org != NULL && f->granted_at <= 0 &&
-			   f->state.unavailable == 0,
+		.limited = limited,
 		.output_tokens = f->info.output_tokens,
 		.prefix_hash = f->info.prefix_hash,
 		.deadline =
--- a/src/forward_state.h
+++ b/src/forward_state.h
@@ -40,6 +40,8 @@
 	tried_endpoints_t tried;
 	double arrived_at;
 	double granted_at;     /* 0: not yet */
+	double token_asked_at; /* of the organisation's limit; 0: none */
+	bool has_token;
 	double first_event_at; /* 0: none yet */
 	unsigned events;       /* passed on to the caller */
 	ev_timer deadline_timer;
--- a/src/grants.h
+++ b/src/grants.h
@@ -61,6 +61,11 @@
  */
 grant_t *grants_request(grants_t *grants, const grant_params_t *params);
 void grant_release(grant_t *grant, const grant_report_t *report);
+/*
+ * Returns the token of a granted request that counted against its
+ * organisation's limit, was sent at the given time and reached no endpoint.
+ */
+void grants_return_token(grants_t *grants, const char *org, double asked_at);
 double grant_start_by(double now, double slack);
 /* Seconds to wait before a new request; valid in on_grant with rc != 0. */
 double grant_retry_after(const grant_t *grant);
--- a/src/grants_quota.c
+++ b/src/grants_quota.c
@@ -122,14 +122,19 @@
 	return (false);
 }
 
+/* Returns a token to its bucket on this host. */
+void
+grants_quota_give_back(grants_t *grants, str_t org, double taken_at)
+{
+	counter_add(grants->quota.returned, 1);
+	org_quota_give_back(grants->quota.buckets, org, taken_at);
+}
+
 /* An admission_give_back_cb_t. */
 static void
 give_back_token(void *ctx, const char *org, double taken_at)
 {
-	grants_t *grants = ctx;
-
-	counter_add(grants->quota.returned, 1);
-	org_quota_give_back(grants->quota.buckets, str_of(org), taken_at);
+	grants_quota_give_back(ctx, str_of(org), taken_at);
 }
 
 /* Makes the pool's admission check the limits of organisations. */
--- a/src/grants_quota_sync.c
+++ b/src/grants_quota_sync.c
@@ -361,9 +361,46 @@
 	peer_request_reply(request, 0, (str_t){0});
 }
 
+static void
+on_peer_return(void *ctx, peer_request_t *request, const msgpack_object *body)
+{
+	grants_t *grants = ctx;
+	double age;
+	str_t org;
+
+	if (grants_read_return(body, &org, &age))
+		grants_quota_give_back(grants, org, clock_monotonic() - age);
+	peer_request_reply(request, 0, (str_t){0});
+}
+
+/* Returns a token to the host that admits; see grants.h. */
+void
+grants_return_token(grants_t *grants, const char *org, double asked_at)
+{
+	const member_t *admitting =
+	    find_member(grants, grants->quota.admitting);
+	org_limit_t limit;
+	buf_t body = {0};
+
+	if (!grants->quota.in_force || admitting == NULL ||
+	    !grants_org_limit(grants, str_of(org), &limit))
+		return;
+	org_history_remove(grants->quota.own, str_of(org), asked_at);
+	if (strcmp(admitting->name, grants->host) == 0) {
+		grants_quota_give_back(grants, str_of(org), asked_at);
+		return;
+	}
+	grants_pack_return(&body, org, clock_monotonic() - asked_at);
+	peer_send(grants->params.peer, admitting->address, PEER_QUOTA_RETURN,
+	    str_buf(&body));
+	buf_free(&body);
+}
+
 void
 grants_quota_sync_start(grants_t *grants)
 {
+	peer_set_handler(
+	    grants->params.peer, PEER_QUOTA_RETURN, on_peer_return, grants);
 	peer_set_handler(
 	    grants->params.peer, PEER_QUOTA_USES, on_peer_uses, grants);
 }
@@ -372,4 +409,5 @@
 grants_quota_sync_stop(grants_t *grants)
 {
 	peer_set_handler(grants->params.peer, PEER_QUOTA_USES, NULL, NULL);
+	peer_set_handler(grants->params.peer, PEER_QUOTA_RETURN, NULL, NULL);
 }
--- a/src/grants_state.h
+++ b/src/grants_state.h
@@ -190,6 +190,7 @@
 bool grants_org_limit(const grants_t *grants, str_t org, org_limit_t *out);
 void grants_log_limited(grants_t *grants, const char *org,
     const org_limit_t *limit, double retry_after, double now);
+void grants_quota_give_back(grants_t *grants, str_t org, double taken_at);
 void grants_quota_note_use(grants_t *grants, const grant_t *grant);
 str_t grants_placement_key(const grants_t *grants, str_t pool);
 
--- a/src/grants_wire.c
+++ b/src/grants_wire.c
@@ -267,6 +267,29 @@
 	buf_append(out, str_buf(uses));
 }
 
+/* QUOTA_RETURN: a token that was taken some seconds ago and not used. */
+void
+grants_pack_return(buf_t *out, const char *org, double age)
+{
+	msgpack_packer packer;
+
+	wire_packer_init(&packer, out);
+	msgpack_pack_array(&packer, 2);
+	wire_pack_str(&packer, str_of(org));
+	msgpack_pack_double(&packer, age);
+}
+
+/* Returns false when the message is malformed. */
+bool
+grants_read_return(const msgpack_object *body, str_t *org, double *age)
+{
+	wire_reader_t reader = wire_reader(body);
+
+	*org = wire_read_str(&reader);
+	*age = wire_read_double(&reader);
+	return (!reader.fault && *age >= 0);
+}
+
 /* Returns false when the message is malformed. */
 bool
 grants_read_uses(const msgpack_object *body, grants_message_t *out)
--- a/src/grants_wire.h
+++ b/src/grants_wire.h
@@ -55,6 +55,8 @@
     wire_reader_t *uses, str_t *org, unsigned counts[ORG_SLOTS]);
 void grants_pack_uses(buf_t *out, const char *host, bool reported,
     const buf_t *uses, size_t use_count);
+void grants_pack_return(buf_t *out, const char *org, double age);
+bool grants_read_return(const msgpack_object *body, str_t *org, double *age);
 bool grants_read_uses(const msgpack_object *body, grants_message_t *out);
 void grants_pack_held_reply(buf_t *out, const uint64_t *ids, size_t count);
 
--- a/src/org_history.c
+++ b/src/org_history.c
@@ -84,16 +84,43 @@
 	free(history);
 }
 
+static history_entry_t *
+entry_find(const org_history_t *history, str_t org)
+{
+	history_entry_t *entry;
+
+	LIST_FOREACH (
+	    entry, &history->entries[str_hash(org, 0) % BUCKETS], entry)
+		if (str_equal(str_of(entry->name), org))
+			return (entry);
+	return (NULL);
+}
+
+/* Counts one token less in the slot of a time. */
+void
+org_ring_remove(org_ring_t *ring, int64_t slot)
+{
+	if (org_ring_get(ring, slot) > 0)
+		ring->counts[ring_index(slot)]--;
+}
+
+/* Removes a token that was counted and then returned. */
+void
+org_history_remove(org_history_t *history, str_t org, double used_at)
+{
+	history_entry_t *entry = entry_find(history, org);
+
+	if (entry != NULL)
+		org_ring_remove(&entry->ring, org_slot_at(used_at));
+}
+
 /* Counts one token of an organisation. */
 void
 org_history_add(org_history_t *history, str_t org, double now)
 {
 	size_t bucket = str_hash(org, 0) % BUCKETS;
-	history_entry_t *entry;
+	history_entry_t *entry = entry_find(history, org);
 
-	LIST_FOREACH (entry, &history->entries[bucket], entry)
-		if (str_equal(str_of(entry->name), org))
-			break;
 	if (entry == NULL) {
 		entry = xcalloc(1, sizeof(*entry));
 		str_copy(entry->name, sizeof(entry->name), org);
--- a/src/org_quota.c
+++ b/src/org_quota.c
@@ -36,8 +36,12 @@
 	double refilled_at; /* seconds */
 	double promised_at; /* latest time that a refused caller was told */
 	int64_t newest;	    /* number of the newest slot */
-	/* Highest level in each slot, by slot number modulo the slots. */
+	/*
+	 * Highest level in each slot, by slot number modulo the slots, and the
+	 * highest one since the slot's first take; negative: none was taken.
+	 */
 	double peak[ORG_SLOTS];
+	double peak_after_take[ORG_SLOTS];
 	org_ring_t given; /* by this host */
 	org_ring_t used[ORG_USE_KINDS];
 	LIST_ENTRY(org_bucket_t) entry;
@@ -113,8 +117,16 @@
 		    bucket->tokens +
 			bucket->rate * (end - bucket->refilled_at));
 		double *peak = &bucket->peak[slot_index(i)];
+		double *after = &bucket->peak_after_take[slot_index(i)];
 
-		*peak = i > bucket->newest ? level : fmax(*peak, level);
+		if (i > bucket->newest) {
+			*peak = level;
+			*after = -INFINITY;
+			continue;
+		}
+		*peak = fmax(*peak, level);
+		if (!isinf(*after))
+			*after = fmax(*after, level);
 	}
 	if (slot > bucket->newest)
 		bucket->newest = slot;
@@ -183,12 +195,15 @@
     double now, double *retry_after)
 {
 	org_bucket_t *bucket = bucket_find_or_create(quota, org, limit, now);
+	double *after;
 
 	if (bucket->tokens < 1 - TOKEN_EPSILON) {
 		*retry_after = bucket_promise(bucket, now);
 		return (false);
 	}
 	bucket->tokens -= 1;
+	after = &bucket->peak_after_take[slot_index(bucket->newest)];
+	*after = fmax(*after, bucket->tokens);
 	org_ring_add(&bucket->given, org_slot_at(now), 1);
 	return (true);
 }
@@ -203,21 +218,24 @@
 {
 	org_bucket_t *bucket = bucket_find(quota, org);
 	int64_t first = org_slot_at(taken_at);
-	double highest = 0;
+	double highest;
 	double credit;
 
 	if (bucket == NULL || first <= bucket->newest - ORG_SLOTS)
 		return;
-	if (org_ring_get(&bucket->given, first) > 0)
-		bucket->given.counts[slot_index(first)]--;
-	for (int64_t i = first; i <= bucket->newest; i++)
+	org_ring_remove(&bucket->given, first);
+	highest = bucket->peak_after_take[slot_index(first)];
+	for (int64_t i = first + 1; i <= bucket->newest; i++)
 		highest = fmax(highest, bucket->peak[slot_index(i)]);
 	credit = fmin(1, bucket->burst - highest);
 	if (credit <= 0)
 		return;
-	bucket->tokens += credit;
-	for (int64_t i = first; i <= bucket->newest; i++)
-		bucket->peak[slot_index(i)] += credit;
+	bucket->tokens = fmin(bucket->burst, bucket->tokens + credit);
+	for (int64_t i = first; i <= bucket->newest; i++) {
+		bucket->peak_after_take[slot_index(i)] += credit;
+		if (i > first)
+			bucket->peak[slot_index(i)] += credit;
+	}
 }
 
 /* Returns the tokens used in a slot, as far as this host knows. */
--- a/tests/test_grants.c
+++ b/tests/test_grants.c
@@ -782,6 +782,32 @@
 	teardown(&t);
 }
 
+/*
+ * Guards against tokens that are lost with requests that were granted and then
+ * reached no endpoint.
+ */
+static void
+test_token_of_an_unsent_request(void)
+{
+	grants_test_t t;
+
+	setup(&t, 1, GRANTS_POOL);
+	set_limit(&t, 1, 20);
+	wait_for_takeover(&t);
+	run_for(&t, 0.6);
+	CU_ASSERT(send_limited(&t, 0, 4) == 2);
+	for (size_t i = 0; i < 2; i++)
+		grants_return_token(
+		    t.grants[i], "acme", clock_monotonic() - 0.05);
+	run_for(&t, 0.05);
+	CU_ASSERT(send_limited(&t, 0, 4) == 2);
+	/* Unknown ones are ignored. */
+	grants_return_token(t.grants[0], "nobody", clock_monotonic());
+	run_for(&t, 0.05);
+	CU_ASSERT(send_limited(&t, 0, 4) == 0);
+	teardown(&t);
+}
+
 /* Starts a limit and stops the host that admits; the others don't know it. */
 static size_t
 start_without_admitting_host(grants_test_t *t, double rate, double burst)
@@ -858,6 +884,7 @@
 static const suite_test_t tests[] = {
     {"share of a host alone", test_share_of_a_host_alone},
     {"deputy applies the limit", test_deputy_applies_the_limit},
+    {"token of an unsent request", test_token_of_an_unsent_request},
     {"limit after takeover", test_limit_after_takeover},
     {"limit over all hosts", test_limit_over_all_hosts},
     {"grants on own and other host", test_grants_on_own_and_other_host},
