--- a/src/grants_quota_sync.c
+++ b/src/grants_quota_sync.c
@@ -11,6 +11,8 @@
 #include "logger.h"
 #include "placement.h"
 
+#define HISTORY_LOG_INTERVAL_S 1.0
+
 /* A list of what organisations used, packed for a message. */
 typedef struct packed_uses_t {
 	buf_t *out;
@@ -96,8 +98,8 @@
 		return;
 	host->history_at = now;
 	add_received_uses(&uses, list);
-	LOG_INFO(
-	    "quota_history", "host=%s requests=%u", host->name, uses.requests);
+	grants->quota.histories++;
+	grants->quota.history_requests += uses.requests;
 }
 
 /*
@@ -323,13 +325,28 @@
 	return (NULL);
 }
 
+/* Logs how many histories were added, once a second at most. */
+static void
+log_histories(grants_quota_t *quota, double now)
+{
+	if (quota->histories == 0 ||
+	    now - quota->histories_logged_at < HISTORY_LOG_INTERVAL_S)
+		return;
+	LOG_INFO("quota_history", "hosts=%u requests=%u", quota->histories,
+	    quota->history_requests);
+	quota->histories = 0;
+	quota->history_requests = 0;
+	quota->histories_logged_at = now;
+}
+
 /* Tells once in a slot what this host gave, if it keeps buckets. */
 void
 grants_quota_sync_tick(grants_t *grants, double now)
 {
-	const grants_quota_t *quota = &grants->quota;
+	grants_quota_t *quota = &grants->quota;
 	const member_t *other = NULL;
 
+	log_histories(quota, now);
 	if (!quota->in_force || org_slot_at(now) - 1 <= quota->told_slot)
 		return;
 	if (strcmp(quota->admitting, grants->host) == 0)
@@ -361,9 +378,46 @@
 	peer_request_reply(request, 0, (str_t){0});
 }
 
+static void
+on_peer_return(void *ctx, peer_request_t *request, const msgpack_object *body)
+{
+	grants_t *grants = ctx;
+	double age;
+	str_t org;
+
+	if (grants_read_return(body, &org, &age))
+		grants_quota_give_back(grants, org, clock_monotonic() - age);
+	peer_request_reply(request, 0, (str_t){0});
+}
+
+/* Returns a token to the host that admits; see grants.h. */
+void
+grants_return_token(grants_t *grants, const char *org, double asked_at)
+{
+	const member_t *admitting =
+	    find_member(grants, grants->quota.admitting);
+	org_limit_t limit;
+	buf_t body = {0};
+
+	if (!grants->quota.in_force || admitting == NULL ||
+	    !grants_org_limit(grants, str_of(org), &limit))
+		return;
+	org_history_remove(grants->quota.own, str_of(org), asked_at);
+	if (strcmp(admitting->name, grants->host) == 0) {
+		grants_quota_give_back(grants, str_of(org), asked_at);
+		return;
+	}
+	grants_pack_return(&body, org, clock_monotonic() - asked_at);
+	peer_send(grants->params.peer, admitting->address, PEER_QUOTA_RETURN,
+	    str_buf(&body));
+	buf_free(&body);
+}
+
 void
 grants_quota_sync_start(grants_t *grants)
 {
+	peer_set_handler(
+	    grants->params.peer, PEER_QUOTA_RETURN, on_peer_return, grants);
 	peer_set_handler(
 	    grants->params.peer, PEER_QUOTA_USES, on_peer_uses, grants);
 }
@@ -372,4 +426,5 @@
 grants_quota_sync_stop(grants_t *grants)
 {
 	peer_set_handler(grants->params.peer, PEER_QUOTA_USES, NULL, NULL);
+	peer_set_handler(grants->params.peer, PEER_QUOTA_RETURN, NULL, NULL);
 }
--- a/src/grants_state.h
+++ b/src/grants_state.h
@@ -76,6 +76,10 @@
 	int64_t told_slot;
 	char told[NAME_SIZE];
 	double ticked_at;
+	/* Histories that were added since the last log line. */
+	unsigned histories;
+	unsigned history_requests;
+	double histories_logged_at;
 	double share; /* of the limits that this host gives */
 	counter_t *taken;
 	counter_t *returned;
@@ -191,6 +195,7 @@
 bool grants_org_limit(const grants_t *grants, str_t org, org_limit_t *out);
 void grants_log_limited(grants_t *grants, const char *org,
     const org_limit_t *limit, double retry_after, double now);
+void grants_quota_give_back(grants_t *grants, str_t org, double taken_at);
 void grants_quota_note_use(grants_t *grants, const grant_t *grant);
 str_t grants_placement_key(const grants_t *grants, str_t pool);
 
