Organisations: names with bytes outside ASCII, and a key listed twice

Cause: bytes of a name were compared as signed, so that on x86-64 a name with a letter outside ASCII had its configuration rejected, and with it every later change; blanks inside a name and a key that one organisation lists twice were rejected as well, although the requirements allow them.

--- a/tests/test_platform_formats.c
+++ b/tests/test_platform_formats.c
@@ -203,6 +203,102 @@
 	buf_free(&out);
 }
 
+/* Parses a configuration with a list of organisations; fault as text. */
+static int
+read_orgs(const char *list, routing_table_t **table, char fault[160])
+{
+	buf_t text = {0};
+	buf_t reason = {0};
+	int rc;
+
+	buf_printf(&text,
+	    "{\"version\":7,\"routes\":[],\"services\":[],\"tenants\":%s}",
+	    list);
+	rc = platform_read_routes(str_buf(&text), table, &reason);
+	str_copy(fault, 160, str_buf(&reason));
+	buf_free(&text);
+	buf_free(&reason);
+	return (rc);
+}
+
+/*
+ * Guards against a list of organisations that is refused although it is valid,
+ * which would leave the former keys in force, and against fields that are lost.
+ */
+static void
+test_organisations(void)
+{
+	static const char list[] =
+	    "[{\"name\":\"B\xc3\xb6lt tech\",\"api-keys\":[\"k1\",\"k 2\","
+	    "\"k1\",\"\xc3\xa9\"],\"priority\":0,\"rate-per-s\":1.5,\"burst\":"
+	    "3},{\"name\":\"b\",\"api-keys\":[],\"priority\":1000000,"
+	    "\"rate-per-s\":0},{\"name\":\"c\"}]";
+	routing_table_t *table;
+	char fault[160];
+
+	CU_ASSERT_FATAL(read_orgs(list, &table, fault) == 0);
+	CU_ASSERT(table->has_orgs && table->org_count == 3);
+	CU_ASSERT_STRING_EQUAL(table->orgs[0].name, "B\xc3\xb6lt tech");
+	CU_ASSERT(table->orgs[0].has_priority && table->orgs[0].priority == 0);
+	CU_ASSERT(table->orgs[0].requests_per_s == 1.5);
+	CU_ASSERT(table->orgs[0].burst == 3);
+	CU_ASSERT(table->orgs[1].priority == 1000000);
+	CU_ASSERT(!table->orgs[2].has_priority);
+	CU_ASSERT(key_index_count(table->keys) == 3);
+	CU_ASSERT(key_index_find(table->keys, STR("\xc3\xa9")) == 0);
+	routing_table_unref(table);
+	CU_ASSERT_FATAL(read_orgs("[]", &table, fault) == 0);
+	CU_ASSERT(table->has_orgs && table->org_count == 0);
+	routing_table_unref(table);
+	CU_ASSERT_FATAL(read_orgs("null", &table, fault) == 0);
+	CU_ASSERT(!table->has_orgs);
+	routing_table_unref(table);
+}
+
+/* Guards against an invalid list that comes into force or is not explained. */
+static void
+test_invalid_organisations_are_rejected(void)
+{
+	static const struct {
+		const char *list;
+		const char *field;
+	} invalid[] = {
+	    {"{}", "tenants"},
+	    {"[1]", "tenants.0.name"},
+	    {"[{}]", "tenants.0.name"},
+	    {"[{\"name\":\"\"}]", "tenants.0.name"},
+	    {"[{\"name\":\" \"}]", "tenants.0.name"},
+	    {"[{\"name\":\"a\\r\\nX: y\"}]", "tenants.0.name"},
+	    {"[{\"name\":\"a\"},{\"name\":\"a\"}]", "tenants.1.name"},
+	    {"[{\"name\":\"a\",\"api-keys\":\"k\"}]", "tenants.0.api-keys"},
+	    {"[{\"name\":\"a\",\"api-keys\":[\"k\",\"\"]}]",
+		"tenants.0.api-keys.1"},
+	    {"[{\"name\":\"a\",\"api-keys\":[1]}]", "tenants.0.api-keys.0"},
+	    {"[{\"name\":\"a\",\"api-keys\":[\"k\"]},"
+	     "{\"name\":\"b\",\"api-keys\":[\"j\",\"k\"]}]",
+		"tenants.1.api-keys.1"},
+	    {"[{\"name\":\"a\",\"rate-per-s\":-1}]", "tenants.0.rate-per-s"},
+	    {"[{\"name\":\"a\",\"rate-per-s\":\"1\"}]", "tenants.0.rate-per-s"},
+	    {"[{\"name\":\"a\",\"burst\":-0.5}]", "tenants.0.burst"},
+	    {"[{\"name\":\"a\",\"burst\":true}]", "tenants.0.burst"},
+	    {"[{\"name\":\"a\",\"priority\":-1}]", "tenants.0.priority"},
+	    {"[{\"name\":\"a\",\"priority\":1000001}]", "tenants.0.priority"},
+	    {"[{\"name\":\"a\",\"priority\":1.5}]", "tenants.0.priority"},
+	    {"[{\"name\":\"a\",\"priority\":\"1\"}]", "tenants.0.priority"},
+	};
+	char fault[160];
+
+	for (size_t i = 0; i < sizeof(invalid) / sizeof(invalid[0]); i++) {
+		routing_table_t *table = NULL;
+
+		CU_ASSERT(read_orgs(invalid[i].list, &table, fault) ==
+			  -RESULT_BAD_REQUEST);
+		CU_ASSERT(table == NULL);
+		CU_ASSERT(
+		    str_has_prefix(str_of(fault), str_of(invalid[i].field)));
+	}
+}
+
 static const suite_test_t tests[] = {
     {"invalid endpoint entries are rejected",
 	test_invalid_endpoint_entries_are_rejected},
@@ -210,6 +306,9 @@
 	test_entries_out_of_range_are_rejected},
     {"nested entries are rejected", test_nested_entries_are_rejected},
     {"routes", test_routes},
+    {"organisations", test_organisations},
+    {"invalid organisations are rejected",
+	test_invalid_organisations_are_rejected},
     {"jobs", test_jobs},
     {"results", test_results},
 };
