Membership: hosts announce that they refuse keys

Cause: a host whose configuration may be out of date left only its own directory; other hosts kept sending callers to it. Change: a flag of the member record, which placement ignores. Hosts of earlier versions ignore the bit. Measured: test_membership passes: all 13 hosts learn the flag and its end, the host stays alive for them.

--- a/src/member_message.c
+++ b/src/member_message.c
@@ -10,6 +10,7 @@
 #define PROTOCOL_VERSION 1
 #define FLAG_READY	 1U
 #define FLAG_LEAVING	 2U
+#define FLAG_KEYS_STALE	 4U
 
 /* Bytes of the msgpack header of an array of up to 15 elements. */
 #define ARRAY_HEADER_SIZE 1
@@ -25,8 +26,10 @@
 	msgpack_pack_uint64(packer, member->instance);
 	msgpack_pack_uint32(packer, member->incarnation);
 	msgpack_pack_uint8(packer, (uint8_t)member->state);
-	msgpack_pack_uint8(packer, (member->ready ? FLAG_READY : 0) |
-				       (member->leaving ? FLAG_LEAVING : 0));
+	msgpack_pack_uint8(
+	    packer, (member->ready ? FLAG_READY : 0) |
+			(member->leaving ? FLAG_LEAVING : 0) |
+			(member->keys_stale ? FLAG_KEYS_STALE : 0));
 	msgpack_pack_uint64(packer, member->config_version);
 	msgpack_pack_uint32(packer, member->millicores);
 }
@@ -135,6 +138,7 @@
 	out->state = (member_state_t)state;
 	out->ready = (flags & FLAG_READY) != 0;
 	out->leaving = (flags & FLAG_LEAVING) != 0;
+	out->keys_stale = (flags & FLAG_KEYS_STALE) != 0;
 	return (true);
 }
 
--- a/src/membership.c
+++ b/src/membership.c
@@ -201,6 +201,18 @@
 	notify_change(m);
 }
 
+/* Sets and announces whether callers should not send keys to this host. */
+void
+membership_set_keys_stale(membership_t *m, bool stale)
+{
+	if (m->left || membership_mutable_self(m)->keys_stale == stale)
+		return;
+	membership_mutable_self(m)->keys_stale = stale;
+	raise_incarnation(m, 0);
+	gossip(m, GOSSIP_FANOUT);
+	notify_change(m);
+}
+
 /* Sets and announces whether this host is about to stop. */
 void
 membership_set_leaving(membership_t *m, bool leaving)
--- a/src/membership.h
+++ b/src/membership.h
@@ -25,6 +25,8 @@
 	member_state_t state;
 	bool ready;
 	bool leaving;
+	/* Refuses keys, or will soon; does not affect placement. */
+	bool keys_stale;
 	uint64_t config_version;
 	uint32_t millicores; /* CPU limit; 0 if not stated */
 } member_t;
@@ -95,6 +97,7 @@
 
 void membership_set_ready(membership_t *m, bool ready);
 void membership_set_leaving(membership_t *m, bool leaving);
+void membership_set_keys_stale(membership_t *m, bool stale);
 void membership_set_config_version(membership_t *m, uint64_t version);
 void membership_on_change(
     membership_t *m, void (*on_change)(void *ctx), void *ctx);
--- a/tests/test_membership.c
+++ b/tests/test_membership.c
@@ -271,6 +271,29 @@
 	network_delete(network);
 }
 
+/*
+ * Guards against callers that are sent to a host that refuses keys, and against
+ * a host that counts as failed because of that.
+ */
+static void
+test_stale_keys_are_announced(void)
+{
+	network_t *network = network_new(13, 14);
+
+	membership_set_keys_stale(network->hosts[5].m, true);
+	network_run(network, 5);
+	for (int i = 0; i < 13; i++) {
+		CU_ASSERT(network_view(network, i, 5)->keys_stale);
+		CU_ASSERT(!network_view(network, i, 4)->keys_stale);
+	}
+	CU_ASSERT(network_all_see(network, 5, MEMBER_ALIVE));
+	membership_set_keys_stale(network->hosts[5].m, false);
+	network_run(network, 5);
+	for (int i = 0; i < 13; i++)
+		CU_ASSERT(!network_view(network, i, 5)->keys_stale);
+	network_delete(network);
+}
+
 /* Guards against a planned stop that is treated as a failure or gets lost. */
 static void
 test_planned_stop(void)
@@ -484,6 +507,7 @@
 		member->incarnation = UINT32_MAX - 1;
 		member->config_version = UINT64_MAX;
 		member->leaving = true;
+		member->keys_stale = i > 0;
 		member->millicores = UINT32_MAX;
 	}
 	packed = member_message_encode(&message, &out);
@@ -503,6 +527,8 @@
 	CU_ASSERT(decoded.updates[1].incarnation == UINT32_MAX - 1);
 	CU_ASSERT(decoded.updates[1].config_version == UINT64_MAX);
 	CU_ASSERT(decoded.updates[1].leaving);
+	CU_ASSERT(decoded.updates[1].keys_stale);
+	CU_ASSERT(!decoded.updates[0].keys_stale);
 	CU_ASSERT(decoded.updates[1].millicores == UINT32_MAX);
 	CU_ASSERT(!decoded.updates[1].ready);
 	buf_free(&out);
@@ -584,6 +610,7 @@
     {"restarted host replaces predecessor",
 	test_restarted_host_replaces_predecessor},
     {"address is reassigned", test_address_is_reassigned},
+    {"stale keys are announced", test_stale_keys_are_announced},
     {"planned stop", test_planned_stop},
     {"dead members are removed", test_dead_members_are_removed},
     {"config version spreads", test_config_version_spreads},
