Jobs: DELETE of another organisation's job answers 404

Cause: ending a job was answered with 200 whether or not the organisation had such a job. Change: with organisations, the owner of the partition is asked first. Without organisations nothing changes.

--- a/src/jobs.c
+++ b/src/jobs.c
@@ -69,6 +69,7 @@
 	jobs_t *jobs;
 	http_request_t *request;
 	job_call_t call;
+	bool ends_job; /* the job is ended if it exists */
 	job_read_t *read;
 	peer_call_t *peer_call;
 	LIST_ENTRY(job_query_t) entry;
@@ -405,6 +406,15 @@
 	    READ_RETRY_AFTER_S, "the owner of the job cannot be asked now");
 }
 
+static void
+end_job(jobs_t *jobs, http_request_t *request, const char *job)
+{
+	job_records_t records = {0};
+
+	job_records_end(&records, str_of(job));
+	write_start(jobs, request, job, "end", &records, 200);
+}
+
 /* Answers the client with the owner's reply. */
 static void
 query_answer(job_query_t *query, int rc, str_t body)
@@ -418,6 +428,9 @@
 		http_request_reply_error(request, rc, NULL);
 	} else if (rc != 0) {
 		query_fail(query, rc);
+	} else if (query->ends_job) {
+		http_request_on_close(request, NULL, NULL);
+		end_job(query->jobs, request, query->call.job);
 	} else if (query->call.kind == JOB_CALL_ITEM) {
 		http_request_reply(
 		    request, 200, "application/octet-stream", body);
@@ -489,7 +502,8 @@
 }
 
 static void
-query_start(jobs_t *jobs, http_request_t *request, const job_call_t *call)
+query_start(jobs_t *jobs, http_request_t *request, const job_call_t *call,
+    bool ends_job)
 {
 	unsigned partition = job_partition_of(str_of(call->job));
 	const member_t *owner = partition_owner(jobs, partition);
@@ -498,6 +512,7 @@
 	query->jobs = jobs;
 	query->request = request;
 	query->call = *call;
+	query->ends_job = ends_job;
 	query->call.wait = fmin(query->call.wait, MAX_READ_WAIT_S);
 	query->call.wait =
 	    fmax(0, limit_to_shutdown(jobs, query->call.wait + READ_TIMEOUT_S) -
@@ -522,18 +537,26 @@
 jobs_call(jobs_t *jobs, http_request_t *request, const job_call_t *call,
     const org_t *org)
 {
-	job_records_t records = {0};
 	job_call_t own = *call;
 
 	job_key(own.job, org_name(org), str_of(call->job));
 	switch (call->kind) {
 	case JOB_CALL_RESULTS:
 	case JOB_CALL_ITEM:
-		query_start(jobs, request, &own);
+		query_start(jobs, request, &own, false);
 		break;
 	case JOB_CALL_END:
-		job_records_end(&records, str_of(own.job));
-		write_start(jobs, request, own.job, "end", &records, 200);
+		/*
+		 * For an organisation, the jobs of others do not exist. Without
+		 * organisations any job may be ended, known or not.
+		 */
+		own.kind = JOB_CALL_RESULTS;
+		own.position = 0;
+		own.wait = 0;
+		if (org != NULL)
+			query_start(jobs, request, &own, true);
+		else
+			end_job(jobs, request, own.job);
 		break;
 	case JOB_CALL_MALFORMED:
 	case JOB_CALL_NONE:
