Follower: a single failed read is no outage

Cause: after a freeze the read in progress fails because its time-out passed meanwhile; one failure made the host refuse requests that need a key instead of letting them wait for the next read, 0.1 s later.

--- a/src/follower.c
+++ b/src/follower.c
@@ -301,9 +301,12 @@
 	return (follower->synced_at);
 }
 
-/* Returns whether reads succeed: false after several have failed in a row. */
+/*
+ * Returns whether reads succeed: false after several have failed in a row. A
+ * single one fails after each freeze, when its time-out has passed.
+ */
 bool
 follower_connected(const follower_t *follower)
 {
-	return (follower->connected && follower->failures == 0);
+	return (follower->connected);
 }
--- a/tests/test_follower.c
+++ b/tests/test_follower.c
@@ -193,12 +193,70 @@
 	stop(&f);
 }
 
+/*
+ * After an outage the end of the partition must be asked for at once: a host
+ * refuses keys until that read has completed.
+ */
+static void
+test_read_after_an_outage_does_not_wait(void)
+{
+	fixture_t f;
+	follower_t *follower;
+	double regained_at;
+
+	start(&f);
+	follower = follower_new(&(follower_params_t){
+	    .loop = f.loop,
+	    .store = harness_store_client(f.store),
+	    .topic = TOPIC,
+	    .wait = 1,
+	    .prompt_after = 1.5,
+	    .events = &(const follower_events_t){0},
+	    .ctx = &f.received,
+	});
+	harness_loop_for(f.loop, 0.2);
+	CU_ASSERT(follower_synced_at(follower) > 0);
+	harness_store_faults(f.store)->outage = true;
+	harness_loop_for(f.loop, 3);
+	CU_ASSERT(!follower_connected(follower));
+	harness_store_faults(f.store)->outage = false;
+	regained_at = clock_monotonic();
+	/* The longest delay between two reads is 0.8 s. */
+	harness_loop_for(f.loop, 0.95);
+	CU_ASSERT(follower_synced_at(follower) >= regained_at);
+	CU_ASSERT(follower_connected(follower));
+	follower_delete(follower);
+	stop(&f);
+}
+
+/*
+ * A read that fails once, as after a freeze, must not count as an outage:
+ * requests wait for the next one instead of being refused.
+ */
+static void
+test_single_failure_is_no_outage(void)
+{
+	fixture_t f;
+
+	start(&f);
+	harness_store_faults(f.store)->outage = true;
+	/* The first read fails by then; the next one starts 0.1 s later. */
+	harness_loop_for(f.loop, 0.08);
+	CU_ASSERT(follower_connected(f.received.follower));
+	harness_loop_for(f.loop, 0.5);
+	CU_ASSERT(!follower_connected(f.received.follower));
+	stop(&f);
+}
+
 static const suite_test_t tests[] = {
     {"load, then follow", test_load_then_follow},
     {"an expired history is reloaded", test_expired_history_is_reloaded},
     {"connection changes are reported", test_connection_changes_are_reported},
     {"the sync time does not advance without responses",
 	test_sync_time_does_not_advance_without_responses},
+    {"a read after an outage does not wait",
+	test_read_after_an_outage_does_not_wait},
+    {"a single failure is no outage", test_single_failure_is_no_outage},
 };
 
 SUITE_MAIN("follower", tests)
