Keys: requests that wait again, jobs without owner, directory, metrics

Cause: (1) a host that became ready before its first complete read of the configuration took a waiting request from the queue and put it back for ever; the process hung. (2) A job on a public route had no owner: nobody could read it, and its ID could be chosen to equal the identity of an organisation's job. (3) With a short revoke_ms the long poll alone made keys stale. (4) Other hosts listed a host that refuses keys. (5) Requests by outcome of identification and the numbers of organisations and keys were not counted. Change: requests that wait again are queued behind those of this turn and keep their time of arrival; jobs always need a key; the wait of a read is at most a fifth of revoke_ms; the directory leaves out hosts that announce stale keys; a 401 names the scheme; counters and gauges.

--- a/src/gateway.c
+++ b/src/gateway.c
@@ -405,9 +405,7 @@
 	gateway->rejected_configs =
 	    counter_get("daisypier_configs_rejected_total",
 		"Configurations in the store that were invalid");
-	gateway->unidentified_requests =
-	    counter_get("daisypier_requests_unidentified_total",
-		"Requests that were refused because they had no valid key");
+	gateway_init_key_counters(gateway);
 	gateway->supervisor = supervisor_new(params->loop);
 	for (size_t i = 0; i < sizeof(components) / sizeof(components[0]); i++)
 		supervisor_add(gateway->supervisor, &components[i], gateway);
--- a/src/gateway_http.c
+++ b/src/gateway_http.c
@@ -25,21 +25,22 @@
  */
 static bool
 identify_caller(gateway_t *gateway, http_request_t *request, bool is_public,
-    const org_t **org)
+    double arrived, const org_t **org)
 {
 	org_access_t access = org_access_check(gateway->table, is_public,
 	    gateway->params.dialect->read_key(request), org);
 
 	/* An unknown key, too, may be known to a host that is up to date. */
 	if (access != ORG_ACCESS_OPEN &&
-	    gateway_withhold_request(gateway, request))
+	    gateway_withhold_request(gateway, request, arrived))
 		return (false);
+	counter_add(gateway->identified_requests[access], 1);
 	if (org_access_allowed(access))
 		return (true);
-	counter_add(gateway->unidentified_requests, 1);
 	LOG_INFO("request_unidentified", "target=%s cause=%s config=%llu",
 	    http_request_target(request), org_access_name(access),
 	    (unsigned long long)gateway->table->version);
+	http_request_set_header(request, "WWW-Authenticate", "Bearer");
 	http_request_reply_error(request, -RESULT_UNAUTHORIZED, NULL);
 	return (false);
 }
@@ -58,7 +59,7 @@
 
 	gateway->params.dialect->read_job_call(request, &call);
 	if (call.kind != JOB_CALL_NONE) {
-		if (identify_caller(gateway, request, false, &org))
+		if (identify_caller(gateway, request, false, arrived, &org))
 			jobs_call(gateway->jobs, request, &call, org);
 		return;
 	}
@@ -73,7 +74,10 @@
 		http_request_reply_error(request, -RESULT_NO_ROUTE, NULL);
 		return;
 	}
-	if (!identify_caller(gateway, request, route->is_public, &org))
+	/* A job always belongs to somebody who can read it afterwards. */
+	if (!identify_caller(gateway, request,
+		route->is_public && route->kind != REQUEST_BATCH, arrived,
+		&org))
 		return;
 	if (route->kind == REQUEST_BATCH)
 		jobs_submit(gateway->jobs, request, org);
@@ -90,8 +94,8 @@
 	if (gateway->table != NULL && (gateway->ready || gateway->draining))
 		gateway_dispatch(gateway, request, clock_monotonic());
 	else
-		gateway_queue_request(
-		    gateway, request, MAX_QUEUE_TIME_S, -RESULT_NOT_READY);
+		gateway_queue_request(gateway, request, clock_monotonic(),
+		    MAX_QUEUE_TIME_S, -RESULT_NOT_READY);
 }
 
 static void
@@ -113,7 +117,8 @@
 static bool
 member_takes_requests(const gateway_t *gateway, const member_t *member)
 {
-	if (member->state != MEMBER_ALIVE || !member->ready || member->leaving)
+	if (member->state != MEMBER_ALIVE || !member->ready ||
+	    member->leaving || member->keys_stale)
 		return (false);
 	return (strcmp(member->name, gateway->params.settings->name) != 0 ||
 		gateway_key_state(gateway) == KEYS_CURRENT);
--- a/src/gateway_keys.c
+++ b/src/gateway_keys.c
@@ -40,6 +40,9 @@
 	    key_state_name(state), key_state_name(gateway->key_state),
 	    synced_at > 0 ? (clock_monotonic() - synced_at) * 1e3 : -1.0);
 	gateway->key_state = state;
+	if (gateway->membership != NULL)
+		membership_set_keys_stale(
+		    gateway_members(gateway), state != KEYS_CURRENT);
 }
 
 static void
@@ -55,7 +58,8 @@
  * keys are valid. Returns false if the request may be handled.
  */
 bool
-gateway_withhold_request(gateway_t *gateway, http_request_t *request)
+gateway_withhold_request(
+    gateway_t *gateway, http_request_t *request, double arrived)
 {
 	if (gateway_key_state(gateway) != KEYS_STALE)
 		return (false);
@@ -63,7 +67,7 @@
 	counter_add(gateway->stale_key_requests, 1);
 	if (follower_connected(gateway->config_follower))
 		gateway_queue_request(
-		    gateway, request, MAX_HOLD_S, -RESULT_KEYS_STALE);
+		    gateway, request, arrived, MAX_HOLD_S, -RESULT_KEYS_STALE);
 	else
 		http_request_refuse(
 		    request, -RESULT_KEYS_STALE, RETRY_AFTER_S, NULL);
@@ -80,6 +84,30 @@
 		gateway_dispatch_waiting(gateway);
 }
 
+/* Registers the metrics of organisations and keys. */
+void
+gateway_init_key_counters(gateway_t *gateway)
+{
+	static const char *const names[ORG_ACCESS_COUNT] = {
+	    [ORG_ACCESS_OPEN] =
+		"daisypier_requests_identified_total{outcome=\"open\"}",
+	    [ORG_ACCESS_IDENTIFIED] =
+		"daisypier_requests_identified_total{outcome=\"identified\"}",
+	    [ORG_ACCESS_NO_KEY] =
+		"daisypier_requests_identified_total{outcome=\"no_key\"}",
+	    [ORG_ACCESS_UNKNOWN_KEY] = "daisypier_requests_identified_total"
+				       "{outcome=\"unknown_key\"}",
+	};
+
+	for (size_t i = 0; i < ORG_ACCESS_COUNT; i++)
+		gateway->identified_requests[i] = counter_get(names[i],
+		    "Requests by whether their key names an organisation");
+	gateway->orgs = gauge_get("daisypier_organisations",
+	    "Organisations in the configuration in force");
+	gateway->org_keys = gauge_get("daisypier_organisation_keys",
+	    "Keys of organisations in the configuration in force");
+}
+
 /* Starts to watch the age of the configuration. */
 int
 gateway_start_keys(void *ctx)
--- a/src/gateway_state.h
+++ b/src/gateway_state.h
@@ -12,6 +12,7 @@
 #include "jobs.h"
 #include "key_freshness.h"
 #include "membership_net.h"
+#include "org_access.h"
 #include "peer.h"
 #include "quarantine_net.h"
 #include "store_relay.h"
@@ -45,7 +46,9 @@
 	endpoint_set_t *endpoints;
 	counter_t *leaving_endpoints; /* that said so */
 	counter_t *rejected_configs;
-	counter_t *unidentified_requests; /* without a valid key */
+	counter_t *identified_requests[ORG_ACCESS_COUNT]; /* by outcome */
+	counter_t *orgs;
+	counter_t *org_keys;
 	/* Built from routes and endpoints, for admission; NULL before both. */
 	fleet_config_t *fleet_config;
 	store_call_t *announce_call;
@@ -94,16 +97,18 @@
 void gateway_remove_host_record(gateway_t *gateway);
 
 /* gateway_waiting.c */
-void gateway_queue_request(
-    gateway_t *gateway, http_request_t *request, double max_wait, int refusal);
+void gateway_queue_request(gateway_t *gateway, http_request_t *request,
+    double arrived, double max_wait, int refusal);
 void gateway_dispatch_waiting(gateway_t *gateway);
 void gateway_refuse_waiting(gateway_t *gateway);
 
 /* gateway_keys.c */
+void gateway_init_key_counters(gateway_t *gateway);
 int gateway_start_keys(void *ctx);
 void gateway_stop_keys(void *ctx);
 key_state_t gateway_key_state(const gateway_t *gateway);
-bool gateway_withhold_request(gateway_t *gateway, http_request_t *request);
+bool gateway_withhold_request(
+    gateway_t *gateway, http_request_t *request, double arrived);
 void gateway_on_config_synced(gateway_t *gateway);
 
 /* gateway_http.c */
--- a/src/gateway_store.c
+++ b/src/gateway_store.c
@@ -1,6 +1,7 @@
 /* Replicates routes and endpoints from the store to a gateway host. */
 #include "gateway_state.h"
 
+#include <math.h>
 #include <string.h>
 
 #include "clock.h"
@@ -12,8 +13,14 @@
  * Short, so that a dead connection is detected soon.
  */
 #define CONFIG_READ_WAIT_S 1.0
-/* More than the age that a read reaches while nothing is wrong. */
-#define CONFIG_PROMPT_AFTER_S 1.5
+/*
+ * Longest wait as a part of the limit for revocations. While nothing is wrong,
+ * the last complete read is up to two waits old; with 0.2, that is 0.4 of the
+ * limit, and readiness is withdrawn at 0.6.
+ */
+#define CONFIG_READ_WAIT_SHARE 0.2
+/* Age at the start of a read, in waits, that is only reached by failures. */
+#define CONFIG_PROMPT_AFTER_WAITS 1.5
 /*
  * Endpoint records are polled, because endpoints write so often that a
  * long-polling read would return at once.
@@ -71,6 +78,9 @@
 	    table->pool_count, table->org_count,
 	    table->keys != NULL ? key_index_count(table->keys) : 0,
 	    (unsigned long long)record->offset);
+	gauge_set(gateway->orgs, (double)table->org_count);
+	gauge_set(gateway->org_keys,
+	    table->keys != NULL ? (double)key_index_count(table->keys) : 0);
 	routing_table_unref(gateway->table);
 	gateway->table = table;
 	if (gateway->membership != NULL)
@@ -113,13 +123,17 @@
 gateway_start_config(void *ctx)
 {
 	gateway_t *gateway = ctx;
+	double revoke_limit = gateway->params.settings->revoke_ms / 1e3;
+	double wait = CONFIG_READ_WAIT_S;
 
+	if (revoke_limit > 0)
+		wait = fmin(wait, revoke_limit * CONFIG_READ_WAIT_SHARE);
 	gateway->config_follower = follower_new(&(follower_params_t){
 	    .loop = gateway->params.loop,
 	    .store = gateway->store,
 	    .topic = gateway->params.dialect->config_topic,
-	    .wait = CONFIG_READ_WAIT_S,
-	    .prompt_after = CONFIG_PROMPT_AFTER_S,
+	    .wait = wait,
+	    .prompt_after = wait * CONFIG_PROMPT_AFTER_WAITS,
 	    .events = &config_events,
 	    .ctx = gateway,
 	});
--- a/src/gateway_waiting.c
+++ b/src/gateway_waiting.c
@@ -76,13 +76,15 @@
 }
 
 /*
- * Queues a request until the host can handle it, for at most max_wait seconds.
- * Refuses it with the given code if that takes too long or too many wait.
+ * Queues a request, which arrived at the given monotonic time, until the host
+ * can handle it, for at most max_wait seconds from now. Refuses it with the
+ * given code if that takes too long or too many wait.
  */
 void
-gateway_queue_request(
-    gateway_t *gateway, http_request_t *request, double max_wait, int refusal)
+gateway_queue_request(gateway_t *gateway, http_request_t *request,
+    double arrived, double max_wait, int refusal)
 {
+	double now = clock_monotonic();
 	waiting_request_t *waiting;
 	request_info_t info = {0};
 	double timeout;
@@ -91,7 +93,8 @@
 	if (gateway->draining ||
 	    gateway->waiting_count >= MAX_WAITING_REQUESTS) {
 		refuse_request(request, &info,
-		    gateway->draining ? -RESULT_STOPPING : refusal, 0);
+		    gateway->draining ? -RESULT_STOPPING : refusal,
+		    now - arrived);
 		return;
 	}
 	timeout = info.caller_timeout > 0 ? info.caller_timeout
@@ -101,26 +104,33 @@
 	waiting->request = request;
 	waiting->info = info;
 	waiting->refusal = refusal;
-	waiting->arrived = clock_monotonic();
+	waiting->arrived = arrived;
 	TAILQ_INSERT_TAIL(&gateway->waiting_requests, waiting, entry);
 	gateway->waiting_count++;
 	http_request_on_close(request, on_connection_closed, waiting);
 	ev_timer_init(&waiting->queue_timer, on_queue_timeout,
-	    fmin(max_wait, timeout * MAX_QUEUE_TIME_SHARE), 0);
+	    fmax(0, fmin(max_wait,
+			timeout * MAX_QUEUE_TIME_SHARE - (now - arrived))),
+	    0);
 	waiting->queue_timer.data = waiting;
 	ev_timer_start(gateway->params.loop, &waiting->queue_timer);
 }
 
-/* Dispatches the queued requests in the order of their arrival. */
+/*
+ * Dispatches the queued requests in the order of their arrival. Those that have
+ * to wait again, for a read of the configuration, are queued behind them.
+ */
 void
 gateway_dispatch_waiting(gateway_t *gateway)
 {
 	waiting_request_t *waiting;
+	size_t left = gateway->waiting_count;
 
 	if (gateway->waiting_count > 0)
 		LOG_INFO("waiting_requests_taken", "count=%zu",
 		    gateway->waiting_count);
-	while ((waiting = TAILQ_FIRST(&gateway->waiting_requests)) != NULL) {
+	while (left-- > 0 &&
+	       (waiting = TAILQ_FIRST(&gateway->waiting_requests)) != NULL) {
 		http_request_t *request = waiting->request;
 		double arrived = waiting->arrived;
 
