--- a/tests/test_job_table.c
+++ b/tests/test_job_table.c
@@ -202,12 +202,67 @@
 	job_table_delete(table);
 }
 
+/*
+ * Guards against two organisations that share a job because of its ID, and
+ * against other keys on deployments without organisations.
+ */
+static void
+test_job_keys(void)
+{
+	char long_id[JOB_ID_SIZE];
+	char a[JOB_KEY_SIZE];
+	char b[JOB_KEY_SIZE];
+
+	job_key(a, (str_t){0}, STR("job1"));
+	CU_ASSERT_STRING_EQUAL(a, "job1");
+	job_key(a, STR("acme"), STR("job1"));
+	job_key(b, STR("bolt"), STR("job1"));
+	CU_ASSERT(strcmp(a, b) != 0 && strcmp(a, "job1") != 0);
+	job_key(b, STR("acme"), STR("job1"));
+	CU_ASSERT_STRING_EQUAL(a, b);
+	/* Keys are never cut, which would merge two jobs. */
+	memset(long_id, 'x', sizeof(long_id) - 1);
+	long_id[sizeof(long_id) - 1] = '\0';
+	job_key(a, STR("acme"), str_of(long_id));
+	CU_ASSERT(strlen(a) == JOB_KEY_SIZE - 1);
+}
+
+/*
+ * Guards against records that an earlier version wrote and this one can't read,
+ * and against another format on deployments without organisations.
+ */
+static void
+test_records_of_earlier_versions(void)
+{
+	static const char old[] = "\x96\x01\xa4job1\xa1h\xa2/t"
+				  "\xcb\x3f\xf0\0\0\0\0\0\0\x90";
+	str_t bytes = {old, sizeof(old) - 1};
+	buf_t packed = {0};
+	job_t job;
+
+	CU_ASSERT_FATAL(job_unpack(bytes, &job) == 0);
+	CU_ASSERT(str_equal(job.id, STR("job1")) && job.org.len == 0);
+	CU_ASSERT(str_equal(job.target, STR("/t")) && job.submitted == 1);
+	job_pack(&job, &packed);
+	CU_ASSERT(str_equal(str_buf(&packed), bytes));
+	buf_clear(&packed);
+	job.org = job_copy_str(&job, STR("acme"));
+	job_pack(&job, &packed);
+	job_free(&job);
+	CU_ASSERT_FATAL(job_unpack(str_buf(&packed), &job) == 0);
+	CU_ASSERT(str_equal(job.org, STR("acme")));
+	job_free(&job);
+	buf_free(&packed);
+}
+
 static const suite_test_t tests[] = {
     {"chunks in any order", test_chunks_in_any_order},
     {"positions are contiguous", test_positions_are_contiguous},
     {"removal", test_removal},
     {"unreadable records", test_unreadable_records},
     {"end", test_end},
+    {"job keys", test_job_keys},
+    {"records of earlier versions", test_records_of_earlier_versions},
 };
 
 SUITE_MAIN("job_table", tests)
--- a/tests/test_store_relay.c
+++ b/tests/test_store_relay.c
@@ -285,12 +285,42 @@
 	CU_ASSERT(result.callbacks == 0);
 }
 
+/*
+ * A read that waits for a record at a store that stopped answering this host
+ * must go on through another host, which is sent the record. Otherwise a host
+ * learns of a revoked key only when that read times out.
+ */
+static void
+test_waiting_reads_move_to_a_peer(void)
+{
+	fixture_t f;
+	result_t result = {0};
+
+	start(&f);
+	harness_store_faults(f.stores[0])->silent = true;
+	f.relays[0]->class->read(f.relays[0], &(store_query_t){
+						  .topic = TOPIC,
+						  .wait = 4,
+						  .timeout = 8,
+						  .on_done = on_read,
+						  .ctx = &result,
+					      });
+	harness_loop_for(f.loop, 0.1);
+	CU_ASSERT(result.callbacks == 0);
+	disconnect_first_host(&f);
+	harness_store_put(f.stores[1], TOPIC, 0, "k", "v");
+	harness_loop_for(f.loop, 0.6);
+	CU_ASSERT(result.callbacks == 1 && result.rc == 0);
+	stop(&f);
+}
+
 static const suite_test_t tests[] = {
     {"calls are relayed", test_calls_are_relayed},
     {"outage for all hosts", test_outage_for_all_hosts},
     {"an uncertain append stays uncertain",
 	test_uncertain_append_stays_uncertain},
     {"reads move to the direct path", test_reads_move_to_the_direct_path},
+    {"waiting reads move to a peer", test_waiting_reads_move_to_a_peer},
     {"a relayed read times out early", test_relayed_read_times_out_early},
     {"open calls are cancelled", test_open_calls_are_cancelled},
 };
