test_fail_orgs: keys and revocation with gateway processes

Change: a fleet's configuration may hold organisations, its callers a key, its hosts revoke_ms; the stand-in engine records the headers that tell who the caller is.

--- a/tests/harness_gateway_jobs.c
+++ b/tests/harness_gateway_jobs.c
@@ -19,6 +19,7 @@
 	char base[64];
 	char url[160];
 	char id_header[160];
+	char key[160];
 	int status;
 
 	gateways_caller_url(fleet, host, base, sizeof(base));
@@ -40,9 +41,9 @@
 	    &(harness_request_t){
 		.method = "POST",
 		.url = url,
-		.headers =
-		    (const char *const[]){GATEWAYS_HOST_HEADER, id_header,
-			"Content-Type: application/json", "Expect:", NULL},
+		.headers = (const char *const[]){GATEWAYS_HOST_HEADER,
+		    id_header, "Content-Type: application/json", "Expect:",
+		    gateways_key_header(fleet, key, sizeof(key)), NULL},
 		.body = str_buf(&body),
 		.timeout = 5,
 	    },
@@ -86,6 +87,7 @@
 	harness_response_t response;
 	char base[64];
 	char url[200];
+	char key[160];
 	int status;
 
 	gateways_caller_url(fleet, host, base, sizeof(base));
@@ -94,7 +96,8 @@
 	    &(harness_request_t){
 		.url = url,
 		.headers = (const char *const[]){GATEWAYS_HOST_HEADER,
-		    "X-Daisypier-Wait-Ms: 300", NULL},
+		    "X-Daisypier-Wait-Ms: 300",
+		    gateways_key_header(fleet, key, sizeof(key)), NULL},
 		.timeout = 4,
 	    },
 	    &response);
--- a/tests/harness_gateways.c
+++ b/tests/harness_gateways.c
@@ -70,7 +70,7 @@
 	char name[32];
 	char store[64];
 	char path[512];
-	char text[1024];
+	char text[1200];
 
 	host_address(host, ip, sizeof(ip));
 	store_address(fleet, store, sizeof(store));
@@ -79,9 +79,11 @@
 	    "[gateway]\nname = %s\naddress = %s\nzone = %s\nsite = here\n"
 	    "store = http://%s\ncallers = %s:%u\nreadiness = %s:%u\n"
 	    "directory = %s:%u\npeer_port = %u\nperiod_ms = 200\n"
-	    "key = a-key-for-tests-only\nkeep_s = 0.5\nstop_s = 4\n",
+	    "key = a-key-for-tests-only\nkeep_s = 0.5\nstop_s = 4\n"
+	    "revoke_ms = %u\n",
 	    name, ip, zone_of(host), store, ip, fleet->callers_port, ip,
-	    fleet->readiness_port, ip, fleet->directory_port, fleet->peer_port);
+	    fleet->readiness_port, ip, fleet->directory_port, fleet->peer_port,
+	    fleet->params.revoke_ms);
 	harness_write_file(name, text, path, sizeof(path));
 	fleet->hosts[host] = harness_start("daisypier-gateway",
 	    (const char *const[]){"--settings", path, NULL});
@@ -208,11 +210,13 @@
 	    "\"type\":\"stream\",\"max-attempts\":4,\"resumable\":true,%s},"
 	    "{\"name\":\"jobs\",\"path-prefix\":\"/jobs/\",\"type\":\"batch\","
 	    "\"max-attempts\":3,\"resumable\":true,"
-	    "\"completion-window-ms\":18000,\"retention-s\":60,%s}%s]}",
+	    "\"completion-window-ms\":18000,\"retention-s\":60,%s}%s]%s%s}",
 	    (unsigned long long)fleet->config_version,
 	    fleet->params.idle_service ? idle_service : "",
 	    fleet->params.service, fleet->params.idle_service ? idle_route : "",
-	    common.data, common.data, common.data, extra_routes);
+	    common.data, common.data, common.data, extra_routes,
+	    fleet->params.tenants != NULL ? ",\"tenants\":" : "",
+	    fleet->params.tenants != NULL ? fleet->params.tenants : "");
 	put_record(&body, "config", text.data);
 	harness_post(NULL, str_buf(&body),
 	    "http://%s/-/log-append?topic=keyed.op&part=0",
@@ -288,6 +292,16 @@
 	return ((unsigned)json_integer_value(json_array_get(row, index)));
 }
 
+/* Writes the header with the fleet's key; returns NULL without a key. */
+const char *
+gateways_key_header(const gateways_t *fleet, char *out, size_t size)
+{
+	if (fleet->params.key == NULL)
+		return (NULL);
+	snprintf(out, size, "Authorization: Bearer %s", fleet->params.key);
+	return (out);
+}
+
 /* Returns what the running engines did for a request. */
 gateways_runs_t
 gateways_runs(gateways_t *fleet, const char *id)
@@ -309,6 +323,11 @@
 		total.complete += field(row, 1);
 		total.working |= json_is_true(json_array_get(row, 2));
 		total.resumed += field(row, 3);
+		total.keys += field(row, 4);
+		total.org_names += field(row, 5);
+		if (field(row, 5) > 0)
+			str_copy(total.org, sizeof(total.org),
+			    str_of(json_string_value(json_array_get(row, 6))));
 		json_decref(root);
 		buf_free(&body);
 	}
@@ -493,6 +512,7 @@
 	char id_header[160];
 	char tokens[96];
 	char patience[96];
+	char key[160];
 	char *signature;
 	char *retry;
 
@@ -510,7 +530,8 @@
 		.method = "POST",
 		.url = url,
 		.headers = (const char *const[]){GATEWAYS_HOST_HEADER,
-		    id_header, tokens, patience, parts, "Expect:", NULL},
+		    id_header, tokens, patience, parts, "Expect:",
+		    gateways_key_header(fleet, key, sizeof(key)), NULL},
 		.body = STR("prompt"),
 		.timeout = timeout,
 	    },
--- a/tests/harness_gateways.h
+++ b/tests/harness_gateways.h
@@ -35,6 +35,10 @@
 	const char *crash_part;
 	const char *crash_prompt; /* the same with this whole prompt */
 	bool crash_early;	  /* before the first byte of the response */
+	/* List of organisations of the configuration, JSON; NULL: none. */
+	const char *tenants;
+	const char *key; /* of all requests of callers; NULL: none */
+	unsigned revoke_ms;
 } gateways_params_t;
 
 typedef struct gateways_t {
@@ -78,8 +82,14 @@
 	unsigned complete;
 	unsigned resumed; /* runs that went on after an event */
 	bool working;
+	unsigned keys;	    /* headers with a key that reached an engine */
+	unsigned org_names; /* headers with the name of an organisation */
+	char org[64];	    /* the last of these names */
 } gateways_runs_t;
 
+/* Writes the header with the fleet's key; returns NULL without a key. */
+const char *gateways_key_header(
+    const gateways_t *fleet, char *out, size_t size);
 gateways_runs_t gateways_runs(gateways_t *fleet, const char *id);
 void gateways_caller_url(
     const gateways_t *fleet, unsigned host, char *out, size_t size);
