Keys: log each request that is refused because keys may be out of date

Cause: a request that was refused at once left no line in the log. Change: request_not_taken with its cause, as for requests that waited.

--- a/src/gateway_keys.c
+++ b/src/gateway_keys.c
@@ -12,8 +12,7 @@
  * After a freeze or a reload the configuration is read again within
  * milliseconds, so that requests need not be refused.
  */
-#define MAX_HOLD_S    0.5
-#define RETRY_AFTER_S 0.5
+#define MAX_HOLD_S 0.5
 
 /* Returns whether this host may accept keys now. */
 key_state_t
@@ -69,8 +68,7 @@
 		gateway_queue_request(
 		    gateway, request, arrived, MAX_HOLD_S, -RESULT_KEYS_STALE);
 	else
-		http_request_refuse(
-		    request, -RESULT_KEYS_STALE, RETRY_AFTER_S, NULL);
+		gateway_refuse_request(gateway, request, -RESULT_KEYS_STALE);
 	return (true);
 }
 
--- a/src/gateway_state.h
+++ b/src/gateway_state.h
@@ -99,6 +99,8 @@
 /* gateway_waiting.c */
 void gateway_queue_request(gateway_t *gateway, http_request_t *request,
     double arrived, double max_wait, int refusal);
+void gateway_refuse_request(
+    gateway_t *gateway, http_request_t *request, int rc);
 void gateway_dispatch_waiting(gateway_t *gateway);
 void gateway_refuse_waiting(gateway_t *gateway);
 
--- a/src/gateway_waiting.c
+++ b/src/gateway_waiting.c
@@ -116,6 +116,16 @@
 	ev_timer_start(gateway->params.loop, &waiting->queue_timer);
 }
 
+/* Refuses a request, which has not run, at once. */
+void
+gateway_refuse_request(gateway_t *gateway, http_request_t *request, int rc)
+{
+	request_info_t info = {0};
+
+	gateway->params.dialect->read_request(request, &info);
+	refuse_request(request, &info, rc, 0);
+}
+
 /*
  * Dispatches the queued requests in the order of their arrival. Those that have
  * to wait again, for a read of the configuration, are queued behind them.
