--- a/tests/test_fail_orgs.c
+++ b/tests/test_fail_orgs.c
@@ -447,6 +447,28 @@
 	gateways_end(&fleet);
 }
 
+/*
+ * Guards against a host that withdraws while nothing is wrong, because the wait
+ * of its reads is too long for the limit.
+ */
+static void
+test_calm_host_stays_ready(void)
+{
+	double end;
+	unsigned polls = 0;
+	unsigned not_ready = 0;
+
+	start(1, REVOKE_MS);
+	CU_ASSERT(wait_readiness(0, 200));
+	end = clock_monotonic() + 2 * REVOKE_S;
+	for (; clock_monotonic() < end; polls++) {
+		not_ready += readiness(0) != 200;
+		harness_sleep(0.02);
+	}
+	CU_ASSERT(polls > 0 && not_ready == 0);
+	gateways_end(&fleet);
+}
+
 /* Guards against a key that still runs requests after the stated limit. */
 static void
 test_removed_key_is_refused(void)
@@ -715,6 +737,7 @@
     {"jobs on public routes need a key", test_jobs_on_public_routes_need_a_key},
     {"items outlive their organisation", test_items_outlive_their_organisation},
     {"an invalid list is rejected", test_invalid_list_is_rejected},
+    {"a calm host stays ready", test_calm_host_stays_ready},
     {"a removed key is refused", test_removed_key_is_refused},
     {"store silent for all", test_store_silent_for_all},
     {"store silent for one host", test_store_silent_for_one_host},
