--- a/src/forward_state.h
+++ b/src/forward_state.h
@@ -43,7 +43,6 @@
 	double sent_at;		       /* the attempt under way */
 	double attempt_first_event_at; /* 0: none yet */
 	unsigned attempt_events;
-	double granted_at;     /* 0: not yet */
 	double token_asked_at; /* of the organisation's limit; 0: none */
 	bool has_token;
 	double first_event_at; /* 0: none yet */
--- a/src/gateway_waiting.c
+++ b/src/gateway_waiting.c
@@ -76,24 +76,25 @@
 }
 
 /*
- * Queues a request until the host can handle it, for at most max_wait seconds
- * since its arrival, a monotonic time. Refuses it with the given code if that
- * takes too long or too many wait.
+ * Queues a request, which arrived at the given monotonic time, until the host
+ * can handle it, for at most max_wait seconds from now. Refuses it with the
+ * given code if that takes too long or too many wait.
  */
 void
 gateway_queue_request(gateway_t *gateway, http_request_t *request,
     double arrived, double max_wait, int refusal)
 {
+	double now = clock_monotonic();
 	waiting_request_t *waiting;
 	request_info_t info = {0};
-	double waited = clock_monotonic() - arrived;
 	double timeout;
 
 	gateway->params.dialect->read_request(request, &info);
 	if (gateway->draining ||
 	    gateway->waiting_count >= MAX_WAITING_REQUESTS) {
 		refuse_request(request, &info,
-		    gateway->draining ? -RESULT_STOPPING : refusal, waited);
+		    gateway->draining ? -RESULT_STOPPING : refusal,
+		    now - arrived);
 		return;
 	}
 	timeout = info.caller_timeout > 0 ? info.caller_timeout
@@ -108,26 +109,38 @@
 	gateway->waiting_count++;
 	http_request_on_close(request, on_connection_closed, waiting);
 	ev_timer_init(&waiting->queue_timer, on_queue_timeout,
-	    fmax(0, fmin(max_wait, timeout * MAX_QUEUE_TIME_SHARE) - waited),
+	    fmax(0, fmin(max_wait,
+			timeout * MAX_QUEUE_TIME_SHARE - (now - arrived))),
 	    0);
 	waiting->queue_timer.data = waiting;
 	ev_timer_start(gateway->params.loop, &waiting->queue_timer);
 }
 
+/* Refuses a request, which has not run, at once. */
+void
+gateway_refuse_request(gateway_t *gateway, http_request_t *request, int rc)
+{
+	request_info_t info = {0};
+
+	gateway->params.dialect->read_request(request, &info);
+	refuse_request(request, &info, rc, 0);
+}
+
 /*
  * Dispatches the queued requests in the order of their arrival. Those that have
- * to wait on join the queue again and are left there.
+ * to wait again, for a read of the configuration, are queued behind them.
  */
 void
 gateway_dispatch_waiting(gateway_t *gateway)
 {
-	size_t count = gateway->waiting_count;
+	waiting_request_t *waiting;
+	size_t left = gateway->waiting_count;
 
-	if (count > 0)
-		LOG_INFO("waiting_requests_taken", "count=%zu", count);
-	for (; count > 0; count--) {
-		waiting_request_t *waiting =
-		    TAILQ_FIRST(&gateway->waiting_requests);
+	if (gateway->waiting_count > 0)
+		LOG_INFO("waiting_requests_taken", "count=%zu",
+		    gateway->waiting_count);
+	while (left-- > 0 &&
+	       (waiting = TAILQ_FIRST(&gateway->waiting_requests)) != NULL) {
 		http_request_t *request = waiting->request;
 		double arrived = waiting->arrived;
 
