Test: crowds that use up the memory and the descriptors of a host

Cause: bodies are limited only by max_body_bytes on each connection. The hosts are from the plain build, since shadow memory and quarantine of the sanitizers would need a bound that hides the fault; `make check` therefore builds both.

--- a/Makefile
+++ b/Makefile
@@ -124,7 +124,9 @@
 lint-deps:
 	@sh demo/deps.sh $(LINT_PACKAGES)
 
+# test_fail_crowd measures the memory of programs built without sanitizers.
 check: deps
+	$(MAKE) all
 	$(MAKE) SANITIZE=1 all tests
 	sh tests/run.sh build/san
 
--- a/tests/harness_gateways.c
+++ b/tests/harness_gateways.c
@@ -4,6 +4,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/resource.h>
 
 #include <jansson.h>
 #include <sodium.h>
@@ -71,6 +72,8 @@
 	char store[64];
 	char path[512];
 	char text[1024];
+	struct rlimit own;
+	struct rlimit limited;
 
 	host_address(host, ip, sizeof(ip));
 	store_address(fleet, store, sizeof(store));
@@ -79,12 +82,21 @@
 	    "[gateway]\nname = %s\naddress = %s\nzone = %s\nsite = here\n"
 	    "store = http://%s\ncallers = %s:%u\nreadiness = %s:%u\n"
 	    "directory = %s:%u\npeer_port = %u\nperiod_ms = 200\n"
-	    "key = a-key-for-tests-only\nkeep_s = 0.5\nstop_s = 4\n",
+	    "key = a-key-for-tests-only\nkeep_s = 0.5\nstop_s = 4\n%s",
 	    name, ip, zone_of(host), store, ip, fleet->callers_port, ip,
-	    fleet->readiness_port, ip, fleet->directory_port, fleet->peer_port);
+	    fleet->readiness_port, ip, fleet->directory_port, fleet->peer_port,
+	    fleet->params.host_settings != NULL ? fleet->params.host_settings
+						: "");
 	harness_write_file(name, text, path, sizeof(path));
+	getrlimit(RLIMIT_NOFILE, &own);
+	limited = own;
+	if (fleet->params.descriptors > 0)
+		limited.rlim_cur = fleet->params.descriptors;
+	/* The host inherits the limit. */
+	setrlimit(RLIMIT_NOFILE, &limited);
 	fleet->hosts[host] = harness_start("daisypier-gateway",
 	    (const char *const[]){"--settings", path, NULL});
+	setrlimit(RLIMIT_NOFILE, &own);
 	if (fleet->params.logs != NULL && fleet->hosts[host] != NULL) {
 		snprintf(
 		    path, sizeof(path), "%s/%s.log", fleet->params.logs, name);
--- a/tests/harness_hostile_fleet.c
+++ b/tests/harness_hostile_fleet.c
@@ -71,6 +71,13 @@
 /* Starts a hostile_fleet with one engine and new logs. */
 void
 hostile_start_fleet(unsigned hosts)
+{
+	hostile_start_fleet_with(hosts, NULL);
+}
+
+/* The same with more lines in the settings of the hosts. */
+void
+hostile_start_fleet_with(unsigned hosts, const char *host_settings)
 {
 	char path[512];
 
@@ -78,9 +85,12 @@
 		log_path(i, path, sizeof(path));
 		(void)unlink(path);
 	}
-	gateways_start(&hostile_fleet,
-	    &(gateways_params_t){
-		.hosts = hosts, .engines = 1, .logs = harness_folder()});
+	gateways_start(&hostile_fleet, &(gateways_params_t){
+					   .hosts = hosts,
+					   .engines = 1,
+					   .logs = harness_folder(),
+					   .host_settings = host_settings,
+				       });
 }
 
 /* Whether the log of a host shows that it uses the endpoint. */
--- a/tests/harness_hostile_fleet.h
+++ b/tests/harness_hostile_fleet.h
@@ -31,6 +31,7 @@
 } hostile_entry_t;
 
 void hostile_start_fleet(unsigned hosts);
+void hostile_start_fleet_with(unsigned hosts, const char *host_settings);
 void *hostile_call(void *ctx);
 void hostile_call_all(
     hostile_caller_t *callers, unsigned count, const char *name);
