Bodies, connections and frames count against the memory of a host

Cause: crowds of clients with large, unfinished or endless requests took a host of memory_mb = 64 to 108 to 422 MB, and with 512 descriptors neither readiness nor directory answered while callers held all of them (test_fail_crowd). Change: with memory_mb set, a body is counted before it is kept. What does not fit is refused with 413 (on the head if the length is announced), 503 with Retry-After or 408 after 15 s without progress, before anything has run; the response goes to the socket at once, since libmicrohttpd sends none within a body, and at most 1 MB or 2 s of the rest is ignored before the connection is closed. Complete bodies count twice while their requests are open, because transfers copy them. Requests that libmicrohttpd no longer reads, as with an endless chunk extension, get 400. Connections have limits from RLIMIT_NOFILE and memory; when 3/4 are in use, idle ones are closed after the published idle time-out. Links of hosts that are not authenticated are bounded in number and input. Responses kept until they are whole have a budget in place of 64 MB. Freed blocks from 128 KB go back to the system. In any case a server that was at its limit of connections accepts again when one ends; it used to wait for another event.

--- a/src/gateway.c
+++ b/src/gateway.c
@@ -81,6 +81,8 @@
 		.address = settings->address,
 		.port = (uint16_t)settings->peer_port,
 		.key = str_of(settings->key),
+		.account = gateway->memory,
+		.max_new_links = gateway_new_peer_links(gateway),
 	    },
 	    &gateway->peer));
 }
@@ -408,6 +410,7 @@
 	gateway->unidentified_requests =
 	    counter_get("daisypier_requests_unidentified_total",
 		"Requests that were refused because they had no valid key");
+	gateway_memory_init(gateway);
 	gateway->supervisor = supervisor_new(params->loop);
 	for (size_t i = 0; i < sizeof(components) / sizeof(components[0]); i++)
 		supervisor_add(gateway->supervisor, &components[i], gateway);
@@ -427,6 +430,7 @@
 	if (gateway->draining)
 		ev_timer_stop(gateway->params.loop, &gateway->drain_timer);
 	supervisor_delete(gateway->supervisor);
+	gateway_memory_stop(gateway);
 	config_unref(gateway->fleet_config);
 	routing_table_unref(gateway->table);
 	free(gateway);
--- a/src/gateway_http.c
+++ b/src/gateway_http.c
@@ -190,7 +190,7 @@
 
 static int
 start_server(gateway_t *gateway, const char *address, unsigned idle_timeout,
-    httpd_handler_t handler, httpd_t **out)
+    unsigned connections, httpd_handler_t handler, httpd_t **out)
 {
 	const gateway_settings_t *settings = gateway->params.settings;
 	const char *colon = strchr(address, ':');
@@ -204,6 +204,8 @@
 		.port = (uint16_t)strtoul(colon + 1, NULL, 10),
 		.max_body = settings->max_body_bytes,
 		.idle_timeout = idle_timeout,
+		.max_connections = connections,
+		.account = gateway->memory,
 		.handler = handler,
 		.ctx = gateway,
 	    },
@@ -224,17 +226,21 @@
 	int rc;
 
 	rc = start_server(gateway, settings->callers, CALLER_IDLE_TIMEOUT_S,
-	    handle_caller, &gateway->caller_server);
+	    gateway_caller_connections(gateway), handle_caller,
+	    &gateway->caller_server);
 	if (rc == 0)
 		rc = start_server(gateway, settings->readiness, 0,
-		    handle_readiness, &gateway->readiness_server);
+		    gateway_platform_connections(gateway), handle_readiness,
+		    &gateway->readiness_server);
 	if (rc == 0)
 		rc = start_server(gateway, settings->directory, 0,
-		    handle_directory, &gateway->directory_server);
+		    gateway_directory_connections(gateway), handle_directory,
+		    &gateway->directory_server);
 	if (rc == 0 && settings->metrics_port != 0) {
 		snprintf(metrics, sizeof(metrics), "%s:%u", settings->address,
 		    settings->metrics_port);
-		rc = start_server(gateway, metrics, 0, handle_metrics,
+		rc = start_server(gateway, metrics, 0,
+		    gateway_platform_connections(gateway), handle_metrics,
 		    &gateway->metrics_server);
 	}
 	if (rc != 0)
--- a/src/gateway_state.h
+++ b/src/gateway_state.h
@@ -58,6 +58,10 @@
 	ev_timer key_timer;
 	counter_t *key_age;
 	counter_t *stale_key_requests;
+	/* See gateway_memory.c; NULL: unlimited. */
+	memory_account_t *memory;
+	counter_t *memory_gauges[MEMORY_BUDGETS];
+	ev_timer memory_timer;
 	TAILQ_HEAD(, waiting_request_t) waiting_requests;
 	size_t waiting_count;
 	/* Graceful shutdown. */
@@ -106,6 +110,14 @@
 bool gateway_withhold_request(gateway_t *gateway, http_request_t *request);
 void gateway_on_config_synced(gateway_t *gateway);
 
+/* gateway_memory.c */
+void gateway_memory_init(gateway_t *gateway);
+void gateway_memory_stop(gateway_t *gateway);
+unsigned gateway_caller_connections(const gateway_t *gateway);
+unsigned gateway_directory_connections(const gateway_t *gateway);
+unsigned gateway_platform_connections(const gateway_t *gateway);
+unsigned gateway_new_peer_links(const gateway_t *gateway);
+
 /* gateway_http.c */
 void gateway_dispatch(
     gateway_t *gateway, http_request_t *request, double arrived);
--- a/src/http_call.c
+++ b/src/http_call.c
@@ -13,11 +13,7 @@
 
 #define DEFAULT_CONNECT_TIMEOUT_S 1.0
 #define DEFAULT_MAX_BODY_BYTES	  (16U << 20)
-/*
- * Memory for the bodies of all responses that are kept until they are whole.
- * When it is used up, only bodies of up to SMALL_BODY_BYTES may still grow.
- */
-#define MAX_KEPT_BYTES	 (64U << 20)
+/* Bodies of this size may still grow when the memory for them is used up. */
 #define SMALL_BODY_BYTES (256U << 10)
 /* All headers of one response, including those of interim responses. */
 #define MAX_HEADER_BYTES (128U << 10)
@@ -146,7 +142,7 @@
 	if (total > call->max_body)
 		return (false);
 	return (total <= SMALL_BODY_BYTES ||
-		call->httpc->kept_bytes + len <= MAX_KEPT_BYTES);
+		call->httpc->kept_bytes + len <= call->httpc->max_kept_bytes);
 }
 
 static size_t
@@ -159,6 +155,8 @@
 	if (call->cancelled)
 		return (0);
 	call->productive = true;
+	if (call->paused)
+		return (CURL_WRITEFUNC_PAUSE);
 	curl_easy_getinfo(call->easy, CURLINFO_RESPONSE_CODE, &status);
 	if (call->on_data != NULL && (status == 200 || call->any_status)) {
 		call->httpc->in_callback = true;
@@ -412,6 +410,28 @@
 	call->aborted = true;
 }
 
+/*
+ * Stops reading the response, from within on_data or otherwise. The endpoint
+ * can then send only as much as the sockets hold. The progress timeout is
+ * disabled until the call goes on.
+ */
+void
+http_call_pause(http_call_t *call)
+{
+	call->paused = true;
+	http_call_progress(call, 0);
+}
+
+/* Goes on reading; on_data may run before this returns. */
+void
+http_call_resume(http_call_t *call)
+{
+	if (!call->paused)
+		return;
+	call->paused = false;
+	curl_easy_pause(call->easy, CURLPAUSE_CONT);
+}
+
 /*
  * Restarts the progress timeout: the call fails unless this is called again
  * within the given seconds; 0 disables the timeout. Received bytes alone do not
--- a/src/httpc.c
+++ b/src/httpc.c
@@ -6,6 +6,11 @@
 
 /* Idle connections kept for reuse, over all servers. */
 #define MAX_IDLE_CONNECTIONS 512L
+/*
+ * Memory for the bodies of all responses that are kept until they are whole.
+ * When it is used up, only small bodies may still grow.
+ */
+#define MAX_KEPT_BYTES (64U << 20)
 
 typedef struct socket_watcher_t {
 	ev_io io;
@@ -149,6 +154,7 @@
 
 	curl_global_init(CURL_GLOBAL_DEFAULT);
 	httpc->loop = loop;
+	httpc->max_kept_bytes = MAX_KEPT_BYTES;
 	LIST_INIT(&httpc->calls);
 	httpc->multi = curl_multi_init();
 	curl_multi_setopt(
@@ -175,6 +181,27 @@
 	snprintf(httpc->source, sizeof(httpc->source), "host!%s", address);
 }
 
+/*
+ * Lowers the memory for responses that are kept until they are whole, and the
+ * number of idle connections kept for reuse.
+ */
+void
+httpc_set_limits(httpc_t *httpc, size_t kept_bytes, unsigned idle_connections)
+{
+	if (kept_bytes < MAX_KEPT_BYTES)
+		httpc->max_kept_bytes = kept_bytes;
+	if (idle_connections < MAX_IDLE_CONNECTIONS)
+		curl_multi_setopt(
+		    httpc->multi, CURLMOPT_MAXCONNECTS, (long)idle_connections);
+}
+
+/* Returns the bytes allocated for responses that are not whole yet. */
+size_t
+httpc_kept_bytes(const httpc_t *httpc)
+{
+	return (httpc->kept_bytes);
+}
+
 struct ev_loop *
 httpc_loop(const httpc_t *httpc)
 {
--- a/src/httpc.h
+++ b/src/httpc.h
@@ -59,11 +59,16 @@
 httpc_t *httpc_new(struct ev_loop *loop);
 void httpc_delete(httpc_t *httpc);
 void httpc_set_source_address(httpc_t *httpc, const char *address);
+void httpc_set_limits(
+    httpc_t *httpc, size_t kept_bytes, unsigned idle_connections);
+size_t httpc_kept_bytes(const httpc_t *httpc);
 struct ev_loop *httpc_loop(const httpc_t *httpc);
 
 http_call_t *http_call_start(httpc_t *httpc, const http_call_params_t *params);
 void http_call_cancel(http_call_t *call);
 void http_call_abort(http_call_t *call);
+void http_call_pause(http_call_t *call);
+void http_call_resume(http_call_t *call);
 void http_call_progress(http_call_t *call, double seconds);
 bool http_call_reuses_connection(http_call_t *call);
 const char *http_call_header(http_call_t *call, const char *name);
--- a/src/httpc_state.h
+++ b/src/httpc_state.h
@@ -20,6 +20,7 @@
 	bool in_callback;
 	char source[64]; /* in libcurl's format; empty: chosen by the kernel */
 	size_t kept_bytes; /* allocated for the responses of all calls */
+	size_t max_kept_bytes;
 	LIST_HEAD(, http_call_t) calls;
 };
 
@@ -42,6 +43,7 @@
 	bool head_complete; /* of the final response */
 	bool head_invalid;  /* it cannot be that of a single response */
 	bool aborted;
+	bool paused; /* received data stays with libcurl */
 	bool any_status;
 	http_headers_cb_t on_head;
 	http_data_cb_t on_data;
--- a/src/httpd.c
+++ b/src/httpd.c
@@ -1,18 +1,16 @@
 /* HTTP server: libmicrohttpd driven by a libev loop. */
-#include "httpd.h"
+#include "httpd_state.h"
 
-#include <arpa/inet.h>
 #include <errno.h>
 #include <poll.h>
 #include <stdlib.h>
 #include <string.h>
-#include <sys/queue.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
 #include <jansson.h>
-#include <microhttpd.h>
 
+#include "clock.h"
 #include "logger.h"
 #include "result.h"
 
@@ -26,54 +24,8 @@
  */
 #define DISCONNECT_POLL_INTERVAL_S 0.1
 
-struct httpd_t {
-	struct ev_loop *loop;
-	struct MHD_Daemon *daemon;
-	httpd_params_t params;
-	uint16_t port;
-	bool closing;
-	bool running; /* inside MHD_run() */
-	size_t open;
-	LIST_HEAD(, http_request_t) requests;
-	ev_io io;
-	ev_timer timer;
-	ev_timer disconnect_timer;
-};
-
-typedef enum stream_state_t {
-	STREAM_NONE,
-	STREAM_OPEN,
-	STREAM_ENDED,
-	STREAM_ABORTED,
-} stream_state_t;
-
-struct http_request_t {
-	httpd_t *httpd;
-	struct MHD_Connection *connection;
-	char *target; /* as received */
-	char *path;   /* decoded; NULL until all headers have arrived */
-	const char *method;
-	bool knows_chunks; /* the client's version of HTTP has them */
-	char client[INET6_ADDRSTRLEN];
-	buf_t body;
-	bool too_large;
-	bool dispatched; /* the handler has been called */
-	bool answered;	 /* the user must not use the request any more */
-	bool suspended;
-	bool queued; /* the response was passed to libmicrohttpd */
-	struct MHD_Response *response;
-	int status;
-	char **headers; /* alternating names and values */
-	size_t header_count;
-	buf_t stream;
-	stream_state_t stream_state;
-	void (*on_close)(void *ctx);
-	void *on_close_ctx;
-	LIST_ENTRY(http_request_t) entry;
-};
-
 /* Schedules a run of libmicrohttpd for the next loop iteration. */
-static void
+void
 httpd_schedule_run(httpd_t *httpd)
 {
 	ev_timer_stop(httpd->loop, &httpd->timer);
@@ -89,6 +41,12 @@
 	httpd->running = true;
 	MHD_run(httpd->daemon);
 	httpd->running = false;
+	/* libmicrohttpd accepts again only in its next run. */
+	if (httpd->was_full) {
+		httpd->was_full = false;
+		httpd_schedule_run(httpd);
+		return;
+	}
 	if (MHD_get_timeout(httpd->daemon, &timeout_ms) != MHD_YES)
 		return;
 	ev_timer_stop(httpd->loop, &httpd->timer);
@@ -192,6 +150,7 @@
 static void
 request_free(http_request_t *request)
 {
+	httpd_intake_request_end(request);
 	LIST_REMOVE(request, entry);
 	request->httpd->open--;
 	http_request_clear_headers(request);
@@ -200,6 +159,7 @@
 	free(request->path);
 	buf_free(&request->body);
 	buf_free(&request->stream);
+	buf_free(&request->reply);
 	if (request->response != NULL)
 		MHD_destroy_response(request->response);
 	free(request);
@@ -250,12 +210,13 @@
 	client_address(connection, request->client, sizeof(request->client));
 	LIST_INSERT_HEAD(&httpd->requests, request, entry);
 	httpd->open++;
+	httpd_intake_request_begin(request);
 	return (request);
 }
 
 /* Passes the response, with its headers, to libmicrohttpd. */
-static enum MHD_Result
-request_queue(http_request_t *request)
+enum MHD_Result
+httpd_request_queue(http_request_t *request)
 {
 	for (size_t i = 0; i < request->header_count; i++)
 		MHD_add_response_header(request->response,
@@ -278,12 +239,12 @@
 		if (request->too_large)
 			http_request_reply_error(request, -RESULT_TOO_LARGE,
 			    "the body is too large");
-		else
+		else if (httpd_intake_complete(request))
 			request->httpd->params.handler(
 			    request->httpd->params.ctx, request);
 	}
 	if (request->response != NULL)
-		return (request_queue(request));
+		return (httpd_request_queue(request));
 	if (request->stream_state == STREAM_ABORTED)
 		return (MHD_NO);
 	request_suspend(request);
@@ -304,7 +265,15 @@
 		request->method = method;
 		request->knows_chunks =
 		    strcmp(version, MHD_HTTP_VERSION_1_0) != 0;
-		return (MHD_YES);
+		return (httpd->params.account != NULL
+			    ? httpd_intake_head(request)
+			    : MHD_YES);
+	}
+	if (request->refused || (*size > 0 && httpd->params.account != NULL)) {
+		size_t len = *size;
+
+		*size = 0;
+		return (httpd_intake_data(request, data, len));
 	}
 	if (*size > 0) {
 		if (request->body.len + *size > httpd->params.max_body)
@@ -335,6 +304,8 @@
 	httpd = xcalloc(1, sizeof(*httpd));
 	httpd->loop = loop;
 	httpd->params = *params;
+	httpd->max_connections = max > 0 ? max : DEFAULT_MAX_CONNECTIONS;
+	httpd_intake_init(httpd);
 	/*
 	 * MHD_OPTION_LISTENING_ADDRESS_REUSE is not used: it sets SO_REUSEPORT,
 	 * with which two processes could share a port and each receive some of
@@ -345,12 +316,13 @@
 		NULL, on_access, httpd, MHD_OPTION_SOCK_ADDR,
 		(struct sockaddr *)&address, MHD_OPTION_CONNECTION_TIMEOUT,
 		idle > 0 ? idle : DEFAULT_IDLE_TIMEOUT_S,
-		MHD_OPTION_CONNECTION_LIMIT,
-		max > 0 ? max : DEFAULT_MAX_CONNECTIONS,
+		MHD_OPTION_CONNECTION_LIMIT, httpd->max_connections,
 		MHD_OPTION_NOTIFY_COMPLETED, on_completed, NULL,
+		MHD_OPTION_NOTIFY_CONNECTION, httpd_intake_on_connection, httpd,
 		MHD_OPTION_URI_LOG_CALLBACK, on_request_line, httpd,
 		MHD_OPTION_END);
 	if (httpd->daemon == NULL) {
+		httpd_intake_stop(httpd);
 		free(httpd);
 		return (-EADDRINUSE);
 	}
@@ -387,6 +359,7 @@
 	ev_io_stop(httpd->loop, &httpd->io);
 	ev_timer_stop(httpd->loop, &httpd->timer);
 	ev_timer_stop(httpd->loop, &httpd->disconnect_timer);
+	httpd_intake_stop(httpd);
 	free(httpd);
 }
 
@@ -540,6 +513,19 @@
 	request->header_count = 0;
 }
 
+/* Provides the next part of a large reply. */
+static ssize_t
+reply_read(void *ctx, uint64_t position, char *out, size_t max)
+{
+	http_request_t *request = ctx;
+	size_t n = request->reply.len - (size_t)position;
+
+	n = n < max ? n : max;
+	memcpy(out, request->reply.data + position, n);
+	request->read_at = clock_monotonic();
+	return ((ssize_t)n);
+}
+
 /* Sends a complete response. The body is copied; content_type may be NULL. */
 void
 http_request_reply(
@@ -548,8 +534,16 @@
 	request->answered = true;
 	request->on_close = NULL;
 	request->status = status;
-	request->response = MHD_create_response_from_buffer(
-	    body.len, xmemdup(body.data, body.len), MHD_RESPMEM_MUST_FREE);
+	if (request->httpd->params.account != NULL &&
+	    body.len > STREAM_BLOCK_BYTES) {
+		buf_append(&request->reply, body);
+		request->response = MHD_create_response_from_callback(
+		    body.len, STREAM_BLOCK_BYTES, reply_read, request, NULL);
+		httpd_unread_add(request, request->reply.cap);
+	} else {
+		request->response = MHD_create_response_from_buffer(body.len,
+		    xmemdup(body.data, body.len), MHD_RESPMEM_MUST_FREE);
+	}
 	if (content_type != NULL)
 		MHD_add_response_header(request->response,
 		    MHD_HTTP_HEADER_CONTENT_TYPE, content_type);
@@ -580,8 +574,8 @@
  * Resets the connection. To a client without chunks, the end of a connection is
  * the end of the response, and libmicrohttpd ends it in order, with a FIN.
  */
-static void
-request_reset(const http_request_t *request)
+void
+httpd_request_reset(const http_request_t *request)
 {
 	const union MHD_ConnectionInfo *info = MHD_get_connection_info(
 	    request->connection, MHD_CONNECTION_INFO_CONNECTION_FD);
@@ -603,11 +597,12 @@
 	if (n > 0) {
 		memcpy(out, request->stream.data, n);
 		buf_consume(&request->stream, n);
+		httpd_unread_remove(request, n);
 		return ((ssize_t)n);
 	}
 	if (request->stream_state == STREAM_ABORTED) {
 		if (!request->knows_chunks)
-			request_reset(request);
+			httpd_request_reset(request);
 		return (MHD_CONTENT_READER_END_WITH_ERROR);
 	}
 	if (request->stream_state == STREAM_ENDED)
@@ -643,6 +638,7 @@
 http_request_stream_write(http_request_t *request, str_t data)
 {
 	buf_append(&request->stream, data);
+	httpd_unread_add(request, data.len);
 	request_resume(request);
 }
 
--- a/src/httpd.h
+++ b/src/httpd.h
@@ -4,7 +4,7 @@
 
 #include <ev.h>
 
-#include "str.h"
+#include "memory_account.h"
 
 typedef struct httpd_t httpd_t;
 typedef struct http_request_t http_request_t;
@@ -23,6 +23,8 @@
 	size_t max_body;	  /* bytes; larger requests get 413 */
 	unsigned idle_timeout;	  /* seconds without progress; 0: 30 */
 	unsigned max_connections; /* 0: 4096 */
+	/* Bounds what connections hold; NULL: only max_body. */
+	memory_account_t *account;
 	httpd_handler_t handler;
 	void *ctx;
 } httpd_params_t;
@@ -32,6 +34,7 @@
 void httpd_delete(httpd_t *httpd);
 uint16_t httpd_port(const httpd_t *httpd);
 size_t httpd_open_requests(const httpd_t *httpd);
+size_t httpd_connections(const httpd_t *httpd);
 void httpd_set_closing(httpd_t *httpd);
 void httpd_stop_accepting(httpd_t *httpd);
 
@@ -61,6 +64,9 @@
     http_request_t *request, int status, const char *content_type);
 void http_request_stream_write(http_request_t *request, str_t data);
 size_t http_request_stream_pending(const http_request_t *request);
+bool http_request_stream_is_backed_up(const http_request_t *request);
+bool http_request_responses_are_full(const http_request_t *request);
+double http_request_stalled_seconds(const http_request_t *request);
 void http_request_stream_end(http_request_t *request);
 void http_request_stream_abort(http_request_t *request);
 
--- a/src/peer.c
+++ b/src/peer.c
@@ -104,6 +104,9 @@
 	peer->port = ntohs(bound.sin_port);
 	buf_append(&peer->key, params->key);
 	peer->next_id = 1;
+	peer->account = params->account;
+	peer->max_new_links = params->max_new_links;
+	TAILQ_INIT(&peer->new_links);
 	peer->bytes_sent = counter_get(
 	    "daisypier_peer_sent_bytes_total", "Bytes sent to other hosts");
 	peer->bytes_received =
--- a/src/peer.h
+++ b/src/peer.h
@@ -4,6 +4,7 @@
 
 #include <ev.h>
 
+#include "memory_account.h"
 #include "wire.h"
 
 typedef struct peer_t peer_t;
@@ -64,6 +65,9 @@
 	const char *address; /* IP address of this host */
 	uint16_t port; /* the same on all hosts; 0: chosen by the kernel */
 	str_t key;     /* secret shared by all hosts */
+	/* Counts what links hold that are not authenticated; NULL: nothing. */
+	memory_account_t *account;
+	unsigned max_new_links; /* incoming, not authenticated; 0: no limit */
 } peer_params_t;
 
 int peer_new(struct ev_loop *loop, const peer_params_t *params, peer_t **out);
--- a/src/peer_link.c
+++ b/src/peer_link.c
@@ -12,6 +12,11 @@
 #include "result.h"
 
 #define READ_CHUNK_BYTES 65536
+/*
+ * Input of a link that is not authenticated which is kept even if its budget is
+ * used up, so that hosts are heard beside clients that do not have the key.
+ */
+#define MIN_NEW_INPUT_BYTES 65536
 /* A link that is not connected and authenticated by then is dropped. */
 #define CONNECT_TIMEOUT_S    1.0
 #define KEEPALIVE_IDLE_S     10
@@ -135,6 +140,44 @@
 		    peer->handlers[type].ctx, request, body);
 }
 
+/* A link is no longer new, or it ends. */
+static void
+link_leave_new(peer_link_t *link)
+{
+	peer_t *peer = link->peer;
+
+	if (!link->is_new)
+		return;
+	link->is_new = false;
+	TAILQ_REMOVE(&peer->new_links, link, new_entry);
+	peer->new_link_count--;
+	if (peer->account != NULL)
+		memory_account_release(
+		    peer->account, MEMORY_PEERS, link->counted);
+	link->counted = 0;
+}
+
+/* Counts the input of a new link; returns false if there is no room for it. */
+static bool
+link_count_input(peer_link_t *link)
+{
+	memory_account_t *account = link->peer->account;
+	size_t more;
+
+	if (!link->is_new || account == NULL ||
+	    link->input.cap <= link->counted)
+		return (true);
+	more = link->input.cap - link->counted;
+	if (link->input.len <= MIN_NEW_INPUT_BYTES) {
+		memory_account_charge(account, MEMORY_PEERS, more);
+	} else if (!memory_account_reserve(account, MEMORY_PEERS, more)) {
+		memory_account_refused(account, MEMORY_PEERS);
+		return (false);
+	}
+	link->counted = link->input.cap;
+	return (true);
+}
+
 /* Returns false if the payload is malformed. */
 static bool
 link_handle_message(peer_link_t *link, str_t payload)
@@ -188,6 +231,8 @@
 		else
 			ok = link_handle_message(link, payload);
 		offset += ok ? consumed : 0;
+		if (ok)
+			link_leave_new(link);
 		if (ok)
 			ev_timer_stop(link->peer->loop, &link->connect_timer);
 	}
@@ -206,6 +251,8 @@
 		ssize_t n;
 
 		buf_reserve(&link->input, READ_CHUNK_BYTES);
+		if (!link_count_input(link))
+			return (false);
 		n = recv(link->fd, link->input.data + link->input.len,
 		    READ_CHUNK_BYTES, MSG_DONTWAIT);
 		if (n < 0 && errno == EINTR)
@@ -284,6 +331,7 @@
 	ev_timer_stop(loop, &link->connect_timer);
 	ev_timer_stop(loop, &link->flush_timer);
 	close(link->fd);
+	link_leave_new(link);
 	LIST_REMOVE(link, entry);
 	if (link->outgoing)
 		LIST_REMOVE(link, outgoing_entry);
@@ -343,6 +391,23 @@
 	return (link);
 }
 
+/*
+ * Notes that an incoming link is not authenticated yet. If there are too many
+ * of these, the oldest one is closed.
+ */
+static void
+link_enter_new(peer_link_t *link)
+{
+	peer_t *peer = link->peer;
+
+	if (peer->max_new_links > 0 &&
+	    peer->new_link_count >= peer->max_new_links)
+		peer_link_drop(TAILQ_FIRST(&peer->new_links));
+	link->is_new = true;
+	TAILQ_INSERT_TAIL(&peer->new_links, link, new_entry);
+	peer->new_link_count++;
+}
+
 /* Accepts connections from other hosts. */
 void
 peer_on_connection(struct ev_loop *loop, ev_io *io, int events)
@@ -358,7 +423,7 @@
 	while ((fd = accept4(io->fd, (struct sockaddr *)&from, &size,
 		    SOCK_NONBLOCK | SOCK_CLOEXEC)) >= 0) {
 		inet_ntop(AF_INET, &from.sin_addr, address, sizeof(address));
-		link_new(peer, fd, address, false);
+		link_enter_new(link_new(peer, fd, address, false));
 		size = sizeof(from);
 	}
 }
--- a/src/peer_state.h
+++ b/src/peer_state.h
@@ -30,6 +30,10 @@
 	LIST_HEAD(, peer_link_t) outgoing[PEER_LINK_BUCKETS]; /* by address */
 	struct call_list_t failed_calls; /* no link; fail on next loop run */
 	uint64_t next_id;
+	memory_account_t *account; /* may be NULL */
+	unsigned max_new_links;	   /* 0: no limit */
+	unsigned new_link_count;
+	TAILQ_HEAD(, peer_link_t) new_links; /* incoming; oldest first */
 	counter_t *bytes_sent;
 	counter_t *bytes_received;
 	counter_t *frames_sent;
@@ -49,6 +53,9 @@
 	buf_t output;  /* encoded frames */
 	buf_t pending; /* length-prefixed payloads, sent once there is a key */
 	double last_received_at;
+	bool is_new;	/* incoming, and no frame was authentic so far */
+	size_t counted; /* bytes of its input in the account */
+	TAILQ_ENTRY(peer_link_t) new_entry;
 	ev_io io;
 	ev_timer connect_timer;
 	ev_timer flush_timer;
--- a/tests/harness_gateways.h
+++ b/tests/harness_gateways.h
@@ -33,8 +33,8 @@
 	const char *journal; /* file that gets a line for each run or NULL */
 	/* Engines crash when they answer a prompt with this part, in hex. */
 	const char *crash_part;
-	const char *crash_prompt; /* the same with this whole prompt */
-	bool crash_early;	  /* before the first byte of the response */
+	const char *crash_prompt;  /* the same with this whole prompt */
+	bool crash_early;	   /* before the first byte of the response */
 	const char *host_settings; /* more lines of the hosts' settings */
 	unsigned descriptors;	   /* limit of each host; 0: inherited */
 } gateways_params_t;
