Backpressure: a stream is read no faster than its caller takes it

Cause: a host read streams as fast as endpoints sent them, kept up to 512 KB for each caller without a limit over all, and cut off callers beyond that. Responses that are no streams cannot pause: while that budget is used up, requests for them and reads of job results get 503 with Retry-After before they start.

--- a/src/attempt.c
+++ b/src/attempt.c
@@ -356,6 +356,23 @@
 	free(attempt);
 }
 
+/* Stops reading the response; its timeouts are disabled. */
+void
+attempt_pause(attempt_t *attempt)
+{
+	http_call_pause(attempt->call);
+}
+
+/* Goes on reading the response; on_event may run before this returns. */
+void
+attempt_resume(attempt_t *attempt)
+{
+	if (attempt->params.event_timeout > 0)
+		http_call_progress(
+		    attempt->call, attempt->params.event_timeout);
+	http_call_resume(attempt->call);
+}
+
 /* Calls on_header for each header of the response, in order. */
 void
 attempt_each_header(attempt_t *attempt, http_header_cb_t on_header, void *ctx)
--- a/src/attempt.h
+++ b/src/attempt.h
@@ -62,6 +62,8 @@
 
 attempt_t *attempt_start(const attempt_params_t *params);
 void attempt_cancel(attempt_t *attempt);
+void attempt_pause(attempt_t *attempt);
+void attempt_resume(attempt_t *attempt);
 void attempt_each_header(
     attempt_t *attempt, http_header_cb_t on_header, void *ctx);
 
--- a/src/forward.c
+++ b/src/forward.c
@@ -20,6 +20,8 @@
 #define EVENT_TIMEOUT_S	   1.0
 /* Limit for the bytes of a stream that the caller has not read yet. */
 #define MAX_BACKLOG_BYTES (512U << 10)
+/* When callers that read slowly have used up the memory for responses. */
+#define MEMORY_RETRY_AFTER_S 1.0
 
 static void forward_request_grant(forward_t *f);
 
@@ -44,6 +46,7 @@
 	forwarder_t *forwarder = f->forwarder;
 
 	ev_timer_stop(forwarder->params.loop, &f->deadline_timer);
+	ev_timer_stop(forwarder->params.loop, &f->pause_timer);
 	if (f->attempt != NULL)
 		attempt_cancel(f->attempt);
 	if (f->grant != NULL)
@@ -157,6 +160,8 @@
 	http_request_stream_write(f->request, event->raw);
 	f->state.caller_stalled =
 	    http_request_stream_pending(f->request) > MAX_BACKLOG_BYTES;
+	if (!f->state.caller_stalled)
+		forward_pause_if_backed_up(f);
 	return (!f->state.caller_stalled);
 }
 
@@ -490,7 +495,15 @@
 		    request, -RESULT_BAD_REQUEST, "the request id is too long");
 		return;
 	}
+	/* A stream can be paused, another response must be kept as it comes. */
+	if (route->kind != REQUEST_STREAM &&
+	    http_request_responses_are_full(request)) {
+		http_request_refuse(request, -RESULT_OVERLOADED,
+		    MEMORY_RETRY_AFTER_S, "no memory for the response now");
+		return;
+	}
 	f = xcalloc(1, sizeof(*f));
+	forward_pause_init(f);
 	f->info = info;
 	f->forwarder = forwarder;
 	f->request = request;
--- a/src/forward_counters.c
+++ b/src/forward_counters.c
@@ -21,6 +21,10 @@
 		"Requests whose caller left before the answer");
 	counters->timeouts = counter_get("daisypier_forward_timeouts_total",
 	    "Requests that ran out of time");
+	counters->paused = counter_get("daisypier_forward_paused_total",
+	    "Times that a stream waited for its caller to read");
+	counters->stalled = counter_get("daisypier_forward_stalled_total",
+	    "Streams cut off because their callers did not read");
 	counters->admission =
 	    histogram_get("daisypier_forward_admission_seconds",
 		"Time until a request got a slot");
--- a/src/forward_counters.h
+++ b/src/forward_counters.h
@@ -13,6 +13,8 @@
 	counter_t *aborted;
 	counter_t *callers_disconnected;
 	counter_t *timeouts;
+	counter_t *paused;
+	counter_t *stalled;
 	histogram_t *admission;
 	histogram_t *first_event;
 	histogram_t *total;
--- a/src/forward_state.h
+++ b/src/forward_state.h
@@ -43,6 +43,7 @@
 	double first_event_at; /* 0: none yet */
 	unsigned events;       /* passed on to the caller */
 	ev_timer deadline_timer;
+	ev_timer pause_timer; /* active while the stream is paused */
 	LIST_ENTRY(forward_t) entry;
 } forward_t;
 
@@ -51,4 +52,8 @@
 void forward_terminate(forward_t *f, int rc, double retry_after);
 bool forward_refuse_held(forward_t *f);
 
+/* forward_pause.c */
+void forward_pause_init(forward_t *f);
+void forward_pause_if_backed_up(forward_t *f);
+
 #endif
--- a/src/jobs.c
+++ b/src/jobs.c
@@ -414,7 +414,10 @@
 	job_results_message_t message;
 	buf_t text = {0};
 
-	if (rc == -RESULT_NOT_FOUND) {
+	if (rc == 0 && http_request_responses_are_full(request)) {
+		http_request_refuse(request, -RESULT_OVERLOADED,
+		    READ_RETRY_AFTER_S, "no memory for the response now");
+	} else if (rc == -RESULT_NOT_FOUND) {
 		http_request_reply_error(request, rc, NULL);
 	} else if (rc != 0) {
 		query_fail(query, rc);
