Jobs count against the memory of a host

Cause: a host keeps the jobs and results of its partitions without any limit. Change: a partition's table counts what its jobs hold in the budget `jobs` (15 % of memory_mb). While it is used up, submissions at this host get 503 with Retry-After before anything is stored. Jobs that are in the store are kept in any case. Measured: test_job_table, test_job_partition, test_job_handover, test_fail_job_pools and test_fail_jobs pass with sanitizers.

--- a/src/gateway.c
+++ b/src/gateway.c
@@ -298,6 +298,7 @@
 	    .httpc = gateway->params.httpc,
 	    .dialect = gateway->params.dialect,
 	    .host = gateway->params.settings->name,
+	    .account = gateway->memory,
 	    .job_retention = gateway->params.settings->results_keep_s,
 	    .members = get_members,
 	    .routes = get_routing_table,
--- a/src/job_partition.c
+++ b/src/job_partition.c
@@ -377,6 +377,7 @@
 	partition->runner = job_runner_new(&runner);
 	job_runner_set_paused(partition->runner, true);
 	partition->table = job_table_new(on_change, partition);
+	job_table_set_account(partition->table, params->account);
 	ev_timer_init(&partition->append_timer, on_append_timer, 0, 0);
 	ev_timer_init(&partition->expiry_timer, on_expiry_timer,
 	    EXPIRY_CHECK_INTERVAL_S, EXPIRY_CHECK_INTERVAL_S);
--- a/src/job_partition.h
+++ b/src/job_partition.h
@@ -11,6 +11,7 @@
 	struct ev_loop *loop;
 	store_t *store;
 	const char *topic;
+	memory_account_t *account; /* counts its jobs; may be NULL */
 	unsigned partition;
 	double keep; /* seconds from a job's submission; 0: forever */
 	job_runner_params_t runner; /* on_finished is overwritten */
--- a/src/job_table.c
+++ b/src/job_table.c
@@ -27,6 +27,7 @@
 	size_t count;
 	job_change_cb_t on_change;
 	void *ctx;
+	memory_account_t *account; /* may be NULL */
 };
 
 /* Returns the partition that keeps a job. */
@@ -48,6 +49,16 @@
 	return (table);
 }
 
+/*
+ * Counts what the jobs of a table that is still empty will hold. Accepted jobs
+ * are in the store and are kept in any case.
+ */
+void
+job_table_set_account(job_table_t *table, memory_account_t *account)
+{
+	table->account = account;
+}
+
 static void
 chunks_free(stored_job_t *job)
 {
@@ -64,6 +75,8 @@
 	table->on_change(table->ctx, job, JOB_CHANGE_REMOVED);
 	TAILQ_REMOVE(&table->jobs, job, entry);
 	table->count--;
+	if (table->account != NULL)
+		memory_account_release(table->account, MEMORY_JOBS, job->bytes);
 	chunks_free(job);
 	for (size_t i = 0; i < job->result_capacity; i++)
 		free(job->results[i].data);
@@ -223,6 +236,8 @@
 	if (job->accepted)
 		return (JOB_CHANGE_NONE); /* the job was accepted again */
 	chunks_reserve(job, index + 1);
+	job->bytes -= job->chunks[index].len;
+	job->bytes += data.len;
 	free(job->chunks[index].data);
 	job->chunks[index].data = xmemdup(data.data, data.len);
 	job->chunks[index].len = data.len;
@@ -288,6 +303,7 @@
 		size_t item_len = result->item.len;
 
 		result->data = xmalloc(item_len + result->output.len + 1);
+		job->bytes += item_len + result->output.len;
 		memcpy(result->data, result->item.data, item_len);
 		memcpy(result->data + item_len, result->output.data,
 		    result->output.len);
@@ -320,6 +336,7 @@
 	job_change_t change = JOB_CHANGE_NONE;
 	stored_job_t *job;
 	uint64_t index;
+	size_t bytes;
 	char kind;
 	str_t id;
 
@@ -334,6 +351,7 @@
 	}
 	job = job_find_or_add(table, id);
 	job->seen = true;
+	bytes = job->bytes;
 	switch (kind) {
 	case KEY_JOB:
 		change = apply_job(job, record->value);
@@ -352,6 +370,10 @@
 		change = JOB_CHANGE_MALFORMED;
 		break;
 	}
+	if (table->account != NULL) {
+		memory_account_release(table->account, MEMORY_JOBS, bytes);
+		memory_account_charge(table->account, MEMORY_JOBS, job->bytes);
+	}
 	if (change == JOB_CHANGE_MALFORMED)
 		LOG_WARN("job_record_unreadable",
 		    "key=" STR_FMT " offset=%llu bytes=%zu",
--- a/src/job_table.h
+++ b/src/job_table.h
@@ -5,6 +5,7 @@
 #include <sys/queue.h>
 
 #include "job.h"
+#include "memory_account.h"
 #include "store.h"
 
 typedef struct job_table_t job_table_t;
@@ -38,7 +39,8 @@
 	stored_result_t *results;
 	size_t result_capacity;
 	size_t listed;
-	void *run; /* per-job data of the table's user */
+	size_t bytes; /* of its chunks and results, as they came */
+	void *run;    /* per-job data of the table's user */
 	TAILQ_ENTRY(stored_job_t) entry;
 } stored_job_t;
 
@@ -56,6 +58,7 @@
     void *ctx, stored_job_t *job, job_change_t change);
 
 job_table_t *job_table_new(job_change_cb_t on_change, void *ctx);
+void job_table_set_account(job_table_t *table, memory_account_t *account);
 void job_table_delete(job_table_t *table);
 void job_table_begin_reload(job_table_t *table);
 void job_table_end_reload(job_table_t *table);
--- a/src/jobs.c
+++ b/src/jobs.c
@@ -39,8 +39,9 @@
 /* Timeout of a read from the owner, in addition to the requested wait. */
 #define READ_TIMEOUT_S 1.2
 /* Longest wait for a result that a client may request. */
-#define MAX_READ_WAIT_S	   5.0
-#define READ_RETRY_AFTER_S 0.2
+#define MAX_READ_WAIT_S	     5.0
+#define MEMORY_RETRY_AFTER_S 1.0
+#define READ_RETRY_AFTER_S   0.2
 
 typedef struct jobs_counters_t {
 	counter_t *submitted;
@@ -137,6 +138,7 @@
 		.loop = params->loop,
 		.store = params->store,
 		.topic = params->dialect->jobs_topic,
+		.account = params->account,
 		.partition = partition,
 		.keep = params->job_retention,
 		.runner =
@@ -360,6 +362,13 @@
 	char key[JOB_KEY_SIZE];
 	int rc;
 
+	if (jobs->params.account != NULL &&
+	    memory_account_is_full(jobs->params.account, MEMORY_JOBS)) {
+		memory_account_refused(jobs->params.account, MEMORY_JOBS);
+		http_request_refuse(request, -RESULT_OVERLOADED,
+		    MEMORY_RETRY_AFTER_S, "no memory for another job now");
+		return;
+	}
 	jobs->params.dialect->read_request(request, &info);
 	if (info.id[0] == '\0' || info.id_too_long)
 		rc = -RESULT_BAD_REQUEST;
--- a/src/jobs.h
+++ b/src/jobs.h
@@ -22,8 +22,9 @@
 	quarantine_net_t *quarantine;
 	httpc_t *httpc;
 	const dialect_t *dialect;
-	const char *host;     /* own name */
-	double job_retention; /* seconds after submission */
+	const char *host;	   /* own name */
+	double job_retention;	   /* seconds after submission */
+	memory_account_t *account; /* may be NULL */
 	size_t (*members)(void *ctx, const member_t **out);
 	/* Returns the current routing table; NULL until one is known. */
 	routing_table_t *(*routes)(void *ctx);
--- a/src/memory_account.c
+++ b/src/memory_account.c
@@ -40,8 +40,7 @@
 };
 
 /*
- * The rest is for the program itself, its tables and jobs: 11 MB of 120 without
- * any load.
+ * The rest is for the program itself: 11 MB of 120 without any load.
  */
 static const struct {
 	const char *name;
@@ -51,6 +50,7 @@
     [MEMORY_BODIES] = {"bodies", 0.20},
     [MEMORY_UNREAD] = {"unread", 0.10},
     [MEMORY_RESPONSES] = {"responses", 0.12},
+    [MEMORY_JOBS] = {"jobs", 0.15},
     [MEMORY_PEERS] = {"peers", 0.08},
     [MEMORY_CONNECTIONS] = {"connections", 0.125},
 };
--- a/src/memory_account.h
+++ b/src/memory_account.h
@@ -16,6 +16,7 @@
 	MEMORY_BODIES,	    /* bodies of open requests, and their copies */
 	MEMORY_UNREAD,	    /* responses that callers have not read */
 	MEMORY_RESPONSES,   /* endpoints' responses until they are whole */
+	MEMORY_JOBS,	    /* jobs of the partitions that this host owns */
 	MEMORY_PEERS,	    /* frames from hosts that are not authenticated */
 	MEMORY_CONNECTIONS, /* buffers of HTTP connections */
 	MEMORY_BUDGETS,
