Peers: output for one link is bounded by the memory of the host

Cause: up to 64 MB could wait for each host that reads slowly. Change: with memory_mb set, calls on a link with more than the budget of peers in its buffer fail at once, as they did beyond 64 MB. Measured: test_peer, test_fail_job_pools and test_fail_jobs pass with sanitizers.

--- a/src/peer.c
+++ b/src/peer.c
@@ -14,8 +14,8 @@
 /* All hosts of a fleet may connect to a new owner at the same time. */
 #define LISTEN_BACKLOG 1024
 /*
- * Calls on a link with more buffered output than this fail at once, and one-way
- * messages are dropped.
+ * Calls on a link with more buffered output than this, or than the budget of
+ * peers, fail at once, and one-way messages are dropped.
  */
 #define MAX_BUFFERED_BYTES (64U << 20)
 
@@ -105,6 +105,11 @@
 	buf_append(&peer->key, params->key);
 	peer->next_id = 1;
 	peer->account = params->account;
+	peer->max_buffered = MAX_BUFFERED_BYTES;
+	if (params->account != NULL && memory_account_limit(params->account,
+					   MEMORY_PEERS) < MAX_BUFFERED_BYTES)
+		peer->max_buffered =
+		    memory_account_limit(params->account, MEMORY_PEERS);
 	peer->max_new_links = params->max_new_links;
 	TAILQ_INIT(&peer->new_links);
 	peer->bytes_sent = counter_get(
@@ -224,7 +229,7 @@
 	peer_link_t *link = peer_link_get(peer, address);
 	peer_call_t *call = xcalloc(1, sizeof(*call));
 	bool failed = link == NULL ||
-		      link->output.len + link->pending.len > MAX_BUFFERED_BYTES;
+		      link->output.len + link->pending.len > peer->max_buffered;
 	buf_t payload = {0};
 
 	call->peer = peer;
@@ -262,7 +267,7 @@
 	buf_t payload = {0};
 
 	if (link == NULL ||
-	    link->output.len + link->pending.len > MAX_BUFFERED_BYTES)
+	    link->output.len + link->pending.len > peer->max_buffered)
 		return;
 	pack_message(&payload, type, 0, NULL, body);
 	peer_link_send(link, str_buf(&payload));
--- a/src/peer_state.h
+++ b/src/peer_state.h
@@ -31,6 +31,7 @@
 	struct call_list_t failed_calls; /* no link; fail on next loop run */
 	uint64_t next_id;
 	memory_account_t *account; /* may be NULL */
+	size_t max_buffered;	   /* bytes of output of one link */
 	unsigned max_new_links;	   /* 0: no limit */
 	unsigned new_link_count;
 	TAILQ_HEAD(, peer_link_t) new_links; /* incoming; oldest first */
