--- a/src/jobs.c
+++ b/src/jobs.c
@@ -39,8 +39,9 @@
 /* Timeout of a read from the owner, in addition to the requested wait. */
 #define READ_TIMEOUT_S 1.2
 /* Longest wait for a result that a client may request. */
-#define MAX_READ_WAIT_S	   5.0
-#define READ_RETRY_AFTER_S 0.2
+#define MAX_READ_WAIT_S	     5.0
+#define MEMORY_RETRY_AFTER_S 1.0
+#define READ_RETRY_AFTER_S   0.2
 
 typedef struct jobs_counters_t {
 	counter_t *submitted;
@@ -138,6 +139,7 @@
 		.loop = params->loop,
 		.store = params->store,
 		.topic = params->dialect->jobs_topic,
+		.account = params->account,
 		.partition = partition,
 		.keep = params->job_retention,
 		.runner =
@@ -361,6 +363,13 @@
 	char key[JOB_KEY_SIZE];
 	int rc;
 
+	if (jobs->params.account != NULL &&
+	    memory_account_is_full(jobs->params.account, MEMORY_JOBS)) {
+		memory_account_refused(jobs->params.account, MEMORY_JOBS);
+		http_request_refuse(request, -RESULT_OVERLOADED,
+		    MEMORY_RETRY_AFTER_S, "no memory for another job now");
+		return;
+	}
 	jobs->params.dialect->read_request(request, &info);
 	if (info.id[0] == '\0' || info.id_too_long)
 		rc = -RESULT_BAD_REQUEST;
@@ -424,7 +433,10 @@
 	job_results_message_t message;
 	buf_t text = {0};
 
-	if (rc == -RESULT_NOT_FOUND) {
+	if (rc == 0 && http_request_responses_are_full(request)) {
+		http_request_refuse(request, -RESULT_OVERLOADED,
+		    READ_RETRY_AFTER_S, "no memory for the response now");
+	} else if (rc == -RESULT_NOT_FOUND) {
 		http_request_reply_error(request, rc, NULL);
 	} else if (rc != 0) {
 		query_fail(query, rc);
--- a/tests/harness_gateways.c
+++ b/tests/harness_gateways.c
@@ -4,6 +4,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/resource.h>
 
 #include <jansson.h>
 #include <sodium.h>
@@ -70,7 +71,9 @@
 	char name[32];
 	char store[64];
 	char path[512];
-	char text[1200];
+	char text[1400];
+	struct rlimit own;
+	struct rlimit limited;
 
 	host_address(host, ip, sizeof(ip));
 	store_address(fleet, store, sizeof(store));
@@ -89,8 +92,15 @@
 		: "",
 	    fleet->params.settings != NULL ? fleet->params.settings : "");
 	harness_write_file(name, text, path, sizeof(path));
+	getrlimit(RLIMIT_NOFILE, &own);
+	limited = own;
+	if (fleet->params.descriptors > 0)
+		limited.rlim_cur = fleet->params.descriptors;
+	/* The host inherits the limit. */
+	setrlimit(RLIMIT_NOFILE, &limited);
 	fleet->hosts[host] = harness_start("daisypier-gateway",
 	    (const char *const[]){"--settings", path, NULL});
+	setrlimit(RLIMIT_NOFILE, &own);
 	if (fleet->params.logs != NULL && fleet->hosts[host] != NULL) {
 		snprintf(
 		    path, sizeof(path), "%s/%s.log", fleet->params.logs, name);
