--- a/tests/test_fail_large_body.c
+++ b/tests/test_fail_large_body.c
@@ -73,9 +73,9 @@
 	buf_t large = {0};
 	char id[32];
 
-	gateways_start(&fleet,
-	    &(gateways_params_t){
-		.hosts = 1, .engines = 1, .settings = HOST_SETTINGS});
+	gateways_start(
+	    &fleet, &(gateways_params_t){
+			.hosts = 1, .engines = 1, .settings = HOST_SETTINGS});
 	for (size_t i = 0; i < MAX_PUBLISHED_BODY; i++)
 		buf_append_char(&body, 'x');
 	for (size_t i = 0; i < TOO_LARGE_BODY; i++)
