Jobs: items from before organisations lose their callers' headers

Cause: an item's headers were made for its first attempt; if organisations were configured before the next one, that still carried Authorization and a name that the caller had chosen. Change: headers are made anew when that changed. Measured: 'items from before organisations' of test_fail_orgs fails in 2 of 7 assertions before, passes now; test_fail_orgs (81 assertions) and test_fail_jobs (86) pass with sanitizers.

--- a/src/job_run.c
+++ b/src/job_run.c
@@ -191,8 +191,12 @@
 	str_t org = item->run->job->job.org;
 	bool has_orgs = org.len > 0 || (table != NULL && table->has_orgs);
 
-	if (item->headers.count > 0)
+	/* A configuration with organisations may come between two attempts. */
+	if (item->headers.count > 0 && item->has_orgs == has_orgs)
 		return;
+	header_list_free(&item->headers);
+	free(item->target);
+	item->has_orgs = has_orgs;
 	for (size_t i = 0; i < source->header_count; i++) {
 		char *name = str_dup(source->headers[i].name);
 
--- a/src/job_run_state.h
+++ b/src/job_run_state.h
@@ -40,6 +40,7 @@
 	struct item_slot_t *slot; /* NULL unless running */
 	attempt_t *attempt;
 	header_list_t headers;
+	bool has_orgs; /* headers were made for a host with organisations */
 	char *target;
 	char endpoint[ENDPOINT_NAME_SIZE];
 	tried_endpoints_t tried; /* endpoints whose attempts have ended */
--- a/tests/test_fail_orgs.c
+++ b/tests/test_fail_orgs.c
@@ -259,6 +259,49 @@
 	gateways_end(&fleet);
 }
 
+/* Waits until an engine has run an item. */
+static bool
+item_has_run(void *ctx)
+{
+	return (gateways_runs(&fleet, ctx).runs > 0);
+}
+
+/*
+ * Guards against headers of an item that pass because its first attempt was
+ * made before there were organisations.
+ */
+static void
+test_items_from_before_organisations(void)
+{
+	static const char job[] =
+	    "{\"items\":[{\"id\":\"i2\",\"path\":\"/jobs/1\",\"headers\":{"
+	    "\"X-Daisypier-Token-Usage\":\"10,4800\",\"Authorization\":"
+	    "\"Bearer x\",\"X-Daisypier-Tenant\":\"acme\"},"
+	    "\"body\":\"cHJvbXB0\",\"tokens\":4800}]}";
+	char item[] = "i2";
+
+	gateways_start(&fleet, &(gateways_params_t){.hosts = 1});
+	CU_ASSERT(
+	    keys_ask(&fleet,
+		&(keys_ask_t){.path = "/jobs/j",
+		    .id = "job-b",
+		    .body = job,
+		    .headers = {"Content-Type: application/json"}}) == 202);
+	CU_ASSERT(harness_wait(item_has_run, item, CHANGE_TIMEOUT_S));
+	CU_ASSERT(gateways_runs(&fleet, item).keys == 1);
+	fleet.params.tenants = "[" ACME "," BOLT "]";
+	gateways_configure(&fleet, "");
+	CU_ASSERT(keys_wait_status(&fleet, 0, ACME_KEY, 200, NULL));
+	for (unsigned i = 0; i < 2; i++) {
+		harness_kill(fleet.engines[i]);
+		gateways_start_engine(&fleet, i);
+	}
+	CU_ASSERT(harness_wait(item_has_run, item, 2 * CHANGE_TIMEOUT_S));
+	CU_ASSERT(gateways_runs(&fleet, item).keys == 0);
+	CU_ASSERT(gateways_runs(&fleet, item).org_names == 0);
+	gateways_end(&fleet);
+}
+
 /*
  * Guards against an invalid list of organisations that comes into force, in
  * whole or in part.
@@ -290,6 +333,7 @@
     {"jobs belong to organisations", test_jobs_belong_to_organisations},
     {"jobs on public routes need a key", test_jobs_on_public_routes_need_a_key},
     {"items outlive their organisation", test_items_outlive_their_organisation},
+    {"items from before organisations", test_items_from_before_organisations},
     {"an invalid list is rejected", test_invalid_list_is_rejected},
 };
 
