--- a/src/forward.c
+++ b/src/forward.c
@@ -86,7 +86,7 @@
 static void
 forward_return_token(forward_t *f)
 {
-	if (f->has_token && f->state.attempts_sent == 0 &&
+	if (f->org != NULL && f->has_token && f->state.attempts_sent == 0 &&
 	    !f->state.may_have_run)
 		grants_return_token(f->forwarder->params.grants, f->org->name,
 		    f->token_asked_at);
