Limits of organisations: a restart of all hosts uses half of the tolerance

Change: settings quota_window_s, quota_overshoot and quota_slack, filled from the platform's bounds, say what is tolerated beyond a limit while hosts cannot know what was used. At the start of a process a bucket of which nothing is known holds half of it, at most its burst; the other half is left for hosts that are cut off. Without these settings buckets start empty, as before.

--- a/src/gateway.c
+++ b/src/gateway.c
@@ -198,6 +198,12 @@
 	    .mode = GRANTS_POOL,
 	    .fair_scheduling = settings->fair_scheduling,
 	    .measured_speed = settings->measured_speed,
+	    .quota_tolerance =
+		{
+		    .window_s = settings->quota_window_s,
+		    .overshoot = settings->quota_overshoot,
+		    .slack = settings->quota_slack,
+		},
 	    .config = get_fleet_config,
 	    .members = get_members,
 	    .endpoint_leaving = gateway_endpoint_leaving,
--- a/src/gateway_settings.c
+++ b/src/gateway_settings.c
@@ -76,6 +76,13 @@
 	.description = "Place requests by the endpoints' measured speed, fill "
 		       "new endpoints slowly, and avoid endpoints that only "
 		       "this host cannot reach"},
+    NUMBER(quota_window_s, SCHEMA_NUMBER, "s", "5", 0, 3600,
+	"Length of the windows in which limits of organisations are judged"),
+    NUMBER(quota_overshoot, SCHEMA_NUMBER, NULL, "0", 0, 1,
+	"Fraction of the limit of a window that is tolerated beyond it while "
+	"hosts cannot know what was used, as after a restart of all"),
+    NUMBER(quota_slack, SCHEMA_NUMBER, "requests", "0", 0, 1e6,
+	"Requests in a window that are tolerated besides"),
     NUMBER(memory_mb, SCHEMA_UINT, "MB", "0", 0, 1048576,
 	"Memory of this process; bodies and responses that it holds are "
 	"bounded by it; 0: unlimited"),
--- a/src/gateway_settings.h
+++ b/src/gateway_settings.h
@@ -27,7 +27,11 @@
 	unsigned revoke_ms;   /* until a revoked key is refused; 0: no limit */
 	bool fair_scheduling; /* see admission_settings_t */
 	bool measured_speed;  /* likewise */
-	unsigned memory_mb;   /* memory of this process; 0: unlimited */
+	/* Tolerance of the limits of organisations. */
+	double quota_window_s;
+	double quota_overshoot;
+	double quota_slack;
+	unsigned memory_mb; /* memory of this process; 0: unlimited */
 	unsigned max_body_bytes;
 	char *log_level_name;
 	log_level_t log_level;
--- a/src/grants.h
+++ b/src/grants.h
@@ -5,6 +5,7 @@
 #include "config.h"
 #include "membership.h"
 #include "name.h"
+#include "org_quota.h"
 #include "peer.h"
 
 typedef struct grants_t grants_t;
@@ -83,8 +84,9 @@
 	const char *zone;
 	const char *site;
 	grants_mode_t mode;
-	bool fair_scheduling; /* see admission_settings_t */
-	bool measured_speed;  /* likewise */
+	bool fair_scheduling;		 /* see admission_settings_t */
+	bool measured_speed;		 /* likewise */
+	org_tolerance_t quota_tolerance; /* beyond limits of organisations */
 	/* Returns the active configuration; NULL until one has been loaded. */
 	const fleet_config_t *(*config)(void *ctx);
 	/* Returns all known hosts, including this one. */
--- a/src/grants_quota.c
+++ b/src/grants_quota.c
@@ -197,6 +197,8 @@
 grants_quota_start(grants_t *grants, double now)
 {
 	grants->quota.buckets = org_quota_new(now);
+	org_quota_set_tolerance(
+	    grants->quota.buckets, &grants->params.quota_tolerance);
 	grants->quota.own = org_history_new();
 	grants->quota.alone = org_share_new(now, rng_next(&grants->rng));
 	grants->quota.used_alone = org_history_new();
--- a/src/org_quota.c
+++ b/src/org_quota.c
@@ -21,6 +21,11 @@
  * later times would only pile up while an organisation exceeds its limit.
  */
 #define MAX_RETRY_AFTER_S 5.0
+/*
+ * Part of the tolerance that a bucket holds at the start of the process. The
+ * rest is left for hosts that are cut off.
+ */
+#define START_TOLERANCE 0.5
 /* Rounding errors must not cost a caller the token that it was promised. */
 #define TOKEN_EPSILON 1e-6
 /* A full bucket that was not used for this long is like a new one. */
@@ -48,6 +53,7 @@
 } org_bucket_t;
 
 struct org_quota_t {
+	org_tolerance_t tolerance;
 	double started_at;
 	double share; /* of the limits that this host may give */
 	size_t count;
@@ -74,6 +80,29 @@
 	return (quota);
 }
 
+/* Sets what is tolerated beyond a limit; nothing at first. */
+void
+org_quota_set_tolerance(org_quota_t *quota, const org_tolerance_t *tolerance)
+{
+	quota->tolerance = *tolerance;
+}
+
+/*
+ * Returns the tokens of a bucket of which nothing is known, at the start of the
+ * process. After a restart of all hosts, callers that are within their limit
+ * would else be refused until their bucket has filled.
+ */
+static double
+start_tokens(const org_quota_t *quota, const org_bucket_t *bucket)
+{
+	const org_tolerance_t *tolerance = &quota->tolerance;
+	double most = bucket->rate * tolerance->window_s + bucket->burst;
+
+	return (
+	    fmin(bucket->burst, START_TOLERANCE * (tolerance->overshoot * most +
+						      tolerance->slack)));
+}
+
 void
 org_quota_delete(org_quota_t *quota)
 {
@@ -164,6 +193,7 @@
 		bucket->refilled_at = quota->started_at;
 		bucket->newest = org_slot_at(quota->started_at);
 		bucket_set_limit(bucket, limit, quota->share);
+		bucket->tokens = start_tokens(quota, bucket);
 		LIST_INSERT_HEAD(
 		    &quota->buckets[str_hash(org, 0) % BUCKETS], bucket, entry);
 		quota->count++;
--- a/src/org_quota.h
+++ b/src/org_quota.h
@@ -17,9 +17,18 @@
 	ORG_USE_KINDS,
 } org_use_t;
 
+/* What the operator tolerates beyond a limit while it cannot be known. */
+typedef struct org_tolerance_t {
+	double window_s;  /* length of the windows that are judged */
+	double overshoot; /* fraction of the limit of a window */
+	double slack;	  /* requests in a window */
+} org_tolerance_t;
+
 typedef struct org_quota_t org_quota_t;
 
 org_quota_t *org_quota_new(double started_at);
+void org_quota_set_tolerance(
+    org_quota_t *quota, const org_tolerance_t *tolerance);
 void org_quota_delete(org_quota_t *quota);
 
 bool org_quota_take(org_quota_t *quota, str_t org, const org_limit_t *limit,
--- a/tests/test_org_quota.c
+++ b/tests/test_org_quota.c
@@ -126,6 +126,36 @@
 	CU_ASSERT(runs_excess() < EPSILON);
 }
 
+/*
+ * Guards against refusals after a restart of all hosts, where the operator
+ * tolerates more, and against more than that.
+ */
+static void
+test_restart_within_tolerance(void)
+{
+	static const double rates[] = {342, 65, 5};
+	static const org_tolerance_t tolerance = {
+	    .window_s = 5, .overshoot = 0.1, .slack = 20};
+	rng_t rng = rng_seeded(9);
+
+	for (size_t i = 0; i < 3; i++) {
+		double rate = rates[i];
+		double tolerated = tolerance.overshoot * rate * 6 + 20;
+		org_quota_t *before = org_quota_new(0);
+		org_quota_t *after = org_quota_new(1003);
+
+		runs_start(rate, rate);
+		org_quota_set_tolerance(after, &tolerance);
+		send(before, &rng, 1000, 1002, rate * 7.5);
+		/* The first requests after the restart are served. */
+		CU_ASSERT(send(after, &rng, 1003, 1003.1, rate / 1.6) <= 1);
+		send(after, &rng, 1003.1, 1010, rate * 7.5);
+		CU_ASSERT(runs_excess() <= tolerated / 2 + EPSILON);
+		org_quota_delete(before);
+		org_quota_delete(after);
+	}
+}
+
 /* Guards against a second burst of an organisation that appears seldom. */
 static void
 test_occasional_organisation(void)
@@ -455,6 +485,7 @@
 static const suite_test_t tests[] = {
     {"sliding windows", test_sliding_windows},
     {"restarts grant no burst", test_restarts_grant_no_burst},
+    {"restart within tolerance", test_restart_within_tolerance},
     {"occasional organisation", test_occasional_organisation},
     {"returned tokens", test_returned_tokens},
     {"changed limits", test_changed_limits},
