org_history: one index of a slot for histories and buckets

org_history and org_quota each had the same modulo of a slot number, and both must agree on the length of the arrays. org_quota now uses org_slot_index().

--- a/src/org_history.c
+++ b/src/org_history.c
@@ -27,8 +27,9 @@
 	return ((int64_t)floor(time / ORG_SLOT_S));
 }
 
-static size_t
-ring_index(int64_t slot)
+/* Returns the index of a slot in an array of the last ORG_SLOTS ones. */
+size_t
+org_slot_index(int64_t slot)
 {
 	return ((size_t)(((slot % ORG_SLOTS) + ORG_SLOTS) % ORG_SLOTS));
 }
@@ -44,8 +45,8 @@
 		ring->newest = slot;
 	}
 	while (ring->newest < slot)
-		ring->counts[ring_index(++ring->newest)] = 0;
-	ring->counts[ring_index(slot)] += n;
+		ring->counts[org_slot_index(++ring->newest)] = 0;
+	ring->counts[org_slot_index(slot)] += n;
 }
 
 unsigned
@@ -53,7 +54,7 @@
 {
 	if (slot > ring->newest || slot <= ring->newest - ORG_SLOTS)
 		return (0);
-	return (ring->counts[ring_index(slot)]);
+	return (ring->counts[org_slot_index(slot)]);
 }
 
 org_history_t *
@@ -101,7 +102,7 @@
 org_ring_remove(org_ring_t *ring, int64_t slot)
 {
 	if (org_ring_get(ring, slot) > 0)
-		ring->counts[ring_index(slot)]--;
+		ring->counts[org_slot_index(slot)]--;
 }
 
 /* Removes a token that was counted and then returned. */
--- a/src/org_history.h
+++ b/src/org_history.h
@@ -23,6 +23,7 @@
 typedef struct org_history_t org_history_t;
 
 int64_t org_slot_at(double time);
+size_t org_slot_index(int64_t slot);
 void org_ring_add(org_ring_t *ring, int64_t slot, unsigned n);
 void org_ring_remove(org_ring_t *ring, int64_t slot);
 unsigned org_ring_get(const org_ring_t *ring, int64_t slot);
--- a/src/org_quota.c
+++ b/src/org_quota.c
@@ -54,12 +54,6 @@
 	LIST_HEAD(, org_bucket_t) buckets[BUCKETS];
 };
 
-static size_t
-slot_index(int64_t slot)
-{
-	return ((size_t)(((slot % ORG_SLOTS) + ORG_SLOTS) % ORG_SLOTS));
-}
-
 /*
  * Starts without buckets. started_at is the start of this host's process: a
  * bucket is empty then and refills, because what was used before is unknown.
@@ -116,8 +110,8 @@
 		double level = fmin(bucket->burst,
 		    bucket->tokens +
 			bucket->rate * (end - bucket->refilled_at));
-		double *peak = &bucket->peak[slot_index(i)];
-		double *after = &bucket->peak_after_take[slot_index(i)];
+		double *peak = &bucket->peak[org_slot_index(i)];
+		double *after = &bucket->peak_after_take[org_slot_index(i)];
 
 		if (i > bucket->newest) {
 			*peak = level;
@@ -202,7 +196,7 @@
 		return (false);
 	}
 	bucket->tokens -= 1;
-	after = &bucket->peak_after_take[slot_index(bucket->newest)];
+	after = &bucket->peak_after_take[org_slot_index(bucket->newest)];
 	*after = fmax(*after, bucket->tokens);
 	org_ring_add(&bucket->given, org_slot_at(now), 1);
 	return (true);
@@ -224,17 +218,17 @@
 	if (bucket == NULL || first <= bucket->newest - ORG_SLOTS)
 		return;
 	org_ring_remove(&bucket->given, first);
-	highest = bucket->peak_after_take[slot_index(first)];
+	highest = bucket->peak_after_take[org_slot_index(first)];
 	for (int64_t i = first + 1; i <= bucket->newest; i++)
-		highest = fmax(highest, bucket->peak[slot_index(i)]);
+		highest = fmax(highest, bucket->peak[org_slot_index(i)]);
 	credit = fmin(1, bucket->burst - highest);
 	if (credit <= 0)
 		return;
 	bucket->tokens = fmin(bucket->burst, bucket->tokens + credit);
 	for (int64_t i = first; i <= bucket->newest; i++) {
-		bucket->peak_after_take[slot_index(i)] += credit;
+		bucket->peak_after_take[org_slot_index(i)] += credit;
 		if (i > first)
-			bucket->peak[slot_index(i)] += credit;
+			bucket->peak[org_slot_index(i)] += credit;
 	}
 }
 
