grants_quota_sync: one function sends lists of uses

Three functions packed, sent and freed a QUOTA_USES message with the same lines. send_uses() does it for all of them. No change of behaviour: test_grants passes (1355 assertions, with sanitizers).

--- a/src/grants_quota_sync.c
+++ b/src/grants_quota_sync.c
@@ -29,6 +29,27 @@
 	uses->count++;
 }
 
+/*
+ * Sends a list of uses to a host, unless it is empty, and frees it. reported
+ * tells whether they are all that this host used, or what it gave since its
+ * last message.
+ */
+static void
+send_uses(
+    grants_t *grants, const char *address, bool reported, packed_uses_t *uses)
+{
+	buf_t body = {0};
+
+	if (uses->count > 0) {
+		grants_pack_uses(
+		    &body, grants->host, reported, uses->out, uses->count);
+		peer_send(grants->params.peer, address, PEER_QUOTA_USES,
+		    str_buf(&body));
+	}
+	buf_free(uses->out);
+	buf_free(&body);
+}
+
 /* A list of uses that this host adds to its buckets. */
 typedef struct added_uses_t {
 	grants_t *grants;
@@ -129,18 +150,11 @@
 tell_used_alone(grants_t *grants, const grants_pool_t *pool, double now)
 {
 	buf_t list = {0};
-	buf_t body = {0};
 	packed_uses_t uses = {.out = &list};
 
 	org_history_each(grants->quota.used_alone, now, pack_use, &uses);
-	if (uses.count > 0) {
-		grants_pack_uses(&body, grants->host, false, &list, uses.count);
-		peer_send(grants->params.peer, pool->admitting_address,
-		    PEER_QUOTA_USES, str_buf(&body));
-		org_history_clear(grants->quota.used_alone);
-	}
-	buf_free(&list);
-	buf_free(&body);
+	send_uses(grants, pool->admitting_address, false, &uses);
+	org_history_clear(grants->quota.used_alone);
 }
 
 /* Handles whether the report of a pool was answered. */
@@ -267,7 +281,6 @@
 {
 	grants_quota_t *quota = &grants->quota;
 	buf_t list = {0};
-	buf_t body = {0};
 	packed_uses_t uses = {.out = &list};
 
 	if (strcmp(quota->told, other->name) != 0) {
@@ -277,13 +290,7 @@
 	org_quota_each_given(
 	    quota->buckets, quota->told_slot, now, pack_use, &uses);
 	quota->told_slot = org_slot_at(now) - 1;
-	if (uses.count > 0) {
-		grants_pack_uses(&body, grants->host, false, &list, uses.count);
-		peer_send(grants->params.peer, other->address, PEER_QUOTA_USES,
-		    str_buf(&body));
-	}
-	buf_free(&list);
-	buf_free(&body);
+	send_uses(grants, other->address, false, &uses);
 }
 
 /*
@@ -295,7 +302,6 @@
 {
 	grants_quota_t *quota = &grants->quota;
 	buf_t list = {0};
-	buf_t body = {0};
 	packed_uses_t uses = {.out = &list};
 
 	if (strcmp(quota->deputy, grants->host) == 0) {
@@ -307,13 +313,7 @@
 		return;
 	quota->deputy_told_at = now;
 	org_history_each(quota->own, now, pack_use, &uses);
-	if (uses.count > 0) {
-		grants_pack_uses(&body, grants->host, true, &list, uses.count);
-		peer_send(grants->params.peer, quota->deputy_address,
-		    PEER_QUOTA_USES, str_buf(&body));
-	}
-	buf_free(&list);
-	buf_free(&body);
+	send_uses(grants, quota->deputy_address, true, &uses);
 }
 
 static const member_t *
