Comments on keys and limits say what the functions do

grants_quota_tick() also notices pauses and tells other hosts, the queue of gateway_waiting also holds requests while the configuration is read, and two comments did not have the form of the others. test_org_quota, test_key_freshness, test_key_index, test_org_access and test_fail_org_quota pass with sanitizers.

--- a/src/gateway_keys.c
+++ b/src/gateway_keys.c
@@ -1,5 +1,6 @@
-/* Whether a gateway host may accept keys at the moment, and what it does if
- * not.
+/*
+ * Whether a gateway host may accept API keys at the moment, and what it does
+ * with requests if not. Also registers the metrics of organisations and keys.
  */
 #include "gateway_state.h"
 
@@ -14,7 +15,10 @@
  */
 #define MAX_HOLD_S 0.5
 
-/* Returns whether this host may accept keys now. */
+/*
+ * Returns whether this host may accept keys now; always KEYS_CURRENT without
+ * organisations. Reads the clock, so that a host that was frozen knows at once.
+ */
 key_state_t
 gateway_key_state(const gateway_t *gateway)
 {
--- a/src/gateway_waiting.c
+++ b/src/gateway_waiting.c
@@ -1,4 +1,7 @@
-/* Queue of requests that arrive before the host is ready. */
+/*
+ * Queue of requests that arrive before the host is ready, or while it reads the
+ * configuration to learn whether keys are valid.
+ */
 #include <math.h>
 #include <stdlib.h>
 
--- a/src/grants_quota.c
+++ b/src/grants_quota.c
@@ -57,8 +57,10 @@
 	return (true);
 }
 
-/* Counts and logs a refusal, at most once in LIMITED_LOG_INTERVAL_S per
- * organisation. */
+/*
+ * Counts a refusal and logs it, at most once in LIMITED_LOG_INTERVAL_S for each
+ * organisation.
+ */
 void
 grants_log_limited(grants_t *grants, const char *org, const org_limit_t *limit,
     double retry_after, double now)
@@ -170,7 +172,10 @@
 		    grants->quota.own, str_of(grant->org), grant->submitted_at);
 }
 
-/* Frees what is kept on organisations that are not active. */
+/*
+ * Notices pauses, tells other hosts what this one gave, and, less often, frees
+ * what is kept on organisations that are not active.
+ */
 void
 grants_quota_tick(grants_t *grants, double now)
 {
--- a/src/org_quota.c
+++ b/src/org_quota.c
@@ -331,7 +331,10 @@
 	quota->share = share;
 }
 
-/* Calls back with the tokens that this host gave in full slots after one. */
+/*
+ * Calls back with the tokens that this host gave in the complete slots after
+ * the given one.
+ */
 void
 org_quota_each_given(const org_quota_t *quota, int64_t after, double now,
     org_history_cb_t callback, void *ctx)
