Tokens, stale keys and log lines: findings of the review

Cause: a reader who had not seen the work found that a token was lost when a caller left between two attempts or an endpoint refused the request without running it, that a restarted membership hid stale keys, that withdrawn requests without a limit counted as returned tokens, that callers without a key could fill the log, and that reads of the configuration changed for deployments without revocation. Change: each is mended; a return of a token names an age of at most an hour.

--- a/src/forward.c
+++ b/src/forward.c
@@ -85,12 +85,11 @@
 	forward_free(f);
 }
 
-/* Returns the token of a request that no endpoint got. */
+/* Returns the token of a request that has not run and will not. */
 static void
 forward_return_token(forward_t *f)
 {
-	if (f->org != NULL && f->has_token && f->state.attempts_sent == 0 &&
-	    !f->state.may_have_run)
+	if (f->org != NULL && f->has_token && !f->state.may_have_run)
 		grants_return_token(f->forwarder->params.grants, f->org->name,
 		    f->token_asked_at);
 	f->has_token = false;
@@ -487,6 +486,8 @@
 	f->request = NULL;
 	counter_add(f->forwarder->counters.callers_disconnected, 1);
 	forward_report_cut_off(f);
+	if (f->attempt == NULL)
+		forward_return_token(f);
 	forward_finish(f, "caller_gone", 0, -RESULT_CANCELLED);
 }
 
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -132,10 +132,14 @@
 		.period_ms = settings->period_ms,
 	    },
 	    &gateway->membership);
-	if (rc == 0)
-		membership_on_change(
-		    gateway_members(gateway), on_members_changed, gateway);
-	return (rc);
+	if (rc != 0)
+		return (rc);
+	membership_on_change(
+	    gateway_members(gateway), on_members_changed, gateway);
+	/* A restart of this component must not hide that keys are stale. */
+	membership_set_keys_stale(
+	    gateway_members(gateway), gateway->key_state != KEYS_CURRENT);
+	return (0);
 }
 
 static void
--- a/src/gateway_http.c
+++ b/src/gateway_http.c
@@ -15,10 +15,33 @@
 /* Long, because callers reuse connections after minutes without a request. */
 #define CALLER_IDLE_TIMEOUT_S 300
 /* Longest wait of a request for this host to become ready. */
-#define MAX_QUEUE_TIME_S 2.0
+#define MAX_QUEUE_TIME_S	    2.0
+#define UNIDENTIFIED_LOG_INTERVAL_S 1.0
 /* Maximum number of hosts in a directory response. */
 #define MAX_DIRECTORY_ENTRIES 64
 
+/*
+ * Logs a request without a valid key, at most one in a second, because callers
+ * that we do not control may send any number of them.
+ */
+static void
+log_unidentified(
+    gateway_t *gateway, const http_request_t *request, org_access_t access)
+{
+	double now = clock_monotonic();
+
+	gateway->unidentified_unlogged++;
+	if (now - gateway->unidentified_logged_at < UNIDENTIFIED_LOG_INTERVAL_S)
+		return;
+	LOG_INFO("request_unidentified",
+	    "target=%.128s cause=%s config=%llu count=%u",
+	    http_request_target(request), org_access_name(access),
+	    (unsigned long long)gateway->table->version,
+	    gateway->unidentified_unlogged);
+	gateway->unidentified_logged_at = now;
+	gateway->unidentified_unlogged = 0;
+}
+
 /*
  * Finds the organisation of a request by its key; *org is NULL if none is
  * needed. Returns false if the request was refused or has to wait.
@@ -37,9 +60,7 @@
 	counter_add(gateway->identified_requests[access], 1);
 	if (org_access_allowed(access))
 		return (true);
-	LOG_INFO("request_unidentified", "target=%s cause=%s config=%llu",
-	    http_request_target(request), org_access_name(access),
-	    (unsigned long long)gateway->table->version);
+	log_unidentified(gateway, request, access);
 	http_request_set_header(request, "WWW-Authenticate", "Bearer");
 	http_request_reply_error(request, -RESULT_UNAUTHORIZED, NULL);
 	return (false);
--- a/src/gateway_state.h
+++ b/src/gateway_state.h
@@ -59,6 +59,8 @@
 	/* Age of the configuration, see gateway_keys.c. */
 	key_state_t key_state; /* as of the last check */
 	ev_timer key_timer;
+	double unidentified_logged_at; /* monotonic */
+	unsigned unidentified_unlogged;
 	counter_t *key_age;
 	counter_t *stale_key_requests;
 	/* See gateway_memory.c; NULL: unlimited. */
--- a/src/gateway_store.c
+++ b/src/gateway_store.c
@@ -133,7 +133,8 @@
 	    .store = gateway->store,
 	    .topic = gateway->params.dialect->config_topic,
 	    .wait = wait,
-	    .prompt_after = wait * CONFIG_PROMPT_AFTER_WAITS,
+	    .prompt_after =
+		revoke_limit > 0 ? wait * CONFIG_PROMPT_AFTER_WAITS : 0,
 	    .events = &config_events,
 	    .ctx = gateway,
 	});
--- a/src/grants_quota.c
+++ b/src/grants_quota.c
@@ -128,6 +128,10 @@
 void
 grants_quota_give_back(grants_t *grants, str_t org, double taken_at)
 {
+	org_limit_t limit;
+
+	if (!grants_org_limit(grants, org, &limit))
+		return;
 	counter_add(grants->quota.returned, 1);
 	org_quota_give_back(grants->quota.buckets, org, taken_at);
 }
--- a/src/grants_wire.c
+++ b/src/grants_wire.c
@@ -8,6 +8,9 @@
 /* Larger counts of a slot are malformed. */
 #define MAX_USES 1000000
 
+/* No request waits longer for an endpoint. */
+#define MAX_RETURN_AGE_S 3600
+
 /* Returns the seconds from the given time to the latest on-time start. */
 double
 grant_slack_at(const grant_t *grant, double time)
@@ -299,7 +302,7 @@
 
 	*org = wire_read_str(&reader);
 	*age = wire_read_double(&reader);
-	return (!reader.fault && *age >= 0);
+	return (!reader.fault && *age >= 0 && *age <= MAX_RETURN_AGE_S);
 }
 
 /* Returns false when the message is malformed. */
