http_head: a status outside 100 to 599 is no answer

A server in trouble may send a status line such as 'HTTP/1.1 600'. libcurl hands it on like any other, and so did the HTTP client: the caller got status 600 or 999 as the answer of its request. Statuses 000 and 099 were broken already, because libcurl's status below 200 never completes a head.

The status line is checked where the head is read, so that all calls over http_call (attempts, items, store, online calls) treat it as a broken answer.

test_fail_early_response 'invalid status is broken' before: [status 600, 10 bytes: rc 0, status 600] [status 999, 10 bytes: rc 0, status 999] [status 600, 2097152 bytes: rc 0, status 600] [status 999, 2097152 bytes: rc 0, status 999] FAILED It passes now, and so does test_http_head 'status range'. 'early answer is broken' (200 without a length, then a reset, uploads of 10 bytes and 2 MiB) passed before.

--- a/src/http_head.c
+++ b/src/http_head.c
@@ -35,6 +35,23 @@
 	return (matches(bytes, "HTTP/d.d ddd") || matches(bytes, "HTTP/d ddd"));
 }
 
+/*
+ * Returns whether a status line has a status from 100 to 599. Others are no
+ * answer to anything; libcurl passes them on. A line without a status is left
+ * to libcurl.
+ */
+static bool
+has_valid_status(str_t line)
+{
+	const char *space = memchr(line.data, ' ', line.len);
+	const char *end = line.data + line.len;
+
+	if (space == NULL || !begins_status_line(line))
+		return (true);
+	return (space[1] >= '1' && space[1] <= '5' &&
+		(space + 4 == end || !isdigit((unsigned char)space[4])));
+}
+
 /* Returns whether a status line begins at or after an offset. */
 static bool
 has_status_line(str_t line, size_t offset)
@@ -74,7 +91,7 @@
 http_head_line_is_valid(str_t line, bool is_status_line)
 {
 	if (is_status_line)
-		return (!has_status_line(line, 1));
+		return (has_valid_status(line) && !has_status_line(line, 1));
 	if (http_head_line_ends_head(line))
 		return (true);
 	if (has_status_line(line, 0))
--- a/tests/test_http_head.c
+++ b/tests/test_http_head.c
@@ -1,6 +1,8 @@
 /* Unit tests for the lines of a response's head. */
 #include "suite.h"
 
+#include <stdio.h>
+
 #include "http_head.h"
 
 /* Guards against heads of sound servers that are refused. */
@@ -39,6 +41,24 @@
 	return (valid);
 }
 
+/* Guards against a status that means nothing and passes for an answer. */
+static void
+test_status_range(void)
+{
+	static const char *const invalid[] = {
+	    "000", "099", "600", "999", "2000"};
+	char line[32];
+
+	for (unsigned i = 0; i < sizeof(invalid) / sizeof(invalid[0]); i++) {
+		snprintf(line, sizeof(line), "HTTP/1.1 %s\r\n", invalid[i]);
+		CU_ASSERT(!http_head_line_is_valid(str_of(line), true));
+	}
+	for (unsigned status = 100; status <= 599; status++) {
+		snprintf(line, sizeof(line), "HTTP/1.1 %u\r\n", status);
+		CU_ASSERT(http_head_line_is_valid(str_of(line), true));
+	}
+}
+
 /*
  * Guards against two responses that are read as one: the first one stops at any
  * byte of its head, and the second one follows.
@@ -67,6 +87,7 @@
 }
 
 static const suite_test_t tests[] = {
+    {"status range", test_status_range},
     {"sound lines", test_sound_lines},
     {"two heads read as one", test_two_heads_read_as_one},
     {"lines without a name", test_lines_without_name},
