http_call: an early success without a length is broken

A server that answered 200 without a length while its request was still being uploaded, and closed its side before it reset the connection, got its part of the answer through as a whole one: libcurl sees an orderly end and reports success. An answer that is reset at once was broken before.

Such an answer now counts as whole only if the request had reached the server: libcurl has written it, and the kernel has no unacknowledged bytes of it at the last read (the sockets hold up to megabytes that the server has not read; with libcurl's count alone 12 of 20 cases still passed as whole). Failures and answers with a length are kept, as a server may refuse a large upload early.

test_fail_early_response 'early answer is broken' before, 20 of 20 cases: [2097152 bytes, end 3: rc 0, status 200] FAILED Three runs now: 777 of 777 assertions each, with 'whole answer is kept' for uploads of 10 bytes to 2 MiB. test_http, test_online, test_platform_store pass.

--- a/src/http_call.c
+++ b/src/http_call.c
@@ -1,6 +1,7 @@
 /* A call of the HTTP client: its request, its response and its limits. */
 #include "httpc_state.h"
 
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <stdlib.h>
@@ -39,6 +40,10 @@
 #define KEEPALIVE_PROBES     2
 #define USER_TIMEOUT_MS	     2000
 
+enum {
+	STATUS_NO_CONTENT = 204, /* it has no body */
+};
+
 /* Removes a call from the client, without its callbacks, and frees it. */
 void
 http_call_free(http_call_t *call)
@@ -55,15 +60,38 @@
 	free(call);
 }
 
+/*
+ * Returns whether a success ended with its connection before its request had
+ * reached the server. Without a length, a part of it cannot be told from all of
+ * it, and a server that fails may close its side before it resets the
+ * connection. A failure is kept: its status says enough, and a server may
+ * refuse a large request early.
+ */
+static bool
+call_ended_early(http_call_t *call)
+{
+	curl_off_t uploaded = 0;
+	long status = 0;
+
+	curl_easy_getinfo(call->easy, CURLINFO_RESPONSE_CODE, &status);
+	curl_easy_getinfo(call->easy, CURLINFO_SIZE_UPLOAD_T, &uploaded);
+	return (((size_t)uploaded < call->body_len || call->unacknowledged) &&
+		status >= 200 && status < 300 && status != STATUS_NO_CONTENT &&
+		http_call_header(call, "Content-Length") == NULL &&
+		http_call_header(call, "Transfer-Encoding") == NULL);
+}
+
 /* Returns the result code of a call that libcurl has ended. */
 int
-http_call_rc(const http_call_t *call, CURLcode code)
+http_call_rc(http_call_t *call, CURLcode code)
 {
 	if (call->overflow)
 		return (-RESULT_TOO_LARGE);
 	/* libcurl reports success for a head that ends with its connection. */
 	if (code == CURLE_OK)
-		return (call->head_complete ? 0 : -RESULT_BROKEN_ANSWER);
+		return (call->head_complete && !call_ended_early(call)
+			    ? 0
+			    : -RESULT_BROKEN_ANSWER);
 	if (!call->sent)
 		return (-RESULT_ENDPOINT_UNREACHABLE);
 	if (code == CURLE_OPERATION_TIMEDOUT)
@@ -122,6 +150,27 @@
 	return (call->framing_bytes > MAX_FRAMING_BYTES);
 }
 
+/*
+ * Notes whether the server's TCP still misses a part of the request; to be
+ * called before each read. The sockets can hold megabytes of a request that its
+ * server has not read. What a server sends after it has read all of the request
+ * acknowledges all of it.
+ */
+void
+http_call_note_unacknowledged(http_call_t *call, int fd)
+{
+	curl_off_t uploaded = 0;
+	int queued = 0;
+
+	if (call->cancelled || call->acknowledged || call->body_len == 0)
+		return;
+	if (ioctl(fd, SIOCOUTQ, &queued) != 0)
+		queued = 0;
+	call->unacknowledged = queued > 0;
+	curl_easy_getinfo(call->easy, CURLINFO_SIZE_UPLOAD_T, &uploaded);
+	call->acknowledged = queued == 0 && (size_t)uploaded >= call->body_len;
+}
+
 static void
 on_no_progress(struct ev_loop *loop, ev_timer *timer, int events)
 {
@@ -316,6 +365,7 @@
 	curl_easy_setopt(easy, CURLOPT_HTTPHEADER, call->headers);
 	if (params->body.len > 0 || strcmp(params->method, "POST") == 0) {
 		call->body = xmemdup(params->body.data, params->body.len);
+		call->body_len = params->body.len;
 		curl_easy_setopt(easy, CURLOPT_POSTFIELDS, call->body);
 		curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE,
 		    (curl_off_t)params->body.len);
--- a/src/httpc.c
+++ b/src/httpc.c
@@ -49,6 +49,8 @@
 		   (events & EV_WRITE ? CURL_CSELECT_OUT : 0);
 
 	(void)loop;
+	if (events & EV_READ)
+		http_call_note_unacknowledged(watch->call, io->fd);
 	if (events & EV_READ &&
 	    http_call_exceeds_framing(watch->call, io->fd)) {
 		http_call_finish(watch->call,
--- a/src/httpc_state.h
+++ b/src/httpc_state.h
@@ -28,7 +28,8 @@
 	httpc_t *httpc;
 	CURL *easy;
 	struct curl_slist *headers;
-	char *body;
+	char *body; /* of the request */
+	size_t body_len;
 	size_t max_body;
 	buf_t response;
 	bool overflow;
@@ -39,9 +40,11 @@
 	size_t next_bytes;    /* available to the next read */
 	ev_timer progress_timer;
 	bool send_once;
-	bool sent;	    /* libcurl has started sending the request */
-	bool head_complete; /* of the final response */
-	bool head_invalid;  /* it cannot be that of a single response */
+	bool unacknowledged; /* a part of what was sent, at the last read */
+	bool acknowledged;   /* the whole request */
+	bool sent;	     /* libcurl has started sending the request */
+	bool head_complete;  /* of the final response */
+	bool head_invalid;   /* it cannot be that of a single response */
 	bool aborted;
 	bool paused; /* received data stays with libcurl */
 	bool any_status;
@@ -60,7 +63,8 @@
 /* http_call.c */
 void http_call_free(http_call_t *call);
 void http_call_finish(http_call_t *call, int rc);
-int http_call_rc(const http_call_t *call, CURLcode code);
+int http_call_rc(http_call_t *call, CURLcode code);
+void http_call_note_unacknowledged(http_call_t *call, int fd);
 bool http_call_exceeds_framing(http_call_t *call, int fd);
 
 #endif
--- a/tests/test_fail_early_response.c
+++ b/tests/test_fail_early_response.c
@@ -20,7 +20,7 @@
 /* When the reset is noticed varies from run to run. */
 #define EARLY_REPEATS 10
 /* Keeps a large upload from fitting into the sockets' buffers. */
-#define RECEIVE_BUFFER 4096
+#define RECEIVE_BUFFER 16384
 
 /* What a server does between its answer and the end of the connection. */
 typedef enum early_end_t {
@@ -28,6 +28,7 @@
 	END_LATE,      /* waits, then resets it */
 	END_READING,   /* reads some of the upload, then resets it */
 	END_ORDERLY,   /* closes its side, waits, then resets it */
+	END_WHOLE,     /* as END_ORDERLY, after the whole request */
 	END_PART_LATE, /* the second half of the answer comes later */
 	ENDS,	       /* number of values */
 } early_end_t;
@@ -38,6 +39,7 @@
 	uint16_t port;
 	const char *answer;
 	early_end_t end;
+	size_t body_size; /* of a request; for END_WHOLE */
 	pthread_t thread;
 } early_server_t;
 
@@ -61,23 +63,46 @@
 
 	for (unsigned i = 0; end == END_READING && i < 20; i++)
 		(void)recv(fd, bytes, sizeof(bytes), MSG_DONTWAIT);
-	if (end == END_ORDERLY)
+	if (end == END_ORDERLY || end == END_WHOLE)
 		(void)shutdown(fd, SHUT_WR);
-	if (end == END_ORDERLY || end == END_LATE)
+	if (end == END_ORDERLY || end == END_WHOLE || end == END_LATE)
 		harness_sleep(0.05);
 	setsockopt(fd, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
 	close(fd);
 }
 
+/* Reads a first part of a request, or all of it for END_WHOLE. */
+static bool
+read_request(const early_server_t *server, int fd)
+{
+	char bytes[16384];
+	size_t head = 0;
+	size_t have = 0;
+	ssize_t n;
+
+	do {
+		const char *end;
+
+		n = recv(fd, bytes, sizeof(bytes), 0);
+		if (n <= 0)
+			return (false);
+		end =
+		    have == 0 ? memmem(bytes, (size_t)n, "\r\n\r\n", 4) : NULL;
+		if (end != NULL)
+			head = (size_t)(end - bytes) + 4;
+		have += (size_t)n;
+	} while (server->end == END_WHOLE && have < head + server->body_size);
+	return (true);
+}
+
 static void *
 serve(void *ctx)
 {
 	const early_server_t *server = ctx;
-	char bytes[1024];
 	int fd;
 
 	while ((fd = accept(server->listener, NULL, NULL)) >= 0) {
-		if (recv(fd, bytes, sizeof(bytes), 0) > 0)
+		if (read_request(server, fd))
 			send_answer(fd, server->answer, server->end);
 		end_connection(fd, server->end);
 	}
@@ -153,6 +178,7 @@
 	char *body = calloc(1, size);
 
 	REQUIRE(body != NULL);
+	test->server.body_size = size;
 	snprintf(url, sizeof(url), "http://127.0.0.1:%u/", test->server.port);
 	http_call_start(test->httpc, &(http_call_params_t){
 					 .method = "POST",
@@ -169,8 +195,8 @@
 
 /*
  * Guards against the part of an early answer that is taken for all of it while
- * its request is still being written. An orderly end is taken for that of a
- * whole answer.
+ * its request is still being written. A small request is written at once: an
+ * orderly end is then that of a whole answer.
  */
 static void
 test_early_answer_is_broken(void)
@@ -182,7 +208,8 @@
 		size_t size = sizes[i / 2 % 2];
 		early_test_t test;
 
-		if (end == END_ORDERLY)
+		if (end == END_WHOLE ||
+		    (size == SMALL_BODY && end == END_ORDERLY))
 			continue;
 		setup(&test, "HTTP/1.1 200 OK\r\n\r\n{\"a\":1}", end);
 		upload(&test, size, i % 2);
@@ -194,6 +221,23 @@
 	}
 }
 
+/* Guards against whole answers without a length that are refused. */
+static void
+test_whole_answer_is_kept(void)
+{
+	static const size_t sizes[] = {SMALL_BODY, 1024, 70000, LARGE_BODY};
+
+	for (unsigned i = 0; i < sizeof(sizes) / sizeof(sizes[0]); i++) {
+		early_test_t test;
+
+		setup(&test, "HTTP/1.1 200 OK\r\n\r\n{\"a\":1}", END_WHOLE);
+		upload(&test, sizes[i], true);
+		CU_ASSERT(test.rc == 0);
+		CU_ASSERT(test.status == 200);
+		teardown(&test);
+	}
+}
+
 /* Guards against a refusal that is lost because it comes before the upload. */
 static void
 test_early_refusal_is_kept(void)
@@ -234,6 +278,7 @@
 
 static const suite_test_t tests[] = {
     {"early answer is broken", test_early_answer_is_broken},
+    {"whole answer is kept", test_whole_answer_is_kept},
     {"early refusal is kept", test_early_refusal_is_kept},
     {"invalid status is broken", test_invalid_status_is_broken},
 };
