--- a/tests/harness_gateways.c
+++ b/tests/harness_gateways.c
@@ -146,6 +146,10 @@
 		args[count++] = "--journal";
 		args[count++] = fleet->params.journal;
 	}
+	if (fleet->params.org_journal != NULL) {
+		args[count++] = "--org-journal";
+		args[count++] = fleet->params.org_journal;
+	}
 	if (fleet->params.crash_part != NULL) {
 		args[count++] = "--crash-part";
 		args[count++] = fleet->params.crash_part;
@@ -190,8 +194,11 @@
 	buf_append(out, str_of(value));
 }
 
-/* Writes the next configuration; extra_routes may be empty. */
-void
+/*
+ * Writes the next configuration; extra_routes may be empty. Returns whether the
+ * store has confirmed it.
+ */
+bool
 gateways_configure(gateways_t *fleet, const char *extra_routes)
 {
 	static const char idle_service[] =
@@ -207,6 +214,7 @@
 	buf_t common = {0};
 	buf_t text = {0};
 	buf_t body = {0};
+	int status;
 
 	fleet->config_version += 3;
 	buf_printf(&common,
@@ -232,12 +240,13 @@
 	    fleet->params.tenants != NULL ? ",\"tenants\":" : "",
 	    fleet->params.tenants != NULL ? fleet->params.tenants : "");
 	put_record(&body, "config", text.data);
-	harness_post(NULL, str_buf(&body),
+	status = harness_post(NULL, str_buf(&body),
 	    "http://%s/-/log-append?topic=keyed.op&part=0",
 	    harness_address(fleet->store));
 	buf_free(&common);
 	buf_free(&text);
 	buf_free(&body);
+	return (status == 200);
 }
 
 /* Writes a record of the store; an empty value removes the key. */
--- a/tests/harness_gateways.h
+++ b/tests/harness_gateways.h
@@ -33,6 +33,7 @@
 	bool proxied;
 	const char *logs;    /* folder for the hosts' logs; NULL: dropped */
 	const char *journal; /* file that gets a line for each run or NULL */
+	const char *org_journal; /* the same with organisations */
 	/* Engines crash when they answer a prompt with this part, in hex. */
 	const char *crash_part;
 	const char *crash_prompt; /* the same with this whole prompt */
@@ -66,7 +67,8 @@
 void gateways_start_host(gateways_t *fleet, unsigned host);
 void gateways_start_engine(gateways_t *fleet, unsigned engine);
 bool gateways_wait_ready(gateways_t *fleet, unsigned host);
-void gateways_configure(gateways_t *fleet, const char *extra_routes);
+/* Returns whether the store has confirmed the configuration. */
+bool gateways_configure(gateways_t *fleet, const char *extra_routes);
 /* Writes a record of the store; an empty value removes the key. */
 void gateways_record(
     gateways_t *fleet, const char *topic, const char *key, const char *value);
