soak: callers of organisations (--orgs)

The fault soak knew neither keys nor limits. What the engines ran is checked against the removal, the organisation's name and the limit; callers without a limit must get no 429.

--- a/soak/soak.c
+++ b/soak/soak.c
@@ -36,6 +36,10 @@
     "jobs not denied",
     "recovered",
     "hosts live",
+    "removed key",
+    "organisation named",
+    "organisation's limit",
+    "no limit no 429",
 };
 
 typedef struct caller_t {
@@ -56,8 +60,9 @@
 	pthread_mutex_unlock(&soak->lock);
 }
 
-static void
-claim(soak_t *soak, const char *id, unsigned most)
+/* Adds a request that must not run more often than stated. */
+void
+soak_claim(soak_t *soak, const char *id, unsigned most)
 {
 	pthread_mutex_lock(&soak->lock);
 	soak->claims = xrealloc(
@@ -87,10 +92,11 @@
 	if (s.whole && s.status == 200 && !s.right)
 		soak_violate(
 		    soak, CHECK_STREAM_WHOLE, "events missing or wrong", id);
+	soak_orgs_answered(soak, id, s.status);
 	if (s.status == 503 || s.status == 429)
-		claim(soak, id, 0);
+		soak_claim(soak, id, 0);
 	else if (once)
-		claim(soak, id, 1);
+		soak_claim(soak, id, 1);
 	pthread_mutex_lock(&soak->lock);
 	soak->streams += patience > 1;
 	soak->served += patience > 1 && s.right;
@@ -118,7 +124,7 @@
 			soak_violate(
 			    soak, CHECK_STREAM_WHOLE, "crash as success", id);
 		if (s.status == 503 || s.status == 429)
-			claim(soak, id, 0);
+			soak_claim(soak, id, 0);
 		soak->harmful++;
 		soak->harmful_refused += s.status == 503;
 		harness_sleep(0.5 * rng_uniform(&caller->rng));
@@ -155,6 +161,7 @@
 			    (unsigned)rng_below(
 				&caller->rng, soak->fleet.params.hosts),
 			    job, JOB_ITEMS, JOB_EVENTS);
+			soak_orgs_answered(soak, job, status);
 			if (status != 202)
 				harness_sleep(0.3);
 		}
@@ -267,6 +274,7 @@
 static int
 report(const soak_t *soak)
 {
+	unsigned checks = soak->orgs ? CHECK_COUNT : CHECK_KEY_REMOVED;
 	unsigned failed = 0;
 
 	printf("seed=%llu faults=%u streams=%u served=%u jobs=%u claims=%zu\n",
@@ -275,21 +283,29 @@
 	if (soak->harmful > 0)
 		printf("harmful=%u refused=%u\n", soak->harmful,
 		    soak->harmful_refused);
-	for (unsigned i = 0; i < CHECK_COUNT; i++) {
+	for (unsigned i = 0; i < checks; i++) {
 		failed += soak->violations[i] > 0;
 		if (soak->violations[i] > 0)
 			printf("FAILED %s: %u\n", check_names[i],
 			    soak->violations[i]);
 	}
-	printf("%u passed, %u failed\n", CHECK_COUNT - failed, failed);
+	printf("%u passed, %u failed\n", checks - failed, failed);
 	return (failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE);
 }
 
 static int
 soak_run(uint64_t seed, double seconds, unsigned hosts, unsigned engines,
-    bool harmful, const char *logs)
+    bool harmful, bool orgs, const char *logs)
 {
 	soak_t *soak = xcalloc(1, sizeof(*soak));
+	gateways_params_t params = {
+	    .hosts = hosts,
+	    .engines = engines,
+	    .proxied = true,
+	    .logs = logs,
+	    .journal = soak->journal,
+	    .crash_part = harmful ? CRASH_PART : NULL,
+	};
 	caller_t callers[MAX_CALLERS] = {0};
 	caller_t harmful_caller = {
 	    .soak = soak, .rng = rng_seeded(seed * 100 + MAX_CALLERS)};
@@ -300,15 +316,10 @@
 	pthread_mutex_init(&soak->lock, NULL);
 	snprintf(
 	    soak->journal, sizeof(soak->journal), "%s/runs", harness_folder());
-	gateways_start(
-	    &soak->fleet, &(gateways_params_t){
-			      .hosts = hosts,
-			      .engines = engines,
-			      .proxied = true,
-			      .logs = logs,
-			      .journal = soak->journal,
-			      .crash_part = harmful ? CRASH_PART : NULL,
-			  });
+	soak->orgs = orgs;
+	if (orgs)
+		soak_orgs_params(soak, &params);
+	gateways_start(&soak->fleet, &params);
 	soak->end = clock_monotonic() + seconds;
 	for (unsigned i = 0; i < MAX_CALLERS; i++) {
 		void *(*run)(void *) = i == 0	? submitter_run
@@ -321,6 +332,8 @@
 		    .rng = rng_seeded(seed * 100 + i)};
 		pthread_create(&callers[i].thread, NULL, run, &callers[i]);
 	}
+	if (orgs)
+		soak_orgs_start(soak);
 	if (harmful)
 		pthread_create(
 		    &harmful_caller.thread, NULL, harmful_run, &harmful_caller);
@@ -331,14 +344,21 @@
 	soak_restart_engines(soak);
 	for (unsigned i = 0; i < MAX_CALLERS; i++)
 		pthread_join(callers[i].thread, NULL);
+	if (orgs)
+		soak_orgs_join(soak);
 	check_hosts(soak);
 	harness_sleep(RECOVERY_S);
 	check_recovered(soak);
+	if (orgs)
+		soak_orgs_check_recovered(soak);
 	check_jobs(soak);
 	check_claims(soak);
+	if (orgs)
+		soak_orgs_check(soak);
 	rc = report(soak);
 	gateways_end(&soak->fleet);
 	free(soak->claims);
+	free(soak->sendings);
 	free(soak);
 	return (rc);
 }
@@ -355,11 +375,13 @@
 	    arg_int0(NULL, "engines", "N", "4 by default");
 	struct arg_lit *harmful =
 	    arg_lit0(NULL, "harmful", "send requests that crash engines, too");
+	struct arg_lit *orgs = arg_lit0(
+	    NULL, "orgs", "callers have keys of organisations with limits");
 	struct arg_file *logs =
 	    arg_file0(NULL, "logs", "FOLDER", "gets the hosts' logs");
 	struct arg_end *end = arg_end(8);
 	void *table[] = {
-	    help, seed, seconds, hosts, engines, harmful, logs, end};
+	    help, seed, seconds, hosts, engines, harmful, orgs, logs, end};
 	int errors = arg_parse(argc, argv, table);
 	int rc = 2;
 
@@ -378,7 +400,7 @@
 		    seconds->count > 0 ? seconds->dval[0] : 20,
 		    hosts->count > 0 ? (unsigned)hosts->ival[0] : 4,
 		    engines->count > 0 ? (unsigned)engines->ival[0] : 4,
-		    harmful->count > 0,
+		    harmful->count > 0, orgs->count > 0,
 		    logs->count > 0 ? logs->filename[0] : NULL);
 	}
 	arg_freetable(table, sizeof(table) / sizeof(table[0]));
--- a/soak/soak_faults.c
+++ b/soak/soak_faults.c
@@ -328,8 +328,10 @@
 		harness_sleep(0.1 + 0.9 * rng_uniform(&soak->rng));
 		end_faults(soak, faults, &count, clock_monotonic());
 		restart_crashed_engines(soak, faults, count);
+		soak_orgs_step(soak);
 	}
 	end_faults(soak, faults, &count, 1e18);
+	soak_orgs_step(soak);
 }
 
 /* Starts all engines again that harmful requests have ended. */
