--- a/src/forward.c
+++ b/src/forward.c
@@ -439,9 +439,9 @@
 		.limited = limited,
 		.output_tokens = f->info.output_tokens,
 		.prefix_hash = f->info.prefix_hash,
-		.deadline =
-		    fmin(f->state.deadline, forward_queue_deadline(f->route,
-						f->info.caller_timeout, now)),
+		.deadline = fmin(f->state.deadline,
+		    forward_queue_deadline(f->route, f->info.caller_timeout,
+			f->state.response_started, f->arrived_at, now)),
 		.caller_deadline = f->state.deadline,
 		.start_by = grant_start_by(
 		    now, forward_slack(f->route, f->state.response_started,
--- a/src/forward_plan.c
+++ b/src/forward_plan.c
@@ -19,6 +19,11 @@
  * where another endpoint may continue (RESPONSE_TIMEOUT_S in forward.c).
  */
 #define SILENCE_S 1.5
+/*
+ * The same as a fraction of the time after which callers of a stream leave if
+ * they got no event. One that is refused before that can try again.
+ */
+#define QUEUE_PATIENCE_RATIO 0.8
 /* Allowance for the time from the grant of a slot to the first event. */
 #define FIRST_EVENT_DELAY_S 0.05
 
@@ -152,16 +157,25 @@
 	return (rc);
 }
 
-/* Returns the time at which a request that waits for a slot is refused. */
+/*
+ * Returns the time at which a request that waits for a slot is refused. Before
+ * the response has begun, that is early enough for its caller to be still
+ * there.
+ */
 double
-forward_queue_deadline(
-    const request_route_t *route, double caller_timeout, double now)
+forward_queue_deadline(const request_route_t *route, double caller_timeout,
+    bool response_started, double arrived_at, double now)
 {
 	double time_limit = route->timeout;
+	double deadline;
 
 	if (caller_timeout > 0)
 		time_limit = fmin(time_limit, caller_timeout);
-	return (now + time_limit * QUEUE_TIMEOUT_RATIO);
+	deadline = now + time_limit * QUEUE_TIMEOUT_RATIO;
+	if (route->event_patience > 0 && !response_started)
+		deadline = fmin(deadline,
+		    arrived_at + route->event_patience * QUEUE_PATIENCE_RATIO);
+	return (deadline);
 }
 
 /*
--- a/src/forward_plan.h
+++ b/src/forward_plan.h
@@ -41,8 +41,9 @@
     const forward_state_t *state, const attempt_result_t *result, double now);
 grant_report_t forward_cut_off_report(const forward_cut_off_t *cut_off);
 int forward_failure(int rc);
-double forward_queue_deadline(
-    const request_route_t *route, double caller_timeout, double now);
+double forward_queue_deadline(const request_route_t *route,
+    double caller_timeout, bool response_started, double arrived_at,
+    double now);
 
 bool forward_can_fail_over(const forward_state_t *state);
 bool forward_shows_run_time(bool has_answer, int status, int rc);
--- a/src/routing_table.h
+++ b/src/routing_table.h
@@ -31,6 +31,7 @@
 	double timeout;		  /* seconds until a request must be answered */
 	double target_latency;	  /* seconds to the response or first event */
 	double target_gap;	  /* seconds between two events */
+	double event_patience;	  /* callers leave after it without an event */
 	double completion_window; /* seconds in which a job should finish */
 	double retention;	  /* seconds that a job's items are kept */
 	route_share_t *shares;
--- a/tests/test_forward_plan.c
+++ b/tests/test_forward_plan.c
@@ -111,9 +111,27 @@
 {
 	request_route_t route = {.timeout = 5};
 
-	CU_ASSERT(forward_queue_deadline(&route, 0, 100) < 104);
-	CU_ASSERT(forward_queue_deadline(&route, 2, 100) < 102);
-	CU_ASSERT(forward_queue_deadline(&route, 60, 100) < 104);
+	CU_ASSERT(forward_queue_deadline(&route, 0, false, 100, 100) < 104);
+	CU_ASSERT(forward_queue_deadline(&route, 2, false, 100, 100) < 102);
+	CU_ASSERT(forward_queue_deadline(&route, 60, false, 100, 100) < 104);
+}
+
+/*
+ * Guards against callers who leave unanswered: those of a stream leave after a
+ * time without an event that is shorter than the longest wait for a slot. A
+ * response that has begun is not bound by it.
+ */
+static void
+test_refused_before_the_caller_leaves(void)
+{
+	request_route_t route = {.timeout = 5, .event_patience = 2.4};
+
+	CU_ASSERT(forward_queue_deadline(&route, 5, false, 100, 100) < 102.4);
+	CU_ASSERT(forward_queue_deadline(&route, 5, false, 100, 101) < 102.4);
+	CU_ASSERT(forward_queue_deadline(&route, 5, true, 100, 103) > 103);
+	route.event_patience = 4;
+	CU_ASSERT_DOUBLE_EQUAL(
+	    forward_queue_deadline(&route, 5, false, 100, 100), 103, 1e-9);
 }
 
 /* The slack must follow from the route's latency targets. */
@@ -224,6 +242,7 @@
 }
 
 static const suite_test_t tests[] = {
+    {"refused before the caller leaves", test_refused_before_the_caller_leaves},
     {"a cut off attempt is reported", test_cut_off_is_reported},
     {"failures show no run time", test_failures_show_no_run_time},
     {"a shutdown sends what ends in time",
