test_online: calls of services with a status that is none

Guards against status 000, 099, 600 or 999 of a service that a caller of /v1/call gets as its answer: the call is made once more. Passes, 550 of 550 assertions of test_online; it was not run on code without the check of the status line.

--- a/tests/test_online.c
+++ b/tests/test_online.c
@@ -741,6 +741,11 @@
 	    STR("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"),
 	    {head, sizeof(head) - 1},
 	    STR("HTTP/1.1 404 N"),
+	    /* Statuses that are none, with a whole answer. */
+	    STR("HTTP/1.1 000 Odd\r\nContent-Length: 7\r\n\r\n{\"x\":1}"),
+	    STR("HTTP/1.1 099 Odd\r\nContent-Length: 7\r\n\r\n{\"x\":1}"),
+	    STR("HTTP/1.1 600 Odd\r\nContent-Length: 7\r\n\r\n{\"x\":1}"),
+	    STR("HTTP/1.1 999 Odd\r\nContent-Length: 7\r\n\r\n{\"x\":1}"),
 	};
 
 	for (size_t i = 0; i < sizeof(cut) / sizeof(cut[0]); i++) {
