test_fail_early_response: the gateway's routes, items and the store

Guards each way in on its own against early answers without a length (uploads of 10 bytes and 2 MiB; reset, or an orderly end first) and statuses 000, 099, 600 and 999. A new server gets few requests at first, so each route meets one of its own and calls it until it has answered twice. harness_hostile has a mode for each case, and reads requests that are larger than its buffer.

--- a/tests/harness_hostile.c
+++ b/tests/harness_hostile.c
@@ -14,9 +14,10 @@
 
 #define MAX_CONNECTIONS 1024
 /* Bytes of one write of an endless answer. */
-#define BLOCK_SIZE  8192
-#define SLOW_BYTE_S 0.05
-#define LATE_COPY_S 0.02
+#define BLOCK_SIZE    8192
+#define SLOW_BYTE_S   0.05
+#define LATE_COPY_S   0.02
+#define EARLY_RESET_S 0.05
 /* Late stray bytes come less than this after an answer. */
 #define LATE_STRAY_MS 60
 /* Bytes of a torn head; it ends in the name of its second header. */
@@ -457,29 +458,87 @@
 	return (open);
 }
 
+static bool
+is_early(hostile_mode_t mode)
+{
+	return (mode == HOSTILE_EARLY_RESET || mode == HOSTILE_EARLY_CLOSE);
+}
+
+/* Sends the first event without a length and ends; see the modes. */
+static bool
+answer_early(const connection_t *connection)
+{
+	/* Dissolves the connection with a reset. */
+	const struct sockaddr none = {.sa_family = AF_UNSPEC};
+	char id[128];
+	buf_t out = {0};
+
+	header_value(
+	    connection->request, "X-Daisypier-Request-Id: ", id, sizeof(id));
+	append_head(connection, &out);
+	buf_printf(&out, "\r\nid: 0\ndata: %s.0\n\n", id);
+	(void)send_all(connection->fd, str_buf(&out));
+	buf_free(&out);
+	if (connection->hostile->mode == HOSTILE_EARLY_CLOSE) {
+		(void)shutdown(connection->fd, SHUT_WR);
+		harness_sleep(EARLY_RESET_S);
+	}
+	(void)connect(connection->fd, &none, sizeof(none));
+	return (false);
+}
+
+/* Answers a request rightly but for the status. */
+static bool
+answer_with_status(const connection_t *connection)
+{
+	hostile_mode_t mode = connection->hostile->mode;
+	const char *status = mode == HOSTILE_STATUS_000	  ? "000"
+			     : mode == HOSTILE_STATUS_099 ? "099"
+			     : mode == HOSTILE_STATUS_600 ? "600"
+							  : "999";
+	buf_t out = {0};
+	bool open;
+
+	append_answer(connection, &out);
+	memcpy(out.data + strlen("HTTP/1.1 "), status, strlen(status));
+	open = send_all(connection->fd, str_buf(&out));
+	buf_free(&out);
+	return (open);
+}
+
 /* Reads a request with its body; false when the connection is closed. */
 static bool
 read_request(connection_t *connection)
 {
 	char length[16];
+	char rest[16384];
 	size_t have = 0;
 	const char *end = NULL;
 	size_t need = sizeof(connection->request) - 1;
 
 	while (have < need) {
-		ssize_t n = recv(connection->fd, connection->request + have,
-		    sizeof(connection->request) - 1 - have, 0);
+		size_t room = sizeof(connection->request) - 1;
+		ssize_t n;
 
+		/* What does not fit of a large body is dropped. */
+		if (have >= room)
+			n = recv(connection->fd, rest, sizeof(rest), 0);
+		else
+			n = recv(connection->fd, connection->request + have,
+			    room - have, 0);
 		if (n <= 0)
 			return (false);
 		have += (size_t)n;
-		connection->request[have] = '\0';
+		if (have <= room)
+			connection->request[have] = '\0';
 		if (end == NULL) {
 			end = strstr(connection->request, "\r\n\r\n");
 			if (end == NULL)
 				continue;
 			header_value(connection->request,
 			    "Content-Length: ", length, sizeof(length));
+			if (is_early(connection->hostile->mode))
+				return (true);
 			need = (size_t)(end - connection->request) + 4 +
 			       strtoul(length, NULL, 10);
 		}
@@ -501,6 +560,10 @@
 			open = false;
 		} else if (hostile->mode == HOSTILE_STRAY) {
 			open = answer_with_stray(connection);
+		} else if (is_early(hostile->mode)) {
+			open = answer_early(connection);
+		} else if (hostile->mode >= HOSTILE_STATUS_000) {
+			open = answer_with_status(connection);
 		} else if (hostile->mode >= HOSTILE_BREAK) {
 			open = answer_in_part(connection);
 		} else if (hostile->mode == HOSTILE_OLD_FAILURE) {
--- a/tests/harness_hostile.h
+++ b/tests/harness_hostile.h
@@ -43,6 +43,14 @@
 	HOSTILE_ERROR_404,
 	HOSTILE_ERROR_TEXT, /* text where events are due, with status 200 */
 	HOSTILE_STRAY,	    /* right answers, and stray bytes beside them */
+	/* Before a request's body is read: a part of its answer, then ... */
+	HOSTILE_EARLY_RESET, /* a reset */
+	HOSTILE_EARLY_CLOSE, /* an orderly end, then a reset */
+	/* Whole answers with these for a status. */
+	HOSTILE_STATUS_000,
+	HOSTILE_STATUS_099,
+	HOSTILE_STATUS_600,
+	HOSTILE_STATUS_999,
 } hostile_mode_t;
 
 /* Bytes that a server sends besides its right answers. */
