--- a/src/gateway_store.c
+++ b/src/gateway_store.c
@@ -66,7 +66,7 @@
 		buf_free(&fault);
 		return;
 	}
-	if (gateway->table != NULL && table->version <= previous_version) {
+	if (!routing_table_replaces(table, gateway->table)) {
 		routing_table_unref(table);
 		return;
 	}
--- a/src/key_index.c
+++ b/src/key_index.c
@@ -121,3 +121,34 @@
 {
 	return (index->count);
 }
+
+/* Returns the number of keys of an organisation; looks at all keys. */
+size_t
+key_index_count_org(const key_index_t *index, size_t org)
+{
+	size_t count = 0;
+
+	for (size_t i = 0; i < index->capacity; i++)
+		count += index->entries[i].org == org;
+	return (count);
+}
+
+/*
+ * Returns how many keys an organisation of one index shares with one of another
+ * index of this process; looks at all keys.
+ */
+size_t
+key_index_count_common(const key_index_t *index, size_t org,
+    const key_index_t *other, size_t other_org)
+{
+	size_t count = 0;
+
+	for (size_t i = 0; i < index->capacity; i++) {
+		const key_entry_t *entry = &index->entries[i];
+
+		if (entry->org == org)
+			count +=
+			    find_entry(other, entry->hash)->org == other_org;
+	}
+	return (count);
+}
--- a/src/key_index.h
+++ b/src/key_index.h
@@ -13,5 +13,8 @@
 bool key_index_add(key_index_t *index, str_t key, size_t org);
 size_t key_index_find(const key_index_t *index, str_t key);
 size_t key_index_count(const key_index_t *index);
+size_t key_index_count_org(const key_index_t *index, size_t org);
+size_t key_index_count_common(const key_index_t *index, size_t org,
+    const key_index_t *other, size_t other_org);
 
 #endif
--- a/src/routing_table.c
+++ b/src/routing_table.c
@@ -57,10 +57,21 @@
 	free(table);
 }
 
+/*
+ * Returns whether hosts bring a table into force in place of the one in force,
+ * which is NULL before the first: only with a greater version.
+ */
+bool
+routing_table_replaces(
+    const routing_table_t *table, const routing_table_t *in_force)
+{
+	return (in_force == NULL || table->version > in_force->version);
+}
+
 /*
  * Returns the route for the host whose path prefix is the longest match of the
- * target, or NULL. The host is compared without its port and without regard to
- * case.
+ * target, or NULL; of several with the same prefix, the last one. The host is
+ * compared without its port and without regard to case.
  */
 const request_route_t *
 routing_table_match(const routing_table_t *table, str_t host, str_t target)
@@ -95,6 +106,16 @@
 	return (NULL);
 }
 
+/* Returns the first pool of the given name, or NULL. */
+const route_pool_t *
+routing_table_pool(const routing_table_t *table, str_t name)
+{
+	for (size_t i = 0; i < table->pool_count; i++)
+		if (str_equal(str_of(table->pools[i].name), name))
+			return (&table->pools[i]);
+	return (NULL);
+}
+
 /* Returns the organisation of the given name, or NULL. */
 const org_t *
 routing_table_org(const routing_table_t *table, str_t name)
@@ -134,3 +155,10 @@
 	return (route->kind == REQUEST_SAFE || route->kind == REQUEST_BATCH ||
 		(route->kind == REQUEST_STREAM && route->resumable));
 }
+
+/* Appends what identifies a route in reports: "route HOST/PREFIX/". */
+void
+request_route_describe(const request_route_t *route, buf_t *out)
+{
+	buf_printf(out, "route %s%s", route->host, route->prefix);
+}
--- a/src/routing_table.h
+++ b/src/routing_table.h
@@ -21,7 +21,7 @@
 typedef struct request_route_t {
 	char *name;
 	char *host;
-	char *prefix; /* begins and ends with a slash */
+	char *prefix; /* of the target, byte by byte; begins with a slash */
 	request_kind_t kind;
 	bool resumable;
 	bool has_prompt;   /* requests contain the parts of a prompt */
@@ -72,13 +72,18 @@
 routing_table_t *routing_table_new(size_t routes, size_t pools);
 routing_table_t *routing_table_ref(routing_table_t *table);
 void routing_table_unref(routing_table_t *table);
+bool routing_table_replaces(
+    const routing_table_t *table, const routing_table_t *in_force);
 const request_route_t *routing_table_match(
     const routing_table_t *table, str_t host, str_t target);
 const request_route_t *routing_table_find(
     const routing_table_t *table, str_t name);
+const route_pool_t *routing_table_pool(
+    const routing_table_t *table, str_t name);
 const org_t *routing_table_org(const routing_table_t *table, str_t name);
 const char *request_route_select_pool(
     const request_route_t *route, uint64_t hash);
 bool request_route_repeatable(const request_route_t *route);
+void request_route_describe(const request_route_t *route, buf_t *out);
 
 #endif
