--- a/src/routing_table.c
+++ b/src/routing_table.c
@@ -128,7 +128,8 @@
 
 /*
  * Selects one of the route's pools by weight; equal hashes select the same
- * pool. Returns NULL if the route has none.
+ * pool. If all weights are 0, selects the first pool. Returns NULL if the route
+ * has none.
  */
 const char *
 request_route_select_pool(const request_route_t *route, uint64_t hash)
@@ -139,6 +140,7 @@
 		total_weight += route->shares[i].weight;
 	if (total_weight == 0)
 		return (route->share_count > 0 ? route->shares[0].pool : NULL);
+	/* The pools divide the numbers below the total weight among them. */
 	hash %= total_weight;
 	for (size_t i = 0; i < route->share_count; i++) {
 		if (hash < route->shares[i].weight)
