test_routing_check: three more pairs of tables

Cause: of 15 single changes to the new code, three passed the test: a hidden route that is removed, keys that are only added, and a key that moves from one organisation to another. Change: one pair for each.

--- a/tests/test_routing_check.c
+++ b/tests/test_routing_check.c
@@ -170,6 +170,15 @@
 	"changed configuration keys_required no>yes;"},
     {{"", "", "[{\"name\":\"p\"}]"}, {"", "", "[{\"name\":\"o\"}]"},
 	"removed organisation p;added organisation o;"},
+    {{TIMED("\"timeout-ms\":1") "," GOOD, SERVICE, "null"},
+	{"", SERVICE, "null"}, "removed route h/p/;"},
+    {{"", "", ORG("\"k\"", "")}, {"", "", ORG("\"k\",\"l\"", "")},
+	"changed organisation o keys 1>2 (1 added, 0 removed);"},
+    /* A key that moves to another organisation. */
+    {{"", "", "[{\"name\":\"o\"},{\"name\":\"p\",\"api-keys\":[\"k\"]}]"},
+	{"", "", "[{\"name\":\"o\",\"api-keys\":[\"k\"]},{\"name\":\"p\"}]"},
+	"changed organisation o keys 0>1 (1 added, 0 removed);"
+	"changed organisation p keys 1>0 (0 added, 1 removed);"},
     /* Keys are counted, never shown. */
     {{"", "", ORG("\"k1\",\"k2\"", "")},
 	{"", "", ORG("\"k2\",\"k3\",\"k4\"", ",\"priority\":1,\"burst\":2")},
