Admission: no promises from a rest that more urgent arrivals leave

Cause: half of the rate left to a priority was promised to its returning callers. Below more urgent arrivals that rate is a small difference of two measured rates. Its promises were kept at the expense of requests that could have been on time, and callers who returned counted as arrivals a second time although their promises are counted by themselves. Change: the promised fraction falls to nothing where more urgent arrivals take half of the capacity; beyond that only spare capacity is promised. A promised return is no arrival. A refusal for which nothing can be foreseen names no time before its caller's deadline.

--- a/src/admission_fair.c
+++ b/src/admission_fair.c
@@ -277,6 +277,24 @@
 	    grant->deadline, grant->caller_deadline - expected_run(grant)));
 }
 
+/*
+ * Returns the rate of the slots that are promised to callers of a priority.
+ * What more urgent arrivals leave is a difference of two measured rates;
+ * promises of a small one were kept at the expense of others.
+ */
+static double
+promised_rate(admission_t *a, unsigned priority, double now)
+{
+	double rate = free_rate_for(a, priority, now);
+	double spare = free_rate_for(a, priority + 1, now);
+	double certainty;
+
+	if (rate <= 0)
+		return (0);
+	certainty = fmax(0, 2 * rate / free_rate(a, now) - 1);
+	return (PROMISED_FRACTION * fmax(spare, certainty * rate));
+}
+
 /*
  * Returns the time at which a refused caller would be served when it returns,
  * and in *spacing the time that serves one such caller; infinite if unknown.
@@ -285,15 +303,16 @@
 next_return(
     admission_t *a, const slot_grant_t *grant, double now, double *spacing)
 {
-	double rate = free_rate_for(a, grant->priority, now);
+	double promised = promised_rate(a, grant->priority, now);
 	double backlog = a->waiting[GRANT_ONLINE];
 
 	*spacing = 0;
-	if (rate <= 0)
+	if (promised <= 0)
 		return (INFINITY);
-	*spacing = 1 / (PROMISED_FRACTION * rate);
+	*spacing = 1 / promised;
 	return (return_promises_offer(&a->promises, grant->priority,
-	    now + fmax(MIN_RETURN_S, backlog / rate)));
+	    now + fmax(MIN_RETURN_S,
+		      backlog / free_rate_for(a, grant->priority, now))));
 }
 
 /* Logs a refusal unless many were logged within the current second. */
@@ -355,8 +374,10 @@
 	double spacing;
 	double due = next_return(a, grant, now, &spacing);
 
+	/* Nothing can be foreseen for it before its deadline. */
 	if (!isfinite(due))
-		due = now + admission_estimate_wait(a, grant->org, now);
+		due = fmax(grant->caller_deadline,
+		    now + admission_estimate_wait(a, grant->org, now));
 	due += RETRY_SPREAD_S * (double)rng_below(&a->rng, 1000) / 1000;
 
 	return_promises_note_refusal(&a->promises, str_of(grant->org->name),
--- a/src/admission_share.c
+++ b/src/admission_share.c
@@ -65,8 +65,10 @@
 	slot_org_t *org = grant->org;
 	slot_zone_t *zone = zone_find_or_create(a, grant->zone);
 
-	moving_rate_add(&org->arrivals, now);
 	org->priority = grant->priority;
+	/* Promises are counted by themselves. */
+	if (!grant->is_return)
+		moving_rate_add(&org->arrivals, now);
 	/* One that returns was counted before. */
 	if (grant->is_return)
 		return;
