Admission: returning callers do not displace requests on time

Change: the setting return_restarts_target (default no) says which attempt counts. With no, only spare capacity is promised, and second attempts that were refused without a promise rank as late.

--- a/src/admission.h
+++ b/src/admission.h
@@ -28,6 +28,11 @@
 	bool by_priority;
 	/* The same, and what cannot be served in time is refused early. */
 	bool fair_scheduling;
+	/*
+	 * The target of a caller that returns as told counts from its return,
+	 * not from its first attempt.
+	 */
+	bool return_restarts_target;
 	/* The endpoints' measured speed and failing paths decide. */
 	bool measured_speed;
 } admission_settings_t;
--- a/src/admission_fair.c
+++ b/src/admission_fair.c
@@ -109,7 +109,17 @@
 		moving_rate_at(&a->starved_grants, now));
 }
 
-/* Notes whether the slot of an online request was promised. */
+/* Returns what a caller's first and second attempt have in common. */
+static uint64_t
+caller_kind(const slot_grant_t *grant)
+{
+	return (grant->prefix_hash + grant->output_tokens);
+}
+
+/*
+ * Notes whether the slot of an online request was promised. Without a promise
+ * the second attempt of a caller that measures from its first one is late.
+ */
 void
 admission_fair_arrival(admission_t *a, slot_grant_t *grant, double now)
 {
@@ -119,11 +129,18 @@
 		return;
 	grant->is_return = return_promises_redeem(&a->promises,
 	    str_of(grant->org->name), grant->caller_deadline, now);
-	if (grant->is_return)
+	if (grant->is_return) {
 		admission_count(a, FAIR_RETURN);
-	else
-		grant->is_second_try = return_promises_was_refused(&a->promises,
-		    str_of(grant->org->name), grant->caller_deadline, now);
+		return;
+	}
+	grant->is_second_try =
+	    grant->caller_deadline > 0 &&
+	    return_promises_was_refused(&a->promises, str_of(grant->org->name),
+		caller_kind(grant), grant->caller_deadline, now);
+	grant->gives_way =
+	    grant->is_second_try && !a->settings.return_restarts_target;
+	if (grant->gives_way)
+		grant->wait.start_by = -INFINITY;
 }
 
 /*
@@ -278,9 +295,9 @@
 }
 
 /*
- * Returns the rate of the slots that are promised to callers of a priority.
- * What more urgent arrivals leave is a difference of two measured rates;
- * promises of a small one were kept at the expense of others.
+ * Returns the rate of the slots that are promised to callers of a priority. A
+ * caller that measures from its first attempt is late when it returns; so it is
+ * promised only slots that the arrivals of its priority leave.
  */
 static double
 promised_rate(admission_t *a, unsigned priority, double now)
@@ -289,8 +306,14 @@
 	double spare = free_rate_for(a, priority + 1, now);
 	double certainty;
 
+	if (!a->settings.return_restarts_target)
+		return (PROMISED_FRACTION * spare);
 	if (rate <= 0)
 		return (0);
+	/*
+	 * What more urgent arrivals leave is a difference of two measured
+	 * rates. Promises of a small one were kept at the expense of others.
+	 */
 	certainty = fmax(0, 2 * rate / free_rate(a, now) - 1);
 	return (PROMISED_FRACTION * fmax(spare, certainty * rate));
 }
@@ -380,8 +403,10 @@
 		    now + admission_estimate_wait(a, grant->org, now));
 	due += RETRY_SPREAD_S * (double)rng_below(&a->rng, 1000) / 1000;
 
-	return_promises_note_refusal(&a->promises, str_of(grant->org->name),
-	    grant->caller_deadline, now);
+	if (grant->caller_deadline > 0)
+		return_promises_note_refusal(&a->promises,
+		    str_of(grant->org->name), caller_kind(grant),
+		    grant->caller_deadline, now);
 	refuse_early(a, grant, fmin(due - now, MAX_RETRY_S), false, now);
 }
 
--- a/src/admission_share.c
+++ b/src/admission_share.c
@@ -67,7 +67,7 @@
 
 	org->priority = grant->priority;
 	/* Promises are counted by themselves. */
-	if (!grant->is_return)
+	if (!grant->is_return && !grant->gives_way)
 		moving_rate_add(&org->arrivals, now);
 	/* One that returns was counted before. */
 	if (grant->is_return)
--- a/src/admission_state.h
+++ b/src/admission_state.h
@@ -128,6 +128,7 @@
 	double revoked_at;		 /* time of the revocation */
 	bool is_return;			 /* its slot was promised */
 	bool is_second_try;		 /* it was refused without a promise */
+	bool gives_way;			 /* to requests that can be on time */
 	bool listed;			 /* in the current report */
 	bool limited;			 /* counts against the limit */
 	bool has_token;			 /* of its organisation's limit */
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -201,6 +201,7 @@
 	    .site = settings->site,
 	    .mode = GRANTS_POOL,
 	    .fair_scheduling = settings->fair_scheduling,
+	    .return_restarts_target = settings->return_restarts_target,
 	    .measured_speed = settings->measured_speed,
 	    .quota_tolerance =
 		{
--- a/src/gateway_settings.c
+++ b/src/gateway_settings.c
@@ -68,6 +68,14 @@
 	.offset = offsetof(gateway_settings_t, fair_scheduling),
 	.description = "Serve by priority and fair shares when slots are "
 		       "scarce, and refuse early what cannot be served"},
+    {.name = "return_restarts_target",
+	.type = SCHEMA_BOOL,
+	.initial = "no",
+	.choices = "no|yes",
+	.offset = offsetof(gateway_settings_t, return_restarts_target),
+	.description = "With `fair_scheduling`: callers that return as told "
+		       "count their target from the return, so slots are "
+		       "kept for them while others wait"},
     {.name = "measured_speed",
 	.type = SCHEMA_BOOL,
 	.initial = "no",
--- a/src/gateway_settings.h
+++ b/src/gateway_settings.h
@@ -26,7 +26,8 @@
 	double stop_s;		/* time limit of a graceful shutdown */
 	unsigned revoke_ms;   /* until a revoked key is refused; 0: no limit */
 	bool fair_scheduling; /* see admission_settings_t */
-	bool measured_speed;  /* likewise */
+	bool return_restarts_target; /* see admission_settings_t */
+	bool measured_speed;	     /* likewise */
 	/* Tolerance of the limits of organisations. */
 	double quota_window_s;
 	double quota_overshoot;
--- a/src/grants.h
+++ b/src/grants.h
@@ -85,6 +85,7 @@
 	const char *site;
 	grants_mode_t mode;
 	bool fair_scheduling;		 /* see admission_settings_t */
+	bool return_restarts_target;	 /* see admission_settings_t */
 	bool measured_speed;		 /* likewise */
 	org_tolerance_t quota_tolerance; /* beyond limits of organisations */
 	/* Returns the active configuration; NULL until one has been loaded. */
--- a/src/grants_admit.c
+++ b/src/grants_admit.c
@@ -85,6 +85,8 @@
 		settings.revoke_timeout = config->fleet.revoke_timeout_ms / 1e3;
 		settings.by_priority = config->has_orgs;
 		settings.fair_scheduling = grants->params.fair_scheduling;
+		settings.return_restarts_target =
+		    grants->params.return_restarts_target;
 		settings.measured_speed = grants->params.measured_speed;
 		/* Hosts send nothing to one that has lost the role. */
 		if (pool->is_admitting)
--- a/src/return_promises.c
+++ b/src/return_promises.c
@@ -63,10 +63,12 @@
 	free(promise);
 }
 
-/* Forgets all promises and frees their memory. */
+/* Forgets all promises and refusals and frees their memory. */
 void
 return_promises_clear(return_promises_t *promises)
 {
+	free(promises->refusals);
+	promises->refusals = NULL;
 	while (!TAILQ_EMPTY(&promises->open))
 		promise_remove(promises, TAILQ_FIRST(&promises->open));
 }
@@ -143,24 +145,33 @@
 
 /* Returns the key of a refusal, for deadlines that differ by little. */
 static uint64_t
-refusal_key(str_t org, long long slot)
+refusal_key(str_t org, uint64_t kind, long long slot)
 {
-	return (str_hash(org, (uint64_t)slot));
+	return (str_hash(org, kind ^ str_hash(STR("slot"), (uint64_t)slot)));
 }
 
-/* Remembers a refusal without a promise until its caller's deadline. */
+/*
+ * Remembers a refusal without a promise until its caller's deadline, which must
+ * be known. Where refusals are so many that one is overwritten, its caller
+ * counts as a new one. kind is anything that both attempts of a caller have in
+ * common: it tells callers apart whose time limits differ.
+ */
 void
-return_promises_note_refusal(
-    return_promises_t *promises, str_t org, double caller_deadline, double now)
+return_promises_note_refusal(return_promises_t *promises, str_t org,
+    uint64_t kind, double caller_deadline, double now)
 {
-	uint64_t key = refusal_key(
-	    org, (long long)floor(caller_deadline / DEADLINE_TOLERANCE_S));
-
+	uint64_t key = refusal_key(org, kind,
+	    (long long)floor(caller_deadline / DEADLINE_TOLERANCE_S));
+	return_refusal_t *refusal;
+
+	if (promises->refusals == NULL)
+		promises->refusals =
+		    xcalloc(RETURN_REFUSALS, sizeof(*promises->refusals));
+	refusal = &promises->refusals[key % RETURN_REFUSALS];
 	/* The oldest of equal ones is known for the longest time. */
-	if (promises->refusals[key % RETURN_REFUSALS].key == key)
+	if (refusal->key == key)
 		return;
-	promises->refusals[key % RETURN_REFUSALS].key = key;
-	promises->refusals[key % RETURN_REFUSALS].at = now;
+	*refusal = (return_refusal_t){.key = key, .at = now};
 }
 
 /*
@@ -170,18 +181,20 @@
  */
 bool
 return_promises_was_refused(const return_promises_t *promises, str_t org,
-    double caller_deadline, double now)
+    uint64_t kind, double caller_deadline, double now)
 {
 	long long slot =
 	    (long long)floor(caller_deadline / DEADLINE_TOLERANCE_S);
 
+	if (promises->refusals == NULL)
+		return (false);
 	/* On its way it may have got a little later. */
 	for (int i = -1; i <= 0; i++) {
-		uint64_t key = refusal_key(org, slot + i);
-		size_t index = key % RETURN_REFUSALS;
+		uint64_t key = refusal_key(org, kind, slot + i);
+		const return_refusal_t *refusal =
+		    &promises->refusals[key % RETURN_REFUSALS];
 
-		if (promises->refusals[index].key == key &&
-		    now - promises->refusals[index].at >= MIN_RETURN_S)
+		if (refusal->key == key && now - refusal->at >= MIN_RETURN_S)
 			return (true);
 	}
 	return (false);
--- a/tests/harness_replay.c
+++ b/tests/harness_replay.c
@@ -20,8 +20,12 @@
 /* As in forward_plan.c. */
 #define QUEUE_RATIO 0.6
 /* Mean run time on a healthy endpoint; the runs vary by half of it. */
-#define RUN_S 0.8
-static char endpoint_names[ENDPOINTS][8];
+#define RUN_S	    0.8
+#define BATCH_RUN_S 2.0
+/* From the revocation of a batch slot to its release. */
+#define REVOKED_S 0.02
+
+static char endpoint_names[MAX_ENDPOINTS][NAME_SIZE];
 static replay_t replays[2];
 
 static const phase_t *
@@ -36,15 +40,15 @@
 }
 
 static bool
-endpoint_is_slow(const phase_t *phase, unsigned endpoint)
+endpoint_is_slow(const replay_t *r, const phase_t *phase, unsigned endpoint)
 {
-	return (endpoint < phase->slow * ENDPOINTS);
+	return (endpoint < phase->slow * r->endpoint_count);
 }
 
 static bool
-endpoint_is_dead(const phase_t *phase, unsigned endpoint)
+endpoint_is_dead(const replay_t *r, const phase_t *phase, unsigned endpoint)
 {
-	return (endpoint < phase->slow * phase->dead * ENDPOINTS);
+	return (endpoint < phase->slow * phase->dead * r->endpoint_count);
 }
 
 static bool
@@ -54,7 +58,7 @@
 	double t = now - r->begin;
 
 	return (t >= s->mute_from && t < s->mute_until &&
-		ENDPOINTS - endpoint <= s->mute * ENDPOINTS);
+		r->endpoint_count - endpoint <= s->mute * r->endpoint_count);
 }
 
 static void
@@ -81,18 +85,72 @@
 	admission_request(r->a, &request, now);
 }
 
+/* Items of jobs use the slots that online requests leave. */
+static void
+replay_ask_batch(replay_t *r, double now)
+{
+	for (; r->batch_waiting < r->scenario->batch_waiting &&
+	       r->try_count + 1 < MAX_ATTEMPTS;
+	     r->batch_waiting++) {
+		admission_request_t request = {
+		    .id = ++r->try_count,
+		    .holder = "h1",
+		    .zone = "east",
+		    .class = GRANT_BATCH,
+		    .org = "jobs",
+		    .weight = 1,
+		    .deadline = now + 1000,
+		};
+
+		r->tries[r->try_count] = (try_t){.batch = true, .asked = now};
+		admission_request(r->a, &request, now);
+	}
+}
+
+/*
+ * Returns the run time of a caller's request on a healthy endpoint. Those of
+ * short runs are the same without and with fair scheduling.
+ */
+static double
+run_time(replay_t *r, unsigned caller)
+{
+	double shortest = r->scenario->shortest_run;
+	rng_t rng;
+	double random;
+
+	if (shortest <= 0)
+		return (
+		    RUN_S * (0.5 + (double)rng_below(&r->rng, 1000) / 1000));
+	rng = rng_seeded(caller);
+	random = (double)rng_below(&rng, 1000) / 1000;
+	return (shortest + 3 * (RUN_S - shortest) * random * random);
+}
+
+static void
+replay_start_batch(replay_t *r, try_t *t, unsigned id, double now)
+{
+	r->batch_waiting--;
+	t->ends = now + BATCH_RUN_S;
+	r->running[r->running_count++] = id;
+}
+
 static void
 replay_start(replay_t *r, const admission_action_t *action, double now)
 {
 	try_t *t = &r->tries[action->id];
 	caller_t *c = &r->callers[t->caller];
 	const phase_t *phase = phase_at(r, now);
-	double run = RUN_S * (0.5 + (double)rng_below(&r->rng, 1000) / 1000);
+	double run;
 
 	t->endpoint = (unsigned)strtoul(action->endpoint.name + 1, NULL, 10);
 	t->started = now;
-	t->fails = endpoint_is_dead(phase, t->endpoint);
-	if (endpoint_is_slow(phase, t->endpoint))
+	if (t->batch) {
+		replay_start_batch(r, t, (unsigned)action->id, now);
+		return;
+	}
+	run = run_time(r, t->caller);
+	t->fails = endpoint_is_dead(r, phase, t->endpoint);
+	if (endpoint_is_slow(r, phase, t->endpoint))
 		run *= 3;
 	if (t->fails)
 		run = 0.005;
@@ -105,7 +163,9 @@
 		c->cut_off = !t->fails;
 	}
 	if (!t->fails)
-		c->on_time = now - c->sent <= TARGET_S - FIRST_EVENT_S;
+		c->on_time =
+		    now - (r->scenario->from_first ? c->first_sent : c->sent) <=
+		    TARGET_S - FIRST_EVENT_S;
 	r->running[r->running_count++] = (unsigned)action->id;
 }
 
@@ -144,6 +204,10 @@
 			replay_start(r, &action, now);
 		else if (action.kind == ADMISSION_REFUSE)
 			replay_refused(r, &action, now);
+		else if (r->tries[action.id].batch) {
+			r->tries[action.id].revoked = true;
+			r->tries[action.id].ends = now + REVOKED_S;
+		}
 	}
 }
 
@@ -158,8 +222,8 @@
 
 	if (t->mute)
 		report = r->fair ? &cut_off : NULL;
-	admission_release(
-	    r->a, t->caller % 2 == 0 ? "h1" : "h2", id, report, now);
+	admission_release(r->a, t->batch || t->caller % 2 == 0 ? "h1" : "h2",
+	    id, report, now);
 }
 
 static void
@@ -172,7 +236,7 @@
 		try_t *t = &r->tries[id];
 		caller_t *c = &r->callers[t->caller];
 		bool crashed =
-		    !t->fails && endpoint_is_dead(phase, t->endpoint);
+		    !t->fails && endpoint_is_dead(r, phase, t->endpoint);
 		grant_report_t report = {
 		    .rc =
 			t->fails || crashed ? -RESULT_ENDPOINT_UNREACHABLE : 0};
@@ -183,7 +247,9 @@
 		}
 		r->running[i] = r->running[--r->running_count];
 		replay_release(r, id, &report, now);
-		if (t->fails)
+		if (t->batch)
+			r->batch_done += !t->revoked && !crashed;
+		else if (t->fails)
 			replay_ask(
 			    r, t->caller, endpoint_names[t->endpoint], now);
 		else if (crashed)
@@ -244,17 +310,35 @@
 	counts->told_refused += c->told && c->refused;
 }
 
+/* Counts the slots that are free although an online request waits. */
+static void
+replay_count_idle(replay_t *r, double now)
+{
+	admission_stats_t stats;
+	unsigned used;
+
+	admission_stats(r->a, now, &stats);
+	used = stats.online + stats.batch;
+	if (stats.online_waiting > 0 && used < stats.capacity)
+		r->idle_slot_s += (stats.capacity - used) * STEP_S;
+}
+
 static void
 replay_configure(replay_t *r, bool fair)
 {
 	const admission_settings_t settings = {
 	    .queue_limit = 2000,
 	    .revoke_timeout = 0.5,
+	    .by_priority = r->scenario->by_priority,
 	    .fair_scheduling = fair,
+	    .return_restarts_target = !r->scenario->from_first,
 	};
-	admission_endpoint_t list[ENDPOINTS] = {0};
+	admission_endpoint_t list[MAX_ENDPOINTS] = {0};
 
-	for (unsigned i = 0; i < ENDPOINTS; i++) {
+	r->endpoint_count = r->scenario->endpoints;
+	if (r->endpoint_count == 0)
+		r->endpoint_count = ENDPOINTS;
+	for (unsigned i = 0; i < r->endpoint_count; i++) {
 		snprintf(
 		    endpoint_names[i], sizeof(endpoint_names[i]), "e%02u", i);
 		list[i].name = endpoint_names[i];
@@ -262,7 +346,7 @@
 		list[i].zone = i % 2 == 0 ? "east" : "west";
 		list[i].slots = SLOTS;
 	}
-	admission_configure(r->a, &settings, list, ENDPOINTS, r->begin);
+	admission_configure(r->a, &settings, list, r->endpoint_count, r->begin);
 }
 
 /* Plays a scenario to its end. Callers and endpoints behave alike in both. */
@@ -286,6 +370,8 @@
 		if (t < end)
 			replay_arrivals(r, now);
 		replay_returns(r, now);
+		if (t < end)
+			replay_ask_batch(r, now);
 		replay_actions(r, now);
 		replay_ends(r, now);
 		if (t >= next_tick) {
@@ -293,6 +379,7 @@
 			admission_tick(r->a, now);
 		}
 		replay_actions(r, now);
+		replay_count_idle(r, now);
 	}
 	admission_stats(r->a, r->begin + end, &r->stats);
 	admission_delete(r->a);
--- a/tests/harness_replay.h
+++ b/tests/harness_replay.h
@@ -8,10 +8,11 @@
 #include "clock.h"
 
 enum {
-	ENDPOINTS = 30,
+	ENDPOINTS = 30, /* unless the scenario says otherwise */
+	MAX_ENDPOINTS = 240,
 	SLOTS = 8,
-	MAX_CALLERS = 16000,
-	MAX_ATTEMPTS = 64000,
+	MAX_CALLERS = 64000,
+	MAX_ATTEMPTS = 256000,
 	MAX_ORGS = 12,
 	MAX_PHASES = 6,
 };
@@ -38,6 +39,8 @@
 	unsigned endpoint;
 	bool fails;
 	bool mute; /* its endpoint gives no answer */
+	bool batch;
+	bool revoked; /* batch only */
 } try_t;
 
 typedef struct replay_org_t {
@@ -65,7 +68,13 @@
 	double mute;
 	double mute_from;
 	double mute_until;
-	bool new_limit; /* a caller that returns has a new time limit */
+	bool new_limit;		/* a caller that returns has a new time limit */
+	unsigned endpoints;	/* 0: ENDPOINTS */
+	double shortest_run;	/* seconds; 0: half of the mean */
+	unsigned batch_waiting; /* items that always wait for a slot */
+	bool by_priority;	/* also without fair scheduling */
+	/* Callers count their target from the first attempt, not the last. */
+	bool from_first;
 } scenario_t;
 
 typedef struct counts_t {
@@ -88,9 +97,13 @@
 	unsigned caller_count;
 	try_t tries[MAX_ATTEMPTS];
 	unsigned try_count;
-	unsigned running[ENDPOINTS * SLOTS * 4];
+	unsigned endpoint_count;
+	unsigned running[MAX_ENDPOINTS * SLOTS * 4];
 	unsigned running_count;
 	double due_arrivals;
+	unsigned batch_waiting;
+	unsigned batch_done;
+	double idle_slot_s; /* free while an online request waited */
 	double longest_refused_wait;
 	unsigned refusals_at_end; /* after a wait of the full time */
 	unsigned refusals_early;
--- a/tests/test_fail_scarcity.c
+++ b/tests/test_fail_scarcity.c
@@ -119,7 +119,8 @@
 	    &(gateways_params_t){.hosts = HOSTS,
 		.engines = 1,
 		.event_ms = EVENT_MS,
-		.settings = "fair_scheduling = yes\nmeasured_speed = yes\n"});
+		.settings = "fair_scheduling = yes\nmeasured_speed = yes\n"
+			    "return_restarts_target = yes\n"});
 	for (unsigned i = 0; i < 4; i++) {
 		char id[32];
 
--- a/tests/test_return_promises.c
+++ b/tests/test_return_promises.c
@@ -112,16 +112,19 @@
 	return_promises_t promises;
 
 	return_promises_init(&promises);
-	return_promises_note_refusal(&promises, STR("acme"), 15, 10);
+	return_promises_note_refusal(&promises, STR("acme"), 7, 15, 10);
 	/* Another caller that came at nearly the same time. */
+	CU_ASSERT(!return_promises_was_refused(
+	    &promises, STR("acme"), 7, 15.01, 10.01));
+	CU_ASSERT(return_promises_was_refused(
+	    &promises, STR("acme"), 7, 15.01, 11.6));
+	/* A caller with a shorter time limit, for something else. */
+	CU_ASSERT(!return_promises_was_refused(
+	    &promises, STR("acme"), 8, 15.01, 11.6));
+	CU_ASSERT(!return_promises_was_refused(
+	    &promises, STR("acme"), 7, 16.6, 11.6));
 	CU_ASSERT(
-	    !return_promises_was_refused(&promises, STR("acme"), 15.01, 10.01));
-	CU_ASSERT(
-	    return_promises_was_refused(&promises, STR("acme"), 15.01, 11.6));
-	CU_ASSERT(
-	    !return_promises_was_refused(&promises, STR("acme"), 16.6, 11.6));
-	CU_ASSERT(
-	    !return_promises_was_refused(&promises, STR("other"), 15, 11.6));
+	    !return_promises_was_refused(&promises, STR("other"), 7, 15, 11.6));
 	return_promises_clear(&promises);
 }
 
