--- a/tests/test_admission_scarce.c
+++ b/tests/test_admission_scarce.c
@@ -80,6 +80,16 @@
 	check_scenario(&scenario, 0);
 }
 
+/* Room that is kept for callers who never return must not stay unused. */
+static void
+test_without_returns(void)
+{
+	scenario_t scenario = scarcity;
+
+	scenario.no_return = 0.5;
+	check_scenario(&scenario, 0);
+}
+
 /* A demand 3 in 100 above the capacity. */
 static void
 test_slight_overload(void)
@@ -110,6 +120,7 @@
 static const suite_test_t tests[] = {
     {"two priorities", test_two_priorities},
     {"one priority", test_one_priority},
+    {"without returns", test_without_returns},
     {"slight overload", test_slight_overload},
     {"short burst", test_short_burst},
 };
