--- a/Makefile
+++ b/Makefile
@@ -110,7 +110,7 @@
 $(BUILD)/soak: $(SOAK_OBJS) $(TEST_SUPPORT_OBJS) $(PLATFORM_OBJS) $(LIB)
 	$(CC) $(LDFLAGS) -o $@ $^ -lcunit $(LDLIBS)
 
-$(BUILD)/bench/%: $(BUILD)/obj/bench/%.o $(LIB)
+$(BUILD)/bench/%: $(BUILD)/obj/bench/%.o $(PLATFORM_OBJS) $(LIB)
 	@mkdir -p $(@D)
 	$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS)
 
@@ -177,4 +177,5 @@
 .SECONDARY:
 
 -include $(wildcard $(BUILD)/obj/*.d $(BUILD)/obj/tests/*.d \
-    $(BUILD)/obj/platform/*.d $(BUILD)/obj/soak/*.d)
+    $(BUILD)/obj/platform/*.d $(BUILD)/obj/soak/*.d \
+    $(BUILD)/obj/bench/*.d)
