Hosts: start again together without reads that grow with their square

Every host wrote its record at its start, and each record ended the waiting reads of all hosts, which read again at once.

Records outlive a crash: a host writes its record only if it is missing once all have been read, if it has another name, or when it is removed. Two reads of the records are at least 0.5 s apart.

--- a/src/gateway_hosts.c
+++ b/src/gateway_hosts.c
@@ -7,7 +7,13 @@
 #include "result.h"
 
 /* Maximum time that a long-polling read of the host records is held open. */
-#define HOSTS_READ_WAIT_S      5.0
+#define HOSTS_READ_WAIT_S 5.0
+/*
+ * Delay between two reads of the host records, which collects those of hosts
+ * that start together. Without it, each record ended the waiting reads of all
+ * hosts: the reads grew with the square of the number of hosts.
+ */
+#define HOSTS_READ_DELAY_S     0.5
 #define ANNOUNCE_RETRY_DELAY_S 0.5
 #define ANNOUNCE_TIMEOUT_S     2.0
 /* How long a host introduces itself to listed hosts after it became ready. */
@@ -51,14 +57,94 @@
 	free(host);
 }
 
+static void write_due_record(gateway_t *gateway);
+
+static void
+on_announce_done(void *ctx, int rc, uint64_t end)
+{
+	gateway_t *gateway = ctx;
+
+	gateway->announce_call = NULL;
+	if (rc == 0) {
+		host_record_written(&gateway->own_record, end);
+		write_due_record(gateway);
+		return;
+	}
+	LOG_WARN("host_not_announced", "cause=%s", result_name(rc));
+	ev_timer_set(&gateway->announce_timer, ANNOUNCE_RETRY_DELAY_S, 0);
+	ev_timer_start(gateway->params.loop, &gateway->announce_timer);
+}
+
+/* Writes or removes this host's record, by which new hosts discover it. */
+static void
+write_host_record(gateway_t *gateway, bool removed)
+{
+	const gateway_settings_t *settings = gateway->params.settings;
+	store_t *store = gateway->store;
+	store_record_t record = {
+	    .key = str_of(settings->address),
+	    .value = str_of(settings->name),
+	    .removed = removed,
+	};
+
+	if (gateway->announce_call != NULL)
+		store->class->cancel(store, gateway->announce_call);
+	gateway->announce_call = store->class->append(
+	    store, &(store_append_t){
+		       .topic = gateway->params.dialect->hosts_topic,
+		       .records = &record,
+		       .count = 1,
+		       .expected_end = STORE_ANY_END,
+		       .timeout = ANNOUNCE_TIMEOUT_S,
+		       .on_done = on_announce_done,
+		       .ctx = gateway,
+		   });
+}
+
+/* Writes this host's record if it has to be in the store and is not. */
+static void
+write_due_record(gateway_t *gateway)
+{
+	if (gateway->announce_call == NULL &&
+	    host_record_is_due(&gateway->own_record))
+		write_host_record(gateway, false);
+}
+
+static void
+on_own_record(gateway_t *gateway, const store_record_t *record)
+{
+	const gateway_settings_t *settings = gateway->params.settings;
+
+	host_record_seen(&gateway->own_record, record->offset, record->removed,
+	    str_equal(record->value, str_of(settings->name)));
+	write_due_record(gateway);
+}
+
+static void
+on_hosts_reload(void *ctx)
+{
+	host_record_begin_load(&((gateway_t *)ctx)->own_record);
+}
+
+static void
+on_hosts_loaded(void *ctx)
+{
+	gateway_t *gateway = ctx;
+
+	host_record_end_load(&gateway->own_record);
+	write_due_record(gateway);
+}
+
 static void
 on_host_record(void *ctx, const store_record_t *record)
 {
 	gateway_t *gateway = ctx;
 	listed_host_t *host;
 
-	if (str_equal(record->key, str_of(gateway->params.settings->address)))
+	if (str_equal(record->key, str_of(gateway->params.settings->address))) {
+		on_own_record(gateway, record);
 		return;
+	}
 	host = listed_host_find(gateway, record->key);
 	if (host != NULL)
 		listed_host_delete(host);
@@ -107,49 +193,11 @@
 }
 
 static const follower_events_t host_events = {
+    .on_reload = on_hosts_reload,
     .on_record = on_host_record,
+    .on_loaded = on_hosts_loaded,
 };
 
-static void
-on_announce_done(void *ctx, int rc, uint64_t end)
-{
-	gateway_t *gateway = ctx;
-
-	(void)end;
-	gateway->announce_call = NULL;
-	if (rc == 0)
-		return;
-	LOG_WARN("host_not_announced", "cause=%s", result_name(rc));
-	ev_timer_set(&gateway->announce_timer, ANNOUNCE_RETRY_DELAY_S, 0);
-	ev_timer_start(gateway->params.loop, &gateway->announce_timer);
-}
-
-/* Writes or removes this host's record, by which new hosts discover it. */
-static void
-write_host_record(gateway_t *gateway, bool removed)
-{
-	const gateway_settings_t *settings = gateway->params.settings;
-	store_t *store = gateway->store;
-	store_record_t record = {
-	    .key = str_of(settings->address),
-	    .value = str_of(settings->name),
-	    .removed = removed,
-	};
-
-	if (gateway->announce_call != NULL)
-		store->class->cancel(store, gateway->announce_call);
-	gateway->announce_call = store->class->append(
-	    store, &(store_append_t){
-		       .topic = gateway->params.dialect->hosts_topic,
-		       .records = &record,
-		       .count = 1,
-		       .expected_end = STORE_ANY_END,
-		       .timeout = ANNOUNCE_TIMEOUT_S,
-		       .on_done = on_announce_done,
-		       .ctx = gateway,
-		   });
-}
-
 static void
 on_announce_timer(struct ev_loop *loop, ev_timer *timer, int events)
 {
@@ -157,17 +205,21 @@
 
 	(void)loop;
 	(void)events;
-	write_host_record(gateway, gateway->draining);
+	if (gateway->own_record.leaving)
+		write_host_record(gateway, true);
+	else
+		write_due_record(gateway);
 }
 
 /* Removes this host's record at a graceful shutdown. */
 void
 gateway_remove_host_record(gateway_t *gateway)
 {
+	gateway->own_record.leaving = true;
 	write_host_record(gateway, true);
 }
 
-/* Writes this host's record and starts to follow those of other hosts. */
+/* Starts to follow the records of hosts; writes that of this one if missing. */
 int
 gateway_start_hosts(void *ctx)
 {
@@ -178,12 +230,13 @@
 	gateway->announce_timer.data = gateway;
 	ev_init(&gateway->introduce_timer, on_introduce_timer);
 	gateway->introduce_timer.data = gateway;
-	write_host_record(gateway, false);
+	gateway->own_record = (host_record_t){.leaving = gateway->draining};
 	gateway->host_follower = follower_new(&(follower_params_t){
 	    .loop = gateway->params.loop,
 	    .store = gateway->store,
 	    .topic = gateway->params.dialect->hosts_topic,
 	    .wait = HOSTS_READ_WAIT_S,
+	    .read_delay = HOSTS_READ_DELAY_S,
 	    .events = &host_events,
 	    .ctx = gateway,
 	});
--- a/src/gateway_state.h
+++ b/src/gateway_state.h
@@ -9,6 +9,7 @@
 #include "follower.h"
 #include "forward.h"
 #include "gateway.h"
+#include "host_record.h"
 #include "jobs.h"
 #include "key_freshness.h"
 #include "membership_net.h"
@@ -53,6 +54,7 @@
 	fleet_config_t *fleet_config;
 	bool fleet_config_outdated; /* entries changed since it was built */
 	counter_t *fleet_config_builds;
+	host_record_t own_record;
 	store_call_t *announce_call;
 	ev_timer announce_timer;
 	ev_timer introduce_timer;
