--- a/tests/test_platform_formats.c
+++ b/tests/test_platform_formats.c
@@ -109,6 +109,15 @@
 	    out, (str_t){text.data + at + removed, text.len - at - removed});
 }
 
+static bool
+entries_equal(const endpoint_entry_t *a, const endpoint_entry_t *b)
+{
+	return (strcmp(a->id, b->id) == 0 && strcmp(a->pool, b->pool) == 0 &&
+		strcmp(a->address, b->address) == 0 &&
+		strcmp(a->zone, b->zone) == 0 && a->slots == b->slots &&
+		a->draining == b->draining && a->started_ms == b->started_ms);
+}
+
 /*
  * An entry that is not parsed because it repeats another must be one that the
  * parser accepts with the same meaning.
@@ -146,7 +155,7 @@
 			repeated++;
 			CU_ASSERT(platform_read_endpoint(
 				      STR("e"), str_buf(&text), &entry) == 0);
-			CU_ASSERT(memcmp(&entry, &known, sizeof(entry)) == 0);
+			CU_ASSERT(entries_equal(&entry, &known));
 		}
 		CU_ASSERT(repeated > 100);
 		entry_text_free(&kept);
