test_grants: take a port that is free on all three addresses

Cause: the test let the kernel choose a port on the first address and assumed that it was free on the other two. Links between hosts bind their own address with a port of the same range, so another program that runs at the same time may hold it there. peer_new() then failed, CU_ASSERT went on, and grants_new() used a null peer (src/peer.c:173, in "takeover ends with the reports").

The port now comes from harness_free_port(), as in the other fleets, and a failed peer_new() ends the test with REQUIRE instead of a null pointer. No check is changed.

--- a/tests/test_grants.c
+++ b/tests/test_grants.c
@@ -10,6 +10,7 @@
 #include "admission.h"
 #include "clock.h"
 #include "grants.h"
+#include "harness.h"
 #include "placement.h"
 #include "require.h"
 #include "result.h"
@@ -95,7 +96,7 @@
 	    .ctx = t,
 	};
 
-	CU_ASSERT(peer_new(t->loop, &peer, &t->peers[i]) == 0);
+	REQUIRE(peer_new(t->loop, &peer, &t->peers[i]) == 0);
 	params.peer = t->peers[i];
 	t->grants[i] = grants_new(&params);
 }
@@ -133,6 +134,7 @@
 setup(grants_test_t *t, size_t admitting, grants_mode_t mode)
 {
 	config_faults_t faults;
+	uint16_t port;
 
 	*t = (grants_test_t){.loop = ev_loop_new(0)};
 	ev_timer_init(&t->stop, on_stop, 0, 0);
@@ -153,8 +155,10 @@
 		member->instance = i + 1;
 		member->ready = i == admitting;
 	}
+	port = harness_free_port(host_addresses, HOSTS);
+	REQUIRE(port != 0);
 	for (size_t i = 0; i < HOSTS; i++)
-		start_host(t, i, mode, i > 0 ? peer_port(t->peers[0]) : 0);
+		start_host(t, i, mode, port);
 }
 
 static void
