Limits: times to return up to a caller's deadline

Cause: a refused caller was told at most 5 s, so that all callers with more patience returned at the same moment and all but some were refused again.

A caller with a known deadline now gets a time of its own, 1 / rate after the one before, up to its deadline and 60 s. One that cannot be served by then is told the first time that nobody was told, which stays free. Without a deadline 5 s remains the latest time.

--- a/bench/bench_org_quota.c
+++ b/bench/bench_org_quota.c
@@ -32,12 +32,14 @@
 }
 
 static bool
-take(void *ctx, const char *org, double now, double *retry_after)
+take(void *ctx, const char *org, double caller_deadline, double now,
+    double *retry_after)
 {
 	static const org_limit_t limit = {27, 27};
 
 	(void)ctx;
-	return (org_quota_take(quota, str_of(org), &limit, now, retry_after));
+	return (org_quota_take(
+	    quota, str_of(org), &limit, caller_deadline, now, retry_after));
 }
 
 static void
@@ -117,7 +119,7 @@
 	*refused = 0;
 	for (unsigned i = 0; i < REQUESTS * 10; i++)
 		*refused += !org_quota_take(quota, str_of(org_names[i % ORGS]),
-		    &limit, now += REQUEST_S, &retry_after);
+		    &limit, 0, now += REQUEST_S, &retry_after);
 	begin = processor_s() - begin;
 	org_quota_delete(quota);
 	return (begin / (REQUESTS * 10) * 1e6);
--- a/src/admission.c
+++ b/src/admission.c
@@ -389,8 +389,8 @@
 {
 	if (!grant->limited || a->limits.take == NULL)
 		return (true);
-	grant->has_token =
-	    a->limits.take(a->limits.ctx, grant->org->name, now, wait);
+	grant->has_token = a->limits.take(
+	    a->limits.ctx, grant->org->name, grant->caller_deadline, now, wait);
 	return (grant->has_token);
 }
 
--- a/src/admission.h
+++ b/src/admission.h
@@ -110,9 +110,10 @@
 /*
  * Takes a token for a request that counts against its organisation's limit.
  * Without one, returns false and sets the seconds after which to retry.
+ * caller_deadline is that of the response; 0: unknown.
  */
-typedef bool (*admission_take_cb_t)(
-    void *ctx, const char *org, double now, double *retry_after);
+typedef bool (*admission_take_cb_t)(void *ctx, const char *org,
+    double caller_deadline, double now, double *retry_after);
 /* Returns a token of a request that was refused or withdrawn. */
 typedef void (*admission_give_back_cb_t)(
     void *ctx, const char *org, double taken_at);
--- a/src/grants_quota.c
+++ b/src/grants_quota.c
@@ -107,7 +107,8 @@
 
 /* An admission_take_cb_t. */
 static bool
-take_token(void *ctx, const char *org, double now, double *retry_after)
+take_token(void *ctx, const char *org, double caller_deadline, double now,
+    double *retry_after)
 {
 	grants_t *grants = ctx;
 	org_limit_t limit;
@@ -115,8 +116,8 @@
 	if (!grants_org_limit(grants, str_of(org), &limit))
 		return (true);
 	grants_quota_check_pause(grants, now);
-	if (org_quota_take(
-		grants->quota.buckets, str_of(org), &limit, now, retry_after)) {
+	if (org_quota_take(grants->quota.buckets, str_of(org), &limit,
+		caller_deadline, now, retry_after)) {
 		counter_add(grants->quota.taken, 1);
 		return (true);
 	}
--- a/src/org_quota.c
+++ b/src/org_quota.c
@@ -17,10 +17,13 @@
 
 #define BUCKETS 1024
 /*
- * Latest time that a refused caller is told. Callers give up within 5 s, so
- * later times would only pile up while an organisation exceeds its limit.
+ * Latest time that a refused caller is told if its deadline is unknown. Most
+ * callers give up within 5 s, so later times would only pile up while an
+ * organisation exceeds its limit.
  */
 #define MAX_RETRY_AFTER_S 5.0
+/* The same if it is known; one with a longer deadline delays the others. */
+#define LONGEST_RETRY_AFTER_S 60.0
 /*
  * Part of the tolerance that a bucket holds at the start of the process. The
  * rest is left for hosts that are cut off.
@@ -197,32 +200,48 @@
 	return (bucket);
 }
 
-/* Promises a time to a refused caller, each caller a later one. */
+/*
+ * Returns the seconds after which a refused caller may return; each caller gets
+ * a later time. A caller whose deadline is earlier cannot be served: it is told
+ * the first time that nobody was told, for its next request, and that time
+ * stays free for others. If the deadline is unknown, it is taken to be in
+ * MAX_RETRY_AFTER_S.
+ */
 static double
-bucket_promise(org_bucket_t *bucket, double now)
+bucket_promise(
+    org_bucket_t *bucket, double caller_deadline, double now)
 {
-	double next = now + (1 - bucket->tokens) / bucket->rate;
+	double rate = bucket->rate;
+	double next = now + (1 - bucket->tokens) / rate;
+	bool known = caller_deadline > 0;
+	double latest = known
+			    ? fmin(caller_deadline, now + LONGEST_RETRY_AFTER_S)
+			    : now + MAX_RETRY_AFTER_S;
 
 	if (bucket->promised_at > now)
-		next = fmax(next, bucket->promised_at + 1 / bucket->rate);
-	bucket->promised_at = fmin(next, now + MAX_RETRY_AFTER_S);
+		next = fmax(next, bucket->promised_at + 1 / rate);
+	if (next <= latest)
+		bucket->promised_at = next;
+	else if (!known)
+		next = latest;
 	/* Callers are told hundredths of a second, which must not be early. */
-	return (ceil((bucket->promised_at - now) * 100 - TOKEN_EPSILON) / 100);
+	return (ceil((next - now) * 100 - TOKEN_EPSILON) / 100);
 }
 
 /*
  * Takes a token of an organisation. Without one, returns false and sets the
- * seconds after which there will be one for this caller.
+ * seconds after which there will be one for this caller, whose deadline is
+ * given in seconds; 0: unknown.
  */
 bool
 org_quota_take(org_quota_t *quota, str_t org, const org_limit_t *limit,
-    double now, double *retry_after)
+    double caller_deadline, double now, double *retry_after)
 {
 	org_bucket_t *bucket = bucket_find_or_create(quota, org, limit, now);
 	double *after;
 
 	if (bucket->tokens < 1 - TOKEN_EPSILON) {
-		*retry_after = bucket_promise(bucket, now);
+		*retry_after = bucket_promise(bucket, caller_deadline, now);
 		return (false);
 	}
 	bucket->tokens -= 1;
--- a/src/org_quota.h
+++ b/src/org_quota.h
@@ -32,7 +32,7 @@
 void org_quota_delete(org_quota_t *quota);
 
 bool org_quota_take(org_quota_t *quota, str_t org, const org_limit_t *limit,
-    double now, double *retry_after);
+    double caller_deadline, double now, double *retry_after);
 void org_quota_give_back(org_quota_t *quota, str_t org, double taken_at);
 void org_quota_add_use(org_quota_t *quota, str_t org, const org_limit_t *limit,
     org_use_t kind, const unsigned counts[ORG_SLOTS], double now);
--- a/tests/test_admission.c
+++ b/tests/test_admission.c
@@ -837,11 +837,13 @@
 } test_tokens_t;
 
 static bool
-take_test_token(void *ctx, const char *org, double now, double *retry_after)
+take_test_token(void *ctx, const char *org, double caller_deadline, double now,
+    double *retry_after)
 {
 	test_tokens_t *tokens = ctx;
 
 	(void)org;
+	(void)caller_deadline;
 	(void)now;
 	*retry_after = 0.7;
 	return (tokens->left > 0 && tokens->left-- > 0);
--- a/tests/test_org_quota.c
+++ b/tests/test_org_quota.c
@@ -72,7 +72,8 @@
 
 	for (double now = from - log(1 - rng_uniform(rng)) / rate; now < to;
 	     now -= log(1 - rng_uniform(rng)) / rate) {
-		if (org_quota_take(quota, ORG, &runs.limit, now, &retry_after))
+		if (org_quota_take(
+			quota, ORG, &runs.limit, 0, now, &retry_after))
 			runs_add(now);
 		else
 			refused++;
@@ -204,7 +205,8 @@
 			else
 				runs_add(taken_at);
 		}
-		if (org_quota_take(quota, ORG, &runs.limit, now, &retry_after))
+		if (org_quota_take(
+			quota, ORG, &runs.limit, 0, now, &retry_after))
 			waiting[count++] = now;
 	}
 	while (count > 0)
@@ -269,21 +271,63 @@
 
 	for (unsigned i = 0; i < 5; i++)
 		CU_ASSERT(
-		    org_quota_take(quota, ORG, &limit, 100, &retry_after));
+		    org_quota_take(quota, ORG, &limit, 0, 100, &retry_after));
 	for (unsigned i = 0; i < 20; i++) {
-		CU_ASSERT(!org_quota_take(quota, ORG, &limit, 100, &times[i]));
+		CU_ASSERT(
+		    !org_quota_take(quota, ORG, &limit, 0, 100, &times[i]));
 		CU_ASSERT_DOUBLE_EQUAL(times[i], 0.1 * (i + 1), 1e-6);
 	}
 	for (unsigned i = 0; i < 20; i++)
 		CU_ASSERT(org_quota_take(
-		    quota, ORG, &limit, 100 + times[i], &retry_after));
+		    quota, ORG, &limit, 0, 100 + times[i], &retry_after));
 	/* Times beyond the patience of callers do not pile up. */
 	for (unsigned i = 0; i < 1000; i++)
-		org_quota_take(quota, ORG, &limit, 102, &retry_after);
+		org_quota_take(quota, ORG, &limit, 0, 102, &retry_after);
 	CU_ASSERT(retry_after <= 5 + 1e-6);
 	org_quota_delete(quota);
 }
 
+/*
+ * Guards against a crowd of patient callers that all return after 5 s: with
+ * known deadlines, times are successive up to these, and each finds a token
+ * then. A caller that cannot be served in time takes no time from the others,
+ * and is told when its next request can be.
+ */
+static void
+test_retry_times_up_to_the_deadline(void)
+{
+	org_quota_t *quota = org_quota_new(0);
+	org_limit_t limit = {10, 5};
+	double times[200];
+	double retry_after;
+
+	for (unsigned i = 0; i < 5; i++)
+		CU_ASSERT(
+		    org_quota_take(quota, ORG, &limit, 0, 100, &retry_after));
+	for (unsigned i = 0; i < 200; i++) {
+		CU_ASSERT(
+		    !org_quota_take(quota, ORG, &limit, 130, 100, &times[i]));
+		CU_ASSERT_DOUBLE_EQUAL(times[i], 0.1 * (i + 1), 1e-6);
+	}
+	for (unsigned i = 0; i < 100; i++) {
+		/* In 2 s there is no time left that nobody was told. */
+		CU_ASSERT(!org_quota_take(
+		    quota, ORG, &limit, 102, 100, &retry_after));
+		CU_ASSERT_DOUBLE_EQUAL(retry_after, 20.1, 1e-6);
+		/* Without a deadline, 5 s is the latest. */
+		org_quota_take(quota, ORG, &limit, 0, 100, &retry_after);
+		CU_ASSERT_DOUBLE_EQUAL(retry_after, 5, 1e-6);
+	}
+	/* Nor does a deadline of a day delay the others without a bound. */
+	for (unsigned i = 0; i < 1000; i++)
+		org_quota_take(quota, ORG, &limit, 1e5, 100, &retry_after);
+	CU_ASSERT(retry_after <= 60.1 + 1e-6);
+	for (unsigned i = 0; i < 200; i++)
+		CU_ASSERT(org_quota_take(
+		    quota, ORG, &limit, 130, 100 + times[i], &retry_after));
+	org_quota_delete(quota);
+}
+
 /* Passes on what a host gave or used to another one, as hosts do. */
 typedef struct passed_uses_t {
 	org_quota_t *to;
@@ -353,9 +397,9 @@
 	org_quota_add_use(quota, ORG, &limit, ORG_USE_ELSEWHERE, counts, 100);
 	org_quota_add_use(quota, ORG, &limit, ORG_USE_REPORTED, counts, 100);
 	CU_ASSERT_DOUBLE_EQUAL(org_quota_tokens(quota, ORG), 8, 0.01);
-	CU_ASSERT(org_quota_take(quota, ORG, &limit, 100, &retry_after));
+	CU_ASSERT(org_quota_take(quota, ORG, &limit, 0, 100, &retry_after));
 	/* After a while the bucket is full whatever was reported. */
-	org_quota_take(quota, ORG, &limit, 104, &retry_after);
+	org_quota_take(quota, ORG, &limit, 0, 104, &retry_after);
 	CU_ASSERT_DOUBLE_EQUAL(org_quota_tokens(quota, ORG), 19, 0.01);
 	org_quota_delete(quota);
 }
@@ -376,8 +420,8 @@
 	for (double now = 100; now < 120; now += 0.002) {
 		/* The second host admits from 105 to 108 as well. */
 		for (size_t i = 0; i < (now > 105 && now < 108 ? 2 : 1); i++)
-			if (org_quota_take(
-				quotas[i], ORG, &runs.limit, now, &retry_after))
+			if (org_quota_take(quotas[i], ORG, &runs.limit, 0, now,
+				&retry_after))
 				runs_add(now);
 		for (size_t i = 0; i < 2; i++) {
 			if (org_slot_at(now) - 1 <= told[i] ||
@@ -407,11 +451,11 @@
 	org_limit_t limit = {10, 20};
 	double retry_after;
 
-	while (org_quota_take(quota, ORG, &limit, 100, &retry_after))
+	while (org_quota_take(quota, ORG, &limit, 0, 100, &retry_after))
 		;
 	org_quota_skip_pause(quota, 104);
-	CU_ASSERT(!org_quota_take(quota, ORG, &limit, 104, &retry_after));
-	CU_ASSERT(org_quota_take(quota, ORG, &limit, 104.2, &retry_after));
+	CU_ASSERT(!org_quota_take(quota, ORG, &limit, 0, 104, &retry_after));
+	CU_ASSERT(org_quota_take(quota, ORG, &limit, 0, 104.2, &retry_after));
 	org_quota_delete(quota);
 }
 
@@ -472,10 +516,10 @@
 	org_limit_t limit = {10, 10};
 	double retry_after;
 
-	while (org_quota_take(quota, ORG, &limit, 100, &retry_after))
+	while (org_quota_take(quota, ORG, &limit, 0, 100, &retry_after))
 		;
 	CU_ASSERT(
-	    org_quota_take(quota, STR("other"), &limit, 100, &retry_after));
+	    org_quota_take(quota, STR("other"), &limit, 0, 100, &retry_after));
 	CU_ASSERT(org_quota_count(quota) == 2);
 	org_quota_evict_idle(quota, 200);
 	CU_ASSERT(org_quota_count(quota) == 0);
@@ -490,6 +534,7 @@
     {"returned tokens", test_returned_tokens},
     {"changed limits", test_changed_limits},
     {"retry times are successive", test_retry_times_are_successive},
+    {"retry times up to the deadline", test_retry_times_up_to_the_deadline},
     {"takeover with history", test_takeover_with_history},
     {"reports of the same uses", test_reports_of_the_same_uses},
     {"two admitting hosts", test_two_admitting_hosts},
