org_cut: divide the limits while hosts are cut off

Cause: the admitting host and its deputy both gave the full rate while they did not reach each other. If other hosts reach both, membership declares neither dead, so that this lasted as long as the cut.

Not yet used by the hosts.

--- a/src/org_quota.c
+++ b/src/org_quota.c
@@ -33,6 +33,8 @@
 #define TOKEN_EPSILON 1e-6
 /* A full bucket that was not used for this long is like a new one. */
 #define IDLE_S 60.0
+/* What another host gave in these slots is known before it matters. */
+#define RECENT_SLOTS 12
 
 typedef struct org_bucket_t {
 	char name[NAME_SIZE];
@@ -43,6 +45,7 @@
 	double tokens;	    /* at refilled_at */
 	double refilled_at; /* seconds */
 	double promised_at; /* latest time that a refused caller was told */
+	double cut_tokens;  /* at refilled_at; counts while there is a cut */
 	int64_t newest;	    /* number of the newest slot */
 	/*
 	 * Highest level in each slot, by slot number modulo the slots, and the
@@ -58,7 +61,10 @@
 struct org_quota_t {
 	org_tolerance_t tolerance;
 	double started_at;
-	double share; /* of the limits that this host may give */
+	double share;	    /* of the limits that this host may give */
+	double cut_share;   /* while hosts are cut off; 1: there is no cut */
+	double cut_highest; /* highest share of this cut */
+	uint64_t returns;   /* tokens that this host got back */
 	size_t count;
 	LIST_HEAD(, org_bucket_t) buckets[BUCKETS];
 };
@@ -74,6 +80,7 @@
 
 	quota->started_at = started_at;
 	quota->share = 1;
+	quota->cut_share = 1;
 	return (quota);
 }
 
@@ -126,15 +133,26 @@
 	return (NULL);
 }
 
+/* Returns the most tokens that a bucket holds while there is a cut. */
+static double
+cut_burst(const org_bucket_t *bucket, double cut_share)
+{
+	/* Without room for one token, everything would be refused. */
+	return (fmax(1, bucket->whole_burst * cut_share));
+}
+
 /* Adds the tokens of the time until now and records the highest levels. */
 static void
-bucket_refill(org_bucket_t *bucket, double now)
+bucket_refill(org_bucket_t *bucket, double cut_share, double now)
 {
 	int64_t slot = org_slot_at(now);
 	int64_t first = slot - ORG_SLOTS + 1;
 
 	if (now <= bucket->refilled_at)
 		return;
+	bucket->cut_tokens = fmin(cut_burst(bucket, cut_share),
+	    bucket->cut_tokens +
+		bucket->whole_rate * cut_share * (now - bucket->refilled_at));
 	if (first < bucket->newest)
 		first = bucket->newest;
 	for (int64_t i = first; i <= slot; i++) {
@@ -194,8 +212,10 @@
 		LIST_INSERT_HEAD(
 		    &quota->buckets[str_hash(org, 0) % BUCKETS], bucket, entry);
 		quota->count++;
+		bucket_refill(bucket, quota->cut_share, now);
+		bucket->cut_tokens = bucket->tokens * quota->cut_share;
 	}
-	bucket_refill(bucket, now);
+	bucket_refill(bucket, quota->cut_share, now);
 	bucket_set_limit(bucket, limit, quota->share);
 	return (bucket);
 }
@@ -209,7 +229,7 @@
  */
 static double
 bucket_promise(
-    org_bucket_t *bucket, double caller_deadline, double now)
+    org_bucket_t *bucket, double cut_share, double caller_deadline, double now)
 {
 	double rate = bucket->rate;
 	double next = now + (1 - bucket->tokens) / rate;
@@ -218,6 +238,10 @@
 			    ? fmin(caller_deadline, now + LONGEST_RETRY_AFTER_S)
 			    : now + MAX_RETRY_AFTER_S;
 
+	if (cut_share < 1) {
+		rate = fmin(rate, bucket->whole_rate * cut_share);
+		next = fmax(next, now + (1 - bucket->cut_tokens) / rate);
+	}
 	if (bucket->promised_at > now)
 		next = fmax(next, bucket->promised_at + 1 / rate);
 	if (next <= latest)
@@ -238,13 +262,17 @@
     double caller_deadline, double now, double *retry_after)
 {
 	org_bucket_t *bucket = bucket_find_or_create(quota, org, limit, now);
+	bool cut = quota->cut_share < 1;
 	double *after;
 
-	if (bucket->tokens < 1 - TOKEN_EPSILON) {
-		*retry_after = bucket_promise(bucket, caller_deadline, now);
+	if (bucket->tokens < 1 - TOKEN_EPSILON ||
+	    (cut && bucket->cut_tokens < 1 - TOKEN_EPSILON)) {
+		*retry_after = bucket_promise(
+		    bucket, quota->cut_share, caller_deadline, now);
 		return (false);
 	}
 	bucket->tokens -= 1;
+	bucket->cut_tokens -= cut;
 	after = &bucket->peak_after_take[org_slot_index(bucket->newest)];
 	*after = fmax(*after, bucket->tokens);
 	org_ring_add(&bucket->given, org_slot_at(now), 1);
@@ -274,6 +302,8 @@
 	if (credit <= 0)
 		return;
 	bucket->tokens = fmin(bucket->burst, bucket->tokens + credit);
+	bucket->cut_tokens = fmin(
+	    cut_burst(bucket, quota->cut_share), bucket->cut_tokens + credit);
 	for (int64_t i = first; i <= bucket->newest; i++) {
 		bucket->peak_after_take[org_slot_index(i)] += credit;
 		if (i > first)
@@ -331,16 +361,31 @@
 {
 	org_bucket_t *bucket = bucket_find_or_create(quota, org, limit, now);
 	int64_t current = org_slot_at(now);
+	int64_t oldest = -1;
 	double sum = 0;
 
 	for (int64_t age = ORG_SLOTS - 1; age >= 0; age--) {
+		double before = bucket_used(bucket, current - age);
+
 		if (counts[age] == 0)
 			continue;
+		if (oldest < 0)
+			oldest = age;
 		org_ring_add(&bucket->used[kind], current - age, counts[age]);
-		sum += counts[age];
+		sum += bucket_used(bucket, current - age) - before;
 	}
-	bucket->tokens = fmin(bucket->tokens,
-	    fmax(bucket->tokens - sum, bucket_replay(bucket, now)));
+	/*
+	 * Recent uses are debited in full: a level that is only replayed is
+	 * never below 0 while two hosts together give a little too much.
+	 */
+	if (kind == ORG_USE_ELSEWHERE && oldest < RECENT_SLOTS)
+		bucket->tokens -= sum;
+	else
+		bucket->tokens = fmin(bucket->tokens,
+		    fmax(bucket->tokens - sum, bucket_replay(bucket, now)));
+	/* The next cut divides what is left, not what was left before. */
+	bucket->cut_tokens = fmin(
+	    bucket->cut_tokens, fmax(0, bucket->tokens) * quota->cut_share);
 }
 
 /* Forgets the reports of users; those who use tokens later report again. */
@@ -367,8 +412,12 @@
 		LIST_FOREACH (bucket, &quota->buckets[i], entry) {
 			double tokens = bucket->tokens;
 
-			bucket_refill(bucket, now);
+			double cut_tokens = bucket->cut_tokens;
+
+			bucket_refill(bucket, quota->cut_share, now);
 			bucket->tokens = fmin(tokens, bucket->tokens);
+			bucket->cut_tokens =
+			    fmin(cut_tokens, bucket->cut_tokens);
 		}
 	}
 }
@@ -380,6 +429,47 @@
 	quota->share = share;
 }
 
+/* Applies a change of the share to what a bucket may give during a cut. */
+static void
+bucket_set_cut_share(
+    org_bucket_t *bucket, const org_quota_t *quota, double share)
+{
+	double old = quota->cut_share;
+
+	if (old >= 1)
+		bucket->cut_tokens = bucket->tokens * share;
+	else if (share < old)
+		bucket->cut_tokens *= share / old;
+	else if (share > quota->cut_highest)
+		/* Hosts that come to this side bring their part. */
+		bucket->cut_tokens +=
+		    fmax(0, bucket->tokens) * (share - quota->cut_highest);
+}
+
+/*
+ * Sets the share of the limits that this host may give while hosts are cut off;
+ * 1: there is no cut. A cut divides what the buckets hold, and what they get
+ * from then on. The whole buckets go on beside it, so that a cut that was none,
+ * such as a late answer, costs no tokens.
+ */
+void
+org_quota_set_cut_share(org_quota_t *quota, double share, double now)
+{
+	org_bucket_t *bucket;
+
+	if (share == quota->cut_share)
+		return;
+	for (size_t i = 0; i < BUCKETS; i++) {
+		LIST_FOREACH (bucket, &quota->buckets[i], entry) {
+			bucket_refill(bucket, quota->cut_share, now);
+			bucket_set_cut_share(bucket, quota, share);
+		}
+	}
+	quota->cut_highest =
+	    quota->cut_share < 1 ? fmax(quota->cut_highest, share) : share;
+	quota->cut_share = share;
+}
+
 /*
  * Calls back with the tokens that this host gave in the complete slots after
  * the given one.
--- a/src/org_quota.h
+++ b/src/org_quota.h
@@ -39,6 +39,7 @@
 void org_quota_forget_reported(org_quota_t *quota);
 void org_quota_skip_pause(org_quota_t *quota, double now);
 void org_quota_set_share(org_quota_t *quota, double share);
+void org_quota_set_cut_share(org_quota_t *quota, double share, double now);
 void org_quota_each_given(const org_quota_t *quota, int64_t after, double now,
     org_history_cb_t callback, void *ctx);
 double org_quota_tokens(const org_quota_t *quota, str_t org);
