--- a/src/org_quota.c
+++ b/src/org_quota.c
@@ -7,15 +7,11 @@
  * send 1/1.6 of their limits; one at a time sends 7.5 times as much, while
  * hosts start, freeze, die or are cut off.
  */
-#include "org_quota.h"
+#include "org_quota_state.h"
 
 #include <math.h>
 #include <stdlib.h>
-#include <sys/queue.h>
 
-#include "name.h"
-
-#define BUCKETS 1024
 /*
  * Latest time that a refused caller is told if its deadline is unknown. Most
  * callers give up within 5 s, so later times would only pile up while an
@@ -33,41 +29,6 @@
 #define TOKEN_EPSILON 1e-6
 /* A full bucket that was not used for this long is like a new one. */
 #define IDLE_S 60.0
-/* What another host gave in these slots is known before it matters. */
-#define RECENT_SLOTS 12
-
-typedef struct org_bucket_t {
-	char name[NAME_SIZE];
-	double rate;	   /* tokens per second, this host's share */
-	double burst;	   /* capacity in tokens, this host's share */
-	double whole_rate; /* of all hosts */
-	double whole_burst;
-	double tokens;	    /* at refilled_at */
-	double refilled_at; /* seconds */
-	double promised_at; /* latest time that a refused caller was told */
-	double cut_tokens;  /* at refilled_at; counts while there is a cut */
-	int64_t newest;	    /* number of the newest slot */
-	/*
-	 * Highest level in each slot, by slot number modulo the slots, and the
-	 * highest one since the slot's first take; negative: none was taken.
-	 */
-	double peak[ORG_SLOTS];
-	double peak_after_take[ORG_SLOTS];
-	org_ring_t given; /* by this host */
-	org_ring_t used[ORG_USE_KINDS];
-	LIST_ENTRY(org_bucket_t) entry;
-} org_bucket_t;
-
-struct org_quota_t {
-	org_tolerance_t tolerance;
-	double started_at;
-	double share;	    /* of the limits that this host may give */
-	double cut_share;   /* while hosts are cut off; 1: there is no cut */
-	double cut_highest; /* highest share of this cut */
-	uint64_t returns;   /* tokens that this host got back */
-	size_t count;
-	LIST_HEAD(, org_bucket_t) buckets[BUCKETS];
-};
 
 /*
  * Starts without buckets. started_at is the start of this host's process: a
@@ -110,7 +71,7 @@
 void
 org_quota_delete(org_quota_t *quota)
 {
-	for (size_t i = 0; i < BUCKETS; i++) {
+	for (size_t i = 0; i < ORG_QUOTA_BUCKETS; i++) {
 		org_bucket_t *bucket;
 
 		while ((bucket = LIST_FIRST(&quota->buckets[i])) != NULL) {
@@ -121,13 +82,13 @@
 	free(quota);
 }
 
-static org_bucket_t *
-bucket_find(const org_quota_t *quota, str_t org)
+org_bucket_t *
+org_bucket_find(const org_quota_t *quota, str_t org)
 {
 	org_bucket_t *bucket;
 
-	LIST_FOREACH (
-	    bucket, &quota->buckets[str_hash(org, 0) % BUCKETS], entry)
+	LIST_FOREACH (bucket,
+	    &quota->buckets[str_hash(org, 0) % ORG_QUOTA_BUCKETS], entry)
 		if (str_equal(str_of(bucket->name), org))
 			return (bucket);
 	return (NULL);
@@ -142,8 +103,8 @@
 }
 
 /* Adds the tokens of the time until now and records the highest levels. */
-static void
-bucket_refill(org_bucket_t *bucket, double cut_share, double now)
+void
+org_bucket_refill(org_bucket_t *bucket, double cut_share, double now)
 {
 	int64_t slot = org_slot_at(now);
 	int64_t first = slot - ORG_SLOTS + 1;
@@ -196,11 +157,11 @@
 	bucket->tokens = fmin(bucket->tokens, bucket->burst);
 }
 
-static org_bucket_t *
-bucket_find_or_create(
+org_bucket_t *
+org_bucket_find_or_create(
     org_quota_t *quota, str_t org, const org_limit_t *limit, double now)
 {
-	org_bucket_t *bucket = bucket_find(quota, org);
+	org_bucket_t *bucket = org_bucket_find(quota, org);
 
 	if (bucket == NULL) {
 		bucket = xcalloc(1, sizeof(*bucket));
@@ -210,12 +171,13 @@
 		bucket_set_limit(bucket, limit, quota->share);
 		bucket->tokens = start_tokens(quota, bucket);
 		LIST_INSERT_HEAD(
-		    &quota->buckets[str_hash(org, 0) % BUCKETS], bucket, entry);
+		    &quota->buckets[str_hash(org, 0) % ORG_QUOTA_BUCKETS],
+		    bucket, entry);
 		quota->count++;
-		bucket_refill(bucket, quota->cut_share, now);
+		org_bucket_refill(bucket, quota->cut_share, now);
 		bucket->cut_tokens = bucket->tokens * quota->cut_share;
 	}
-	bucket_refill(bucket, quota->cut_share, now);
+	org_bucket_refill(bucket, quota->cut_share, now);
 	bucket_set_limit(bucket, limit, quota->share);
 	return (bucket);
 }
@@ -261,7 +223,8 @@
 org_quota_take(org_quota_t *quota, str_t org, const org_limit_t *limit,
     double caller_deadline, double now, double *retry_after)
 {
-	org_bucket_t *bucket = bucket_find_or_create(quota, org, limit, now);
+	org_bucket_t *bucket =
+	    org_bucket_find_or_create(quota, org, limit, now);
 	bool cut = quota->cut_share < 1;
 	double *after;
 
@@ -280,30 +243,28 @@
 }
 
 /*
- * Returns a token that was taken at the given time and not used. Its bucket
- * gets what it would hold if the token had not been taken: nothing if it was
- * full since, because a token that came too late would allow a second burst.
+ * Adds a token that was taken in a slot and not used. The bucket gets what it
+ * would hold if the token had not been taken: nothing if it was full since,
+ * because a token that came too late would allow a second burst.
  */
 void
-org_quota_give_back(org_quota_t *quota, str_t org, double taken_at)
+org_bucket_credit(
+    org_bucket_t *bucket, double cut_share, int64_t first, bool own)
 {
-	org_bucket_t *bucket = bucket_find(quota, org);
-	int64_t first = org_slot_at(taken_at);
-	double highest;
+	double highest = own ? bucket->peak_after_take[org_slot_index(first)]
+			     : bucket->tokens;
 	double credit;
 
-	if (bucket == NULL || first <= bucket->newest - ORG_SLOTS)
-		return;
-	org_ring_remove(&bucket->given, first);
-	highest = bucket->peak_after_take[org_slot_index(first)];
-	for (int64_t i = first + 1; i <= bucket->newest; i++)
+	/* Another host's tokens were debited here in the next slot. */
+	for (int64_t i = first + (own ? 1 : 2); i <= bucket->newest; i++)
 		highest = fmax(highest, bucket->peak[org_slot_index(i)]);
 	credit = fmin(1, bucket->burst - highest);
 	if (credit <= 0)
 		return;
 	bucket->tokens = fmin(bucket->burst, bucket->tokens + credit);
-	bucket->cut_tokens = fmin(
-	    cut_burst(bucket, quota->cut_share), bucket->cut_tokens + credit);
+	if (own)
+		bucket->cut_tokens = fmin(
+		    cut_burst(bucket, cut_share), bucket->cut_tokens + credit);
 	for (int64_t i = first; i <= bucket->newest; i++) {
 		bucket->peak_after_take[org_slot_index(i)] += credit;
 		if (i > first)
@@ -311,92 +272,21 @@
 	}
 }
 
-/* Returns the tokens used in a slot, as far as this host knows. */
-static unsigned
-bucket_used(const org_bucket_t *bucket, int64_t slot)
-{
-	unsigned given = org_ring_get(&bucket->given, slot) +
-			 org_ring_get(&bucket->used[ORG_USE_ELSEWHERE], slot);
-	unsigned reported = org_ring_get(&bucket->used[ORG_USE_REPORTED], slot);
-
-	/* Two reports on the same tokens, each of which may miss some. */
-	return (given > reported ? given : reported);
-}
-
-/*
- * Returns the level that follows from the remembered uses. The bucket may have
- * been empty when they began, so it is assumed to have been; but if it would be
- * negative even if it had been full, more was used than the limit, and that is
- * made up for.
- */
-static double
-bucket_replay(const org_bucket_t *bucket, double now)
-{
-	int64_t current = org_slot_at(now);
-	double from_full = bucket->whole_burst;
-	double from_empty = 0;
-
-	for (int64_t slot = current - ORG_SLOTS + 1; slot <= current; slot++) {
-		double length = slot < current
-				    ? ORG_SLOT_S
-				    : now - (double)current * ORG_SLOT_S;
-		double refill = bucket->whole_rate * length;
-		double used = bucket_used(bucket, slot);
-
-		from_full =
-		    fmin(bucket->whole_burst, from_full + refill) - used;
-		from_empty = fmax(
-		    0, fmin(bucket->whole_burst, from_empty + refill) - used);
-	}
-	return (fmin(bucket->burst, fmin(from_full, from_empty)));
-}
-
-/*
- * Adds tokens, by age, that were used and are not in this host's bucket. The
- * level may become negative, which makes up for them.
- */
+/* Returns a token that this host gave at a time and that was not used. */
 void
-org_quota_add_use(org_quota_t *quota, str_t org, const org_limit_t *limit,
-    org_use_t kind, const unsigned counts[ORG_SLOTS], double now)
+org_quota_give_back(org_quota_t *quota, str_t org, double taken_at)
 {
-	org_bucket_t *bucket = bucket_find_or_create(quota, org, limit, now);
-	int64_t current = org_slot_at(now);
-	int64_t oldest = -1;
-	double sum = 0;
+	org_bucket_t *bucket = org_bucket_find(quota, org);
+	int64_t slot = org_slot_at(taken_at);
 
-	for (int64_t age = ORG_SLOTS - 1; age >= 0; age--) {
-		double before = bucket_used(bucket, current - age);
-
-		if (counts[age] == 0)
-			continue;
-		if (oldest < 0)
-			oldest = age;
-		org_ring_add(&bucket->used[kind], current - age, counts[age]);
-		sum += bucket_used(bucket, current - age) - before;
+	if (bucket == NULL || slot <= bucket->newest - ORG_SLOTS)
+		return;
+	if (org_ring_get(&bucket->returned, slot) <
+	    org_ring_get(&bucket->given, slot)) {
+		org_ring_add(&bucket->returned, slot, 1);
+		bucket->last_return = ++quota->returns;
 	}
-	/*
-	 * Recent uses are debited in full: a level that is only replayed is
-	 * never below 0 while two hosts together give a little too much.
-	 */
-	if (kind == ORG_USE_ELSEWHERE && oldest < RECENT_SLOTS)
-		bucket->tokens -= sum;
-	else
-		bucket->tokens = fmin(bucket->tokens,
-		    fmax(bucket->tokens - sum, bucket_replay(bucket, now)));
-	/* The next cut divides what is left, not what was left before. */
-	bucket->cut_tokens = fmin(
-	    bucket->cut_tokens, fmax(0, bucket->tokens) * quota->cut_share);
-}
-
-/* Forgets the reports of users; those who use tokens later report again. */
-void
-org_quota_forget_reported(org_quota_t *quota)
-{
-	org_bucket_t *bucket;
-
-	for (size_t i = 0; i < BUCKETS; i++)
-		LIST_FOREACH (bucket, &quota->buckets[i], entry)
-			bucket->used[ORG_USE_REPORTED] = (org_ring_t){0};
+	org_bucket_credit(bucket, quota->cut_share, slot, true);
 }
 
 /*
@@ -408,13 +298,13 @@
 {
 	org_bucket_t *bucket;
 
-	for (size_t i = 0; i < BUCKETS; i++) {
+	for (size_t i = 0; i < ORG_QUOTA_BUCKETS; i++) {
 		LIST_FOREACH (bucket, &quota->buckets[i], entry) {
 			double tokens = bucket->tokens;
 
 			double cut_tokens = bucket->cut_tokens;
 
-			bucket_refill(bucket, quota->cut_share, now);
+			org_bucket_refill(bucket, quota->cut_share, now);
 			bucket->tokens = fmin(tokens, bucket->tokens);
 			bucket->cut_tokens =
 			    fmin(cut_tokens, bucket->cut_tokens);
@@ -459,9 +349,9 @@
 
 	if (share == quota->cut_share)
 		return;
-	for (size_t i = 0; i < BUCKETS; i++) {
+	for (size_t i = 0; i < ORG_QUOTA_BUCKETS; i++) {
 		LIST_FOREACH (bucket, &quota->buckets[i], entry) {
-			bucket_refill(bucket, quota->cut_share, now);
+			org_bucket_refill(bucket, quota->cut_share, now);
 			bucket_set_cut_share(bucket, quota, share);
 		}
 	}
@@ -470,37 +360,11 @@
 	quota->cut_share = share;
 }
 
-/*
- * Calls back with the tokens that this host gave in the complete slots after
- * the given one.
- */
-void
-org_quota_each_given(const org_quota_t *quota, int64_t after, double now,
-    org_history_cb_t callback, void *ctx)
-{
-	int64_t current = org_slot_at(now);
-	const org_bucket_t *bucket;
-
-	for (size_t i = 0; i < BUCKETS; i++) {
-		LIST_FOREACH (bucket, &quota->buckets[i], entry) {
-			unsigned counts[ORG_SLOTS] = {0};
-			unsigned sum = 0;
-
-			for (int64_t age = 1; age < ORG_SLOTS; age++)
-				if (current - age > after)
-					sum += counts[age] = org_ring_get(
-					    &bucket->given, current - age);
-			if (sum > 0)
-				callback(ctx, str_of(bucket->name), counts);
-		}
-	}
-}
-
 /* Returns the tokens of an organisation after its last request; 0: unknown. */
 double
 org_quota_tokens(const org_quota_t *quota, str_t org)
 {
-	const org_bucket_t *bucket = bucket_find(quota, org);
+	const org_bucket_t *bucket = org_bucket_find(quota, org);
 
 	return (bucket != NULL ? bucket->tokens : 0);
 }
@@ -516,7 +380,7 @@
 void
 org_quota_evict_idle(org_quota_t *quota, double now)
 {
-	for (size_t i = 0; i < BUCKETS; i++) {
+	for (size_t i = 0; i < ORG_QUOTA_BUCKETS; i++) {
 		org_bucket_t *bucket = LIST_FIRST(&quota->buckets[i]);
 
 		while (bucket != NULL) {
--- a/src/org_quota.h
+++ b/src/org_quota.h
@@ -36,6 +36,12 @@
 void org_quota_give_back(org_quota_t *quota, str_t org, double taken_at);
 void org_quota_add_use(org_quota_t *quota, str_t org, const org_limit_t *limit,
     org_use_t kind, const unsigned counts[ORG_SLOTS], double now);
+void org_quota_add_returned(org_quota_t *quota, str_t org,
+    const unsigned counts[ORG_SLOTS], int64_t slot, double now);
+uint64_t org_quota_last_return(const org_quota_t *quota);
+void org_quota_each_returned(const org_quota_t *quota, uint64_t after,
+    double now, org_history_cb_t callback, void *ctx);
+void org_quota_forget_returned(org_quota_t *quota);
 void org_quota_forget_reported(org_quota_t *quota);
 void org_quota_skip_pause(org_quota_t *quota, double now);
 void org_quota_set_share(org_quota_t *quota, double share);
--- a/tests/test_org_quota.c
+++ b/tests/test_org_quota.c
@@ -230,6 +230,58 @@
 	CU_ASSERT(runs_excess() < EPSILON);
 }
 
+/* Passes on what a host gave or used to another one, as hosts do. */
+typedef struct passed_uses_t {
+	org_quota_t *to;
+	double now;
+	org_use_t kind;
+} passed_uses_t;
+
+static void
+pass_use(void *ctx, str_t org, const unsigned counts[ORG_SLOTS])
+{
+	const passed_uses_t *uses = ctx;
+
+	org_quota_add_use(
+	    uses->to, org, &runs.limit, uses->kind, counts, uses->now);
+}
+
+static void
+add_returned(void *ctx, str_t org, const unsigned counts[ORG_SLOTS])
+{
+	org_quota_add_returned(ctx, org, counts, org_slot_at(100.6), 100.6);
+}
+
+/*
+ * Guards against a deputy that counts tokens as used which were returned to the
+ * admitting host, and against one that counts a repeated message twice.
+ */
+static void
+test_returned_tokens_at_the_deputy(void)
+{
+	org_quota_t *quota = org_quota_new(0);
+	org_quota_t *deputy = org_quota_new(0);
+	org_limit_t limit = {10, 20};
+	double retry_after;
+
+	runs_start(10, 20);
+	for (unsigned i = 0; i < 12; i++)
+		org_quota_take(quota, ORG, &limit, 0, 100, &retry_after);
+	org_quota_each_given(quota, 0, 100.3, pass_use,
+	    &(passed_uses_t){deputy, 100.3, ORG_USE_ELSEWHERE});
+	CU_ASSERT_DOUBLE_EQUAL(org_quota_tokens(deputy, ORG), 8, 1e-6);
+	for (unsigned i = 0; i < 5; i++)
+		org_quota_give_back(quota, ORG, 100);
+	for (unsigned i = 0; i < 2; i++)
+		org_quota_each_returned(quota, 0, 100.6, add_returned, deputy);
+	CU_ASSERT_DOUBLE_EQUAL(org_quota_tokens(deputy, ORG), 16, 1e-6);
+	/* Nothing new is told again. */
+	org_quota_each_returned(
+	    quota, org_quota_last_return(quota), 100.6, add_returned, NULL);
+	org_quota_delete(quota);
+	org_quota_delete(deputy);
+}
+
 /* Guards against a changed limit that applies late or allows a burst. */
 static void
 test_changed_limits(void)
@@ -328,22 +380,6 @@
 	org_quota_delete(quota);
 }
 
-/* Passes on what a host gave or used to another one, as hosts do. */
-typedef struct passed_uses_t {
-	org_quota_t *to;
-	double now;
-	org_use_t kind;
-} passed_uses_t;
-
-static void
-pass_use(void *ctx, str_t org, const unsigned counts[ORG_SLOTS])
-{
-	const passed_uses_t *uses = ctx;
-
-	org_quota_add_use(
-	    uses->to, org, &runs.limit, uses->kind, counts, uses->now);
-}
-
 /*
  * Guards against a second burst from a new admitting host, whether all requests
  * came through one host or through many, and against refusals by it of an
@@ -532,6 +568,7 @@
     {"restart within tolerance", test_restart_within_tolerance},
     {"occasional organisation", test_occasional_organisation},
     {"returned tokens", test_returned_tokens},
+    {"returned tokens at the deputy", test_returned_tokens_at_the_deputy},
     {"changed limits", test_changed_limits},
     {"retry times are successive", test_retry_times_are_successive},
     {"retry times up to the deadline", test_retry_times_up_to_the_deadline},
