peer: replies tell that no process listens at an address

A deputy must know whether its admitting host has ended or is only not reached. A refused connection shows the former; time-outs and lost links do not.

--- a/src/peer.c
+++ b/src/peer.c
@@ -205,6 +205,7 @@
 	peer_reply_t reply = {
 	    .rc = link != NULL ? -RESULT_TIMEOUT : -RESULT_PEER_UNREACHABLE,
 	    .sent = link != NULL && link->session.has_key,
+	    .refused = call->refused,
 	};
 
 	(void)loop;
@@ -227,6 +228,7 @@
     double timeout, peer_reply_cb_t on_reply, void *ctx)
 {
 	peer_link_t *link = peer_link_get(peer, address);
+	bool refused = link == NULL && errno == ECONNREFUSED;
 	peer_call_t *call = xcalloc(1, sizeof(*call));
 	bool failed = link == NULL ||
 		      link->output.len + link->pending.len > peer->max_buffered;
@@ -237,6 +239,7 @@
 	call->ctx = ctx;
 	call->id = peer->next_id++;
 	call->started_at = clock_monotonic();
+	call->refused = refused;
 	ev_timer_init(&call->timer, on_call_timeout, failed ? 0 : timeout, 0);
 	call->timer.data = call;
 	ev_timer_start(peer->loop, &call->timer);
--- a/src/peer.h
+++ b/src/peer.h
@@ -44,12 +44,14 @@
  * The outcome of a call, reported exactly once. rc is 0 or negative: the code
  * that the callee returned, -RESULT_TIMEOUT, or -RESULT_PEER_UNREACHABLE when
  * the connection could not be opened or was lost. sent is set if the callee may
- * have received the call. body is NULL unless the callee replied; it is valid
- * until the callback returns.
+ * have received the call, and refused if no process listens at its address.
+ * body is NULL unless the callee replied; it is valid until the callback
+ * returns.
  */
 typedef struct peer_reply_t {
 	int rc;
 	bool sent;
+	bool refused;
 	const msgpack_object *body;
 } peer_reply_t;
 
--- a/src/peer_link.c
+++ b/src/peer_link.c
@@ -276,6 +276,7 @@
 	socklen_t size = sizeof(error);
 
 	getsockopt(link->fd, SOL_SOCKET, SO_ERROR, &error, &size);
+	link->refused = error == ECONNREFUSED;
 	if (error != 0)
 		return (false);
 	link->connected = true;
@@ -323,7 +324,8 @@
 peer_link_drop(peer_link_t *link)
 {
 	struct ev_loop *loop = link->peer->loop;
-	peer_reply_t reply = {.sent = link->session.has_key};
+	peer_reply_t reply = {
+	    .sent = link->session.has_key, .refused = link->refused};
 	peer_call_t *call;
 
 	counter_add(link->peer->links_dropped, 1);
@@ -430,7 +432,7 @@
 
 /*
  * Returns the outgoing link to an address, which is opened if needed, or NULL
- * if that fails.
+ * if that fails; errno tells why.
  */
 peer_link_t *
 peer_link_get(peer_t *peer, const char *address)
@@ -457,7 +459,10 @@
 	if (bind(fd, (struct sockaddr *)&from, sizeof(from)) != 0 ||
 	    (connect(fd, (struct sockaddr *)&to, sizeof(to)) != 0 &&
 		errno != EINPROGRESS)) {
+		int error = errno;
+
 		close(fd);
+		errno = error;
 		return (NULL);
 	}
 	return (link_new(peer, fd, address, true));
--- a/src/peer_state.h
+++ b/src/peer_state.h
@@ -49,6 +49,7 @@
 	char address[INET_ADDRSTRLEN];
 	bool outgoing;
 	bool connected;
+	bool refused; /* no process listens at the address */
 	peer_session_t session;
 	buf_t input;
 	buf_t output;  /* encoded frames */
@@ -71,6 +72,7 @@
 	peer_link_t *link; /* NULL if no link could be opened */
 	uint64_t id;
 	double started_at;
+	bool refused;	/* no process listens at the address */
 	bool timed_out; /* it ends with its link because of its timeout */
 	ev_timer timer;
 	peer_reply_cb_t on_reply;
