Hosts divide the limits while the admitting host and its deputy are cut

Cause: a QUOTA_USES message was sent without regard to its answer, so neither host noticed a cut, and what was given meanwhile was never told.

Both now tell each other once in a slot of 0.25 s, also if they gave nothing. An answer that is missing for 0.5 s is a cut; what was not answered is told again, and the receiver skips what it knows. During a cut a host polls which hosts it reaches and gives its share (org_cut); the deputy does so as soon as it is asked. A cut ends when the other host answered and told what it gave. Tokens go back to the host that gave them, and the other one is told of it. An admitting host whose process is gone and that nobody reaches is no cut.

A host that stood still replays what its deputy gave instead of debiting it in full, because it got no tokens for that time.

--- a/src/grants_admit.c
+++ b/src/grants_admit.c
@@ -284,6 +284,7 @@
 	admission_request_t ask = {0};
 	const fleet_config_t *config =
 	    grants->params.config(grants->params.ctx);
+	grants_host_t *host;
 	grants_pool_t *pool;
 	buf_t reply = {0};
 	char holder[NAME_SIZE];
@@ -301,8 +302,11 @@
 		peer_request_reply(request, -RESULT_NOT_READY, (str_t){0});
 		return;
 	}
-	grants_host_at(grants, m.holder, peer_request_address(request));
+	host = grants_host_at(grants, m.holder, peer_request_address(request));
 	pool = grants_get_pool(grants, m.pool);
+	/* One that needs a token asks this host, because it is the deputy. */
+	if (m.limited && grants->quota.in_force && !pool->is_admitting)
+		grants_cut_asked(grants, host, now);
 	pool_ensure_admission(pool, now);
 	str_copy(holder, sizeof(holder), m.holder);
 	str_copy(zone, sizeof(zone), m.zone);
--- a/src/grants_deputy.c
+++ b/src/grants_deputy.c
@@ -2,7 +2,7 @@
  * Requests that count against a limit while the host that admits does not
  * answer. Its deputy, the next host in the placement order, decides on them.
  */
-#include "grants_state.h"
+#include "grants_wire.h"
 
 #include <string.h>
 
@@ -60,6 +60,7 @@
 		grant_send_request(grant, quota->deputy_address, now);
 		return (true);
 	}
+	grants_cut_asked(grant->grants, NULL, now);
 	grant->state = GRANT_STATE_QUEUED;
 	grant->granted_by[0] = '\0';
 	pool_admit_request(grant->pool, grant, now);
--- a/src/grants_quota.c
+++ b/src/grants_quota.c
@@ -1,5 +1,5 @@
 /* Limits of organisations: buckets, configuration, log lines and counters. */
-#include "grants_state.h"
+#include "grants_wire.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -171,10 +171,14 @@
 {
 	org_limit_t limit;
 
-	if (grant->params.limited &&
-	    grants_org_limit(grants, str_of(grant->org), &limit))
-		org_history_add(
-		    grants->quota.own, str_of(grant->org), grant->submitted_at);
+	if (!grant->params.limited ||
+	    !grants_org_limit(grants, str_of(grant->org), &limit))
+		return;
+	org_history_add(
+	    grants->quota.own, str_of(grant->org), grant->submitted_at);
+	if (grant->at_deputy)
+		org_history_add(grants->quota.from_deputy, str_of(grant->org),
+		    grant->submitted_at);
 }
 
 /*
@@ -199,6 +203,7 @@
 		entry = next;
 	}
 	org_quota_evict_idle(grants->quota.buckets, now);
+	org_history_evict(grants->quota.from_deputy, now);
 	gauge_set(
 	    grants->quota.orgs, (double)org_quota_count(grants->quota.buckets));
 }
@@ -212,6 +217,7 @@
 	grants->quota.own = org_history_new();
 	grants->quota.alone = org_share_new(now, rng_next(&grants->rng));
 	grants->quota.used_alone = org_history_new();
+	grants->quota.from_deputy = org_history_new();
 	grants->quota.ticked_at = now;
 	grants->quota.share = 1;
 	LIST_INIT(&grants->quota.limited_orgs);
@@ -237,6 +243,7 @@
 	grants->quota.share_gauge = gauge_get("daisypier_quota_share",
 	    "Share of the limits that this host gives as the one that admits");
 	gauge_set(grants->quota.share_gauge, 1);
+	grants_cut_start(grants);
 	grants_quota_sync_start(grants);
 }
 
@@ -246,8 +253,10 @@
 	while (!LIST_EMPTY(&grants->quota.limited_orgs))
 		free_limited_org(LIST_FIRST(&grants->quota.limited_orgs));
 	grants_quota_sync_stop(grants);
+	grants_cut_stop(grants);
 	org_history_delete(grants->quota.own);
 	org_history_delete(grants->quota.used_alone);
+	org_history_delete(grants->quota.from_deputy);
 	org_share_delete(grants->quota.alone);
 	org_quota_delete(grants->quota.buckets);
 }
--- a/src/grants_quota_sync.c
+++ b/src/grants_quota_sync.c
@@ -13,30 +13,14 @@
 
 #define HISTORY_LOG_INTERVAL_S 1.0
 
-/* A list of what organisations used, packed for a message. */
-typedef struct packed_uses_t {
-	buf_t *out;
-	size_t count;
-} packed_uses_t;
-
-/* An org_history_cb_t. */
-static void
-pack_use(void *ctx, str_t org, const unsigned counts[ORG_SLOTS])
-{
-	packed_uses_t *uses = ctx;
-
-	grants_pack_use(uses->out, org, counts);
-	uses->count++;
-}
-
 /*
  * Sends a list of uses to a host, unless it is empty, and frees it. reported
  * tells whether they are all that this host used, or what it gave since its
  * last message.
  */
 static void
-send_uses(
-    grants_t *grants, const char *address, bool reported, packed_uses_t *uses)
+send_uses(grants_t *grants, const char *address, bool reported,
+    grants_packed_uses_t *uses)
 {
 	buf_t body = {0};
 
@@ -73,14 +57,18 @@
 	    counts, uses->now);
 }
 
+/* Adds received uses that are younger than the given age in slots. */
 static void
-add_received_uses(added_uses_t *uses, wire_reader_t *list)
+add_received_uses(added_uses_t *uses, wire_reader_t *list, int64_t known_age)
 {
 	unsigned counts[ORG_SLOTS];
 	str_t org;
 
-	while (grants_read_use(list, &org, counts))
+	while (grants_read_use(list, &org, counts)) {
+		for (int64_t age = known_age; age < ORG_SLOTS; age++)
+			counts[age] = 0;
 		add_use(uses, org, counts);
+	}
 }
 
 /*
@@ -118,7 +106,7 @@
 	if (list->left == 0 || !history_is_new(grants, host->history_at, now))
 		return;
 	host->history_at = now;
-	add_received_uses(&uses, list);
+	add_received_uses(&uses, list, ORG_SLOTS);
 	grants->quota.histories++;
 	grants->quota.history_requests += uses.requests;
 }
@@ -131,13 +119,13 @@
 grants_quota_pack_history(
     grants_t *grants, const grants_pool_t *pool, double now, buf_t *out)
 {
-	packed_uses_t uses = {.out = out};
+	grants_packed_uses_t uses = {.out = out};
 	grants_quota_t *quota = &grants->quota;
 
 	if (!quota->in_force || !quota->history_owed ||
 	    quota->history_pool != NULL)
 		return (0);
-	org_history_each(quota->own, now, pack_use, &uses);
+	org_history_each(quota->own, now, grants_pack_use_cb, &uses);
 	if (uses.count > 0)
 		quota->history_pool = pool;
 	else
@@ -150,9 +138,10 @@
 tell_used_alone(grants_t *grants, const grants_pool_t *pool, double now)
 {
 	buf_t list = {0};
-	packed_uses_t uses = {.out = &list};
+	grants_packed_uses_t uses = {.out = &list};
 
-	org_history_each(grants->quota.used_alone, now, pack_use, &uses);
+	org_history_each(
+	    grants->quota.used_alone, now, grants_pack_use_cb, &uses);
 	send_uses(grants, pool->admitting_address, false, &uses);
 	org_history_clear(grants->quota.used_alone);
 }
@@ -252,45 +241,29 @@
 {
 	grants_quota_t *quota = &grants->quota;
 	const member_t *hosts[2] = {NULL, NULL};
-	size_t count = 0;
+	const char *admitting;
+	const char *deputy;
+	bool changed;
+	size_t count;
 
 	quota->in_force = grants_quota_config(grants) != NULL &&
 			  grants->params.mode == GRANTS_POOL;
-	if (quota->in_force)
-		count =
-		    placement_rank_owners(grants->members, grants->member_count,
-			grants_placement_key(grants, (str_t){0}), hosts, 2);
-	str_copy(quota->deputy, sizeof(quota->deputy),
-	    str_of(count > 1 ? hosts[1]->name : ""));
-	str_copy(quota->deputy_address, sizeof(quota->deputy_address),
-	    str_of(count > 1 ? hosts[1]->address : ""));
 	if (!quota->in_force)
 		return;
-	if (strcmp(quota->admitting, count > 0 ? hosts[0]->name : "") != 0)
-		admitting_host_changed(
-		    grants, count > 0 ? hosts[0]->name : "", now);
+	count = placement_rank_owners(grants->members, grants->member_count,
+	    grants_placement_key(grants, (str_t){0}), hosts, 2);
+	admitting = count > 0 ? hosts[0]->name : "";
+	deputy = count > 1 ? hosts[1]->name : "";
+	changed = strcmp(quota->deputy, deputy) != 0 ||
+		  strcmp(quota->admitting, admitting) != 0;
+	str_copy(quota->deputy, sizeof(quota->deputy), str_of(deputy));
+	str_copy(quota->deputy_address, sizeof(quota->deputy_address),
+	    str_of(count > 1 ? hosts[1]->address : ""));
+	if (strcmp(quota->admitting, admitting) != 0)
+		admitting_host_changed(grants, admitting, now);
 	count_hosts(grants);
-}
-
-/*
- * Tells the other one of the host that admits and its deputy which tokens this
- * host gave since the last message.
- */
-static void
-tell_uses(grants_t *grants, const member_t *other, double now)
-{
-	grants_quota_t *quota = &grants->quota;
-	buf_t list = {0};
-	packed_uses_t uses = {.out = &list};
-
-	if (strcmp(quota->told, other->name) != 0) {
-		str_copy(quota->told, sizeof(quota->told), str_of(other->name));
-		quota->told_slot = org_slot_at(now) - ORG_SLOTS;
-	}
-	org_quota_each_given(
-	    quota->buckets, quota->told_slot, now, pack_use, &uses);
-	quota->told_slot = org_slot_at(now) - 1;
-	send_uses(grants, other->address, false, &uses);
+	if (changed)
+		grants_cut_reset(grants, now);
 }
 
 /*
@@ -302,7 +275,7 @@
 {
 	grants_quota_t *quota = &grants->quota;
 	buf_t list = {0};
-	packed_uses_t uses = {.out = &list};
+	grants_packed_uses_t uses = {.out = &list};
 
 	if (strcmp(quota->deputy, grants->host) == 0) {
 		add_own_history(grants, now);
@@ -312,7 +285,7 @@
 	    now - quota->deputy_told_at <= ORG_SLOTS * ORG_SLOT_S)
 		return;
 	quota->deputy_told_at = now;
-	org_history_each(quota->own, now, pack_use, &uses);
+	org_history_each(quota->own, now, grants_pack_use_cb, &uses);
 	send_uses(grants, quota->deputy_address, true, &uses);
 }
 
@@ -339,22 +312,29 @@
 	quota->histories_logged_at = now;
 }
 
-/* Tells once in a slot what this host gave, if it keeps buckets. */
 void
 grants_quota_sync_tick(grants_t *grants, double now)
 {
-	grants_quota_t *quota = &grants->quota;
-	const member_t *other = NULL;
+	log_histories(&grants->quota, now);
+	if (grants->quota.in_force)
+		grants_cut_tick(grants, now);
+}
 
-	log_histories(quota, now);
-	if (!quota->in_force || org_slot_at(now) - 1 <= quota->told_slot)
-		return;
-	if (strcmp(quota->admitting, grants->host) == 0)
-		other = find_member(grants, quota->deputy);
-	else if (strcmp(quota->deputy, grants->host) == 0)
-		other = find_member(grants, quota->admitting);
-	if (other != NULL)
-		tell_uses(grants, other, now);
+/* Adds what the other host that keeps buckets gave and got back. */
+static void
+read_told(added_uses_t *uses, grants_message_t *m)
+{
+	grants_t *grants = uses->grants;
+	int64_t known = grants_cut_heard(grants, m, uses->now);
+	int64_t known_age =
+	    known > m->slot - ORG_SLOTS ? m->slot - known : ORG_SLOTS;
+	unsigned counts[ORG_SLOTS];
+	str_t org;
+
+	add_received_uses(uses, &m->uses, known_age < 0 ? 0 : known_age);
+	while (grants_read_use(&m->returned, &org, counts))
+		org_quota_add_returned(
+		    grants->quota.buckets, org, counts, m->slot, uses->now);
 }
 
 static void
@@ -373,8 +353,10 @@
 		    grants_host_at(
 			grants, m.holder, peer_request_address(request)),
 		    &m.uses, uses.now);
+	else if (m.is_told)
+		read_told(&uses, &m);
 	else if (m.holder.len > 0)
-		add_received_uses(&uses, &m.uses);
+		add_received_uses(&uses, &m.uses, ORG_SLOTS);
 	peer_request_reply(request, 0, (str_t){0});
 }
 
@@ -390,25 +372,30 @@
 	peer_request_reply(request, 0, (str_t){0});
 }
 
-/* Returns a token to the host that admits; see grants.h. */
+/* Returns a token to the host that gave it; see grants.h. */
 void
 grants_return_token(grants_t *grants, const char *org, double asked_at)
 {
-	const member_t *admitting =
-	    find_member(grants, grants->quota.admitting);
+	grants_quota_t *quota = &grants->quota;
+	const member_t *giver;
 	org_limit_t limit;
 	buf_t body = {0};
 
-	if (!grants->quota.in_force || admitting == NULL ||
-	    !grants_org_limit(grants, str_of(org), &limit))
+	if (!quota->in_force || !grants_org_limit(grants, str_of(org), &limit))
+		return;
+	org_history_remove(quota->own, str_of(org), asked_at);
+	giver = find_member(grants,
+	    org_history_remove(quota->from_deputy, str_of(org), asked_at)
+		? quota->deputy
+		: quota->admitting);
+	if (giver == NULL)
 		return;
-	org_history_remove(grants->quota.own, str_of(org), asked_at);
-	if (strcmp(admitting->name, grants->host) == 0) {
+	if (strcmp(giver->name, grants->host) == 0) {
 		grants_quota_give_back(grants, str_of(org), asked_at);
 		return;
 	}
 	grants_pack_return(&body, org, clock_monotonic() - asked_at);
-	peer_send(grants->params.peer, admitting->address, PEER_QUOTA_RETURN,
+	peer_send(grants->params.peer, giver->address, PEER_QUOTA_RETURN,
 	    str_buf(&body));
 	buf_free(&body);
 }
--- a/src/grants_state.h
+++ b/src/grants_state.h
@@ -8,6 +8,7 @@
 #include "allowance.h"
 #include "clock.h"
 #include "counter.h"
+#include "org_cut.h"
 #include "org_share.h"
 #include "wire.h"
 
@@ -48,11 +49,41 @@
 typedef struct grants_host_t {
 	char name[NAME_SIZE];
 	char address[48];
-	uint64_t instance; /* 0: not yet in the member table */
-	double history_at; /* when its history was added; 0: never */
+	uint64_t instance;	/* 0: not yet in the member table */
+	double history_at;	/* when its history was added; 0: never */
+	double asked_deputy_at; /* when it asked this deputy; 0: never */
 	LIST_ENTRY(grants_host_t) entry;
 } grants_host_t;
 
+typedef struct grants_poll_t grants_poll_t;
+
+/* What the admitting host and its deputy know of each other. */
+typedef struct grants_cut_t {
+	org_cut_t state;
+	double share;		/* of the limits during a cut; 1: no cut */
+	peer_call_t *tell_call; /* of the other host; NULL: none open */
+	int64_t last_tell_slot; /* one call in a slot */
+	char told[NAME_SIZE];	/* host that was told */
+	/* Uses up to this slot, and returns up to this one, were answered. */
+	int64_t told_slot;
+	uint64_t told_return;
+	int64_t telling_slot; /* the same of the open call */
+	uint64_t telling_return;
+	uint64_t stream;       /* of this process, in its messages */
+	char heard[NAME_SIZE]; /* host that told this one */
+	uint64_t heard_stream;
+	int64_t heard_slot;  /* newest one that it told, in its numbers */
+	double own_asked_at; /* when this deputy asked itself; 0: never */
+	grants_poll_t *polls;
+	size_t poll_count;
+	size_t poll_open; /* without an answer yet */
+	size_t poll_answers;
+	double next_poll;
+	double logged_at;
+	counter_t *cuts;
+	counter_t *share_gauge;
+} grants_cut_t;
+
 /* The limits of organisations, which hold for all pools of the site. */
 typedef struct grants_quota_t {
 	org_quota_t *buckets;	   /* as the host that admits */
@@ -72,9 +103,9 @@
 	double forgot_at; /* when this host forgot the histories of others */
 	double own_history_at; /* when its own was added to its buckets */
 	double deputy_told_at; /* when its own was sent to the deputy */
-	/* Tokens given up to this slot were told to that host. */
-	int64_t told_slot;
-	char told[NAME_SIZE];
+	/* Tokens that the deputy gave to this host. */
+	org_history_t *from_deputy;
+	grants_cut_t cut;
 	double ticked_at;
 	/* Histories that were added since the last log line. */
 	unsigned histories;
--- a/src/grants_wire.c
+++ b/src/grants_wire.c
@@ -282,6 +282,39 @@
 	buf_append(out, str_buf(uses));
 }
 
+/* Adds an organisation to a list; an org_history_cb_t. */
+void
+grants_pack_use_cb(void *ctx, str_t org, const unsigned counts[ORG_SLOTS])
+{
+	grants_packed_uses_t *uses = ctx;
+
+	grants_pack_use(uses->out, org, counts);
+	uses->count++;
+}
+
+/*
+ * QUOTA_USES between the admitting host and its deputy: tokens that a host gave
+ * since its last message that was answered, its current slot, its process, and
+ * the tokens that were returned to it.
+ */
+void
+grants_pack_told(buf_t *out, const char *host, const grants_packed_uses_t *uses,
+    int64_t slot, uint64_t stream, const grants_packed_uses_t *returned)
+{
+	msgpack_packer packer;
+
+	wire_packer_init(&packer, out);
+	msgpack_pack_array(&packer, 6);
+	wire_pack_str(&packer, str_of(host));
+	wire_pack_bool(&packer, false);
+	msgpack_pack_array(&packer, uses->count);
+	buf_append(out, str_buf(uses->out));
+	msgpack_pack_int64(&packer, slot);
+	msgpack_pack_uint64(&packer, stream);
+	msgpack_pack_array(&packer, returned->count);
+	buf_append(out, str_buf(returned->out));
+}
+
 /* QUOTA_RETURN: a token that was taken some seconds ago and not used. */
 void
 grants_pack_return(buf_t *out, const char *org, double age)
@@ -314,6 +347,12 @@
 	out->holder = wire_read_str(&reader);
 	out->reported = wire_read_bool(&reader);
 	out->uses = wire_read_array(&reader);
+	if (!reader.fault && reader.left > 0) {
+		out->slot = wire_read_i64(&reader);
+		out->stream = wire_read_u64(&reader);
+		out->returned = wire_read_array(&reader);
+		out->is_told = !reader.fault;
+	}
 	if (reader.fault)
 		out->holder = (str_t){0};
 	return (!reader.fault);
--- a/src/grants_wire.h
+++ b/src/grants_wire.h
@@ -30,6 +30,10 @@
 	grant_report_t report;
 	wire_reader_t uses; /* of tokens, see grants_read_use() */
 	bool reported;	    /* the uses are those of the holder */
+	bool is_told;	 /* the holder keeps buckets; the next ones are set */
+	int64_t slot;	 /* its current one */
+	uint64_t stream; /* of its process */
+	wire_reader_t returned;
 } grants_message_t;
 
 double grant_slack_at(const grant_t *grant, double time);
@@ -54,6 +58,16 @@
 void grants_pack_use(buf_t *out, str_t org, const unsigned counts[ORG_SLOTS]);
 bool grants_read_use(
     wire_reader_t *uses, str_t *org, unsigned counts[ORG_SLOTS]);
+/* A list of organisations, packed for a message. */
+typedef struct grants_packed_uses_t {
+	buf_t *out;
+	size_t count;
+} grants_packed_uses_t;
+
+void grants_pack_use_cb(void *ctx, str_t org, const unsigned counts[ORG_SLOTS]);
+void grants_pack_told(buf_t *out, const char *host,
+    const grants_packed_uses_t *uses, int64_t slot, uint64_t stream,
+    const grants_packed_uses_t *returned);
 void grants_pack_uses(buf_t *out, const char *host, bool reported,
     const buf_t *uses, size_t use_count);
 void grants_pack_return(buf_t *out, const char *org, double age);
@@ -61,4 +75,13 @@
 bool grants_read_uses(const msgpack_object *body, grants_message_t *out);
 void grants_pack_held_reply(buf_t *out, const uint64_t *ids, size_t count);
 
+/* grants_cut.c: cuts between hosts that keep buckets */
+void grants_cut_start(grants_t *grants);
+void grants_cut_stop(grants_t *grants);
+void grants_cut_tick(grants_t *grants, double now);
+void grants_cut_reset(grants_t *grants, double now);
+void grants_cut_asked(grants_t *grants, grants_host_t *host, double now);
+int64_t grants_cut_heard(
+    grants_t *grants, const grants_message_t *m, double now);
+
 #endif
--- a/src/org_cut.c
+++ b/src/org_cut.c
@@ -29,13 +29,17 @@
 	cut->heard_at = now;
 }
 
-/* The other host did not answer in time. */
+/*
+ * The other host did not answer in time, or is gone: its address answers that
+ * no process listens there.
+ */
 void
-org_cut_missed(org_cut_t *cut, double now)
+org_cut_missed(org_cut_t *cut, bool gone, double now)
 {
 	if (!cut->lost)
 		cut->reached = 0;
 	cut->lost = true;
+	cut->gone = gone;
 	cut->lost_at = now;
 }
 
@@ -44,7 +48,7 @@
 org_cut_check(org_cut_t *cut, double now)
 {
 	if (cut->heard_at > 0 && now - cut->heard_at > SILENCE_S)
-		org_cut_missed(cut, now);
+		org_cut_missed(cut, cut->gone, now);
 }
 
 /*
@@ -75,7 +79,8 @@
  * gives the share of the hosts that ask it, because those do not reach the
  * admitting host. A host counts on one side only, so the sum is at most 1. If
  * the admitting host is silent and membership suspects it too, no other host
- * reaches it, and the deputy gives the share of all hosts that it reaches.
+ * reaches it, and the deputy gives the share of all hosts that it reaches. If
+ * its process is gone and nobody is known to reach it, there is no cut.
  */
 double
 org_cut_share(const org_cut_t *cut, const org_cut_view_t *view)
@@ -84,6 +89,9 @@
 
 	if (!cut->lost && (!view->deputy || view->asking == 0))
 		return (1);
+	if (view->deputy && cut->lost && cut->gone &&
+	    (view->suspected || view->asking + 1 >= view->hosts))
+		return (1);
 	if (view->deputy && !(cut->lost && view->suspected)) {
 		count = view->asking > 0 ? view->asking : 1;
 	} else if (cut->reached > 0) {
--- a/src/org_history.h
+++ b/src/org_history.h
@@ -31,9 +31,10 @@
 org_history_t *org_history_new(void);
 void org_history_delete(org_history_t *history);
 void org_history_add(org_history_t *history, str_t org, double now);
-void org_history_remove(org_history_t *history, str_t org, double used_at);
+bool org_history_remove(org_history_t *history, str_t org, double used_at);
 void org_history_each(
     org_history_t *history, double now, org_history_cb_t callback, void *ctx);
+void org_history_evict(org_history_t *history, double now);
 void org_history_clear(org_history_t *history);
 
 #endif
--- a/src/org_quota.c
+++ b/src/org_quota.c
@@ -298,6 +298,7 @@
 {
 	org_bucket_t *bucket;
 
+	quota->paused_slot = org_slot_at(now);
 	for (size_t i = 0; i < ORG_QUOTA_BUCKETS; i++) {
 		LIST_FOREACH (bucket, &quota->buckets[i], entry) {
 			double tokens = bucket->tokens;
--- a/src/org_quota_state.h
+++ b/src/org_quota_state.h
@@ -38,10 +38,11 @@
 struct org_quota_t {
 	org_tolerance_t tolerance;
 	double started_at;
-	double share;	    /* of the limits that this host may give */
-	double cut_share;   /* while hosts are cut off; 1: there is no cut */
-	double cut_highest; /* highest share of this cut */
-	uint64_t returns;   /* tokens that this host got back */
+	int64_t paused_slot; /* until then this host got no tokens */
+	double share;	     /* of the limits that this host may give */
+	double cut_share;    /* while hosts are cut off; 1: there is no cut */
+	double cut_highest;  /* highest share of this cut */
+	uint64_t returns;    /* tokens that this host got back */
 	size_t count;
 	LIST_HEAD(, org_bucket_t) buckets[ORG_QUOTA_BUCKETS];
 };
--- a/src/org_quota_uses.c
+++ b/src/org_quota_uses.c
@@ -54,6 +54,19 @@
 	return (fmin(bucket->burst, fmin(from_full, from_empty)));
 }
 
+/*
+ * Returns whether a bucket was full in a slot or later, so that it lacks the
+ * tokens that it would have got if it had known of a use then.
+ */
+static bool
+bucket_was_full(const org_bucket_t *bucket, int64_t slot)
+{
+	for (; slot <= bucket->newest; slot++)
+		if (bucket->peak[org_slot_index(slot)] >= bucket->burst)
+			return (true);
+	return (false);
+}
+
 /*
  * Adds tokens, by age, that were used and are not in this host's bucket. The
  * level may become negative, which makes up for them.
@@ -82,7 +95,9 @@
 	 * Recent uses are debited in full: a level that is only replayed is
 	 * never below 0 while two hosts together give a little too much.
 	 */
-	if (kind == ORG_USE_ELSEWHERE && oldest < RECENT_SLOTS)
+	if (kind == ORG_USE_ELSEWHERE && oldest < RECENT_SLOTS &&
+	    current - oldest > quota->paused_slot &&
+	    !bucket_was_full(bucket, current - oldest))
 		bucket->tokens -= sum;
 	else
 		bucket->tokens = fmin(bucket->tokens,
