The deputy asks hosts whether they reach the admitting host

Cause: the deputy took the admitting host for dead while membership suspected it. If most other hosts do not reach it either, membership suspects it again and again although it lives: in a cut of two of four hosts the deputy gave 3/4 and the admitting host 2/4.

During a cut the deputy polls the hosts once a second (PEER_QUOTA_POLL); each pings the admitting host before it answers. The deputy gives the share of those that do not reach it. No message is added without a cut.

--- a/src/grants_cut.c
+++ b/src/grants_cut.c
@@ -8,25 +8,35 @@
 #include <string.h>
 
 #include "logger.h"
+#include "result.h"
 
 /*
  * An answer that takes longer is missing. It is more than the delays of a busy
  * host, which must not look like a cut.
  */
 #define ANSWER_TIMEOUT_S 0.5
-/* Between polls of the hosts that this one reaches, during a cut. */
+/* Of a ping on behalf of another host, which waits ANSWER_TIMEOUT_S. */
+#define PING_TIMEOUT_S 0.25
+/* Between polls of the hosts, during a cut. */
 #define POLL_INTERVAL_S 1.0
 /* A host that asked the deputy counts as cut off for this time. */
 #define ASKING_S 2.0
 /* Least time between two log lines on the share during a cut. */
 #define LOG_INTERVAL_S 1.0
 
-/* A host that is asked whether this one reaches it. */
+/* A host that is asked which side it is on. */
 struct grants_poll_t {
 	grants_t *grants;
 	peer_call_t *call;
 };
 
+/* A host that asked whether this one reaches a third one. */
+struct grants_asked_poll_t {
+	peer_request_t *request;
+	peer_call_t *call;
+	LIST_ENTRY(grants_asked_poll_t) entry;
+};
+
 static const member_t *
 find_member(const grants_t *grants, const char *name)
 {
@@ -36,13 +46,20 @@
 	return (NULL);
 }
 
+/* Returns whether this host admits in its own view. */
+static bool
+grants_admits(const grants_t *grants)
+{
+	return (strcmp(grants->quota.admitting, grants->host) == 0);
+}
+
 /* Returns the other one of the admitting host and its deputy, or NULL. */
 static const member_t *
 other_host(const grants_t *grants)
 {
 	const grants_quota_t *quota = &grants->quota;
 
-	if (strcmp(quota->admitting, grants->host) == 0)
+	if (grants_admits(grants))
 		return (find_member(grants, quota->deputy));
 	if (strcmp(quota->deputy, grants->host) == 0)
 		return (find_member(grants, quota->admitting));
@@ -75,7 +92,7 @@
 	const member_t *admitting = find_member(grants, quota->admitting);
 	const member_t *other = other_host(grants);
 	org_cut_view_t view = {
-	    .deputy = strcmp(quota->admitting, grants->host) != 0,
+	    .deputy = !grants_admits(grants),
 	    .hosts = quota->host_count,
 	};
 	double share;
@@ -103,10 +120,10 @@
 	quota->cut.share = share;
 	quota->cut.logged_at = now;
 	LOG_INFO("quota_cut",
-	    "share=%.3f other=%s lost=%d suspected=%d reached=%zu asking=%zu "
+	    "share=%.3f other=%s lost=%d suspected=%d side=%zu asking=%zu "
 	    "hosts=%zu",
 	    share, other != NULL ? other->name : "", quota->cut.state.lost,
-	    view.suspected, quota->cut.state.reached, view.asking, view.hosts);
+	    view.suspected, quota->cut.state.side, view.asking, view.hosts);
 }
 
 static void
@@ -125,21 +142,34 @@
 on_poll_reply(void *ctx, const peer_reply_t *reply)
 {
 	grants_poll_t *poll = ctx;
-	grants_cut_t *cut = &poll->grants->quota.cut;
+	grants_t *grants = poll->grants;
+	grants_cut_t *cut = &grants->quota.cut;
+	wire_reader_t answer;
 
 	poll->call = NULL;
-	cut->poll_answers += reply->rc == 0;
+	if (reply->rc == 0 && grants_admits(grants)) {
+		cut->poll_answers++;
+	} else if (reply->rc == 0) {
+		answer = wire_reader(reply->body);
+		cut->poll_answers += !wire_read_bool(&answer) && !answer.fault;
+	}
 	if (--cut->poll_open > 0 || !cut->state.lost)
 		return;
-	/* This host reaches itself. */
+	/* This host is on its own side. */
 	org_cut_polled(&cut->state, cut->poll_answers + 1);
 }
 
-/* Asks all hosts but the lost one whether this host reaches them. */
+/*
+ * Asks all hosts but the lost one which side they are on: the admitting host,
+ * whether it reaches them; the deputy, whether they reach the admitting host.
+ */
 static void
 poll_hosts(grants_t *grants, const member_t *lost, double now)
 {
 	grants_cut_t *cut = &grants->quota.cut;
+	peer_type_t type = grants_admits(grants) ? PEER_PING : PEER_QUOTA_POLL;
+	msgpack_packer packer;
+	buf_t body = {0};
 
 	if (cut->poll_open > 0 || now < cut->next_poll)
 		return;
@@ -147,6 +177,9 @@
 	poll_stop(cut);
 	cut->polls = xcalloc(grants->member_count, sizeof(*cut->polls));
 	cut->poll_answers = 0;
+	wire_packer_init(&packer, &body);
+	msgpack_pack_array(&packer, 1);
+	wire_pack_str(&packer, str_of(lost->name));
 	for (size_t i = 0; i < grants->member_count; i++) {
 		const member_t *member = &grants->members[i];
 		grants_poll_t *poll = &cut->polls[cut->poll_count];
@@ -156,15 +189,60 @@
 			continue;
 		poll->grants = grants;
 		poll->call =
-		    peer_call(grants->params.peer, member->address, PEER_PING,
-			(str_t){0}, ANSWER_TIMEOUT_S, on_poll_reply, poll);
+		    peer_call(grants->params.peer, member->address, type,
+			str_buf(&body), ANSWER_TIMEOUT_S, on_poll_reply, poll);
 		cut->poll_count++;
 	}
+	buf_free(&body);
 	cut->poll_open = cut->poll_count;
 	if (cut->poll_open == 0)
 		org_cut_polled(&cut->state, 1);
 }
 
+static void
+poll_answer(grants_asked_poll_t *asked, bool reached)
+{
+	msgpack_packer packer;
+	buf_t body = {0};
+
+	wire_packer_init(&packer, &body);
+	msgpack_pack_array(&packer, 1);
+	wire_pack_bool(&packer, reached);
+	peer_request_reply(asked->request, 0, str_buf(&body));
+	buf_free(&body);
+	LIST_REMOVE(asked, entry);
+	free(asked);
+}
+
+static void
+on_ping_reply(void *ctx, const peer_reply_t *reply)
+{
+	poll_answer(ctx, reply->rc == 0);
+}
+
+/* Another host asks whether this one reaches the host that it has lost. */
+static void
+on_peer_poll(void *ctx, peer_request_t *request, const msgpack_object *body)
+{
+	grants_t *grants = ctx;
+	wire_reader_t reader = wire_reader(body);
+	char name[NAME_SIZE];
+	const member_t *member;
+	grants_asked_poll_t *asked;
+
+	str_copy(name, sizeof(name), wire_read_str(&reader));
+	member = find_member(grants, name);
+	if (reader.fault || member == NULL) {
+		peer_request_reply(request, -RESULT_BAD_REQUEST, (str_t){0});
+		return;
+	}
+	asked = xcalloc(1, sizeof(*asked));
+	asked->request = request;
+	LIST_INSERT_HEAD(&grants->quota.cut.asked, asked, entry);
+	asked->call = peer_call(grants->params.peer, member->address, PEER_PING,
+	    (str_t){0}, PING_TIMEOUT_S, on_ping_reply, asked);
+}
+
 static void
 on_told(void *ctx, const peer_reply_t *reply)
 {
@@ -305,15 +383,24 @@
 	    "Share of the limits that this host gives while hosts do not reach "
 	    "each other");
 	gauge_set(cut->share_gauge, 1);
+	LIST_INIT(&cut->asked);
+	peer_set_handler(
+	    grants->params.peer, PEER_QUOTA_POLL, on_peer_poll, grants);
 }
 
 void
 grants_cut_stop(grants_t *grants)
 {
 	grants_cut_t *cut = &grants->quota.cut;
+	grants_asked_poll_t *asked;
 
+	peer_set_handler(grants->params.peer, PEER_QUOTA_POLL, NULL, NULL);
 	if (cut->tell_call != NULL)
 		peer_call_cancel(cut->tell_call);
 	cut->tell_call = NULL;
 	poll_stop(cut);
+	while ((asked = LIST_FIRST(&cut->asked)) != NULL) {
+		peer_call_cancel(asked->call);
+		poll_answer(asked, false);
+	}
 }
--- a/src/grants_state.h
+++ b/src/grants_state.h
@@ -56,6 +56,7 @@
 } grants_host_t;
 
 typedef struct grants_poll_t grants_poll_t;
+typedef struct grants_asked_poll_t grants_asked_poll_t;
 
 /* What the admitting host and its deputy know of each other. */
 typedef struct grants_cut_t {
@@ -79,6 +80,7 @@
 	size_t poll_open; /* without an answer yet */
 	size_t poll_answers;
 	double next_poll;
+	LIST_HEAD(, grants_asked_poll_t) asked; /* polls of others */
 	double logged_at;
 	counter_t *cuts;
 	counter_t *share_gauge;
--- a/src/org_cut.c
+++ b/src/org_cut.c
@@ -37,7 +37,7 @@
 org_cut_missed(org_cut_t *cut, bool gone, double now)
 {
 	if (!cut->lost)
-		cut->reached = 0;
+		cut->side = 0;
 	cut->lost = true;
 	cut->gone = gone;
 	cut->lost_at = now;
@@ -62,25 +62,39 @@
 	if (cut->heard_at > 0 && cut->heard_at <= cut->lost_at)
 		return;
 	cut->lost = false;
-	cut->reached = 0;
+	cut->side = 0;
 }
 
-/* Sets how many hosts answered this one, itself included. */
+/*
+ * Sets how many hosts are on this side, itself included: for the admitting host
+ * those that it reaches, for the deputy those that it reaches and that do not
+ * reach the admitting host.
+ */
 void
-org_cut_polled(org_cut_t *cut, size_t reached)
+org_cut_polled(org_cut_t *cut, size_t side)
+{
+	cut->side = side;
+}
+
+/* Returns how many hosts of the site the admitting host may serve. */
+static size_t
+count_for_admitting(const org_cut_t *cut, const org_cut_view_t *view)
 {
-	cut->reached = reached;
+	if (cut->side > 0)
+		return (cut->side);
+	/* All but the other one, if membership sees that as alive. */
+	return (view->alive > 1 && !view->suspected ? view->alive - 1
+						    : view->alive);
 }
 
 /*
  * Returns the share of the limits that this host may give; 1: no restriction.
  *
  * The admitting host gives the share of the hosts that it reaches. The deputy
- * gives the share of the hosts that ask it, because those do not reach the
- * admitting host. A host counts on one side only, so the sum is at most 1. If
- * the admitting host is silent and membership suspects it too, no other host
- * reaches it, and the deputy gives the share of all hosts that it reaches. If
- * its process is gone and nobody is known to reach it, there is no cut.
+ * gives the share of the hosts that do not reach the admitting host: those that
+ * ask it, or say so when it polls them. A host counts on one side only, so the
+ * sum is at most 1. If the process of the admitting host is gone, and nobody is
+ * known to reach it, there is no cut.
  */
 double
 org_cut_share(const org_cut_t *cut, const org_cut_view_t *view)
@@ -92,17 +106,13 @@
 	if (view->deputy && cut->lost && cut->gone &&
 	    (view->suspected || view->asking + 1 >= view->hosts))
 		return (1);
-	if (view->deputy && !(cut->lost && view->suspected)) {
-		count = view->asking > 0 ? view->asking : 1;
-	} else if (cut->reached > 0) {
-		count = cut->reached;
-	} else {
-		count = view->alive;
-		/* The other one is alive, but does not answer. */
-		if (!view->suspected && count > 1)
-			count--;
-	}
+	if (!view->deputy)
+		count = count_for_admitting(cut, view);
+	else
+		count = cut->lost && cut->side > view->asking ? cut->side
+							      : view->asking;
 	if (count >= view->hosts)
 		return (1);
-	return ((double)count / (double)view->hosts);
+	return (count > 0 ? (double)count / (double)view->hosts
+			  : 1 / (double)view->hosts);
 }
--- a/src/org_cut.h
+++ b/src/org_cut.h
@@ -11,7 +11,7 @@
 	bool gone;	 /* no process listens at its address */
 	double lost_at;	 /* when the last one was missed */
 	double heard_at; /* when the other one sent a message; 0: never */
-	size_t reached;	 /* hosts that answered the last poll; 0: none yet */
+	size_t side;	 /* hosts on this side by the last poll; 0: none yet */
 } org_cut_t;
 
 /* What a host sees of its site. */
@@ -28,7 +28,7 @@
 void org_cut_check(org_cut_t *cut, double now);
 void org_cut_missed(org_cut_t *cut, bool gone, double now);
 void org_cut_answered(org_cut_t *cut);
-void org_cut_polled(org_cut_t *cut, size_t reached);
+void org_cut_polled(org_cut_t *cut, size_t side);
 double org_cut_share(const org_cut_t *cut, const org_cut_view_t *view);
 
 #endif
