--- a/tests/harness_gateways.c
+++ b/tests/harness_gateways.c
@@ -85,7 +85,9 @@
 	    "key = a-key-for-tests-only\nkeep_s = 0.5\nstop_s = 4\n"
 	    "revoke_ms = %u\n%s%s",
 	    name, ip, zone_of(host), store, ip, fleet->callers_port, ip,
-	    fleet->readiness_port, ip, fleet->directory_port, fleet->peer_port,
+	    fleet->readiness_port, ip, fleet->directory_port,
+	    fleet->params.peer_ports != NULL ? fleet->params.peer_ports[host]
+					     : fleet->peer_port,
 	    fleet->params.revoke_ms,
 	    fleet->params.fair_scheduling
 		? "fair_scheduling = yes\nmeasured_speed = yes\n"
--- a/tests/harness_gateways.h
+++ b/tests/harness_gateways.h
@@ -42,8 +42,9 @@
 	const char *tenants;
 	const char *key; /* of all requests of callers; NULL: none */
 	unsigned revoke_ms;
-	double configure_timeout; /* of gateways_configure(); 0: default */
-	unsigned descriptors;	  /* limit of each host; 0: inherited */
+	double configure_timeout;   /* of gateways_configure(); 0: default */
+	unsigned descriptors;	    /* limit of each host; 0: inherited */
+	const uint16_t *peer_ports; /* of each host; NULL: the same for all */
 } gateways_params_t;
 
 typedef struct gateways_t {
