Limits: nothing of a removed limit is kept

Cause: when no organisation had a limit any more, roles, histories, buckets and what had been told stayed, and a limit that returned found them.

All of it is dropped then, and buckets are empty from that moment. Tokens that were taken before are not returned to them.

--- a/src/grants_cut.c
+++ b/src/grants_cut.c
@@ -369,6 +369,23 @@
 	update_share(grants, now);
 }
 
+/* Forgets also what was told and asked, because there are no limits. */
+void
+grants_cut_forget(grants_t *grants, double now)
+{
+	grants_cut_t *cut = &grants->quota.cut;
+	grants_host_t *host;
+
+	cut->told[0] = '\0';
+	cut->heard[0] = '\0';
+	cut->last_tell_slot = 0;
+	cut->own_asked_at = 0;
+	for (size_t i = 0; i < GRANTS_HOST_BUCKETS; i++)
+		LIST_FOREACH (host, &grants->hosts[i], entry)
+			host->asked_deputy_at = 0;
+	grants_cut_reset(grants, now);
+}
+
 void
 grants_cut_start(grants_t *grants)
 {
--- a/src/grants_quota.c
+++ b/src/grants_quota.c
@@ -208,19 +208,68 @@
 	    grants->quota.orgs, (double)org_quota_count(grants->quota.buckets));
 }
 
+/* Creates the buckets and histories, which know of nothing before now. */
+static void
+create_state(grants_t *grants, double now)
+{
+	grants_quota_t *quota = &grants->quota;
+
+	quota->buckets = org_quota_new(now);
+	org_quota_set_tolerance(
+	    quota->buckets, &grants->params.quota_tolerance);
+	quota->own = org_history_new();
+	quota->alone = org_share_new(now, rng_next(&grants->rng));
+	quota->used_alone = org_history_new();
+	quota->from_deputy = org_history_new();
+	quota->ticked_at = now;
+	quota->share = 1;
+	LIST_INIT(&quota->limited_orgs);
+}
+
+static void
+delete_state(grants_quota_t *quota)
+{
+	while (!LIST_EMPTY(&quota->limited_orgs))
+		free_limited_org(LIST_FIRST(&quota->limited_orgs));
+	org_history_delete(quota->own);
+	org_history_delete(quota->used_alone);
+	org_history_delete(quota->from_deputy);
+	org_share_delete(quota->alone);
+	org_quota_delete(quota->buckets);
+}
+
+/*
+ * Forgets the roles, histories and buckets, because no organisation has a limit
+ * any more. One that returns later finds nothing old.
+ */
+void
+grants_quota_drop(grants_t *grants, double now)
+{
+	grants_quota_t *quota = &grants->quota;
+
+	grants_cut_forget(grants, now);
+	delete_state(quota);
+	create_state(grants, now);
+	quota->admitting[0] = '\0';
+	quota->deputy[0] = '\0';
+	quota->deputy_address[0] = '\0';
+	quota->deputy_backoff_until = 0;
+	quota->history_owed = false;
+	quota->history_pool = NULL;
+	quota->forgot_at = now;
+	quota->own_history_at = 0;
+	quota->deputy_told_at = 0;
+	quota->histories = 0;
+	quota->history_requests = 0;
+	gauge_set(quota->orgs, 0);
+	gauge_set(quota->share_gauge, 1);
+	LOG_INFO("quota_dropped", "cause=no_limits");
+}
+
 void
 grants_quota_start(grants_t *grants, double now)
 {
-	grants->quota.buckets = org_quota_new(now);
-	org_quota_set_tolerance(
-	    grants->quota.buckets, &grants->params.quota_tolerance);
-	grants->quota.own = org_history_new();
-	grants->quota.alone = org_share_new(now, rng_next(&grants->rng));
-	grants->quota.used_alone = org_history_new();
-	grants->quota.from_deputy = org_history_new();
-	grants->quota.ticked_at = now;
-	grants->quota.share = 1;
-	LIST_INIT(&grants->quota.limited_orgs);
+	create_state(grants, now);
 	grants->quota.taken = counter_get("daisypier_org_tokens_taken_total",
 	    "Requests that this host admitted within their organisation's "
 	    "limit");
@@ -250,13 +299,7 @@
 void
 grants_quota_stop(grants_t *grants)
 {
-	while (!LIST_EMPTY(&grants->quota.limited_orgs))
-		free_limited_org(LIST_FIRST(&grants->quota.limited_orgs));
 	grants_quota_sync_stop(grants);
 	grants_cut_stop(grants);
-	org_history_delete(grants->quota.own);
-	org_history_delete(grants->quota.used_alone);
-	org_history_delete(grants->quota.from_deputy);
-	org_share_delete(grants->quota.alone);
-	org_quota_delete(grants->quota.buckets);
+	delete_state(&grants->quota);
 }
--- a/src/grants_quota_sync.c
+++ b/src/grants_quota_sync.c
@@ -243,13 +243,17 @@
 	const member_t *hosts[2] = {NULL, NULL};
 	const char *admitting;
 	const char *deputy;
+	bool was_in_force = quota->in_force;
 	bool changed;
 	size_t count;
 
 	quota->in_force = grants_quota_config(grants) != NULL &&
 			  grants->params.mode == GRANTS_POOL;
-	if (!quota->in_force)
+	if (!quota->in_force) {
+		if (was_in_force)
+			grants_quota_drop(grants, now);
 		return;
+	}
 	count = placement_rank_owners(grants->members, grants->member_count,
 	    grants_placement_key(grants, (str_t){0}), hosts, 2);
 	admitting = count > 0 ? hosts[0]->name : "";
--- a/src/grants_state.h
+++ b/src/grants_state.h
@@ -222,6 +222,7 @@
 /* grants_quota.c: limits of organisations */
 void grants_quota_start(grants_t *grants, double now);
 void grants_quota_stop(grants_t *grants);
+void grants_quota_drop(grants_t *grants, double now);
 void grants_quota_attach(grants_pool_t *pool);
 void grants_quota_tick(grants_t *grants, double now);
 const fleet_config_t *grants_quota_config(const grants_t *grants);
--- a/src/grants_wire.h
+++ b/src/grants_wire.h
@@ -80,6 +80,7 @@
 void grants_cut_stop(grants_t *grants);
 void grants_cut_tick(grants_t *grants, double now);
 void grants_cut_reset(grants_t *grants, double now);
+void grants_cut_forget(grants_t *grants, double now);
 void grants_cut_asked(grants_t *grants, grants_host_t *host, double now);
 int64_t grants_cut_heard(
     grants_t *grants, const grants_message_t *m, double now);
--- a/src/org_quota.c
+++ b/src/org_quota.c
@@ -279,7 +279,8 @@
 	org_bucket_t *bucket = org_bucket_find(quota, org);
 	int64_t slot = org_slot_at(taken_at);
 
-	if (bucket == NULL || slot <= bucket->newest - ORG_SLOTS)
+	if (bucket == NULL || slot <= bucket->newest - ORG_SLOTS ||
+	    taken_at < quota->started_at)
 		return;
 	if (org_ring_get(&bucket->returned, slot) <
 	    org_ring_get(&bucket->given, slot)) {
--- a/tests/test_grants.c
+++ b/tests/test_grants.c
@@ -9,6 +9,7 @@
 
 #include "admission.h"
 #include "clock.h"
+#include "counter.h"
 #include "grants.h"
 #include "harness.h"
 #include "placement.h"
@@ -786,6 +787,36 @@
 	teardown(&t);
 }
 
+/*
+ * Guards against a limit that returns and finds the roles and buckets of
+ * before, and against a second burst of it.
+ */
+static void
+test_limit_that_returns(void)
+{
+	counter_t *rebuilt = counter_get("daisypier_quota_rebuilt_total", "");
+	grants_test_t t;
+	double before;
+
+	setup(&t, 1, GRANTS_POOL);
+	set_limit(&t, 4, 12);
+	wait_for_takeover(&t);
+	run_for(&t, 1.5);
+	CU_ASSERT(send_limited(&t, 0, 30) >= 12);
+	t.config->limits_orgs = false;
+	t.config->orgs[0].requests_per_s = 0;
+	for (size_t i = 0; i < HOSTS; i++)
+		grants_fleet_changed(t.grants[i]);
+	run_for(&t, 0.3);
+	CU_ASSERT(send_limited(&t, 0, 30) == 30);
+	before = counter_value(rebuilt);
+	set_limit(&t, 4, 12);
+	run_for(&t, 0.3);
+	CU_ASSERT(counter_value(rebuilt) == before + 1);
+	CU_ASSERT(send_limited(&t, 0, 30) <= 6);
+	teardown(&t);
+}
+
 /*
  * Guards against tokens that are lost with requests that were granted and then
  * reached no endpoint.
@@ -893,6 +924,7 @@
     {"deputy applies the limit", test_deputy_applies_the_limit},
     {"token of an unsent request", test_token_of_an_unsent_request},
     {"limit after takeover", test_limit_after_takeover},
+    {"limit that returns", test_limit_that_returns},
     {"limit over all hosts", test_limit_over_all_hosts},
     {"grants on own and other host", test_grants_on_own_and_other_host},
     {"online revokes batch of other host",
