Limits: test of tokens returned to the deputy; bounds of what is told

The slot of a QUOTA_USES message is checked, and counts of returned tokens are added at once, so that a wrong count of a host costs no long loop.

--- a/src/grants_wire.c
+++ b/src/grants_wire.c
@@ -7,6 +7,8 @@
 
 /* Larger counts of a slot are malformed. */
 #define MAX_USES 1000000
+/* Number of a slot that no clock reaches. */
+#define MAX_SLOT ((int64_t)1 << 50)
 
 /* No request waits longer for an endpoint. */
 #define MAX_RETURN_AGE_S 3600
@@ -352,6 +354,7 @@
 		out->stream = wire_read_u64(&reader);
 		out->returned = wire_read_array(&reader);
 		out->is_told = !reader.fault;
+		reader.fault |= out->slot < 0 || out->slot > MAX_SLOT;
 	}
 	if (reader.fault)
 		out->holder = (str_t){0};
--- a/src/org_quota_uses.c
+++ b/src/org_quota_uses.c
@@ -142,15 +142,15 @@
 	for (int64_t age = ORG_SLOTS - 1; age >= 0; age--) {
 		unsigned known =
 		    org_ring_get(&bucket->returned_elsewhere, slot - age);
+		unsigned added = counts[age] > known ? counts[age] - known : 0;
 		unsigned *used;
 
-		for (unsigned i = known; i < counts[age]; i++) {
+		if (added > 0)
 			org_ring_add(
-			    &bucket->returned_elsewhere, slot - age, 1);
-			/* Only what was debited here comes back. */
-			used = used_elsewhere_near(bucket, current - age);
-			if (used == NULL)
-				continue;
+			    &bucket->returned_elsewhere, slot - age, added);
+		/* Only what was debited here comes back. */
+		while (added-- > 0 && (used = used_elsewhere_near(
+					   bucket, current - age)) != NULL) {
 			(*used)--;
 			org_bucket_credit(
 			    bucket, quota->cut_share, current - age, false);
--- a/tests/test_grants.c
+++ b/tests/test_grants.c
@@ -891,6 +891,35 @@
 	teardown(&t);
 }
 
+/*
+ * Guards against tokens that the deputy gave and that are returned to the host
+ * that admits, which does not answer.
+ */
+static void
+test_token_returned_to_the_deputy(void)
+{
+	grants_test_t t;
+	size_t admitting = start_without_admitting_host(&t, 1, 20);
+
+	stop_host(&t, admitting);
+	run_for(&t, 0.6);
+	/* There are at most 4 tokens in all; one of the hosts is the deputy. */
+	for (size_t i = 0; i < 12; i++) {
+		size_t host = (admitting + 1 + i % 2) % HOSTS;
+		test_request_t request = {.limited = true};
+
+		request_grant(&t, host, GRANT_ONLINE, &request);
+		while (request.answers == 0)
+			run_for(&t, 0.002);
+		CU_ASSERT(request.rc == 0);
+		release_grant(&request);
+		grants_return_token(
+		    t.grants[host], "acme", request.requested_at);
+		run_for(&t, 0.02);
+	}
+	teardown(&t);
+}
+
 /*
  * Guards against a host that applies the whole limit, or refuses everything,
  * while it reaches neither the host that admits nor the deputy; and against
@@ -922,6 +951,7 @@
 static const suite_test_t tests[] = {
     {"share of a host alone", test_share_of_a_host_alone},
     {"deputy applies the limit", test_deputy_applies_the_limit},
+    {"token returned to the deputy", test_token_returned_to_the_deputy},
     {"token of an unsent request", test_token_of_an_unsent_request},
     {"limit after takeover", test_limit_after_takeover},
     {"limit that returns", test_limit_that_returns},
