--- a/src/grants_quota.c
+++ b/src/grants_quota.c
@@ -1,5 +1,5 @@
 /* Limits of organisations: buckets, configuration, log lines and counters. */
-#include "grants_state.h"
+#include "grants_wire.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -107,7 +107,8 @@
 
 /* An admission_take_cb_t. */
 static bool
-take_token(void *ctx, const char *org, double now, double *retry_after)
+take_token(void *ctx, const char *org, double caller_deadline, double now,
+    double *retry_after)
 {
 	grants_t *grants = ctx;
 	org_limit_t limit;
@@ -115,8 +116,8 @@
 	if (!grants_org_limit(grants, str_of(org), &limit))
 		return (true);
 	grants_quota_check_pause(grants, now);
-	if (org_quota_take(
-		grants->quota.buckets, str_of(org), &limit, now, retry_after)) {
+	if (org_quota_take(grants->quota.buckets, str_of(org), &limit,
+		caller_deadline, now, retry_after)) {
 		counter_add(grants->quota.taken, 1);
 		return (true);
 	}
@@ -170,10 +171,14 @@
 {
 	org_limit_t limit;
 
-	if (grant->params.limited &&
-	    grants_org_limit(grants, str_of(grant->org), &limit))
-		org_history_add(
-		    grants->quota.own, str_of(grant->org), grant->submitted_at);
+	if (!grant->params.limited ||
+	    !grants_org_limit(grants, str_of(grant->org), &limit))
+		return;
+	org_history_add(
+	    grants->quota.own, str_of(grant->org), grant->submitted_at);
+	if (grant->at_deputy)
+		org_history_add(grants->quota.from_deputy, str_of(grant->org),
+		    grant->submitted_at);
 }
 
 /*
@@ -198,22 +203,73 @@
 		entry = next;
 	}
 	org_quota_evict_idle(grants->quota.buckets, now);
+	org_history_evict(grants->quota.from_deputy, now);
 	gauge_set(
 	    grants->quota.orgs, (double)org_quota_count(grants->quota.buckets));
 }
 
+/* Creates the buckets and histories, which know of nothing before now. */
+static void
+create_state(grants_t *grants, double now)
+{
+	grants_quota_t *quota = &grants->quota;
+
+	quota->buckets = org_quota_new(now);
+	org_quota_set_tolerance(
+	    quota->buckets, &grants->params.quota_tolerance);
+	quota->own = org_history_new();
+	quota->alone = org_share_new(now, rng_next(&grants->rng));
+	quota->used_alone = org_history_new();
+	quota->from_deputy = org_history_new();
+	quota->ticked_at = now;
+	quota->share = 1;
+	LIST_INIT(&quota->limited_orgs);
+}
+
+static void
+delete_state(grants_quota_t *quota)
+{
+	while (!LIST_EMPTY(&quota->limited_orgs))
+		free_limited_org(LIST_FIRST(&quota->limited_orgs));
+	org_history_delete(quota->own);
+	org_history_delete(quota->used_alone);
+	org_history_delete(quota->from_deputy);
+	org_share_delete(quota->alone);
+	org_quota_delete(quota->buckets);
+}
+
+/*
+ * Forgets the roles, histories and buckets, because no organisation has a limit
+ * any more. One that returns later finds nothing old.
+ */
+void
+grants_quota_drop(grants_t *grants, double now)
+{
+	grants_quota_t *quota = &grants->quota;
+
+	grants_cut_forget(grants, now);
+	delete_state(quota);
+	create_state(grants, now);
+	quota->admitting[0] = '\0';
+	quota->deputy[0] = '\0';
+	quota->deputy_address[0] = '\0';
+	quota->deputy_backoff_until = 0;
+	quota->history_owed = false;
+	quota->history_pool = NULL;
+	quota->forgot_at = now;
+	quota->own_history_at = 0;
+	quota->deputy_told_at = 0;
+	quota->histories = 0;
+	quota->history_requests = 0;
+	gauge_set(quota->orgs, 0);
+	gauge_set(quota->share_gauge, 1);
+	LOG_INFO("quota_dropped", "cause=no_limits");
+}
+
 void
 grants_quota_start(grants_t *grants, double now)
 {
-	grants->quota.buckets = org_quota_new(now);
-	org_quota_set_tolerance(
-	    grants->quota.buckets, &grants->params.quota_tolerance);
-	grants->quota.own = org_history_new();
-	grants->quota.alone = org_share_new(now, rng_next(&grants->rng));
-	grants->quota.used_alone = org_history_new();
-	grants->quota.ticked_at = now;
-	grants->quota.share = 1;
-	LIST_INIT(&grants->quota.limited_orgs);
+	create_state(grants, now);
 	grants->quota.taken = counter_get("daisypier_org_tokens_taken_total",
 	    "Requests that this host admitted within their organisation's "
 	    "limit");
@@ -236,17 +292,14 @@
 	grants->quota.share_gauge = gauge_get("daisypier_quota_share",
 	    "Share of the limits that this host gives as the one that admits");
 	gauge_set(grants->quota.share_gauge, 1);
+	grants_cut_start(grants);
 	grants_quota_sync_start(grants);
 }
 
 void
 grants_quota_stop(grants_t *grants)
 {
-	while (!LIST_EMPTY(&grants->quota.limited_orgs))
-		free_limited_org(LIST_FIRST(&grants->quota.limited_orgs));
 	grants_quota_sync_stop(grants);
-	org_history_delete(grants->quota.own);
-	org_history_delete(grants->quota.used_alone);
-	org_share_delete(grants->quota.alone);
-	org_quota_delete(grants->quota.buckets);
+	grants_cut_stop(grants);
+	delete_state(&grants->quota);
 }
--- a/tests/test_grants.c
+++ b/tests/test_grants.c
@@ -9,7 +9,9 @@
 
 #include "admission.h"
 #include "clock.h"
+#include "counter.h"
 #include "grants.h"
+#include "harness.h"
 #include "placement.h"
 #include "require.h"
 #include "result.h"
@@ -95,7 +97,7 @@
 	    .ctx = t,
 	};
 
-	CU_ASSERT(peer_new(t->loop, &peer, &t->peers[i]) == 0);
+	REQUIRE(peer_new(t->loop, &peer, &t->peers[i]) == 0);
 	params.peer = t->peers[i];
 	t->grants[i] = grants_new(&params);
 }
@@ -133,6 +135,7 @@
 setup(grants_test_t *t, size_t admitting, grants_mode_t mode)
 {
 	config_faults_t faults;
+	uint16_t port;
 
 	*t = (grants_test_t){.loop = ev_loop_new(0)};
 	ev_timer_init(&t->stop, on_stop, 0, 0);
@@ -153,8 +156,10 @@
 		member->instance = i + 1;
 		member->ready = i == admitting;
 	}
+	port = harness_free_port(host_addresses, HOSTS);
+	REQUIRE(port != 0);
 	for (size_t i = 0; i < HOSTS; i++)
-		start_host(t, i, mode, i > 0 ? peer_port(t->peers[0]) : 0);
+		start_host(t, i, mode, port);
 }
 
 static void
@@ -782,6 +787,36 @@
 	teardown(&t);
 }
 
+/*
+ * Guards against a limit that returns and finds the roles and buckets of
+ * before, and against a second burst of it.
+ */
+static void
+test_limit_that_returns(void)
+{
+	counter_t *rebuilt = counter_get("daisypier_quota_rebuilt_total", "");
+	grants_test_t t;
+	double before;
+
+	setup(&t, 1, GRANTS_POOL);
+	set_limit(&t, 4, 12);
+	wait_for_takeover(&t);
+	run_for(&t, 1.5);
+	CU_ASSERT(send_limited(&t, 0, 30) >= 12);
+	t.config->limits_orgs = false;
+	t.config->orgs[0].requests_per_s = 0;
+	for (size_t i = 0; i < HOSTS; i++)
+		grants_fleet_changed(t.grants[i]);
+	run_for(&t, 0.3);
+	CU_ASSERT(send_limited(&t, 0, 30) == 30);
+	before = counter_value(rebuilt);
+	set_limit(&t, 4, 12);
+	run_for(&t, 0.3);
+	CU_ASSERT(counter_value(rebuilt) == before + 1);
+	CU_ASSERT(send_limited(&t, 0, 30) <= 6);
+	teardown(&t);
+}
+
 /*
  * Guards against tokens that are lost with requests that were granted and then
  * reached no endpoint.
@@ -856,6 +891,35 @@
 	teardown(&t);
 }
 
+/*
+ * Guards against tokens that the deputy gave and that are returned to the host
+ * that admits, which does not answer.
+ */
+static void
+test_token_returned_to_the_deputy(void)
+{
+	grants_test_t t;
+	size_t admitting = start_without_admitting_host(&t, 1, 20);
+
+	stop_host(&t, admitting);
+	run_for(&t, 0.6);
+	/* There are at most 4 tokens in all; one of the hosts is the deputy. */
+	for (size_t i = 0; i < 12; i++) {
+		size_t host = (admitting + 1 + i % 2) % HOSTS;
+		test_request_t request = {.limited = true};
+
+		request_grant(&t, host, GRANT_ONLINE, &request);
+		while (request.answers == 0)
+			run_for(&t, 0.002);
+		CU_ASSERT(request.rc == 0);
+		release_grant(&request);
+		grants_return_token(
+		    t.grants[host], "acme", request.requested_at);
+		run_for(&t, 0.02);
+	}
+	teardown(&t);
+}
+
 /*
  * Guards against a host that applies the whole limit, or refuses everything,
  * while it reaches neither the host that admits nor the deputy; and against
@@ -887,8 +951,10 @@
 static const suite_test_t tests[] = {
     {"share of a host alone", test_share_of_a_host_alone},
     {"deputy applies the limit", test_deputy_applies_the_limit},
+    {"token returned to the deputy", test_token_returned_to_the_deputy},
     {"token of an unsent request", test_token_of_an_unsent_request},
     {"limit after takeover", test_limit_after_takeover},
+    {"limit that returns", test_limit_that_returns},
     {"limit over all hosts", test_limit_over_all_hosts},
     {"grants on own and other host", test_grants_on_own_and_other_host},
     {"online revokes batch of other host",
