Connections without a request give way to new ones

Cause: a server accepted up to its limit and then nobody until connections timed out, after 5 s without a first request. 6,000 idle connections at 960 places so held up an ordinary request for over 20 s.

Change: place_table (pure) gives each connection of a server with a memory account a place. One sixteenth of the limit stays free; a connection that is accepted beyond that takes the place of the one that was longest without a byte, of the address that has most places without a request. Heads that are not complete count as no request; the time of their last byte is that of TCP_INFO, because libmicrohttpd does not report it. If all places have requests, a body without a byte for 2 s gives way with 503. Requests of one address hold at most 3/4 of the places.

--- a/src/httpd.c
+++ b/src/httpd.c
@@ -181,8 +181,9 @@
 	request_free(request);
 }
 
-static void
-client_address(struct MHD_Connection *connection, char *out, size_t size)
+/* Writes the client's IP address as text, or an empty string. */
+void
+httpd_client_address(struct MHD_Connection *connection, char *out, size_t size)
 {
 	const union MHD_ConnectionInfo *info = MHD_get_connection_info(
 	    connection, MHD_CONNECTION_INFO_CLIENT_ADDRESS);
@@ -207,7 +208,8 @@
 	request->httpd = httpd;
 	request->connection = connection;
 	request->target = xstrdup(target);
-	client_address(connection, request->client, sizeof(request->client));
+	httpd_client_address(
+	    connection, request->client, sizeof(request->client));
 	LIST_INSERT_HEAD(&httpd->requests, request, entry);
 	httpd->open++;
 	httpd_intake_request_begin(request);
@@ -318,7 +320,7 @@
 		idle > 0 ? idle : DEFAULT_IDLE_TIMEOUT_S,
 		MHD_OPTION_CONNECTION_LIMIT, httpd->max_connections,
 		MHD_OPTION_NOTIFY_COMPLETED, on_completed, NULL,
-		MHD_OPTION_NOTIFY_CONNECTION, httpd_intake_on_connection, httpd,
+		MHD_OPTION_NOTIFY_CONNECTION, httpd_places_on_connection, httpd,
 		MHD_OPTION_URI_LOG_CALLBACK, on_request_line, httpd,
 		MHD_OPTION_END);
 	if (httpd->daemon == NULL) {
--- a/src/httpd_intake.c
+++ b/src/httpd_intake.c
@@ -15,13 +15,6 @@
 /* A client may pause for 15 s within a body; heads are complete within 3 s. */
 #define BODY_TIMEOUT_S 15.0
 #define HEAD_TIMEOUT_S 5.0
-/*
- * When most connections are in use, those without a request are closed: after
- * the published idle time-out, or that of a head if there was no request yet.
- */
-#define SCARCE_SHARE	    0.75
-#define SCARCE_IDLE_S	    15.0
-#define SCARCE_FIRST_IDLE_S HEAD_TIMEOUT_S
 /*
  * After a refusal, so many bytes and seconds are ignored before the connection
  * is closed. Closing it with unread bytes sends a reset, which may keep the
@@ -32,8 +25,9 @@
 /* Consecutive sweeps that find unread bytes of a request that stands still. */
 #define STUCK_SWEEPS 2
 /* Bytes that a body buffer grows by at least. */
-#define MIN_GROWTH_BYTES 16384
-#define RETRY_AFTER	 "1"
+#define MIN_GROWTH_BYTES	 16384
+#define RETRY_AFTER		 "1"
+#define TOO_MANY_REQUESTS_DETAIL "too many requests of this address"
 /* A client that has not read for so long may lose its connection. */
 #define UNREAD_TIMEOUT_S 15.0
 /* The same when responses have no room. */
@@ -52,69 +46,21 @@
 	return (info != NULL ? info->connect_fd : -1);
 }
 
-/* libmicrohttpd then finds the connection closed and ends it. */
-static void
-connection_cut(struct MHD_Connection *connection)
-{
-	int fd = request_fd(connection);
-
-	if (fd >= 0)
-		(void)shutdown(fd, SHUT_RDWR);
-}
-
-/* Counts connections and, for an account, keeps those without a request. */
-void
-httpd_intake_on_connection(void *ctx, struct MHD_Connection *connection,
-    void **slot, enum MHD_ConnectionNotificationCode code)
-{
-	httpd_t *httpd = ctx;
-	http_connection_t *c = *slot;
-
-	if (code == MHD_CONNECTION_NOTIFY_STARTED)
-		httpd->connection_count++;
-	else if (httpd->connection_count-- >= httpd->max_connections)
-		httpd->was_full = true;
-	if (httpd->params.account == NULL)
-		return;
-	if (code == MHD_CONNECTION_NOTIFY_STARTED) {
-		c = xcalloc(1, sizeof(*c));
-		c->connection = connection;
-		c->idle_since = clock_monotonic();
-		TAILQ_INSERT_TAIL(&httpd->idle_connections, c, entry);
-		*slot = c;
-	} else if (c != NULL) {
-		if (!c->busy)
-			TAILQ_REMOVE(&httpd->idle_connections, c, entry);
-		free(c);
-		*slot = NULL;
-	}
-}
-
-/* Notes the begin of a request on its connection. */
+/* Notes the begin of a request. */
 void
 httpd_intake_request_begin(http_request_t *request)
 {
-	const union MHD_ConnectionInfo *info;
-
 	if (request->httpd->params.account == NULL)
 		return;
 	request->started_at = clock_monotonic();
 	request->read_at = request->started_at;
-	info = MHD_get_connection_info(
-	    request->connection, MHD_CONNECTION_INFO_SOCKET_CONTEXT);
-	request->http_connection = info != NULL ? info->socket_context : NULL;
-	if (request->http_connection == NULL || request->http_connection->busy)
-		return;
-	request->http_connection->busy = true;
-	TAILQ_REMOVE(
-	    &request->httpd->idle_connections, request->http_connection, entry);
+	httpd_places_request_begin(request);
 }
 
 /* Returns all that a request holds. */
 void
 httpd_intake_request_end(http_request_t *request)
 {
-	http_connection_t *c = request->http_connection;
 	memory_account_t *account = request->httpd->params.account;
 
 	if (account == NULL)
@@ -124,12 +70,7 @@
 		memory_account_release(
 		    account, MEMORY_BODIES, 2 * request->body.cap);
 	memory_account_release(account, MEMORY_UNREAD, request->unread);
-	if (c == NULL || !c->busy)
-		return;
-	c->busy = false;
-	c->served = true;
-	c->idle_since = clock_monotonic();
-	TAILQ_INSERT_TAIL(&request->httpd->idle_connections, c, entry);
+	httpd_places_request_end(request);
 }
 
 /*
@@ -137,8 +78,8 @@
  * only before or after a body, so this one is written to the socket. The rest
  * of the body is not kept.
  */
-static void
-request_refuse(http_request_t *request, int rc, const char *detail)
+void
+httpd_intake_refuse(http_request_t *request, int rc, const char *detail)
 {
 	const result_info_t *info = result_info(rc);
 	memory_account_t *account = request->httpd->params.account;
@@ -177,17 +118,32 @@
 refuse_too_large(http_request_t *request)
 {
 	counter_add(request->httpd->counters.too_large, 1);
-	request_refuse(request, -RESULT_TOO_LARGE, "the body is too large");
+	httpd_intake_refuse(
+	    request, -RESULT_TOO_LARGE, "the body is too large");
 }
 
 static void
 refuse_no_room(http_request_t *request)
 {
 	counter_add(request->httpd->counters.no_room, 1);
-	request_refuse(request, -RESULT_OVERLOADED,
+	httpd_intake_refuse(request, -RESULT_OVERLOADED,
 	    "no memory for the body at the moment");
 }
 
+/* Refuses a request whose client does not send a body, or waits with it. */
+static enum MHD_Result
+refuse_at_head(http_request_t *request, int rc, const char *detail)
+{
+	const result_info_t *info = result_info(rc);
+
+	request->dispatched = true;
+	http_request_set_header(request, MHD_HTTP_HEADER_CONNECTION, "close");
+	if (info->http_status == MHD_HTTP_SERVICE_UNAVAILABLE)
+		http_request_set_header(request, "Retry-After", RETRY_AFTER);
+	http_request_reply_error(request, rc, detail);
+	return (httpd_request_queue(request));
+}
+
 /* Checks the announced length when all headers have arrived. */
 enum MHD_Result
 httpd_intake_head(http_request_t *request)
@@ -195,31 +151,36 @@
 	const httpd_t *httpd = request->httpd;
 	const char *text = MHD_lookup_connection_value(request->connection,
 	    MHD_HEADER_KIND, MHD_HTTP_HEADER_CONTENT_LENGTH);
-	const char *expect = MHD_lookup_connection_value(
-	    request->connection, MHD_HEADER_KIND, MHD_HTTP_HEADER_EXPECT);
+	bool expects = MHD_lookup_connection_value(request->connection,
+			   MHD_HEADER_KIND, MHD_HTTP_HEADER_EXPECT) != NULL;
 	uint64_t length = 0;
+	bool has_body;
 
 	if (text != NULL && str_to_u64(str_of(text), &length) != 0)
 		length = UINT64_MAX;
-	if (length > httpd->max_body && expect != NULL) {
-		/* The client waits for this before it sends the body. */
-		request->dispatched = true;
+	has_body = text != NULL
+		       ? length > 0
+		       : MHD_lookup_connection_value(request->connection,
+			     MHD_HEADER_KIND,
+			     MHD_HTTP_HEADER_TRANSFER_ENCODING) != NULL;
+	if (!httpd_places_head(request, has_body)) {
+		if (!has_body || expects)
+			return (refuse_at_head(request, -RESULT_OVERLOADED,
+			    TOO_MANY_REQUESTS_DETAIL));
+		httpd_intake_refuse(
+		    request, -RESULT_OVERLOADED, TOO_MANY_REQUESTS_DETAIL);
+		return (MHD_YES);
+	}
+	if (length > httpd->max_body && expects) {
 		counter_add(httpd->counters.too_large, 1);
-		http_request_set_header(
-		    request, MHD_HTTP_HEADER_CONNECTION, "close");
-		http_request_reply_error(
-		    request, -RESULT_TOO_LARGE, "the body is too large");
-		return (httpd_request_queue(request));
+		return (refuse_at_head(
+		    request, -RESULT_TOO_LARGE, "the body is too large"));
 	}
 	if (length > httpd->max_body) {
 		refuse_too_large(request);
 		return (MHD_YES);
 	}
-	if (text != NULL && length == 0)
-		return (MHD_YES);
-	if (text == NULL &&
-	    MHD_lookup_connection_value(request->connection, MHD_HEADER_KIND,
-		MHD_HTTP_HEADER_TRANSFER_ENCODING) == NULL)
+	if (!has_body)
 		return (MHD_YES);
 	memory_holder_begin(httpd->params.account, &request->holder,
 	    request->client, text != NULL ? (size_t)length : httpd->max_body,
@@ -263,6 +224,7 @@
 	buf_t *body = &request->body;
 	size_t need = body->len + size + 1;
 	size_t left;
+	double now;
 
 	if (request->refused)
 		return (ignore_data(request, size));
@@ -292,7 +254,9 @@
 		body->cap = cap;
 	}
 	buf_append(body, (str_t){data, size});
-	memory_holder_progress(&request->holder, left, clock_monotonic());
+	now = clock_monotonic();
+	memory_holder_progress(&request->holder, left, now);
+	httpd_places_body_bytes(request, now);
 	return (MHD_YES);
 }
 
@@ -308,6 +272,7 @@
 	if (account == NULL)
 		return (true);
 	memory_holder_end(&request->holder);
+	httpd_places_body_ended(request);
 	if (request->body.cap == 0)
 		return (true);
 	/* Transfers to endpoints have a copy of it. */
@@ -422,10 +387,10 @@
 	if ((request->refused && now - request->started_at > MAX_IGNORE_S) ||
 	    (request->path == NULL &&
 		now - request->started_at > HEAD_TIMEOUT_S)) {
-		connection_cut(request->connection);
+		httpd_connection_cut(request->connection);
 	} else if (request_is_stuck(request, now)) {
 		counter_add(httpd->counters.no_progress, 1);
-		request_refuse(request, -RESULT_BAD_REQUEST,
+		httpd_intake_refuse(request, -RESULT_BAD_REQUEST,
 		    "the chunks of the body are malformed");
 		/* Nothing more is read; the next sweep closes it. */
 		request->started_at = now - MAX_IGNORE_S;
@@ -438,25 +403,6 @@
 	}
 }
 
-static void
-close_idle_connections(httpd_t *httpd, double now)
-{
-	http_connection_t *c;
-
-	if (httpd->connection_count < httpd->max_connections * SCARCE_SHARE)
-		return;
-	TAILQ_FOREACH (c, &httpd->idle_connections, entry) {
-		double idle_s = now - c->idle_since;
-
-		if (idle_s < SCARCE_FIRST_IDLE_S)
-			break;
-		if (c->served && idle_s < SCARCE_IDLE_S)
-			continue;
-		counter_add(httpd->counters.idle_closed, 1);
-		connection_cut(c->connection);
-	}
-}
-
 static void
 on_sweep(struct ev_loop *loop, ev_timer *timer, int events)
 {
@@ -472,12 +418,12 @@
 		    httpd->params.account, now, BODY_TIMEOUT_S)) != NULL) {
 		request = holder->ctx;
 		counter_add(httpd->counters.no_progress, 1);
-		request_refuse(request, -RESULT_EXPIRED,
+		httpd_intake_refuse(request, -RESULT_EXPIRED,
 		    "the body has not arrived in time");
 	}
 	LIST_FOREACH (request, &httpd->requests, entry)
 		sweep_request(request, now);
-	close_idle_connections(httpd, now);
+	httpd_places_sweep(httpd, now);
 }
 
 /* Prepares a server for its account, if it has one. */
@@ -486,7 +432,6 @@
 {
 	const httpd_params_t *params = &httpd->params;
 
-	TAILQ_INIT(&httpd->idle_connections);
 	httpd->max_body = params->max_body;
 	if (params->account == NULL)
 		return;
@@ -501,8 +446,7 @@
 	    "daisypier_intake_refusals_total{cause=\"no_progress\"}", "");
 	httpd->counters.unread_cut = counter_get(
 	    "daisypier_intake_refusals_total{cause=\"not_read\"}", "");
-	httpd->counters.idle_closed =
-	    counter_get("daisypier_intake_refusals_total{cause=\"idle\"}", "");
+	httpd_places_init(httpd);
 	ev_timer_init(
 	    &httpd->sweep_timer, on_sweep, SWEEP_INTERVAL_S, SWEEP_INTERVAL_S);
 	httpd->sweep_timer.data = httpd;
@@ -514,6 +458,7 @@
 {
 	if (httpd->params.account != NULL)
 		ev_timer_stop(httpd->loop, &httpd->sweep_timer);
+	place_table_delete(httpd->places);
 }
 
 /* Returns the open connections of a server with an account; NULL: none. */
--- a/src/httpd_state.h
+++ b/src/httpd_state.h
@@ -9,18 +9,15 @@
 
 #include "counter.h"
 #include "httpd.h"
+#include "place_table.h"
 
-/* A connection, in order of its last request while it has none. */
+/* A connection of a server with a memory account. */
 typedef struct http_connection_t {
 	struct MHD_Connection *connection;
-	double idle_since;
-	bool busy;   /* a request is in progress */
-	bool served; /* a request has been completed */
-	TAILQ_ENTRY(http_connection_t) entry;
+	http_request_t *request; /* in progress, or NULL */
+	place_t place;
 } http_connection_t;
 
-TAILQ_HEAD(http_connections_t, http_connection_t);
-
 struct httpd_t {
 	struct ev_loop *loop;
 	struct MHD_Daemon *daemon;
@@ -38,7 +35,7 @@
 	unsigned max_connections;
 	unsigned connection_count;
 	bool was_full; /* a connection ended while all were in use */
-	struct http_connections_t idle_connections;
+	place_table_t *places;
 	ev_timer sweep_timer;
 	struct {
 		counter_t *too_large;
@@ -46,6 +43,8 @@
 		counter_t *no_progress;
 		counter_t *unread_cut;
 		counter_t *idle_closed;
+		counter_t *yielded;
+		counter_t *address_share;
 	} counters;
 };
 
@@ -97,12 +96,25 @@
 void httpd_schedule_run(httpd_t *httpd);
 void httpd_request_reset(const http_request_t *request);
 enum MHD_Result httpd_request_queue(http_request_t *request);
+void httpd_client_address(
+    struct MHD_Connection *connection, char *out, size_t size);
+
+/* httpd_places.c */
+void httpd_places_init(httpd_t *httpd);
+void httpd_places_on_connection(void *ctx, struct MHD_Connection *connection,
+    void **slot, enum MHD_ConnectionNotificationCode code);
+void httpd_places_request_begin(http_request_t *request);
+bool httpd_places_head(http_request_t *request, bool has_body);
+void httpd_places_body_bytes(http_request_t *request, double now);
+void httpd_places_body_ended(http_request_t *request);
+void httpd_places_request_end(http_request_t *request);
+void httpd_places_sweep(httpd_t *httpd, double now);
+void httpd_connection_cut(struct MHD_Connection *connection);
 
 /* httpd_intake.c */
 void httpd_intake_init(httpd_t *httpd);
 void httpd_intake_stop(httpd_t *httpd);
-void httpd_intake_on_connection(void *ctx, struct MHD_Connection *connection,
-    void **slot, enum MHD_ConnectionNotificationCode code);
+void httpd_intake_refuse(http_request_t *request, int rc, const char *detail);
 void httpd_intake_request_begin(http_request_t *request);
 void httpd_intake_request_end(http_request_t *request);
 enum MHD_Result httpd_intake_head(http_request_t *request);
