Bound the output queued on all links between hosts

Cause: only the output of each link was bounded, by the peers budget, so hosts that read nothing could together hold that budget many times.

Change: a link takes a message if it has less output than is free of the total, which is the size of the peers budget; 4 KB are always taken. One host that does not read holds half, so the others' calls still go out. Large replies without room are dropped and their calls time out.

--- a/src/peer.c
+++ b/src/peer.c
@@ -18,6 +18,8 @@
  * peers, fail at once, and one-way messages are dropped.
  */
 #define MAX_BUFFERED_BYTES (64U << 20)
+/* Replies that report effects are smaller; larger ones are read again. */
+#define SMALL_REPLY_BYTES 4096U
 
 /* Removes a call from its list without running its callback. */
 void
@@ -110,6 +112,9 @@
 					   MEMORY_PEERS) < MAX_BUFFERED_BYTES)
 		peer->max_buffered =
 		    memory_account_limit(params->account, MEMORY_PEERS);
+	if (params->account != NULL)
+		peer->max_queued =
+		    memory_account_limit(params->account, MEMORY_PEERS);
 	peer->max_new_links = params->max_new_links;
 	TAILQ_INIT(&peer->new_links);
 	peer->bytes_sent = counter_get(
@@ -123,6 +128,11 @@
 	    "Connections dropped for a malformed or unauthenticated frame");
 	peer->links_dropped = counter_get("daisypier_peer_links_dropped_total",
 	    "Connections to other hosts that ended");
+	peer->output_refused =
+	    counter_get("daisypier_peer_output_refused_total",
+		"Messages to other hosts that had no room");
+	peer->queued_gauge = gauge_get("daisypier_peer_queued_bytes",
+	    "Output that other hosts have not taken yet");
 	ev_io_init(&peer->io, peer_on_connection, fd, EV_READ);
 	peer->io.data = peer;
 	ev_io_start(loop, &peer->io);
@@ -165,6 +175,27 @@
 		listening != 0);
 }
 
+/* Returns the bytes of output that other hosts have not taken yet. */
+size_t
+peer_queued_bytes(const peer_t *peer)
+{
+	return (peer->queued);
+}
+
+/* Returns whether a message has room on a link, and notes if not. */
+static bool
+link_takes(peer_link_t *link, size_t bytes)
+{
+	peer_t *peer = link->peer;
+
+	if (peer_link_has_room(link, bytes))
+		return (true);
+	counter_add(peer->output_refused, 1);
+	if (peer->account != NULL)
+		memory_account_refused(peer->account, MEMORY_PEERS);
+	return (false);
+}
+
 /* Sets the handler of a message type; NULL removes it. */
 void
 peer_set_handler(
@@ -228,8 +259,7 @@
 {
 	peer_link_t *link = peer_link_get(peer, address);
 	peer_call_t *call = xcalloc(1, sizeof(*call));
-	bool failed = link == NULL ||
-		      link->output.len + link->pending.len > peer->max_buffered;
+	bool failed = link == NULL || !link_takes(link, body.len);
 	buf_t payload = {0};
 
 	call->peer = peer;
@@ -266,8 +296,7 @@
 	peer_link_t *link = peer_link_get(peer, address);
 	buf_t payload = {0};
 
-	if (link == NULL ||
-	    link->output.len + link->pending.len > peer->max_buffered)
+	if (link == NULL || !link_takes(link, body.len))
 		return;
 	pack_message(&payload, type, 0, NULL, body);
 	peer_link_send(link, str_buf(&payload));
@@ -292,7 +321,12 @@
 	peer_link_t *link = request->link;
 	buf_t payload = {0};
 
-	if (link != NULL && request->id != 0) {
+	/*
+	 * A large reply without room is dropped, so the call times out. Small
+	 * ones are bounded by the calls that the other host has open.
+	 */
+	if (link != NULL && request->id != 0 &&
+	    (body.len <= SMALL_REPLY_BYTES || link_takes(link, body.len))) {
 		pack_message(&payload, PEER_REPLY, request->id, &rc, body);
 		peer_link_send(link, str_buf(&payload));
 		buf_free(&payload);
--- a/src/peer.h
+++ b/src/peer.h
@@ -67,7 +67,10 @@
 	const char *address; /* IP address of this host */
 	uint16_t port; /* the same on all hosts; 0: chosen by the kernel */
 	str_t key;     /* secret shared by all hosts */
-	/* Counts what links hold that are not authenticated; NULL: nothing. */
+	/*
+	 * Counts what links hold that are not authenticated, and bounds the
+	 * output of all links; NULL: nothing.
+	 */
 	memory_account_t *account;
 	unsigned max_new_links; /* incoming, not authenticated; 0: no limit */
 } peer_params_t;
@@ -76,6 +79,7 @@
 void peer_delete(peer_t *peer);
 uint16_t peer_port(const peer_t *peer);
 bool peer_is_listening(const peer_t *peer);
+size_t peer_queued_bytes(const peer_t *peer);
 void peer_set_handler(
     peer_t *peer, peer_type_t type, peer_handler_t handler, void *ctx);
 
--- a/src/peer_link.c
+++ b/src/peer_link.c
@@ -21,6 +21,11 @@
 #define CONNECT_TIMEOUT_S    1.0
 #define KEEPALIVE_IDLE_S     10
 #define KEEPALIVE_INTERVAL_S 5
+/*
+ * Output that each link may have in any case, so that grants and reports reach
+ * other hosts while output to hosts that do not read uses up the total.
+ */
+#define MIN_QUEUED_BYTES 4096U
 
 static void
 link_set_events(peer_link_t *link, int events)
@@ -32,6 +37,37 @@
 	ev_io_start(link->peer->loop, &link->io);
 }
 
+/* Notes how much output a link has. */
+static void
+link_count_output(peer_link_t *link)
+{
+	peer_t *peer = link->peer;
+	size_t queued = link->output.len + link->pending.len;
+
+	peer->queued = peer->queued - link->queued + queued;
+	link->queued = queued;
+	gauge_set(peer->queued_gauge, (double)peer->queued);
+}
+
+/*
+ * Returns whether a link may queue further bytes. With a total, a link may have
+ * as much as is still free: one host that does not read takes half of the total
+ * and several leave a part of it to others. A message that is let in may
+ * exceed the total, since the largest one does not fit into a small host's.
+ */
+bool
+peer_link_has_room(const peer_link_t *link, size_t bytes)
+{
+	const peer_t *peer = link->peer;
+
+	if (link->queued > peer->max_buffered)
+		return (false);
+	if (peer->max_queued == 0 || link->queued + bytes <= MIN_QUEUED_BYTES)
+		return (true);
+	return (peer->queued < peer->max_queued &&
+		link->queued < peer->max_queued - peer->queued);
+}
+
 /* Writes as much as the socket accepts; returns false on a socket error. */
 static bool
 link_flush(peer_link_t *link)
@@ -49,6 +85,7 @@
 		counter_add(link->peer->bytes_sent, (uint64_t)n);
 		buf_consume(&link->output, (size_t)n);
 	}
+	link_count_output(link);
 	link_set_events(link, EV_READ | (link->output.len > 0 ? EV_WRITE : 0));
 	return (true);
 }
@@ -73,11 +110,12 @@
 	if (link->session.has_key) {
 		peer_frame_encode(&link->session, payload, &link->output);
 		link_schedule_flush(link);
-		return;
+	} else {
+		buf_append(&link->pending,
+		    (str_t){(const char *)&length, sizeof(length)});
+		buf_append(&link->pending, payload);
 	}
-	buf_append(
-	    &link->pending, (str_t){(const char *)&length, sizeof(length)});
-	buf_append(&link->pending, payload);
+	link_count_output(link);
 }
 
 /* Encodes the payloads that were queued until the session had a key. */
@@ -97,6 +135,7 @@
 		offset += length;
 	}
 	buf_free(&link->pending);
+	link_count_output(link);
 	link_schedule_flush(link);
 }
 
@@ -345,6 +384,7 @@
 	buf_free(&link->input);
 	buf_free(&link->output);
 	buf_free(&link->pending);
+	link_count_output(link);
 	free(link);
 }
 
--- a/src/peer_state.h
+++ b/src/peer_state.h
@@ -32,6 +32,8 @@
 	uint64_t next_id;
 	memory_account_t *account; /* may be NULL */
 	size_t max_buffered;	   /* bytes of output of one link */
+	size_t max_queued;	   /* of all links together; 0: no limit */
+	size_t queued;		   /* bytes of output of all links */
 	unsigned max_new_links;	   /* 0: no limit */
 	unsigned new_link_count;
 	TAILQ_HEAD(, peer_link_t) new_links; /* incoming; oldest first */
@@ -40,6 +42,8 @@
 	counter_t *frames_sent;
 	counter_t *rejected;
 	counter_t *links_dropped;
+	counter_t *output_refused;
+	counter_t *queued_gauge;
 };
 
 /* One TCP connection. Calls are sent on outgoing ones, replies on incoming. */
@@ -53,6 +57,7 @@
 	buf_t input;
 	buf_t output;  /* encoded frames */
 	buf_t pending; /* length-prefixed payloads, sent once there is a key */
+	size_t queued; /* bytes of both that count in the peer's total */
 	double last_received_at;
 	bool is_new;	/* incoming, and no frame was authentic so far */
 	size_t counted; /* bytes of its input in the account */
@@ -92,6 +97,7 @@
 
 /* peer_link.c: connections. */
 peer_link_t *peer_link_get(peer_t *peer, const char *address);
+bool peer_link_has_room(const peer_link_t *link, size_t bytes);
 void peer_link_send(peer_link_t *link, str_t payload);
 void peer_link_drop(peer_link_t *link);
 void peer_on_connection(struct ev_loop *loop, ev_io *io, int events);
--- a/tests/test_peer.c
+++ b/tests/test_peer.c
@@ -2,6 +2,7 @@
 #include "suite.h"
 
 #include <arpa/inet.h>
+#include <stdio.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -273,7 +274,82 @@
 	ev_loop_destroy(loop);
 }
 
+#define SILENT_HOSTS   8
+#define ACCOUNT_BYTES  (64U << 20)
+#define MESSAGE_BYTES  100000U
+#define MIN_LINK_BYTES 4096U
+
+static int
+open_silent_host(unsigned number, uint16_t port)
+{
+	struct sockaddr_in address = {
+	    .sin_family = AF_INET, .sin_port = htons(port)};
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+
+	address.sin_addr.s_addr = htonl(0x7f0000f0U + number);
+	CU_ASSERT(bind(fd, (struct sockaddr *)&address, sizeof(address)) == 0);
+	CU_ASSERT(listen(fd, 8) == 0);
+	return (fd);
+}
+
+/*
+ * Hosts that read nothing must not use up memory with output that waits for
+ * them, all together, nor keep messages from other hosts.
+ */
+static void
+test_output_of_all_links_is_bounded(void)
+{
+	static char zeros[MESSAGE_BYTES];
+	struct ev_loop *loop = ev_loop_new(0);
+	memory_account_t *account = memory_account_new(ACCOUNT_BYTES);
+	size_t limit = memory_account_limit(account, MEMORY_PEERS);
+	exchange_t exchange = {.loop = loop};
+	peer_t *b = start_peer(loop, "127.0.0.3", 0, STR("secret"));
+	peer_t *a = NULL;
+	buf_t body = {0};
+	msgpack_packer packer;
+	int fds[SILENT_HOSTS];
+
+	CU_ASSERT(peer_new(loop,
+		      &(peer_params_t){.address = "127.0.0.2",
+			  .port = peer_port(b),
+			  .key = STR("secret"),
+			  .account = account},
+		      &a) == 0);
+	peer_set_handler(b, PEER_JOB_GET, on_double_request, NULL);
+	wire_packer_init(&packer, &body);
+	msgpack_pack_bin(&packer, sizeof(zeros));
+	msgpack_pack_bin_body(&packer, zeros, sizeof(zeros));
+	for (unsigned i = 0; i < SILENT_HOSTS; i++) {
+		char address[32];
+
+		fds[i] = open_silent_host(i, peer_port(b));
+		snprintf(address, sizeof(address), "127.0.0.%u", 240 + i);
+		for (unsigned n = 0; n < 2 * limit / MESSAGE_BYTES; n++)
+			peer_send(
+			    a, address, PEER_GRANT_REPORT, str_buf(&body));
+		/* One host must not take what others need. */
+		if (i == 0)
+			CU_ASSERT(peer_queued_bytes(a) <=
+				  limit / 2 + 2 * MESSAGE_BYTES);
+	}
+	CU_ASSERT(peer_queued_bytes(a) >= limit / 2);
+	CU_ASSERT(peer_queued_bytes(a) <=
+		  limit + 2 * MESSAGE_BYTES + SILENT_HOSTS * MIN_LINK_BYTES);
+	call_and_wait(a, "127.0.0.3", 21, &exchange);
+	CU_ASSERT(exchange.rc == 0);
+	CU_ASSERT(exchange.value == 42);
+	for (unsigned i = 0; i < SILENT_HOSTS; i++)
+		close(fds[i]);
+	buf_free(&body);
+	peer_delete(a);
+	peer_delete(b);
+	memory_account_delete(account);
+	ev_loop_destroy(loop);
+}
+
 static const suite_test_t tests[] = {
+    {"output of all links is bounded", test_output_of_all_links_is_bounded},
     {"call and reply", test_call_and_reply},
     {"wrong key is rejected", test_wrong_key_is_rejected},
     {"unreachable host is reported", test_unreachable_host_is_reported},
