--- a/soak/soak.c
+++ b/soak/soak.c
@@ -295,7 +295,7 @@
 
 static int
 soak_run(uint64_t seed, double seconds, unsigned hosts, unsigned engines,
-    bool harmful, bool orgs, const char *logs)
+    bool harmful, bool orgs, bool crowd, const char *logs)
 {
 	soak_t *soak = xcalloc(1, sizeof(*soak));
 	gateways_params_t params = {
@@ -319,6 +319,8 @@
 	soak->orgs = orgs;
 	if (orgs)
 		soak_orgs_params(soak, &params);
+	if (crowd)
+		soak_crowd_params(&params);
 	gateways_start(&soak->fleet, &params);
 	soak->end = clock_monotonic() + seconds;
 	for (unsigned i = 0; i < MAX_CALLERS; i++) {
@@ -334,11 +336,15 @@
 	}
 	if (orgs)
 		soak_orgs_start(soak);
+	if (crowd)
+		soak_crowd_start(soak);
 	if (harmful)
 		pthread_create(
 		    &harmful_caller.thread, NULL, harmful_run, &harmful_caller);
 	soak_inject_faults(soak);
 	soak->stop = true;
+	if (crowd)
+		soak_crowd_join(soak);
 	if (harmful)
 		pthread_join(harmful_caller.thread, NULL);
 	soak_restart_engines(soak);
@@ -377,11 +383,13 @@
 	    arg_lit0(NULL, "harmful", "send requests that crash engines, too");
 	struct arg_lit *orgs = arg_lit0(
 	    NULL, "orgs", "callers have keys of organisations with limits");
+	struct arg_lit *crowd = arg_lit0(
+	    NULL, "crowd", "crowds of clients outside the limits, too");
 	struct arg_file *logs =
 	    arg_file0(NULL, "logs", "FOLDER", "gets the hosts' logs");
 	struct arg_end *end = arg_end(8);
-	void *table[] = {
-	    help, seed, seconds, hosts, engines, harmful, orgs, logs, end};
+	void *table[] = {help, seed, seconds, hosts, engines, harmful, orgs,
+	    crowd, logs, end};
 	int errors = arg_parse(argc, argv, table);
 	int rc = 2;
 
@@ -400,7 +408,7 @@
 		    seconds->count > 0 ? seconds->dval[0] : 20,
 		    hosts->count > 0 ? (unsigned)hosts->ival[0] : 4,
 		    engines->count > 0 ? (unsigned)engines->ival[0] : 4,
-		    harmful->count > 0, orgs->count > 0,
+		    harmful->count > 0, orgs->count > 0, crowd->count > 0,
 		    logs->count > 0 ? logs->filename[0] : NULL);
 	}
 	arg_freetable(table, sizeof(table) / sizeof(table[0]));
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -74,6 +74,7 @@
 	size_t sending_count;
 	unsigned org_limited; /* answered 429 */
 	unsigned org_unknown; /* answered 401 */
+	pthread_t crowd_thread;
 } soak_t;
 
 /* soak.c */
@@ -91,6 +92,11 @@
 void soak_orgs_check_recovered(soak_t *soak);
 void soak_orgs_check(soak_t *soak);
 
+/* soak_crowd.c */
+void soak_crowd_params(gateways_params_t *params);
+void soak_crowd_start(soak_t *soak);
+void soak_crowd_join(soak_t *soak);
+
 /* soak_faults.c */
 void soak_inject_faults(soak_t *soak);
 void soak_restart_engines(soak_t *soak);
