Shares of an address and of an organisation in places and memory

Cause: one address or organisation could hold all places and all memory of open requests of a host.

Change: requests of one address, and of one organisation once its key is known, hold at most three times the places without a request, and their complete bodies at most three times what is free of the budget: 3/4 alone, and something is left beside any number of such clients. Beyond that: 503 with Retry-After 1, nothing ran.

--- a/src/gateway_http.c
+++ b/src/gateway_http.c
@@ -17,6 +17,8 @@
 /* Longest wait of a request for this host to become ready. */
 #define MAX_QUEUE_TIME_S	    2.0
 #define UNIDENTIFIED_LOG_INTERVAL_S 1.0
+/* After a refusal because an organisation has its share of this host. */
+#define SHARE_RETRY_AFTER_S 1.0
 /* Maximum number of hosts in a directory response. */
 #define MAX_DIRECTORY_ENTRIES 64
 
@@ -58,8 +60,14 @@
 	    gateway_withhold_request(gateway, request, arrived))
 		return (false);
 	counter_add(gateway->identified_requests[access], 1);
-	if (org_access_allowed(access))
-		return (true);
+	if (org_access_allowed(access)) {
+		if (*org == NULL ||
+		    http_request_begin_for(request, str_of((*org)->name)))
+			return (true);
+		http_request_refuse(request, -RESULT_OVERLOADED,
+		    SHARE_RETRY_AFTER_S, "too much of this organisation");
+		return (false);
+	}
 	log_unidentified(gateway, request, access);
 	http_request_set_header(request, "WWW-Authenticate", "Bearer");
 	http_request_reply_error(request, -RESULT_UNAUTHORIZED, NULL);
--- a/src/httpd.h
+++ b/src/httpd.h
@@ -49,6 +49,7 @@
     void *ctx);
 const char *http_request_client(const http_request_t *request);
 str_t http_request_body(const http_request_t *request);
+bool http_request_begin_for(http_request_t *request, str_t org);
 
 void http_request_set_header(
     http_request_t *request, const char *name, const char *value);
--- a/src/httpd_intake.c
+++ b/src/httpd_intake.c
@@ -66,9 +66,7 @@
 	if (account == NULL)
 		return;
 	memory_holder_end(&request->holder);
-	if (request->holds_body)
-		memory_account_release(
-		    account, MEMORY_BODIES, 2 * request->body.cap);
+	memory_keep_end(&request->kept);
 	memory_account_release(account, MEMORY_UNREAD, request->unread);
 	httpd_places_request_end(request);
 }
@@ -276,9 +274,8 @@
 	if (request->body.cap == 0)
 		return (true);
 	/* Transfers to endpoints have a copy of it. */
-	request->holds_body = memory_account_reserve(
-	    account, MEMORY_BODIES, 2 * request->body.cap);
-	if (request->holds_body)
+	if (memory_keep(account, &request->kept, request->client,
+		2 * request->body.cap))
 		return (true);
 	buf_free(&request->body);
 	counter_add(request->httpd->counters.no_room, 1);
--- a/src/httpd_places.c
+++ b/src/httpd_places.c
@@ -194,6 +194,30 @@
 		    clock_monotonic());
 }
 
+/*
+ * Counts a request as that of an organisation. Returns false if the places or
+ * the memory of open requests are short and the organisation has its share; the
+ * request must then be refused. Without an account there is always room.
+ */
+bool
+http_request_begin_for(http_request_t *request, str_t org)
+{
+	httpd_t *httpd = request->httpd;
+	http_connection_t *c = request->http_connection;
+	memory_budget_t budget = MEMORY_CONNECTIONS;
+
+	if (c == NULL)
+		return (true);
+	if (place_begin_for(httpd->places, &c->place, org)) {
+		if (memory_keep_for(&request->kept, org))
+			return (true);
+		budget = MEMORY_BODIES;
+	}
+	counter_add(httpd->counters.org_share, 1);
+	memory_account_refused(httpd->params.account, budget);
+	return (false);
+}
+
 /* The connection of a request waits for the next one. */
 void
 httpd_places_request_end(http_request_t *request)
@@ -240,4 +264,6 @@
 	    "daisypier_intake_refusals_total{cause=\"place_yielded\"}", "");
 	httpd->counters.address_share = counter_get(
 	    "daisypier_intake_refusals_total{cause=\"address_share\"}", "");
+	httpd->counters.org_share = counter_get(
+	    "daisypier_intake_refusals_total{cause=\"org_share\"}", "");
 }
--- a/src/httpd_state.h
+++ b/src/httpd_state.h
@@ -45,6 +45,7 @@
 		counter_t *idle_closed;
 		counter_t *yielded;
 		counter_t *address_share;
+		counter_t *org_share;
 	} counters;
 };
 
@@ -80,7 +81,7 @@
 	/* With a memory account, see httpd_intake.c. */
 	http_connection_t *http_connection;
 	memory_holder_t holder;
-	bool holds_body;       /* the body counts as kept */
+	memory_kept_t kept;
 	bool refused;	       /* while its body was being read */
 	unsigned stuck_sweeps; /* with bytes that are not read */
 	size_t ignored;	       /* bytes received after that */
--- a/src/memory_account.c
+++ b/src/memory_account.c
@@ -1,6 +1,7 @@
 /* Divides the memory of a host among named budgets. */
 #include "memory_account.h"
 
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -8,6 +9,11 @@
 #define MAX_ADDRESS	64
 /* Largest part of the bodies being read that one address may hold. */
 #define ADDRESS_SHARE 0.75
+/*
+ * Bodies of one client may be this many times what is free: 3/4 of the budget
+ * if no other has any, 3/7 beside an equal one, so that some is always left.
+ */
+#define KEPT_PER_FREE 3
 /* A body is kept once here and once more in a transfer to an endpoint. */
 #define BODY_COPIES 2
 /* After this time without progress, a holder loses its room to any other. */
@@ -20,7 +26,8 @@
 
 struct memory_share_t {
 	char address[MAX_ADDRESS];
-	size_t held;
+	size_t held; /* of bodies being read */
+	size_t kept; /* of bodies of open requests */
 	unsigned holders;
 	LIST_ENTRY(memory_share_t) entry;
 };
@@ -287,6 +294,87 @@
 	return (holder);
 }
 
+/*
+ * Returns whether a share may keep further bytes beside those that are used. A
+ * single body may take all, since the largest one needs more than a share.
+ */
+static bool
+share_may_keep(const memory_account_t *account, const memory_share_t *share,
+    size_t bytes, size_t used)
+{
+	size_t limit = account->budgets[MEMORY_BODIES].limit;
+
+	return (
+	    share->kept == 0 ||
+	    (used + bytes <= limit &&
+		share->kept + bytes <= KEPT_PER_FREE * (limit - used - bytes)));
+}
+
+/*
+ * Keeps a complete body. Returns false if the budget or the share of its
+ * address has no room.
+ */
+bool
+memory_keep(memory_account_t *account, memory_kept_t *kept, const char *address,
+    size_t bytes)
+{
+	memory_share_t *share = share_ref(account, address);
+
+	if (!share_may_keep(
+		account, share, bytes, account->budgets[MEMORY_BODIES].used) ||
+	    !memory_account_reserve(account, MEMORY_BODIES, bytes)) {
+		share_unref(share);
+		return (false);
+	}
+	share->kept += bytes;
+	*kept = (memory_kept_t){
+	    .account = account, .address = share, .bytes = bytes};
+	return (true);
+}
+
+/*
+ * Counts a kept body as that of an organisation. Returns false if its share has
+ * no room; the body is kept until memory_keep_end().
+ */
+bool
+memory_keep_for(memory_kept_t *kept, str_t org)
+{
+	memory_account_t *account = kept->account;
+	char name[MAX_ADDRESS];
+	memory_share_t *share;
+
+	if (account == NULL || kept->org != NULL)
+		return (true);
+	/* Names may be long, and look like addresses. */
+	snprintf(name, sizeof(name), "org %016llx",
+	    (unsigned long long)str_hash(org, 0));
+	share = share_ref(account, name);
+	if (!share_may_keep(account, share, kept->bytes,
+		account->budgets[MEMORY_BODIES].used - kept->bytes)) {
+		share_unref(share);
+		return (false);
+	}
+	share->kept += kept->bytes;
+	kept->org = share;
+	return (true);
+}
+
+/* Returns what is kept; it may have ended before. */
+void
+memory_keep_end(memory_kept_t *kept)
+{
+	if (kept->account == NULL)
+		return;
+	memory_account_release(kept->account, MEMORY_BODIES, kept->bytes);
+	kept->address->kept -= kept->bytes;
+	share_unref(kept->address);
+	if (kept->org != NULL) {
+		kept->org->kept -= kept->bytes;
+		share_unref(kept->org);
+	}
+	*kept = (memory_kept_t){0};
+}
+
 /* Counts a refusal for the next log line of the budget. */
 void
 memory_account_refused(memory_account_t *account, memory_budget_t budget)
--- a/src/memory_account.h
+++ b/src/memory_account.h
@@ -39,6 +39,14 @@
 	TAILQ_ENTRY(memory_holder_t) entry;
 } memory_holder_t;
 
+/* A body that is kept; part of the structure of its request. */
+typedef struct memory_kept_t {
+	memory_account_t *account; /* NULL: nothing is kept */
+	memory_share_t *address;
+	memory_share_t *org; /* NULL: none */
+	size_t bytes;
+} memory_kept_t;
+
 memory_account_t *memory_account_new(size_t bytes);
 void memory_account_delete(memory_account_t *account);
 
@@ -69,6 +77,11 @@
 memory_holder_t *memory_account_stalled(
     const memory_account_t *account, double now, double seconds);
 
+bool memory_keep(memory_account_t *account, memory_kept_t *kept,
+    const char *address, size_t bytes);
+bool memory_keep_for(memory_kept_t *kept, str_t org);
+void memory_keep_end(memory_kept_t *kept);
+
 void memory_account_refused(memory_account_t *account, memory_budget_t budget);
 bool memory_account_should_log(memory_account_t *account,
     memory_budget_t budget, double now, uint64_t *refusals);
--- a/src/place_table.c
+++ b/src/place_table.c
@@ -1,6 +1,7 @@
 /* Divides a server's places for connections among its clients. */
 #include "place_table.h"
 
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -12,8 +13,12 @@
  */
 #define TURNOVER_DIVISOR 16
 #define MIN_TURNOVER	 1U
-/* Largest part of the places that requests of one address may hold. */
-#define ADDRESS_SHARE 0.75
+/*
+ * Requests of one address, or of one organisation, may hold this many times the
+ * places that are free of requests: 3/4 of all if no other has any, 3/7 beside
+ * an equal one, so that some are always left.
+ */
+#define REQUESTS_PER_FREE 3U
 /*
  * When most places are in use, connections without a request are closed: after
  * the published idle time-out, or that of a head if there was no request yet.
@@ -44,6 +49,7 @@
 	unsigned limit;
 	unsigned capacity; /* the limit without those for turnover */
 	unsigned count;	   /* without those that leave */
+	unsigned requests; /* reading or busy */
 	/* The longest silent one is first. */
 	struct place_list_t waiting;
 	struct place_list_t reading;
@@ -169,7 +175,10 @@
 
 	place->state = state;
 	table->count += state != PLACE_LEAVING;
-	share->requests += state == PLACE_READING || state == PLACE_BUSY;
+	if (state == PLACE_READING || state == PLACE_BUSY) {
+		share->requests++;
+		table->requests++;
+	}
 	if (state == PLACE_WAITING) {
 		waiting_insert(table, place);
 		share_set_rank(table, share, share->waiting_count + 1);
@@ -185,7 +194,15 @@
 	place_state_t state = place->state;
 
 	table->count -= state != PLACE_LEAVING;
-	share->requests -= state == PLACE_READING || state == PLACE_BUSY;
+	if (state == PLACE_READING || state == PLACE_BUSY) {
+		share->requests--;
+		table->requests--;
+	}
+	if (place->org != NULL) {
+		place->org->requests--;
+		share_unref(table, place->org);
+		place->org = NULL;
+	}
 	if (state == PLACE_WAITING) {
 		waiting_remove(table, place);
 		share_set_rank(table, share, share->waiting_count - 1);
@@ -250,15 +267,45 @@
 	return (table->count > table->capacity);
 }
 
+static bool
+share_may_begin(
+    const place_table_t *table, const place_share_t *share, unsigned requests)
+{
+	return (
+	    requests < table->capacity &&
+	    share->requests < REQUESTS_PER_FREE * (table->capacity - requests));
+}
+
+/* Returns whether the address of a waiting place may begin a request. */
+bool
+place_may_begin(const place_table_t *table, const place_t *place)
+{
+	return (share_may_begin(table, place->share, table->requests));
+}
+
 /*
- * Returns whether a waiting place may begin a request: requests of one address
- * hold at most ADDRESS_SHARE of the places, so that others get the rest.
+ * Notes that the request of a busy place is that of an organisation. Returns
+ * false if the organisation has its share; the request must then be refused.
  */
 bool
-place_may_begin(const place_table_t *table, const place_t *place)
+place_begin_for(place_table_t *table, place_t *place, str_t org)
 {
-	return ((double)place->share->requests <
-		(double)table->capacity * ADDRESS_SHARE);
+	char name[MAX_ADDRESS];
+	place_share_t *share;
+
+	if (place->state != PLACE_BUSY || place->org != NULL)
+		return (true);
+	/* Names may be long, and look like addresses. */
+	snprintf(name, sizeof(name), "org %016llx",
+	    (unsigned long long)str_hash(org, 0));
+	share = share_ref(table, name);
+	if (!share_may_begin(table, share, table->requests - 1)) {
+		share_unref(table, share);
+		return (false);
+	}
+	share->requests++;
+	place->org = share;
+	return (true);
 }
 
 /*
--- a/src/place_table.h
+++ b/src/place_table.h
@@ -24,6 +24,7 @@
 /* A connection. The fields are private to the table, except ctx. */
 typedef struct place_t {
 	place_share_t *share; /* of its address */
+	place_share_t *org;   /* of its request, or NULL */
 	place_state_t state;
 	bool served;	     /* a request has been completed */
 	double silent_since; /* last byte, or last response */
@@ -45,6 +46,7 @@
 
 bool place_table_is_short(const place_table_t *table);
 bool place_may_begin(const place_table_t *table, const place_t *place);
+bool place_begin_for(place_table_t *table, place_t *place, str_t org);
 place_t *place_table_waiting(const place_table_t *table, const place_t *except);
 place_t *place_table_stalled(const place_table_t *table, double now);
 place_t *place_table_idle(const place_table_t *table, double now);
--- a/tests/test_memory_account.c
+++ b/tests/test_memory_account.c
@@ -100,7 +100,52 @@
 	memory_account_delete(account);
 }
 
+/*
+ * Bodies of open requests of one address or organisation must leave room to
+ * others, and the largest body must be kept if it is alone.
+ */
+static void
+test_kept_shares(void)
+{
+	memory_account_t *account = memory_account_new(TOTAL);
+	size_t limit = memory_account_limit(account, MEMORY_BODIES);
+	size_t bytes = limit / 64;
+	memory_kept_t kept[HOLDERS] = {{0}};
+	memory_kept_t other = {0};
+	unsigned count = 0;
+
+	CU_ASSERT(memory_keep(
+	    account, &other, "b", 2 * memory_account_max_body(account)));
+	memory_keep_end(&other);
+	while (memory_keep(account, &kept[count], "a", bytes))
+		count++;
+	CU_ASSERT(count == 48);
+	CU_ASSERT(memory_keep(account, &other, "b", limit / 8));
+	CU_ASSERT(!memory_keep(account, &kept[count], "a", bytes));
+	memory_keep_end(&other);
+	for (unsigned i = 0; i < count; i++)
+		memory_keep_end(&kept[i]);
+	/* The same for an organisation with many addresses. */
+	for (count = 0; count < HOLDERS; count++) {
+		char address[16] = {
+		    (char)('0' + count / 10), (char)('0' + count % 10)};
+
+		CU_ASSERT(memory_keep(account, &kept[count], address, bytes));
+		if (!memory_keep_for(&kept[count], STR("greedy")))
+			break;
+	}
+	CU_ASSERT(count == 48);
+	CU_ASSERT(memory_keep_for(&kept[count], STR("other")));
+	CU_ASSERT(memory_keep_for(&kept[0], STR("greedy")));
+	for (unsigned i = 0; i <= count; i++)
+		memory_keep_end(&kept[i]);
+	memory_keep_end(&kept[0]);
+	CU_ASSERT(memory_account_used(account, MEMORY_BODIES) == 0);
+	memory_account_delete(account);
+}
+
 static const suite_test_t tests[] = {
+    {"shares of kept bodies", test_kept_shares},
     {"one client fits", test_one_client_fits},
     {"share of an address", test_address_share},
     {"who loses its room", test_victims},
--- a/tests/test_place_table.c
+++ b/tests/test_place_table.c
@@ -210,7 +210,60 @@
 	close_all(table);
 }
 
+/* Begins requests until one is refused; returns how many did. */
+static unsigned
+begin_requests(place_table_t *table, const char *address, const char *org)
+{
+	unsigned begun = 0;
+
+	for (;;) {
+		client_t *client = client_open(table, address, true, 0);
+
+		make_room(table, client, 0);
+		if (!place_may_begin(table, &client->place))
+			return (begun);
+		place_set_state(table, &client->place, PLACE_BUSY, 0);
+		if (!place_begin_for(table, &client->place, str_of(org))) {
+			client_close(table, client);
+			return (begun);
+		}
+		begun++;
+	}
+}
+
+/*
+ * Several addresses, or an organisation with many, must not take all places:
+ * each next one gets some, and an end of requests gives them back.
+ */
+static void
+test_requests_of_organisations(void)
+{
+	place_table_t *table = place_table_new(LIMIT);
+	unsigned capacity = place_table_capacity(table);
+	unsigned first = begin_requests(table, "a", "greedy");
+	unsigned second = begin_requests(table, "b", "other");
+	unsigned third = begin_requests(table, "c", "third");
+
+	CU_ASSERT(first == capacity * 3 / 4);
+	CU_ASSERT(second >= capacity / 8);
+	CU_ASSERT(third >= capacity / 64);
+	CU_ASSERT(first + second + third < capacity);
+	/* Another address of an organisation with its share gets nothing. */
+	CU_ASSERT(begin_requests(table, "d", "greedy") == 0);
+	CU_ASSERT(begin_requests(table, "d", "fourth") > 0);
+	close_all(table);
+	table = place_table_new(LIMIT);
+	CU_ASSERT(begin_requests(table, "e", "greedy") == first);
+	for (unsigned i = 0; i < client_count; i++)
+		if (clients[i].open)
+			place_set_state(
+			    table, &clients[i].place, PLACE_WAITING, 1);
+	CU_ASSERT(begin_requests(table, "f", "greedy") == first);
+	close_all(table);
+}
+
 static const suite_test_t tests[] = {
+    {"requests of organisations", test_requests_of_organisations},
     {"crowd of one address", test_crowd_of_one_address},
     {"crowd of many addresses", test_crowd_of_many_addresses},
     {"the longest silent connection", test_longest_silent},
