Setting prompt_cache: place requests by the cached parts of their prompt

With the setting, GRANT_REQUEST carries the chain of the prompt as a trailing element (15 bytes for two parts, at most 163), and the admitting host weighs the seconds of reading that an endpoint saves against its load, its reading and what it would evict. Where no endpoint holds a part, the hash of the prefix decides as before. Without the setting neither messages nor choices change.

--- a/src/admission.c
+++ b/src/admission.c
@@ -135,6 +135,7 @@
 void
 slot_grant_delete(admission_t *a, slot_grant_t *grant)
 {
+	slot_grant_end_prompt(grant);
 	grant_unlink(a, grant);
 	LIST_REMOVE(grant, bucket_entry);
 	LIST_REMOVE(grant, holder_entry);
@@ -187,6 +188,7 @@
 	LIST_INIT(&a->zones);
 	return_promises_init(&a->promises);
 	admission_counters_init(a);
+	admission_prompt_start(a);
 	a->usable_fraction = 1;
 	LIST_INIT(&a->orgs);
 	STAILQ_INIT(&a->actions);
@@ -223,7 +225,7 @@
 		free(item);
 	}
 	for (size_t i = 0; i < a->endpoint_count; i++)
-		free(a->endpoints[i]);
+		slot_endpoint_delete(a->endpoints[i]);
 	while ((zone = LIST_FIRST(&a->zones)) != NULL) {
 		LIST_REMOVE(zone, entry);
 		free(zone);
@@ -231,6 +233,7 @@
 	return_promises_clear(&a->promises);
 	free((void *)a->endpoints);
 	free(a->routes);
+	free(a->prompts);
 	free(a);
 }
 
@@ -427,6 +430,7 @@
 	    slot_holder_find_or_create(a, request->holder), org,
 	    request->class);
 	grant->prefix_hash = request->prefix_hash;
+	slot_grant_set_prompt(a, grant, request->chain);
 	grant->output_tokens = request->output_tokens;
 	grant->deadline = request->deadline;
 	grant->limited = request->limited;
@@ -472,8 +476,10 @@
 		return (false);
 	grant->holder->heard_at = now;
 	if (grant->endpoint != NULL) {
-		if (report != NULL)
+		if (report != NULL) {
+			slot_grant_report_prompt(a, grant, report, now);
 			slot_grant_handle_report(a, grant, report, now);
+		}
 		if (grant->class == GRANT_ONLINE) {
 			double held = now - grant->since;
 
--- a/src/admission.h
+++ b/src/admission.h
@@ -16,6 +16,7 @@
 	const char *zone;
 	unsigned slots;
 	bool leaving;
+	uint64_t started_ms; /* a change clears its cache; 0: unknown */
 } admission_endpoint_t;
 
 typedef struct admission_settings_t {
@@ -30,6 +31,9 @@
 	bool fair_scheduling;
 	/* The endpoints' measured speed and failing paths decide. */
 	bool measured_speed;
+	/* What endpoints cache of prompts decides. */
+	bool prompt_cache;
+	double prompt_cache_tokens; /* that an endpoint caches */
 } admission_settings_t;
 
 /* A request for a grant; strings are copied. */
@@ -46,10 +50,11 @@
 	double requests_per_s; /* 0: unlimited */
 	unsigned concurrency;  /* 0: unlimited */
 	uint64_t prefix_hash;
-	double deadline;	/* same clock as now */
-	double caller_deadline; /* of the response; 0: unknown */
-	double start_by;	/* latest start that is on time; 0: none */
-	const char *avoid;	/* endpoint it failed on; NULL or empty: none */
+	const prompt_chain_t *chain; /* parts of the prompt; NULL: none */
+	double deadline;	     /* same clock as now */
+	double caller_deadline;	     /* of the response; 0: unknown */
+	double start_by;	     /* latest start that is on time; 0: none */
+	const char *avoid; /* endpoint it failed on; NULL or empty: none */
 } admission_request_t;
 
 /* A grant, or a request for one, as listed in its holder's report. */
@@ -101,6 +106,9 @@
 	uint64_t promises_expired;
 	uint64_t granted_starved; /* out of order, against starvation */
 	uint64_t reclaimed;	  /* grants that their holder no longer had */
+	/* With prompt_cache only: tokens of granted requests. */
+	uint64_t prompt_tokens_cached; /* expected not to be read */
+	uint64_t prompt_tokens_unread;
 } admission_stats_t;
 
 /* Returns the slots of an endpoint a holder may use without coordination. */
--- a/src/admission_endpoints.c
+++ b/src/admission_endpoints.c
@@ -158,6 +158,14 @@
 	return (endpoint);
 }
 
+/* Frees an endpoint without grants. */
+void
+slot_endpoint_delete(slot_endpoint_t *endpoint)
+{
+	prompt_cache_clear(&endpoint->prompts);
+	free(endpoint);
+}
+
 /* Removes endpoints neither configured nor in use and sorts the others. */
 static void
 endpoints_prune(admission_t *a)
@@ -170,7 +178,7 @@
 		if (e->configured || e->in_use > 0)
 			a->endpoints[kept++] = e;
 		else
-			free(e);
+			slot_endpoint_delete(e);
 	}
 	a->endpoint_count = kept;
 	if (kept > 0)
@@ -231,6 +239,7 @@
 		    str_of(config->address));
 		str_copy(e->zone, sizeof(e->zone), str_of(config->zone));
 		e->slots = config->slots;
+		slot_endpoint_set_started(e, config->started_ms, now);
 		e->leaving = config->leaving;
 		e->configured = true;
 		limiter_set_slots(&e->limiter, config->slots);
--- a/src/admission_schedule.c
+++ b/src/admission_schedule.c
@@ -103,6 +103,7 @@
 		admission_cost_params(a, grant, &cost);
 		params.cost = &cost;
 	}
+	admission_prompt_params(a, grant, &cost, &params, now);
 	exclude_failed(a, grant, &params, now);
 	if (now < a->restricted_until)
 		routes_apply_allowance(a, grant);
@@ -199,6 +200,7 @@
 	org->virtual_start[class] += 1.0 / (org->weight > 0 ? org->weight : 1);
 	grant->state = SLOT_HELD;
 	slot_endpoint_hold(a, grant, endpoint, now);
+	slot_grant_begin_prompt(a, grant, now);
 	if (class == GRANT_BATCH) {
 		quota_take(&org->quota, now, BATCH_QUOTA_RESERVE);
 		slot_batch_held_insert(a, grant);
--- a/src/admission_state.h
+++ b/src/admission_state.h
@@ -10,7 +10,9 @@
 #include "ejector.h"
 #include "endpoint_speed.h"
 #include "limiter.h"
+#include "linear_fit.h"
 #include "path_failures.h"
+#include "prompt_cache.h"
 #include "quota.h"
 #include "return_promises.h"
 #include "route.h"
@@ -91,6 +93,9 @@
 	uint64_t answered_holder; /* that got it; hash of the name */
 	endpoint_speed_t speed;
 	bool slow; /* as logged last */
+	prompt_cache_t prompts;
+	uint64_t started_ms;  /* 0: unknown */
+	double reading_until; /* prompts of granted requests */
 	LIST_HEAD(, slot_grant_t) grants;
 	size_t route_index; /* in endpoints and routes of admission_t */
 	bool configured;
@@ -119,6 +124,11 @@
 	char zone[NAME_SIZE];
 	char avoid[ENDPOINT_NAME_SIZE];
 	uint64_t prefix_hash;
+	prompt_chain_t *chain;	/* NULL: not considered */
+	double cached_tokens;	/* expected when it was granted */
+	double unread_tokens;	/* likewise */
+	double reading_wait;	/* likewise, seconds */
+	bool prompt_ran;	/* the endpoint has read the prompt */
 	unsigned output_tokens; /* maximum; 0: unknown */
 	unsigned running;	/* on the endpoint when it was granted */
 	unsigned priority;
@@ -161,6 +171,10 @@
 	unsigned waiting[ADMISSION_CLASSES];
 	double virtual_time[ADMISSION_CLASSES];
 	pool_speed_t speed;
+	linear_fit_t reading;	 /* first event, by unread tokens */
+	linear_fit_t runs;	 /* run time, by maximum output tokens */
+	route_prompt_t *prompts; /* scratch, parallel to endpoints */
+	double prompt_logged_at;
 	double mean_hold_s; /* EWMA over online grants */
 	slot_rate_t slot_rate;
 	return_promises_t promises;
@@ -175,6 +189,11 @@
 	double refusals_logged_since;
 	unsigned refusals_logged;
 	counter_t *metrics[FAIR_EVENTS];
+	counter_t *prompt_cached;
+	counter_t *prompt_unread;
+	histogram_t *prompt_saved;
+	histogram_t *prompt_wait;
+	histogram_t *prompt_first_event[2]; /* unread; a part was cached */
 	LIST_HEAD(, slot_zone_t) zones;
 	unsigned schedule_round;
 	unsigned revoking;
@@ -201,6 +220,7 @@
 
 /* admission_endpoints.c */
 slot_endpoint_t *slot_endpoint_find(const admission_t *a, str_t name);
+void slot_endpoint_delete(slot_endpoint_t *endpoint);
 unsigned slot_endpoint_capacity(const slot_endpoint_t *endpoint, double now);
 void slot_endpoint_hold(
     admission_t *a, slot_grant_t *grant, slot_endpoint_t *endpoint, double now);
@@ -229,6 +249,20 @@
 void admission_speed_stats(const admission_t *a, admission_stats_t *out);
 void admission_cost_params(const admission_t *a, const slot_grant_t *grant,
     struct route_cost_params_t *out);
+
+/* admission_prompt.c */
+void admission_prompt_start(admission_t *a);
+bool admission_prompt_params(admission_t *a, const slot_grant_t *grant,
+    struct route_cost_params_t *cost, route_params_t *params, double now);
+void slot_grant_set_prompt(
+    const admission_t *a, slot_grant_t *grant, const prompt_chain_t *chain);
+void slot_grant_begin_prompt(admission_t *a, slot_grant_t *grant, double now);
+void slot_grant_report_prompt(admission_t *a, slot_grant_t *grant,
+    const grant_report_t *report, double now);
+void slot_grant_end_prompt(slot_grant_t *grant);
+void slot_endpoint_set_started(
+    slot_endpoint_t *endpoint, uint64_t started_ms, double now);
+
 /* admission_share.c */
 double moving_rate_at(const moving_rate_t *rate, double now);
 void moving_rate_add(moving_rate_t *rate, double now);
--- a/src/dialect.h
+++ b/src/dialect.h
@@ -8,6 +8,7 @@
 #include "endpoint_set.h"
 #include "httpd.h"
 #include "job.h"
+#include "prompt_chain.h"
 #include "prompt_parts.h"
 #include "routing_table.h"
 
@@ -20,6 +21,7 @@
 	unsigned output_tokens; /* maximum */
 	uint64_t prefix_hash;	/* of the shared prompt prefix; 0: none */
 	prompt_parts_t parts;	/* shared parts of the prompt */
+	prompt_chain_t chain;	/* all parts of the prompt with tokens */
 	bool resumes;		/* continues an interrupted response */
 	uint64_t last_event;	/* received by the caller, if resumes */
 } request_info_t;
--- a/src/forward.c
+++ b/src/forward.c
@@ -439,6 +439,7 @@
 		.limited = limited,
 		.output_tokens = f->info.output_tokens,
 		.prefix_hash = f->info.prefix_hash,
+		.chain = &f->info.chain,
 		.deadline = fmin(f->state.deadline,
 		    forward_queue_deadline(f->route, f->info.caller_timeout,
 			f->state.response_started, f->arrived_at, now)),
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -202,6 +202,8 @@
 	    .mode = GRANTS_POOL,
 	    .fair_scheduling = settings->fair_scheduling,
 	    .measured_speed = settings->measured_speed,
+	    .prompt_cache = settings->prompt_cache,
+	    .prompt_cache_tokens = settings->prompt_cache_tokens,
 	    .quota_tolerance =
 		{
 		    .window_s = settings->quota_window_s,
@@ -211,6 +213,7 @@
 	    .config = get_fleet_config,
 	    .members = get_members,
 	    .endpoint_leaving = gateway_endpoint_leaving,
+	    .endpoint_started_ms = gateway_endpoint_started_ms,
 	    .on_endpoint_leaving = gateway_on_reported_leaving,
 	    .on_admitting_host_changed = gateway_on_admitting_host_changed,
 	    .ctx = gateway,
--- a/src/gateway_settings.c
+++ b/src/gateway_settings.c
@@ -76,6 +76,16 @@
 	.description = "Place requests by the endpoints' measured speed, fill "
 		       "new endpoints slowly, and avoid endpoints that only "
 		       "this host cannot reach"},
+    {.name = "prompt_cache",
+	.type = SCHEMA_BOOL,
+	.initial = "no",
+	.choices = "no|yes",
+	.offset = offsetof(gateway_settings_t, prompt_cache),
+	.description = "Place requests by the parts of their prompt that "
+		       "endpoints are expected to cache"},
+    NUMBER(prompt_cache_tokens, SCHEMA_NUMBER, "tokens", "100000", 1, 1e8,
+	"Tokens of prompts that an endpoint is expected to cache beside the "
+	"requests that it runs"),
     NUMBER(quota_window_s, SCHEMA_NUMBER, "s", "5", 0, 3600,
 	"Length of the windows in which limits of organisations are judged"),
     NUMBER(quota_overshoot, SCHEMA_NUMBER, NULL, "0", 0, 1,
--- a/src/gateway_settings.h
+++ b/src/gateway_settings.h
@@ -27,6 +27,8 @@
 	unsigned revoke_ms;   /* until a revoked key is refused; 0: no limit */
 	bool fair_scheduling; /* see admission_settings_t */
 	bool measured_speed;  /* likewise */
+	bool prompt_cache;    /* likewise */
+	double prompt_cache_tokens;
 	/* Tolerance of the limits of organisations. */
 	double quota_window_s;
 	double quota_overshoot;
--- a/src/grants.c
+++ b/src/grants.c
@@ -116,6 +116,7 @@
 	LIST_REMOVE(grant, pool_entry);
 	LIST_REMOVE(grant, bucket_entry);
 	grants->open_count--;
+	free(grant->chain);
 	free(grant);
 }
 
@@ -321,6 +322,9 @@
 	grant->params.pool = grant->pool->name;
 	grant->params.org = grant->org;
 	grant->params.avoid_endpoint = grant->avoid;
+	if (grants->params.prompt_cache)
+		grant->chain = prompt_chain_copy(params->chain);
+	grant->params.chain = grant->chain;
 	grant_assign_id(grant);
 	LIST_INSERT_HEAD(&grant->pool->own_grants, grant, pool_entry);
 	grants->open_count++;
--- a/src/grants.h
+++ b/src/grants.h
@@ -7,6 +7,7 @@
 #include "name.h"
 #include "org_quota.h"
 #include "peer.h"
+#include "prompt_chain.h"
 
 typedef struct grants_t grants_t;
 typedef struct grant_t grant_t;
@@ -44,12 +45,13 @@
 	const char *org;
 	unsigned priority; /* 0 is the most urgent */
 	bool limited;	   /* counts against the organisation's rate limit */
-	unsigned output_tokens;	    /* maximum; 0: unknown */
-	uint64_t prefix_hash;	    /* of the prompt prefix; 0: none */
-	double deadline;	    /* clock_monotonic() seconds */
-	double caller_deadline;	    /* of the response; 0: unknown */
-	double start_by;	    /* latest on-time start; 0: unspecified */
-	const char *avoid_endpoint; /* one that just failed; NULL: none */
+	unsigned output_tokens;	     /* maximum; 0: unknown */
+	uint64_t prefix_hash;	     /* of the prompt prefix; 0: none */
+	const prompt_chain_t *chain; /* parts of the prompt; NULL: none */
+	double deadline;	     /* clock_monotonic() seconds */
+	double caller_deadline;	     /* of the response; 0: unknown */
+	double start_by;	     /* latest on-time start; 0: unspecified */
+	const char *avoid_endpoint;  /* one that just failed; NULL: none */
 	grant_cb_t on_grant;
 	grant_revoke_cb_t on_revoke;
 	void *ctx;
@@ -86,6 +88,8 @@
 	grants_mode_t mode;
 	bool fair_scheduling;		 /* see admission_settings_t */
 	bool measured_speed;		 /* likewise */
+	bool prompt_cache;		 /* likewise */
+	double prompt_cache_tokens;	 /* likewise */
 	org_tolerance_t quota_tolerance; /* beyond limits of organisations */
 	/* Returns the active configuration; NULL until one has been loaded. */
 	const fleet_config_t *(*config)(void *ctx);
@@ -93,6 +97,8 @@
 	size_t (*members)(void *ctx, const member_t **out);
 	/* Returns whether the platform lists the endpoint as leaving. */
 	bool (*endpoint_leaving)(void *ctx, const config_endpoint_t *endpoint);
+	/* When the endpoint started; 0: unknown. NULL: all are unknown. */
+	uint64_t (*endpoint_started_ms)(void *ctx, const char *endpoint);
 	/* Another host reports that an endpoint said that it leaves. */
 	void (*on_endpoint_leaving)(
 	    void *ctx, str_t endpoint, uint64_t started_ms);
--- a/src/grants_admit.c
+++ b/src/grants_admit.c
@@ -78,6 +78,9 @@
 		list[i].slots = e->slots;
 		list[i].leaving =
 		    grants->params.endpoint_leaving(grants->params.ctx, e);
+		if (grants->params.endpoint_started_ms != NULL)
+			list[i].started_ms = grants->params.endpoint_started_ms(
+			    grants->params.ctx, e->name);
 	}
 	if (p != NULL) {
 		settings.online_reserve = p->online_reserve;
@@ -86,6 +89,9 @@
 		settings.by_priority = config->has_orgs;
 		settings.fair_scheduling = grants->params.fair_scheduling;
 		settings.measured_speed = grants->params.measured_speed;
+		settings.prompt_cache = grants->params.prompt_cache;
+		settings.prompt_cache_tokens =
+		    grants->params.prompt_cache_tokens;
 		/* Hosts send nothing to one that has lost the role. */
 		if (pool->is_admitting)
 			settings.silent_after = SILENT_AFTER_S;
@@ -196,6 +202,7 @@
 	    .limited = grant->params.limited,
 	    .output_tokens = grant->params.output_tokens,
 	    .prefix_hash = grant->params.prefix_hash,
+	    .chain = grant->chain,
 	    .deadline = grant->params.deadline,
 	    .caller_deadline = grant->params.caller_deadline,
 	    .start_by = grant->params.start_by,
@@ -317,6 +324,7 @@
 	ask.limited = m.limited;
 	ask.output_tokens = m.output_tokens;
 	ask.prefix_hash = m.prefix_hash;
+	ask.chain = &m.chain;
 	ask.deadline = now + m.remaining;
 	if (m.caller_remaining > 0)
 		ask.caller_deadline = now + m.caller_remaining;
--- a/src/grants_state.h
+++ b/src/grants_state.h
@@ -101,8 +101,9 @@
 	grant_params_t params;
 	char org[NAME_SIZE];
 	char avoid[ENDPOINT_NAME_SIZE];
-	char granted_by[48]; /* address; empty: this host or none */
-	bool at_deputy;	     /* the deputy decides, see grants_deputy.c */
+	prompt_chain_t *chain; /* with prompt_cache only; NULL: none */
+	char granted_by[48];   /* address; empty: this host or none */
+	bool at_deputy;	       /* the deputy decides, see grants_deputy.c */
 	double retry_at;
 	peer_call_t *call;
 	int rc;
--- a/src/grants_wire.c
+++ b/src/grants_wire.c
@@ -36,6 +36,39 @@
 	return (reader->left > 0 ? wire_read_double(reader) : INFINITY);
 }
 
+/*
+ * Packs the parts of a prompt as pairs of hash and tokens: 15 bytes for 2 parts
+ * of 128 to 255 tokens, at most 163.
+ */
+static void
+pack_chain(msgpack_packer *packer, const prompt_chain_t *chain)
+{
+	msgpack_pack_array(packer, 2 * chain->count);
+	for (size_t i = 0; i < chain->count; i++) {
+		msgpack_pack_uint32(packer, chain->links[i].hash);
+		msgpack_pack_uint32(packer, chain->links[i].tokens);
+	}
+}
+
+/* Further parts, and all of a malformed list, are ignored. */
+static void
+read_chain(wire_reader_t *reader, prompt_chain_t *out)
+{
+	wire_reader_t list = wire_read_array(reader);
+
+	while (!list.fault && list.left > 0 && out->count < PROMPT_CHAIN_MAX) {
+		uint64_t hash = wire_read_u64(&list);
+		uint64_t tokens = wire_read_u64(&list);
+
+		if (hash > UINT32_MAX || tokens > PROMPT_MAX_TOKENS)
+			list.fault = true;
+		out->links[out->count++] = (prompt_link_t){
+		    .hash = (uint32_t)hash, .tokens = (uint32_t)tokens};
+	}
+	if (list.fault)
+		out->count = 0;
+}
+
 /* GRANT_REQUEST. Times are sent as durations, because clocks differ. */
 void
 grants_pack_ask(buf_t *out, const grant_t *grant, double now)
@@ -43,7 +76,7 @@
 	msgpack_packer packer;
 
 	wire_packer_init(&packer, out);
-	msgpack_pack_array(&packer, 14);
+	msgpack_pack_array(&packer, grant->chain != NULL ? 15 : 14);
 	msgpack_pack_uint64(&packer, grant->id);
 	wire_pack_str(&packer, str_of(grant->pool->name));
 	msgpack_pack_uint64(&packer, grant->params.class);
@@ -58,6 +91,8 @@
 	wire_pack_bool(&packer, grant->params.limited);
 	msgpack_pack_uint64(&packer, grant->params.output_tokens);
 	msgpack_pack_double(&packer, grant_caller_seconds(grant, now));
+	if (grant->chain != NULL)
+		pack_chain(&packer, grant->chain);
 }
 
 static grant_class_t
@@ -91,6 +126,8 @@
 	}
 	if (reader.left > 0)
 		out->caller_remaining = wire_read_double(&reader);
+	if (reader.left > 0)
+		read_chain(&reader, &out->chain);
 	return (!reader.fault);
 }
 
--- a/src/grants_wire.h
+++ b/src/grants_wire.h
@@ -18,6 +18,7 @@
 	bool limited;
 	unsigned output_tokens;
 	uint64_t prefix_hash;
+	prompt_chain_t chain;	 /* empty: unknown */
 	double remaining;	 /* seconds until the deadline */
 	double caller_remaining; /* until the caller's; 0: unknown */
 	double slack; /* seconds until the latest on-time start, or INFINITY */
--- a/src/route.c
+++ b/src/route.c
@@ -18,6 +18,12 @@
  * so that work does not collect on one of several equal endpoints.
  */
 #define COST_SPREAD 0.05
+/*
+ * Where it is known what endpoints cache, costs of equal endpoints are raised
+ * by up to this fraction in the order of prefix affinity, so that requests of a
+ * prefix spread to the same endpoints. It is below what a short part saves.
+ */
+#define AFFINITY_SPREAD 0.001
 
 static bool
 names_equal(const char *a, const char *b)
@@ -149,6 +155,23 @@
 	return (best);
 }
 
+/* Returns what the cached parts save, as a fraction of the mean run. */
+static double
+prompt_saving(const route_prompt_t *prompt, const route_cost_params_t *cost)
+{
+	return ((prompt->saved_s - prompt->evicted_s - prompt->wait_s) /
+		route_cost_mean_run(cost));
+}
+
+/* Returns a number up to 1 that is lowest where prefix affinity is highest. */
+static double
+affinity_rank(const route_endpoint_t *endpoint, uint64_t prefix_hash)
+{
+	uint64_t hash = str_hash(str_of(endpoint->name), prefix_hash);
+
+	return (1 - (double)hash / (double)UINT64_MAX);
+}
+
 /* Picks one of least cost among those below limit, see pick_cheapest(). */
 static size_t
 pick_cheapest_within(const route_endpoint_t *endpoints, size_t count,
@@ -170,8 +193,15 @@
 		if (!has_capacity(e, params) || (sound_only && e->suspect) ||
 		    (soft_limits && e->in_use >= e->soft_capacity))
 			continue;
+		if (params->prompts != NULL)
+			relation.prompt_saving =
+			    prompt_saving(&params->prompts[i], params->cost);
 		cost = route_cost(e, params->cost, &relation);
-		cost += COST_SPREAD * fabs(cost) * rng_uniform(rng);
+		if (params->prompts != NULL)
+			cost += AFFINITY_SPREAD * fabs(cost) *
+				affinity_rank(e, params->prefix_hash);
+		else
+			cost += COST_SPREAD * fabs(cost) * rng_uniform(rng);
 		if (cost < least) {
 			least = cost;
 			best = i;
@@ -191,7 +221,7 @@
 	size_t affine = ROUTE_NONE;
 	size_t best;
 
-	if (params->prefix_hash != 0)
+	if (params->prefix_hash != 0 && params->prompts == NULL)
 		affine = pick_affine(
 		    endpoints, count, preferred_zone(params), params);
 	best = pick_cheapest_within(
@@ -234,7 +264,8 @@
  * those whose load stays within 1.25 times the mean (rendezvous hashing with
  * bounded loads); without a prefix, or if all exceed the bound, it is the least
  * loaded one. With costs it is one of the least cost, of which zone and prefix
- * are terms. Returns its index or ROUTE_NONE.
+ * are terms, or the cached parts of the prompt where they are known. Returns
+ * its index or ROUTE_NONE.
  */
 size_t
 route_pick(const route_endpoint_t *endpoints, size_t count,
--- a/src/route.h
+++ b/src/route.h
@@ -21,6 +21,13 @@
 	unsigned soft_capacity;
 } route_endpoint_t;
 
+/* Seconds that what an endpoint caches of prompts means for a request. */
+typedef struct route_prompt_t {
+	double saved_s;	  /* of reading */
+	double evicted_s; /* of reading again what it would evict */
+	double wait_s;	  /* until the endpoint has read other prompts */
+} route_prompt_t;
+
 struct route_cost_params_t;
 
 typedef struct route_params_t {
@@ -31,6 +38,11 @@
 	    avoid_suspects; /* use suspect endpoints only if no other is free */
 	/* The least cost decides, see route_cost.h; NULL: the load alone. */
 	const struct route_cost_params_t *cost;
+	/*
+	 * By endpoint; needs cost. NULL: what is cached is unknown, and
+	 * prefix_hash decides.
+	 */
+	const route_prompt_t *prompts;
 	/* Endpoints to exclude until then; NULL: none. */
 	const path_failures_t *unreachable;
 	double now;
--- a/src/route_cost.c
+++ b/src/route_cost.c
@@ -38,6 +38,16 @@
 	return (seconds);
 }
 
+/* Returns the seconds that the request is expected to run on an average
+ * endpoint with nothing else on it. */
+double
+route_cost_mean_run(const route_cost_params_t *params)
+{
+	double mean = params->mean_seconds > 0 ? params->mean_seconds : 1;
+
+	return (params->events * mean);
+}
+
 /*
  * Returns the cost in seconds: the wait for a slot and the run, at the load
  * that the request itself brings about, more in another zone, less with a part
@@ -48,8 +58,7 @@
 route_cost(const route_endpoint_t *endpoint, const route_cost_params_t *params,
     const route_relation_t *relation)
 {
-	double mean = params->mean_seconds > 0 ? params->mean_seconds : 1;
-	double mean_run = params->events * mean;
+	double mean_run = route_cost_mean_run(params);
 	double capacity = fmax(1, endpoint->capacity);
 	double running = fmin(endpoint->in_use + 1.0, capacity);
 	double run = params->events * rated_seconds(endpoint, params) *
--- a/src/route_cost.h
+++ b/src/route_cost.h
@@ -16,11 +16,12 @@
 	bool in_zone; /* or the request prefers no zone */
 	/*
 	 * Fraction of the mean run that the endpoint saves because it probably
-	 * holds a part of the prompt.
+	 * holds a part of the prompt; below 0 if it loses more.
 	 */
 	double prompt_saving;
 } route_relation_t;
 
+double route_cost_mean_run(const route_cost_params_t *params);
 double route_cost(const route_endpoint_t *endpoint,
     const route_cost_params_t *params, const route_relation_t *relation);
 
