prompt_cache: read a part once more where detours have cost as much

Cause: a long part that all share stayed with its first endpoints; requests crossed zones and ran beside others for the whole time. What requests pay for going to a holder is summed by part; once it reaches the cost of reading the part, one request reads it elsewhere.

--- a/src/admission.h
+++ b/src/admission.h
@@ -109,6 +109,7 @@
 	/* With prompt_cache only: tokens of granted requests. */
 	uint64_t prompt_tokens_cached; /* expected not to be read */
 	uint64_t prompt_tokens_unread;
+	uint64_t prompt_copies; /* parts read once more, to spare detours */
 } admission_stats_t;
 
 /* Returns the slots of an endpoint a holder may use without coordination. */
--- a/src/admission_prompt.c
+++ b/src/admission_prompt.c
@@ -44,6 +44,9 @@
 	a->prompt_unread = counter_get("daisypier_prompt_tokens_unread_total",
 	    "Tokens of granted prompts that their endpoint is expected to "
 	    "read");
+	a->prompt_copied = counter_get("daisypier_prompt_copies_total",
+	    "Requests placed so that one more endpoint reads parts of their "
+	    "prompt, which many others share");
 	a->prompt_saved = histogram_get("daisypier_prompt_saved_seconds",
 	    "Seconds of reading expected to be saved by a granted request");
 	a->prompt_wait = histogram_get("daisypier_prompt_wait_seconds",
@@ -136,6 +139,42 @@
 	return (true);
 }
 
+/*
+ * Picks the endpoint of a request. One that holds parts of its prompt is left
+ * for the best of all others when the detours of earlier requests to such have
+ * cost as much as reading the parts once more.
+ */
+size_t
+admission_pick(admission_t *a, const slot_grant_t *grant,
+    const route_params_t *params, double now)
+{
+	size_t count = a->endpoint_count;
+	size_t holder = route_pick(a->routes, count, params, &a->rng);
+	const prompt_chain_t *chain = grant->chain;
+	route_params_t ignoring = *params;
+	double cost;
+	double reading;
+	size_t best;
+
+	if (params->prompts == NULL || holder == ROUTE_NONE)
+		return (holder);
+	ignoring.ignore_cached = true;
+	best = route_pick(a->routes, count, &ignoring, &a->rng);
+	reading = route_reading_cost(
+	    a->prompts[holder].saved_s - a->prompts[best].saved_s);
+	if (best == holder || reading <= 0)
+		return (holder);
+	cost = route_prompt_cost(&a->routes[holder], holder, params) -
+	       route_prompt_cost(&a->routes[best], best, params);
+	if (prompt_detour_pays(&a->detours,
+		chain->links[chain->count > 1 ? chain->count - 2 : 0].hash,
+		fmax(0, cost), reading, now))
+		return (holder);
+	counter_add(a->prompt_copied, 1);
+	a->counters.prompt_copies++;
+	return (best);
+}
+
 /*
  * Sets the prompt of a new request (NULL: none). Callers state the tokens; a
  * prompt that exceeds the memory of an endpoint can't be cached, and would make
@@ -201,7 +240,8 @@
 	LOG_INFO("prompt_placed",
 	    "endpoint=%s parts=%zu cached=%.0f unread=%.0f saved_ms=%.2f "
 	    "wait_ms=%.2f running=%u first_event_ms=%.2f run_ms=%.1f "
-	    "read_us_per_token=%.1f cached_total=%llu unread_total=%llu",
+	    "read_us_per_token=%.1f cached_total=%llu unread_total=%llu "
+	    "copies=%llu",
 	    grant->endpoint->id.name, grant->chain->count, grant->cached_tokens,
 	    grant->unread_tokens,
 	    grant->cached_tokens * seconds_per_token(a) * 1e3,
@@ -209,7 +249,8 @@
 	    report->first_token_seconds * 1e3, report->run_seconds * 1e3,
 	    seconds_per_token(a) * 1e6,
 	    (unsigned long long)a->counters.prompt_tokens_cached,
-	    (unsigned long long)a->counters.prompt_tokens_unread);
+	    (unsigned long long)a->counters.prompt_tokens_unread,
+	    (unsigned long long)a->counters.prompt_copies);
 }
 
 /* Applies the outcome of a granted request. */
--- a/src/admission_schedule.c
+++ b/src/admission_schedule.c
@@ -107,7 +107,7 @@
 	exclude_failed(a, grant, &params, now);
 	if (now < a->restricted_until)
 		routes_apply_allowance(a, grant);
-	i = route_pick(a->routes, a->endpoint_count, &params, &a->rng);
+	i = admission_pick(a, grant, &params, now);
 	if (now < a->restricted_until)
 		slot_endpoints_refresh_capacity(a, now);
 	return (i == ROUTE_NONE ? NULL : a->endpoints[i]);
--- a/src/admission_state.h
+++ b/src/admission_state.h
@@ -13,6 +13,7 @@
 #include "linear_fit.h"
 #include "path_failures.h"
 #include "prompt_cache.h"
+#include "prompt_detour.h"
 #include "quota.h"
 #include "return_promises.h"
 #include "route.h"
@@ -174,6 +175,7 @@
 	linear_fit_t reading;	 /* first event, by unread tokens */
 	linear_fit_t runs;	 /* run time, by maximum output tokens */
 	route_prompt_t *prompts; /* scratch, parallel to endpoints */
+	prompt_detour_t detours;
 	double prompt_logged_at;
 	double mean_hold_s; /* EWMA over online grants */
 	slot_rate_t slot_rate;
@@ -191,6 +193,7 @@
 	counter_t *metrics[FAIR_EVENTS];
 	counter_t *prompt_cached;
 	counter_t *prompt_unread;
+	counter_t *prompt_copied;
 	histogram_t *prompt_saved;
 	histogram_t *prompt_wait;
 	histogram_t *prompt_first_event[2]; /* unread; a part was cached */
@@ -254,6 +257,8 @@
 void admission_prompt_start(admission_t *a);
 bool admission_prompt_params(admission_t *a, const slot_grant_t *grant,
     struct route_cost_params_t *cost, route_params_t *params, double now);
+size_t admission_pick(admission_t *a, const slot_grant_t *grant,
+    const route_params_t *params, double now);
 void slot_grant_set_prompt(
     const admission_t *a, slot_grant_t *grant, const prompt_chain_t *chain);
 void slot_grant_begin_prompt(admission_t *a, slot_grant_t *grant, double now);
--- a/src/route.c
+++ b/src/route.c
@@ -28,10 +28,10 @@
  * A second until the first event weighs as much as this many of the run, which
  * a caller reads as it comes. With 1, requests with short shared parts leave
  * each endpoint that runs another, and a fifth of the shared tokens is read
- * again; with 10 half as many are, and runs are 1 to 2 in 100 longer
+ * again; with 15 half as many are, and runs are 1 in 100 longer
  * (test_prompt_placement).
  */
-#define PROMPT_WEIGHT 10.0
+#define PROMPT_WEIGHT 15.0
 /*
  * Cached parts count only up to this multiple of the mean load, so that a part
  * that many share is read by more endpoints before the first ones are full. A
@@ -196,12 +196,12 @@
  * they count PROMPT_WEIGHT times.
  */
 static double
-prompt_saving(const route_prompt_t *prompt, bool in_zone, bool in_limit,
+prompt_saving(const route_prompt_t *prompt, bool in_zone, bool counts_cached,
     const route_cost_params_t *cost)
 {
 	double saved = -prompt->evicted_s - prompt->wait_s;
 
-	if (in_limit)
+	if (counts_cached)
 		saved += prompt->saved_s;
 	if (!in_zone)
 		saved -= ZONE_ROUND_TRIP_S;
@@ -217,6 +217,29 @@
 	return (1 - (double)hash / (double)UINT64_MAX);
 }
 
+/*
+ * Returns the cost of the endpoint with index i if the whole prompt had to be
+ * read there.
+ */
+double
+route_prompt_cost(
+    const route_endpoint_t *endpoint, size_t i, const route_params_t *params)
+{
+	route_relation_t relation = {
+	    .in_zone = in_zone(endpoint, preferred_zone(params))};
+
+	relation.prompt_saving = prompt_saving(
+	    &params->prompts[i], relation.in_zone, false, params->cost);
+	return (route_cost(endpoint, params->cost, &relation));
+}
+
+/* Returns the cost of reading a prompt for some seconds. */
+double
+route_reading_cost(double seconds)
+{
+	return (PROMPT_WEIGHT * seconds);
+}
+
 /* Picks one of least cost among those below limit, see pick_cheapest(). */
 static size_t
 pick_cheapest_within(const route_endpoint_t *endpoints, size_t count,
@@ -241,9 +264,10 @@
 		    (soft_limits && e->in_use >= e->soft_capacity))
 			continue;
 		if (params->prompts != NULL)
-			relation.prompt_saving =
-			    prompt_saving(&params->prompts[i], relation.in_zone,
-				e->in_use + 1 <= limit, params->cost);
+			relation.prompt_saving = prompt_saving(
+			    &params->prompts[i], relation.in_zone,
+			    !params->ignore_cached && e->in_use + 1 <= limit,
+			    params->cost);
 		cost = route_cost(e, params->cost, &relation);
 		if (params->prompts != NULL)
 			cost += AFFINITY_SPREAD * fabs(cost) *
--- a/src/route.h
+++ b/src/route.h
@@ -43,6 +43,7 @@
 	 * prefix_hash decides.
 	 */
 	const route_prompt_t *prompts;
+	bool ignore_cached; /* as if all had to read the whole prompt */
 	/* Endpoints to exclude until then; NULL: none. */
 	const path_failures_t *unreachable;
 	double now;
@@ -52,6 +53,9 @@
     const route_endpoint_t *endpoint, const route_params_t *params);
 size_t route_pick(const route_endpoint_t *endpoints, size_t count,
     const route_params_t *params, rng_t *rng);
+double route_prompt_cost(
+    const route_endpoint_t *endpoint, size_t i, const route_params_t *params);
+double route_reading_cost(double seconds);
 size_t route_two_choices(const route_endpoint_t *endpoints, size_t count,
     const char *avoid, rng_t *rng);
 
