prompt_cache: compare endpoints without walking their entries

A request cost 250 us of processor time in a pool of 204 endpoints with full models (6.5 us without prompt_cache), nearly all in prompt_cache_look().

--- a/src/admission_prompt.c
+++ b/src/admission_prompt.c
@@ -118,7 +118,7 @@
 		if (a->routes[i].in_use < a->routes[i].capacity)
 			prompt_cache_look(&e->prompts, grant->chain,
 			    a->settings.prompt_cache_tokens,
-			    grant->output_tokens, now, &outlook);
+			    grant->output_tokens, &outlook);
 		cached |= outlook.cached_tokens > 0;
 		a->prompts[i] = (route_prompt_t){
 		    .saved_s = outlook.cached_tokens * per_token,
@@ -204,8 +204,7 @@
 	if (grant->chain == NULL)
 		return;
 	prompt_cache_look(&endpoint->prompts, grant->chain,
-	    a->settings.prompt_cache_tokens, grant->output_tokens, now,
-	    &outlook);
+	    a->settings.prompt_cache_tokens, grant->output_tokens, &outlook);
 	grant->cached_tokens = outlook.cached_tokens;
 	grant->unread_tokens = outlook.unread_tokens;
 	grant->reading_wait = reading_wait(endpoint, now);
--- a/src/prompt_cache.c
+++ b/src/prompt_cache.c
@@ -26,6 +26,8 @@
  * probability of one half before it would be evicted anyway.
  */
 #define REUSE_S 20.0
+/* Part of the memory that counts as evicted next. */
+#define TAIL_FRACTION 0.125
 
 static uint32_t
 time_used(double now)
@@ -82,43 +84,67 @@
 	return (true);
 }
 
+static bool
+filter_has(const prompt_cache_t *cache, uint32_t hash)
+{
+	uint64_t word = cache->filter[hash / 64 % PROMPT_FILTER_WORDS];
+
+	return ((word >> hash % 64 & 1) != 0);
+}
+
+/* Updates what prompt_cache_look() goes by without walking. */
+static void
+cache_summarise(prompt_cache_t *cache, double memory, double now)
+{
+	walk_t walk = {.cache = cache};
+	double tail = 0;
+	double reused = 0;
+
+	memset(cache->filter, 0, sizeof(cache->filter));
+	cache->depth = 0;
+	while (walk_next(&walk)) {
+		uint32_t hash = walk.entry->hash;
+		double age = (time_used(now) - walk.entry->used) / USED_PER_S;
+
+		cache->filter[hash / 64 % PROMPT_FILTER_WORDS] |= (uint64_t)1
+								  << hash % 64;
+		if (walk.depth > memory * (1 - TAIL_FRACTION)) {
+			tail += walk.depth - cache->depth;
+			if (!entry_is_own(walk.entry))
+				reused += entry_tokens(walk.entry) * REUSE_S /
+					  (REUSE_S + age);
+		}
+		cache->depth = walk.depth;
+	}
+	cache->tail_reuse = tail > 0 ? fmin(1, reused / tail) : 0;
+}
+
 /*
  * Returns what an endpoint with the given memory, in tokens, need not read of a
  * prompt, and what it would evict for it and its output.
  */
 void
 prompt_cache_look(const prompt_cache_t *cache, const prompt_chain_t *chain,
-    double memory, double output_tokens, double now, prompt_outlook_t *out)
+    double memory, double output_tokens, prompt_outlook_t *out)
 {
 	walk_t walk = {.cache = cache};
 	size_t matched = 0;
 	double total = 0;
-	double needed;
+	double evicted;
 
 	*out = (prompt_outlook_t){0};
 	for (size_t i = 0; i < chain->count; i++)
 		total += chain->links[i].tokens;
 	/* A part was used whenever one after it was, so it comes first. */
-	while (
-	    matched < chain->count && walk_next(&walk) && walk.depth <= memory)
+	while (matched < chain->count &&
+	       filter_has(cache, chain->links[matched].hash) &&
+	       walk_next(&walk) && walk.depth <= memory)
 		if (walk.entry->hash == chain->links[matched].hash)
 			out->cached_tokens += chain->links[matched++].tokens;
 	out->unread_tokens = total - out->cached_tokens;
-	needed = out->unread_tokens + output_tokens;
-	walk = (walk_t){.cache = cache};
-	matched = 0;
-	while (walk_next(&walk) && walk.depth <= memory) {
-		uint32_t age = time_used(now) - walk.entry->used;
-
-		if (matched < chain->count &&
-		    walk.entry->hash == chain->links[matched].hash)
-			matched++;
-		else if (walk.depth + needed > memory &&
-			 !entry_is_own(walk.entry))
-			out->evicted_tokens += entry_tokens(walk.entry) *
-					       REUSE_S /
-					       (REUSE_S + age / USED_PER_S);
-	}
+	evicted = cache->depth + out->unread_tokens + output_tokens - memory;
+	out->evicted_tokens =
+	    fmin(fmax(0, evicted), cache->depth) * cache->tail_reuse;
 }
 
 static prompt_entry_t *
@@ -204,6 +230,7 @@
 		}
 		cache_insert_first(cache, &entry);
 	}
+	cache_summarise(cache, memory, now);
 }
 
 /* Notes that a request with the prompt begins; its parts are unconfirmed. */
--- a/src/prompt_cache.h
+++ b/src/prompt_cache.h
@@ -6,6 +6,7 @@
 
 /* Entries of one endpoint, 16 bytes each; older ones count as evicted. */
 #define PROMPT_CACHE_ENTRIES 128
+#define PROMPT_FILTER_WORDS  16
 
 typedef struct prompt_entry_t {
 	uint32_t hash;	 /* of the part and all before it */
@@ -24,6 +25,15 @@
 	size_t count;
 	size_t room;
 	uint32_t own_read; /* wraps around */
+	/*
+	 * As of the last use, so that a pool's endpoints can be compared
+	 * without a walk through the entries of each: bits of the hashes,
+	 * tokens down to the last entry, and how many of a token that is
+	 * evicted next are expected to be read again.
+	 */
+	uint64_t filter[PROMPT_FILTER_WORDS];
+	double depth;
+	double tail_reuse;
 } prompt_cache_t;
 
 /* What running a request on an endpoint is expected to mean for its cache. */
@@ -36,7 +46,7 @@
 
 void prompt_cache_clear(prompt_cache_t *cache);
 void prompt_cache_look(const prompt_cache_t *cache, const prompt_chain_t *chain,
-    double memory, double output_tokens, double now, prompt_outlook_t *out);
+    double memory, double output_tokens, prompt_outlook_t *out);
 void prompt_cache_use(prompt_cache_t *cache, const prompt_chain_t *chain,
     double memory, double now);
 void prompt_cache_confirm(prompt_cache_t *cache, const prompt_chain_t *chain,
--- a/tests/test_prompt_cache.c
+++ b/tests/test_prompt_cache.c
@@ -19,7 +19,7 @@
 {
 	prompt_outlook_t outlook;
 
-	prompt_cache_look(cache, chain, MEMORY, output, 10, &outlook);
+	prompt_cache_look(cache, chain, MEMORY, output, &outlook);
 	return (outlook.cached_tokens);
 }
 
@@ -42,7 +42,7 @@
 	CU_ASSERT(cached(&cache, &b, 0) == 300);
 	CU_ASSERT(cached(&cache, &c, 0) == 0);
 	prompt_cache_use(&cache, &b, MEMORY, 2);
-	prompt_cache_look(&cache, &c, MEMORY, 100, 10, &outlook);
+	prompt_cache_look(&cache, &c, MEMORY, 100, &outlook);
 	CU_ASSERT(outlook.unread_tokens == 500);
 	/* The shared part and 2, unless they are not used again. */
 	CU_ASSERT(outlook.evicted_tokens > 100);
