--- a/src/admission_prompt.c
+++ b/src/admission_prompt.c
@@ -8,6 +8,7 @@
 
 #include <math.h>
 #include <stdlib.h>
+#include <string.h>
 
 #include "logger.h"
 #include "result.h"
@@ -139,6 +140,14 @@
 	return (true);
 }
 
+/* Returns whether no endpoint would cost less with the same parts cached. */
+static bool
+is_best_anyway(const admission_t *a, const slot_grant_t *grant, size_t i)
+{
+	return (!a->settings.measured_speed && a->routes[i].in_use == 0 &&
+		strcmp(a->endpoints[i]->zone, grant->zone) == 0);
+}
+
 /*
  * Picks the endpoint of a request. One that holds parts of its prompt is left
  * for the best of all others when the detours of earlier requests to such have
@@ -156,7 +165,8 @@
 	double reading;
 	size_t best;
 
-	if (params->prompts == NULL || holder == ROUTE_NONE)
+	if (params->prompts == NULL || holder == ROUTE_NONE ||
+	    is_best_anyway(a, grant, holder))
 		return (holder);
 	ignoring.ignore_cached = true;
 	best = route_pick(a->routes, count, &ignoring, &a->rng);
--- a/src/route.c
+++ b/src/route.c
@@ -269,6 +269,8 @@
 			    !params->ignore_cached && e->in_use + 1 <= limit,
 			    params->cost);
 		cost = route_cost(e, params->cost, &relation);
+		if (params->prompts != NULL && cost >= least)
+			continue;
 		if (params->prompts != NULL)
 			cost += AFFINITY_SPREAD * fabs(cost) *
 				affinity_rank(e, params->prefix_hash);
