--- a/src/admission.c
+++ b/src/admission.c
@@ -188,7 +188,6 @@
 	LIST_INIT(&a->zones);
 	return_promises_init(&a->promises);
 	admission_counters_init(a);
-	admission_prompt_start(a);
 	a->usable_fraction = 1;
 	LIST_INIT(&a->orgs);
 	STAILQ_INIT(&a->actions);
--- a/src/admission_endpoints.c
+++ b/src/admission_endpoints.c
@@ -220,6 +220,7 @@
 		a->running_since = now;
 	a->settings = *settings;
 	a->settings.by_priority |= settings->fair_scheduling;
+	admission_prompt_start(a);
 	for (size_t i = 0; i < a->endpoint_count; i++) {
 		a->endpoints[i]->leaving = true;
 		a->endpoints[i]->configured = false;
--- a/src/admission_prompt.c
+++ b/src/admission_prompt.c
@@ -35,10 +35,12 @@
     .max_factor = 10,
 };
 
-/* Gets the counters. */
+/* Gets the counters, unless the setting is off. */
 void
 admission_prompt_start(admission_t *a)
 {
+	if (!a->settings.prompt_cache || a->prompt_cached != NULL)
+		return;
 	a->prompt_cached = counter_get("daisypier_prompt_tokens_cached_total",
 	    "Tokens of granted prompts that their endpoint is expected to "
 	    "cache");
@@ -312,7 +314,7 @@
 {
 	if (endpoint->started_ms == started_ms || started_ms == 0)
 		return;
-	if (endpoint->started_ms != 0)
+	if (endpoint->prompts.count > 0)
 		LOG_INFO("prompt_cache_cleared",
 		    "endpoint=%s parts=%zu started_ms=%llu", endpoint->id.name,
 		    endpoint->prompts.count, (unsigned long long)started_ms);
--- a/tests/test_prompt_placement.c
+++ b/tests/test_prompt_placement.c
@@ -95,8 +95,7 @@
 	double shared;
 	double shared_read;
 	double compulsory; /* read by the first endpoint of all */
-	uint32_t *seen;
-	unsigned seen_count;
+	bool *seen;	   /* groups */
 } model_t;
 
 typedef struct figures_t {
@@ -167,25 +166,6 @@
 	return (unread);
 }
 
-static void
-model_count_shared(model_t *m, const prompt_chain_t *chain)
-{
-	for (size_t i = 0; i < chain->count; i++) {
-		const prompt_link_t *link = &chain->links[i];
-		unsigned at = 0;
-
-		while (at < m->seen_count && m->seen[at] != link->hash)
-			at++;
-		if (at == m->seen_count) {
-			m->seen[m->seen_count++] = link->hash;
-			if (m->step >= WARM_UP)
-				m->compulsory += link->tokens;
-		}
-		if (m->step >= WARM_UP)
-			m->shared += link->tokens;
-	}
-}
-
 static void
 model_arrive(model_t *m)
 {
@@ -213,7 +193,12 @@
 	if (p->long_tokens > 0)
 		prompt_chain_add(
 		    &run->chain, run->group * 2 + 1, p->long_tokens);
-	model_count_shared(m, &run->chain);
+	for (size_t i = 0; i < run->chain.count && m->step >= WARM_UP; i++) {
+		m->shared += run->chain.links[i].tokens;
+		if (!m->seen[run->group])
+			m->compulsory += run->chain.links[i].tokens;
+	}
+	m->seen[run->group] = true;
 	prompt_chain_add(&run->chain, (uint64_t)(id + 1) << 32, p->own_tokens);
 	request.output_tokens = run->events * 8;
 	if (m->policy != LOAD_ONLY)
@@ -375,7 +360,7 @@
 	m->rng = rng_seeded(7);
 	m->a = admission_new(8);
 	m->runs = xcalloc(MAX_REQUESTS, sizeof(*m->runs));
-	m->seen = xcalloc(MAX_REQUESTS, sizeof(*m->seen));
+	m->seen = xcalloc(pattern->groups, sizeof(*m->seen));
 	m->popularity = xcalloc(pattern->groups, sizeof(*m->popularity));
 	model_start(m);
 	for (; m->step < STEPS; m->step++)
