--- a/tests/test_fail_prompt_cache.c
+++ b/tests/test_fail_prompt_cache.c
@@ -33,6 +33,9 @@
 	    0x10000 + requests++);
 	s = gateways_stream_prompt(
 	    &fleet, host, GATEWAYS_RESUME, id, prompt, EVENTS, 5);
+	if (s.status != 200)
+		printf("\n    request=%s host=%u status=%d retry_after=%g\n",
+		    id, host, s.status, s.retry_after);
 	CU_ASSERT(s.status == 200 && s.whole && s.right);
 	nanosleep(&reading, NULL);
 	return (s.engine);
