Review: cases remove the files of hosts that they killed

Cause: rig_stop() passed over hosts without a process, so their settings and logs stayed in the temporary folder, and hosts outlived a case that was killed.

--- a/review/common-2/rig.c
+++ b/review/common-2/rig.c
@@ -13,6 +13,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/stat.h>
 #include <sys/wait.h>
@@ -1146,6 +1147,8 @@
 		char *const env[] = {boot, "PATH=/usr/bin:/bin", NULL};
 		int fd = open(log, O_WRONLY | O_CREAT | O_APPEND, 0644);
 
+		/* A host ends with its case, also if that is killed. */
+		prctl(PR_SET_PDEATHSIG, SIGKILL);
 		dup2(fd, 1);
 		dup2(fd, 2);
 		execve(args[0], args, env);
@@ -1267,15 +1270,15 @@
 void
 rig_stop(void)
 {
-	for (unsigned i = 0; i < RIG_MAX_HOSTS; i++) {
+	for (unsigned i = 0; i < RIG_MAX_HOSTS; i++)
+		if (rig_host_pid[i] > 0) {
+			kill(rig_host_pid[i], SIGCONT);
+			rig_kill_host(i);
+		}
+	/* Also the files of hosts that were killed before. */
+	for (unsigned i = 0; folder[0] != '\0' && i < params.hosts; i++) {
 		char path[256];
 
-		if (rig_host_pid[i] <= 0)
-			continue;
-		kill(rig_host_pid[i], SIGCONT);
-		kill(rig_host_pid[i], SIGKILL);
-		waitpid(rig_host_pid[i], NULL, 0);
-		rig_host_pid[i] = 0;
 		snprintf(path, sizeof(path), "%s/host%u.ini", folder, i);
 		unlink(path);
 		snprintf(path, sizeof(path), "%s/host%u.log", folder, i);
