Job intake: refuse text that would become another header or request

Callers saw: nothing.

Cause: platform_read_job() took any text as an item's id, path, header names and values, and item_prepare_request() wrote it into the head of a request. Evidence: the hosts' logs have item_attempt lines of the item only and no line about the second request, so it began on the connection to the endpoint and was neither read from the caller's connection nor mixed up on a reused one; with an ordinary value nothing else runs, so it is not the body's length either. The same happens with names, paths and ids, and with heads of callers' own requests that the HTTP server accepts (blanks in a target or behind a name).

Change: http_syntax says what can be sent; header_list_add() and, last before libcurl and for every request of this program, http_call_start() refuse the rest. Jobs are checked before they are stored, and 400 names the item and the field. header_list_set() replaces a caller's header of the name of one that hosts set. An item that an earlier version stored is given up instead of sent. An entry of an endpoint whose id can't be sent is not used.

--- a/src/attempt.c
+++ b/src/attempt.c
@@ -302,13 +302,13 @@
 		header_list_exclude(out, "Accept");
 	if (!header_list_has(out, "Content-Type"))
 		header_list_exclude(out, "Content-Type");
-	header_list_add(
+	(void)header_list_set(
 	    out, dialect->endpoint_id_header, str_of(params->endpoint->name));
 	if (params->time_limit > 0)
-		header_list_add_number(out, dialect->caller_timeout_header,
+		header_list_set_number(out, dialect->caller_timeout_header,
 		    (uint64_t)fmax(1, params->time_limit * 1000));
 	if (params->resumes)
-		header_list_add_number(
+		header_list_set_number(
 		    out, dialect->resume_header, params->last_event);
 }
 
@@ -330,6 +330,7 @@
 		.url = url,
 		.target = params->target,
 		.headers = (const char *const *)headers.lines,
+		.malformed = headers.malformed,
 		.body = params->body,
 		.connect_timeout = CONNECT_TIMEOUT_S,
 		.progress_timeout = params->response_timeout,
--- a/src/dialect.h
+++ b/src/dialect.h
@@ -68,8 +68,8 @@
 	void (*read_job_call)(const http_request_t *request, job_call_t *out);
 	/* Returns the caller's key; empty if the request has none. */
 	str_t (*read_key)(const http_request_t *request);
-	/* Returns 0 or -RESULT_BAD_REQUEST. */
-	int (*read_job)(str_t body, job_t *out);
+	/* Returns 0, or -RESULT_BAD_REQUEST and the faulty field in fault. */
+	int (*read_job)(str_t body, job_t *out, buf_t *fault);
 	/* Appends the faulty field to fault, if the text is refused. */
 	int (*read_routes)(str_t text, routing_table_t **out, buf_t *fault);
 	int (*read_endpoint)(str_t id, str_t text, endpoint_entry_t *out);
--- a/src/forward.c
+++ b/src/forward.c
@@ -10,6 +10,7 @@
 #include "clock.h"
 #include "logger.h"
 #include "org_access.h"
+#include "request_check.h"
 #include "result.h"
 
 /*
@@ -524,7 +525,23 @@
 		return;
 	if (f->table->has_orgs && dialect_identifies_org(dialect, name))
 		return;
-	header_list_add(&f->headers, name, str_of(value));
+	(void)header_list_add(&f->headers, str_of(name), str_of(value));
+}
+
+/* Refuses a request whose head cannot be sent on; returns whether it did. */
+static bool
+refuse_malformed(http_request_t *request)
+{
+	buf_t fault = {0};
+	int rc = request_check(request, &fault);
+
+	if (rc != 0) {
+		LOG_INFO("request_malformed", "client=%s fault=" STR_FMT,
+		    http_request_client(request), STR_ARG(str_buf(&fault)));
+		http_request_reply_error(request, rc, fault.data);
+	}
+	buf_free(&fault);
+	return (rc != 0);
 }
 
 /*
@@ -541,6 +558,8 @@
 	request_info_t info;
 	forward_t *f;
 
+	if (refuse_malformed(request))
+		return;
 	forwarder->params.dialect->read_request(request, &info);
 	if (info.id_too_long) {
 		LOG_INFO("request_id_too_long", "request=%s", info.id);
@@ -576,7 +595,7 @@
 	};
 	http_request_each_header(request, copy_request_header, f);
 	if (org != NULL)
-		header_list_add(&f->headers,
+		(void)header_list_set(&f->headers,
 		    forwarder->params.dialect->org_header, str_of(org->name));
 	http_request_on_close(request, on_caller_disconnect, f);
 	LIST_INSERT_HEAD(&forwarder->forwards, f, entry);
--- a/src/header_list.h
+++ b/src/header_list.h
@@ -8,10 +8,12 @@
 typedef struct header_list_t {
 	char **lines;
 	size_t count;
+	bool malformed; /* a header was refused */
 } header_list_t;
 
-void header_list_add(header_list_t *list, const char *name, str_t value);
-void header_list_add_number(
+int header_list_add(header_list_t *list, str_t name, str_t value);
+int header_list_set(header_list_t *list, const char *name, str_t value);
+void header_list_set_number(
     header_list_t *list, const char *name, uint64_t value);
 void header_list_exclude(header_list_t *list, const char *name);
 void header_list_copy(header_list_t *list, const header_list_t *from);
--- a/src/http_call.c
+++ b/src/http_call.c
@@ -10,6 +10,8 @@
 #include <sys/socket.h>
 
 #include "http_head.h"
+#include "http_syntax.h"
+#include "logger.h"
 #include "result.h"
 
 #define DEFAULT_CONNECT_TIMEOUT_S 1.0
@@ -344,6 +346,23 @@
 	return (CURL_SOCKOPT_OK);
 }
 
+/*
+ * Returns whether the head of a request can be sent as it is. Every request of
+ * this host passes here, whatever its text comes from.
+ */
+static bool
+head_is_valid(const http_call_params_t *params)
+{
+	if (params->malformed || !http_is_token(str_of(params->method)) ||
+	    (params->target != NULL && !http_is_target(str_of(params->target))))
+		return (false);
+	for (size_t i = 0;
+	     params->headers != NULL && params->headers[i] != NULL; i++)
+		if (!http_is_field_value(str_of(params->headers[i])))
+			return (false);
+	return (true);
+}
+
 static void
 call_set_request(http_call_t *call, const http_call_params_t *params)
 {
@@ -427,7 +446,10 @@
 	call->progress_timer.data = call;
 	http_call_progress(call, params->progress_timeout);
 	LIST_INSERT_HEAD(&httpc->calls, call, entry);
-	call->unstarted = httpc->in_callback;
+	call->malformed = !head_is_valid(params);
+	if (call->malformed)
+		LOG_ERROR("request_head_malformed", "url=%s", params->url);
+	call->unstarted = call->malformed || httpc->in_callback;
 	if (call->unstarted)
 		httpc_schedule_deferred(httpc);
 	else
--- a/src/httpc.c
+++ b/src/httpc.c
@@ -4,6 +4,8 @@
 #include <stdio.h>
 #include <stdlib.h>
 
+#include "result.h"
+
 /* Idle connections kept for reuse, over all servers. */
 #define MAX_IDLE_CONNECTIONS 512L
 /*
@@ -132,6 +134,10 @@
 
 		if (call->cancelled) {
 			http_call_free(call);
+		} else if (call->malformed) {
+			http_call_finish(call, -RESULT_BAD_REQUEST);
+			/* Its callback may have ended any other call. */
+			next = LIST_FIRST(&httpc->calls);
 		} else if (call->unstarted) {
 			call->unstarted = false;
 			curl_multi_add_handle(httpc->multi, call->easy);
--- a/src/httpc.h
+++ b/src/httpc.h
@@ -12,8 +12,9 @@
 /*
  * Result of a call. rc is 0 if a complete HTTP response of any status arrived;
  * otherwise -RESULT_ENDPOINT_UNREACHABLE, -RESULT_TIMEOUT,
- * -RESULT_ENDPOINT_SILENT or -RESULT_BROKEN_ANSWER. sent is false only if it
- * is certain that no byte of the request left this host.
+ * -RESULT_ENDPOINT_SILENT, -RESULT_BROKEN_ANSWER, or -RESULT_BAD_REQUEST if the
+ * head of the request cannot be sent. sent is false only if it is certain that
+ * no byte of the request left this host.
  */
 typedef struct http_result_t {
 	int rc;
@@ -42,6 +43,7 @@
 	const char *url;
 	const char *target; /* request target, sent verbatim; NULL: from url */
 	const char *const *headers; /* "Name: value" lines, NULL-terminated */
+	bool malformed;		    /* a header is missing; nothing is sent */
 	str_t body;		    /* copied */
 	double connect_timeout;	    /* seconds; 0: 1 */
 	double timeout;		    /* seconds for the whole call; 0: none */
--- a/src/httpc_state.h
+++ b/src/httpc_state.h
@@ -52,6 +52,7 @@
 	http_data_cb_t on_data;
 	http_done_cb_t on_done;
 	void *ctx;
+	bool malformed; /* its head cannot be sent */
 	bool unstarted; /* not yet added to libcurl */
 	bool cancelled;
 	LIST_ENTRY(http_call_t) entry;
--- a/src/job.c
+++ b/src/job.c
@@ -4,6 +4,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 
+#include "http_syntax.h"
 #include "result.h"
 #include "wire.h"
 
@@ -39,6 +40,41 @@
 	return ((str_t){copy, s.len});
 }
 
+/* Returns the first part of an item that cannot be sent to an endpoint. */
+job_item_fault_t
+job_item_check(const job_item_t *item)
+{
+	/* Endpoints repeat the identifier in their responses. */
+	if (!http_is_exact_field_value(item->id))
+		return ((job_item_fault_t){.field = JOB_ITEM_ID});
+	if (!http_is_target(item->target))
+		return ((job_item_fault_t){.field = JOB_ITEM_TARGET});
+	for (size_t i = 0; i < item->header_count; i++) {
+		const job_header_t *header = &item->headers[i];
+
+		if (!http_is_token(header->name))
+			return ((job_item_fault_t){JOB_ITEM_HEADER_NAME, i});
+		if (!http_is_field_value(header->value))
+			return ((job_item_fault_t){JOB_ITEM_HEADER_VALUE, i});
+	}
+	return ((job_item_fault_t){JOB_ITEM_NO_FIELD});
+}
+
+/* Returns the name of a field for logs. */
+const char *
+job_item_field_name(job_item_field_t field)
+{
+	static const char *const names[] = {
+	    [JOB_ITEM_NO_FIELD] = "none",
+	    [JOB_ITEM_ID] = "id",
+	    [JOB_ITEM_TARGET] = "target",
+	    [JOB_ITEM_HEADER_NAME] = "header_name",
+	    [JOB_ITEM_HEADER_VALUE] = "header_value",
+	};
+
+	return (names[field]);
+}
+
 static void
 pack_item(msgpack_packer *packer, const job_item_t *item)
 {
--- a/src/job.h
+++ b/src/job.h
@@ -27,6 +27,20 @@
 	unsigned tokens; /* upper bound of prompt and output together */
 } job_item_t;
 
+/* Part of an item that cannot be sent to an endpoint as it is. */
+typedef enum job_item_field_t {
+	JOB_ITEM_NO_FIELD, /* all can be sent */
+	JOB_ITEM_ID,
+	JOB_ITEM_TARGET,
+	JOB_ITEM_HEADER_NAME,
+	JOB_ITEM_HEADER_VALUE,
+} job_item_field_t;
+
+typedef struct job_item_fault_t {
+	job_item_field_t field;
+	size_t header; /* index, if it is a header's name or value */
+} job_item_fault_t;
+
 /* A job as its caller submitted it. */
 typedef struct job_t {
 	str_t id;  /* its key, see job_key() */
@@ -63,6 +77,8 @@
 
 void job_key(char out[JOB_KEY_SIZE], str_t org, str_t id);
 str_t job_copy_str(job_t *job, str_t s);
+job_item_fault_t job_item_check(const job_item_t *item);
+const char *job_item_field_name(job_item_field_t field);
 void job_pack(const job_t *job, buf_t *out);
 int job_unpack(str_t data, job_t *out);
 void job_free(job_t *job);
--- a/src/job_run.c
+++ b/src/job_run.c
@@ -4,9 +4,11 @@
 #include <math.h>
 #include <stdlib.h>
 #include <string.h>
+#include <strings.h>
 
 #include "clock.h"
 #include "counter.h"
+#include "http_syntax.h"
 #include "logger.h"
 #include "org_access.h"
 #include "result.h"
@@ -200,16 +202,19 @@
 	for (size_t i = 0; i < source->header_count; i++) {
 		char *name = str_dup(source->headers[i].name);
 
+		/* Only this host knows from which event an item goes on. */
 		if (!header_is_hop_by_hop(name) &&
+		    strcasecmp(name, dialect->resume_header) != 0 &&
 		    !(has_orgs && dialect_identifies_org(dialect, name)))
-			header_list_add(
-			    &item->headers, name, source->headers[i].value);
+			(void)header_list_add(&item->headers, str_of(name),
+			    source->headers[i].value);
 		free(name);
 	}
 	if (org.len > 0)
-		header_list_add(&item->headers, dialect->org_header, org);
-	header_list_add(&item->headers, "Host", item->run->job->job.host);
-	header_list_add(&item->headers, dialect->request_id_header, source->id);
+		(void)header_list_set(&item->headers, dialect->org_header, org);
+	(void)header_list_set(&item->headers, "Host", item->run->job->job.host);
+	(void)header_list_set(
+	    &item->headers, dialect->request_id_header, source->id);
 	item->target = str_dup(source->target);
 }
 
@@ -481,7 +486,8 @@
 			continue;
 		item_release_slot(item, NULL);
 		item_finish(item, JOB_ITEM_DEAD,
-		    schedule.no_route_since > 0 ? "route_removed"
+		    item->malformed		  ? "malformed"
+		    : schedule.no_route_since > 0 ? "route_removed"
 		    : schedule.failures >= schedule.max_failures
 			? "failed_too_often"
 			: "retention_over");
@@ -532,6 +538,28 @@
 	}
 }
 
+/*
+ * Marks an item that no endpoint could be sent as it is. Jobs are checked when
+ * they are submitted, but earlier versions stored them unchecked.
+ */
+static void
+item_check(item_run_t *item)
+{
+	const stored_job_t *job = item->run->job;
+	job_item_fault_t fault = job_item_check(item->item);
+
+	item->malformed = fault.field != JOB_ITEM_NO_FIELD ||
+			  !http_is_field_value(job->job.host);
+	if (item->malformed)
+		LOG_WARN("item_malformed",
+		    "job=%s index=%zu field=%s header=%zu", job->id,
+		    (size_t)(item->item - job->job.items),
+		    fault.field != JOB_ITEM_NO_FIELD
+			? job_item_field_name(fault.field)
+			: "host",
+		    fault.header);
+}
+
 /* Starts to run the items of an accepted job that have no result. */
 void
 job_runner_add(job_runner_t *runner, stored_job_t *job)
@@ -548,6 +576,7 @@
 	for (size_t i = 0; i < job->job.item_count; i++) {
 		run->items[i].run = run;
 		run->items[i].item = &job->job.items[i];
+		item_check(&run->items[i]);
 	}
 	job->run = run;
 	TAILQ_INSERT_TAIL(&runner->runs, run, entry);
--- a/src/job_run_select.c
+++ b/src/job_run_select.c
@@ -47,7 +47,7 @@
 	    .events = item->events,
 	    .unreachable = item->unreachable,
 	    .failures = item->failures,
-	    .rejected = item->rejected,
+	    .rejected = item->rejected || item->malformed,
 	    .no_route_since = item->no_route_since,
 	};
 
@@ -65,7 +65,8 @@
 {
 	const request_route_t *route;
 
-	if (item->state != ITEM_WAITING || item->not_before > now)
+	if (item->state != ITEM_WAITING || item->malformed ||
+	    item->not_before > now)
 		return (NULL);
 	route = item_route(item);
 	if (route == NULL)
--- a/src/job_run_state.h
+++ b/src/job_run_state.h
@@ -27,6 +27,7 @@
 	unsigned tries;	       /* failed attempts since the last event */
 	unsigned failures;     /* responses with status 500 */
 	bool rejected;	       /* response with status 422 */
+	bool malformed;	       /* it can be sent to no endpoint */
 	double not_before;     /* monotonic */
 	bool held;	       /* a part of its prompt is held back */
 	prompt_parts_t prompt; /* see item_prompt() */
--- a/src/job_schedule.h
+++ b/src/job_schedule.h
@@ -15,8 +15,8 @@
 	bool unreachable;	   /* set by item_schedule_mark_unreachable() */
 	unsigned failures;	   /* responses with status 500 */
 	unsigned max_failures;	   /* 0: no limit */
-	bool rejected; /* an endpoint reports that it can never succeed */
-	double no_route_since; /* wall clock; 0: it has a route */
+	bool rejected;		   /* it can never succeed */
+	double no_route_since;	   /* wall clock; 0: it has a route */
 } item_schedule_t;
 
 bool item_schedule_should_abandon(const item_schedule_t *item, double now);
--- a/src/jobs.c
+++ b/src/jobs.c
@@ -15,6 +15,7 @@
 #include "job_write.h"
 #include "logger.h"
 #include "placement.h"
+#include "request_check.h"
 #include "result.h"
 
 /*
@@ -360,6 +361,7 @@
 	request_info_t info = {0};
 	job_records_t records = {0};
 	job_t job = {0};
+	buf_t fault = {0};
 	char key[JOB_KEY_SIZE];
 	int rc;
 
@@ -371,13 +373,20 @@
 		return;
 	}
 	jobs->params.dialect->read_request(request, &info);
-	if (info.id[0] == '\0' || info.id_too_long)
+	rc = request_check(request, &fault);
+	if (rc == 0 && (info.id[0] == '\0' || info.id_too_long)) {
+		buf_printf(&fault, "the id of the job is %s",
+		    info.id_too_long ? "too long" : "missing");
 		rc = -RESULT_BAD_REQUEST;
-	else
+	}
+	if (rc == 0)
 		rc = jobs->params.dialect->read_job(
-		    http_request_body(request), &job);
+		    http_request_body(request), &job, &fault);
 	if (rc != 0) {
-		http_request_reply_error(request, rc, "the job is malformed");
+		LOG_INFO("job_malformed", "request=%s fault=" STR_FMT, info.id,
+		    STR_ARG(str_buf(&fault)));
+		http_request_reply_error(request, rc, fault.data);
+		buf_free(&fault);
 		return;
 	}
 	counter_add(jobs->counters.submitted, 1);
--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -444,6 +444,59 @@
 	hostile_end(server);
 }
 
+/* Sends a request whose head may be malformed; returns the result code. */
+static int
+send_head(http_test_t *test, const char *method, const char *target,
+    const char *header, bool malformed)
+{
+	const char *const headers[] = {header, NULL};
+
+	test->done = 0;
+	snprintf(test->url, sizeof(test->url), "http://127.0.0.1:%u/",
+	    httpd_port(test->httpd));
+	http_call_start(test->httpc, &(http_call_params_t){
+					 .method = method,
+					 .url = test->url,
+					 .target = target,
+					 .headers = headers,
+					 .malformed = malformed,
+					 .timeout = 5,
+					 .on_done = on_done,
+					 .ctx = test,
+				     });
+	/* No callback runs before the caller knows the call. */
+	CU_ASSERT(test->done == 0);
+	ev_run(test->loop, 0);
+	CU_ASSERT(test->done == 1);
+	return (test->result.rc);
+}
+
+/*
+ * Guards against a head that would be read as another request, whichever part
+ * of this program wrote it: nothing of it may be sent.
+ */
+static void
+test_malformed_head_is_not_sent(void)
+{
+	http_test_t test;
+
+	setup(&test);
+	CU_ASSERT(send_head(&test, "POST", "/echo", "A: 1", false) == 0);
+	CU_ASSERT(send_head(&test, "PO ST", "/echo", "A: 1", false) ==
+		  -RESULT_BAD_REQUEST);
+	CU_ASSERT(!test.result.sent);
+	CU_ASSERT(send_head(&test, "POST", "/echo /", "A: 1", false) ==
+		  -RESULT_BAD_REQUEST);
+	CU_ASSERT(!test.result.sent);
+	CU_ASSERT(send_head(&test, "POST", "/echo", "A: 1\r\nB: 2", false) ==
+		  -RESULT_BAD_REQUEST);
+	CU_ASSERT(!test.result.sent);
+	CU_ASSERT(send_head(&test, "POST", "/echo", "A: 1", true) ==
+		  -RESULT_BAD_REQUEST);
+	CU_ASSERT(!test.result.sent && test.pending == NULL);
+	teardown(&test);
+}
+
 static const suite_test_t tests[] = {
     {"body round trip", test_body_round_trip},
     {"oversized body is rejected", test_oversized_body_is_rejected},
@@ -456,6 +509,7 @@
     {"lost connection is broken", test_lost_connection_is_broken},
     {"head without end is broken", test_head_without_end_is_broken},
     {"empty header is empty", test_empty_header_is_empty},
+    {"malformed head is not sent", test_malformed_head_is_not_sent},
     {"endless framing ends the call", test_endless_framing_ends_the_call},
 };
 
--- a/tests/test_platform_formats.c
+++ b/tests/test_platform_formats.c
@@ -198,6 +198,26 @@
 	buf_free(&large);
 }
 
+/* Guards against an endpoint's id that holds a header or another request. */
+static void
+test_endpoint_ids(void)
+{
+	static const str_t invalid[] = {
+	    STR(""),
+	    STR("e\r\nX-Rest: 1"),
+	    STR("e\n"),
+	    STR("e\0f"),
+	    STR(" e"),
+	};
+	endpoint_entry_t entry;
+
+	for (size_t i = 0; i < sizeof(invalid) / sizeof(invalid[0]); i++)
+		CU_ASSERT(platform_read_endpoint(invalid[i], STR(valid_entry),
+			      &entry) == -RESULT_BAD_REQUEST);
+	CU_ASSERT(platform_read_endpoint(
+		      STR("e 1/\xc3\xb6"), STR(valid_entry), &entry) == 0);
+}
+
 /* A deeply nested entry must be rejected without exhausting the stack. */
 static void
 test_nested_entries_are_rejected(void)
@@ -276,12 +296,19 @@
 	static const char valid[] =
 	    "{\"items\":[{\"id\":\"a\",\"path\":\"/x/1\",\"headers\":{\"A\":"
 	    "\"b\"},\"body\":\"q83vEjRWeJA=\",\"tokens\":940}]}";
+	buf_t fault = {0};
 	job_t job;
 
-	for (size_t i = 0; i < sizeof(invalid) / sizeof(invalid[0]); i++)
-		CU_ASSERT(platform_read_job(str_of(invalid[i]), &job) ==
+	for (size_t i = 0; i < sizeof(invalid) / sizeof(invalid[0]); i++) {
+		buf_clear(&fault);
+		CU_ASSERT(platform_read_job(str_of(invalid[i]), &job, &fault) ==
 			  -RESULT_BAD_REQUEST);
-	CU_ASSERT_FATAL(platform_read_job(STR(valid), &job) == 0);
+		CU_ASSERT(fault.len > 0);
+	}
+	buf_clear(&fault);
+	CU_ASSERT_FATAL(platform_read_job(STR(valid), &job, &fault) == 0);
+	CU_ASSERT(fault.len == 0);
+	buf_free(&fault);
 	CU_ASSERT(job.item_count == 1 && job.items[0].tokens == 940);
 	CU_ASSERT(str_equal(
 	    job.items[0].body, STR("\xab\xcd\xef\x12\x34\x56\x78\x90")));
@@ -416,6 +443,7 @@
 	test_invalid_endpoint_entries_are_rejected},
     {"entries out of range are rejected",
 	test_entries_out_of_range_are_rejected},
+    {"endpoint ids", test_endpoint_ids},
     {"nested entries are rejected", test_nested_entries_are_rejected},
     {"routes", test_routes},
     {"organisations", test_organisations},
