Organisations: names of any length are carried whole

Cause: read_name() refused names of 64 bytes or more, and with them the whole version. Evidence: config_rejected offset=1 in_force=7 fault=tenants.1.name on each of the three hosts, one config_in_force line each, and config=7 in the lines of all later requests; so the version was read, on every host, and nothing of it came into force.

Change: org_t has the name as endpoints get it and a short one, of the same size as all names among hosts, for slot requests, limits and logs. Names of up to 63 bytes are their own short name, so messages between hosts are as before. A name must still be one that can be the value of a header.

--- a/src/endpoint_set.c
+++ b/src/endpoint_set.c
@@ -484,6 +484,15 @@
 	return (weight > 1 ? (unsigned)weight : 1);
 }
 
+static bool
+is_org_id(const routing_table_t *table, const char *name)
+{
+	for (size_t i = 0; i < table->org_count; i++)
+		if (strcmp(table->orgs[i].id, name) == 0)
+			return (true);
+	return (false);
+}
+
 /*
  * Adds the organisations, and one for each route, under whose name requests
  * without an organisation ask for slots.
@@ -498,7 +507,7 @@
 		const org_t *org = &table->orgs[i];
 
 		config->orgs[config->org_count++] = (config_org_t){
-		    .name = xstrdup(org->name),
+		    .name = xstrdup(org->id),
 		    .token_hash = xstrdup(""),
 		    .weight = org_weight(org),
 		    .requests_per_s = org->requests_per_s,
@@ -508,8 +517,7 @@
 	}
 	for (size_t i = 0; i < table->route_count; i++) {
 		/* A name of both must not hide the organisation's limit. */
-		if (routing_table_org(table, str_of(table->routes[i].name)) !=
-		    NULL)
+		if (is_org_id(table, table->routes[i].name))
 			continue;
 		config->orgs[config->org_count++] = (config_org_t){
 		    .name = xstrdup(table->routes[i].name),
--- a/src/forward.c
+++ b/src/forward.c
@@ -75,7 +75,7 @@
 	    "request=%s route=%s org=%s config=%llu endpoint=%s outcome=%s "
 	    "status=%d cause=%s sent=%u unreached=%u events=%u wait_ms=%.0f "
 	    "first_ms=%.0f total_ms=%.0f patience_ms=%.0f",
-	    f->info.id, f->route->name, f->org != NULL ? f->org->name : "",
+	    f->info.id, f->route->name, f->org != NULL ? f->org->id : "",
 	    (unsigned long long)f->table->version, f->endpoint, outcome, status,
 	    result_name(rc), f->state.attempts_sent, f->state.unavailable,
 	    f->events,
@@ -91,8 +91,8 @@
 forward_return_token(forward_t *f)
 {
 	if (f->org != NULL && f->has_token && !f->state.may_have_run)
-		grants_return_token(f->forwarder->params.grants, f->org->name,
-		    f->token_asked_at);
+		grants_return_token(
+		    f->forwarder->params.grants, f->org->id, f->token_asked_at);
 	f->has_token = false;
 }
 
@@ -435,7 +435,7 @@
 	    &(grant_params_t){
 		.pool = pool,
 		.class = GRANT_ONLINE,
-		.org = f->org != NULL ? f->org->name : f->route->name,
+		.org = f->org != NULL ? f->org->id : f->route->name,
 		.priority = org_priority(f->org, f->route),
 		.limited = limited,
 		.output_tokens = f->info.output_tokens,
--- a/src/job_run.c
+++ b/src/job_run.c
@@ -408,7 +408,9 @@
 	    runner->params.routes(runner->params.ctx);
 	const request_route_t *route = item_route(candidate->item);
 	str_t org = candidate->item->run->job->job.org;
+	char org_id[NAME_SIZE];
 
+	name_shorten(org_id, org);
 	slot->runner = runner;
 	str_copy(slot->pool, sizeof(slot->pool), str_of(pool));
 	LIST_INSERT_HEAD(&runner->slots, slot, entry);
@@ -416,7 +418,7 @@
 	    &(grant_params_t){
 		.pool = slot->pool,
 		.class = GRANT_BATCH,
-		.org = org.len > 0 ? org.data : route->name,
+		.org = org.len > 0 ? org_id : route->name,
 		.priority = org_priority(routing_table_org(table, org), route),
 		.deadline = clock_monotonic() + SLOT_REQUEST_TIMEOUT_S,
 		.start_by = item_candidate_start_by(candidate),
--- a/src/routing_table.c
+++ b/src/routing_table.c
@@ -116,6 +116,14 @@
 	return (NULL);
 }
 
+/* Sets the name of an organisation, and the one among hosts. */
+void
+org_set_name(org_t *org, str_t name)
+{
+	org->name = str_dup(name);
+	name_shorten(org->id, name);
+}
+
 /* Returns the organisation of the given name, or NULL. */
 const org_t *
 routing_table_org(const routing_table_t *table, str_t name)
--- a/src/routing_table.h
+++ b/src/routing_table.h
@@ -3,7 +3,7 @@
 #define DAISYPIER_ROUTING_TABLE_H
 
 #include "key_index.h"
-#include "str.h"
+#include "name.h"
 
 typedef enum request_kind_t {
 	REQUEST_SAFE,	/* repeatable: may run more than once */
@@ -48,8 +48,9 @@
 
 /* An organisation: a customer whose requests carry one of its keys. */
 typedef struct org_t {
-	char *name;
-	bool has_priority; /* then it takes precedence over the route's */
+	char *name;	    /* as endpoints get it, of any length */
+	char id[NAME_SIZE]; /* its name among hosts, see name_shorten() */
+	bool has_priority;  /* then it takes precedence over the route's */
 	unsigned priority;
 	double requests_per_s; /* over all hosts; 0: unlimited */
 	double burst;	       /* requests, in addition to the rate */
@@ -80,6 +81,7 @@
     const routing_table_t *table, str_t name);
 const route_pool_t *routing_table_pool(
     const routing_table_t *table, str_t name);
+void org_set_name(org_t *org, str_t name);
 const org_t *routing_table_org(const routing_table_t *table, str_t name);
 const char *request_route_select_pool(
     const request_route_t *route, uint64_t hash);
--- a/tests/harness_gateways.h
+++ b/tests/harness_gateways.h
@@ -91,7 +91,7 @@
 	bool working;
 	unsigned keys;	    /* headers with a key that reached an engine */
 	unsigned org_names; /* headers with the name of an organisation */
-	char org[64];	    /* the last of these names */
+	char org[512];	    /* the last of these names */
 } gateways_runs_t;
 
 /* Writes the header with the fleet's key; returns NULL without a key. */
--- a/tests/test_endpoint_set.c
+++ b/tests/test_endpoint_set.c
@@ -222,9 +222,9 @@
 	table->has_orgs = true;
 	table->orgs = xcalloc(2, sizeof(*table->orgs));
 	table->org_count = 2;
-	table->orgs[0] = (org_t){.name = xstrdup("small")};
-	table->orgs[1] = (org_t){
-	    .name = xstrdup("large"), .requests_per_s = 341.6, .burst = 50};
+	table->orgs[1] = (org_t){.requests_per_s = 341.6, .burst = 50};
+	org_set_name(&table->orgs[0], STR("small"));
+	org_set_name(&table->orgs[1], STR("large"));
 	view = endpoint_set_to_config(set, table);
 	CU_ASSERT(view->org_count == 3 && view->limits_orgs);
 	CU_ASSERT(config_org(view, STR("public"))->weight == 1);
--- a/tests/test_fail_names.c
+++ b/tests/test_fail_names.c
@@ -4,7 +4,7 @@
 
 #include <stdio.h>
 
-#include "harness_gateways.h"
+#include "harness_keys.h"
 
 /* 77 bytes, as long as the one with which the fault was found. */
 #define LONG_SERVICE                                                      \
@@ -78,9 +78,74 @@
 	gateways_end(&fleet);
 }
 
+#define ALPHA(keys) "{\"name\":\"alpha\",\"api-keys\":[" keys "]}"
+/* Two names of 69 bytes that differ in the last one. */
+#define LONG_ORG \
+	"an-organisation-with-a-name-that-is-longer-than-sixty-three-bytes-01"
+#define OTHER_LONG_ORG \
+	"an-organisation-with-a-name-that-is-longer-than-sixty-three-bytes-02"
+#define LONG_ORGS                                                        \
+	"{\"name\":\"" LONG_ORG "\",\"api-keys\":[\"key-long\"]},"       \
+	"{\"name\":\"" OTHER_LONG_ORG "\",\"api-keys\":[\"key-other\"]," \
+	"\"rate-per-s\":1,\"burst\":2}"
+
+/* Returns how many of ten requests with a key a status has. */
+static unsigned
+count_status(const char *key, int status)
+{
+	unsigned count = 0;
+	char id[32];
+
+	for (unsigned i = 0; i < 10; i++) {
+		snprintf(id, sizeof(id), "%s-%u", key, i);
+		count += keys_ask_with(&fleet, 0, key, id) == status;
+	}
+	return (count);
+}
+
+/*
+ * Guards against an organisation's name of 64 bytes or more that keeps a
+ * version of the configuration from coming into force: a key that it takes away
+ * would stay valid, and a new one unknown. Endpoints get the whole name, and
+ * organisations whose names begin alike have their own limits and jobs.
+ */
+static void
+test_long_org_name(void)
+{
+	gateways_runs_t runs;
+	buf_t body = {0};
+
+	gateways_start(
+	    &fleet, &(gateways_params_t){.hosts = 2,
+			.tenants = "[" ALPHA("\"kept\",\"taken\"") "]"});
+	CU_ASSERT(keys_wait_status(&fleet, 0, "taken", 200, NULL));
+	fleet.params.tenants = "[" ALPHA("\"kept\"") "," LONG_ORGS "]";
+	gateways_configure(&fleet, "");
+	for (unsigned i = 0; i < 2; i++) {
+		CU_ASSERT(keys_wait_status(&fleet, i, "taken", 401, NULL));
+		CU_ASSERT(keys_wait_status(&fleet, i, "key-long", 200, NULL));
+	}
+	CU_ASSERT(keys_ask_with(&fleet, 0, "key-long", "whole-name") == 200);
+	runs = gateways_runs(&fleet, "whole-name");
+	CU_ASSERT(runs.runs == 1 && runs.keys == 0 && runs.org_names == 1);
+	CU_ASSERT_STRING_EQUAL(runs.org, LONG_ORG);
+	CU_ASSERT(count_status("key-other", 429) >= 5);
+	CU_ASSERT(count_status("key-long", 200) == 10);
+	fleet.params.key = "key-long";
+	CU_ASSERT(gateways_submit(&fleet, 0, "long-job", 2, 4) == 202);
+	CU_ASSERT(gateways_wait_job(&fleet, "long-job", 2, 4, 20));
+	CU_ASSERT_STRING_EQUAL(
+	    gateways_runs(&fleet, "long-job-0").org, LONG_ORG);
+	fleet.params.key = "key-other";
+	CU_ASSERT(gateways_results(&fleet, 1, "long-job", 0, &body) == 404);
+	buf_free(&body);
+	gateways_end(&fleet);
+}
+
 static const suite_test_t tests[] = {
     {"long service name", test_long_service_name},
     {"long endpoint id", test_long_endpoint_id},
+    {"long organisation name", test_long_org_name},
     {"long request id", test_long_request_id},
 };
 
--- a/tests/test_org_access.c
+++ b/tests/test_org_access.c
@@ -11,9 +11,9 @@
 	table->has_orgs = true;
 	table->orgs = xcalloc(2, sizeof(*table->orgs));
 	table->org_count = 2;
-	table->orgs[0] = (org_t){.name = xstrdup("a")};
-	table->orgs[1] =
-	    (org_t){.name = xstrdup("b"), .has_priority = true, .priority = 0};
+	table->orgs[1].has_priority = true;
+	org_set_name(&table->orgs[0], STR("a"));
+	org_set_name(&table->orgs[1], STR("b"));
 	table->keys = key_index_new(2);
 	key_index_add(table->keys, STR("key-a"), 0);
 	key_index_add(table->keys, STR("key-b"), 1);
--- a/tests/test_platform_formats.c
+++ b/tests/test_platform_formats.c
@@ -372,6 +372,10 @@
 	    "\"k1\",\"\xc3\xa9\"],\"priority\":0,\"rate-per-s\":1.5,\"burst\":"
 	    "3},{\"name\":\"b\",\"api-keys\":[],\"priority\":1000000,"
 	    "\"rate-per-s\":0},{\"name\":\"c\"}]";
+	static const char long_names[] =
+	    "[{\"name\":\"0123456789012345678901234567890123456789012345678901"
+	    "23456789012345678a\"},{\"name\":\"01234567890123456789012345678901"
+	    "2345678901234567890123456789012345678b\"}]";
 	routing_table_t *table;
 	char fault[160];
 
@@ -386,6 +390,12 @@
 	CU_ASSERT(key_index_count(table->keys) == 3);
 	CU_ASSERT(key_index_find(table->keys, STR("\xc3\xa9")) == 0);
 	routing_table_unref(table);
+	CU_ASSERT_FATAL(read_orgs(long_names, &table, fault) == 0);
+	CU_ASSERT(table->org_count == 2);
+	CU_ASSERT(strlen(table->orgs[0].name) == 70);
+	CU_ASSERT(strlen(table->orgs[0].id) < NAME_SIZE);
+	CU_ASSERT(strcmp(table->orgs[0].id, table->orgs[1].id) != 0);
+	routing_table_unref(table);
 	CU_ASSERT_FATAL(read_orgs("[]", &table, fault) == 0);
 	CU_ASSERT(table->has_orgs && table->org_count == 0);
 	routing_table_unref(table);
