Keys: an unreadable newest version ages the keys in force

Callers saw: a key that a version takes away went on being served for good by every host that could not read that version, whatever the reason.

Cause: the age of the keys counted from the last read that reached the end of the log, whether or not what was read came into force. The first cause of the case (a bound on a name) only made the version unreadable; any other fault of a version, or a newer format, has the same end.

Change: after a version that can't be read, the age counts from the read before it, until a version of at least the same number is read. Requests that need a key are refused at once when the limit is over (503 CONFIG_UNREAD, not run); public routes and accepted work go on and the host stays ready. A host that starts meanwhile refuses at once instead of after 2 s. daisypier_config_unread, daisypier_requests_unread_config_total and unread= in key_state_changed show it.

Where no version is unreadable nothing changes: the age is that of the last read, as before.

--- a/src/gateway.c
+++ b/src/gateway.c
@@ -7,6 +7,7 @@
 #include "clock.h"
 #include "gateway_state.h"
 #include "logger.h"
+#include "result.h"
 
 /* Callers may use an outdated host list for this multiple of its TTL. */
 #define HOST_LIST_TTL_FACTOR 3
@@ -398,7 +399,7 @@
 	gateway_update_ready(gateway);
 	membership_set_leaving(gateway_members(gateway), true);
 	httpd_set_closing(gateway->caller_server);
-	gateway_refuse_waiting(gateway);
+	gateway_refuse_waiting(gateway, -RESULT_STOPPING);
 	gateway_remove_host_record(gateway);
 	jobs_drain(gateway->jobs, last_response_at);
 	forwarder_drain(gateway->forwarder, fmax(0, stop_s - NO_START_MARGIN_S),
--- a/src/gateway_http.c
+++ b/src/gateway_http.c
@@ -122,6 +122,8 @@
 
 	if (gateway->table != NULL && (gateway->ready || gateway->draining))
 		gateway_dispatch(gateway, request, clock_monotonic());
+	else if (gateway->table == NULL && gateway->config_unread)
+		gateway_refuse_unread(gateway, request);
 	else
 		gateway_queue_request(gateway, request, clock_monotonic(),
 		    MAX_QUEUE_TIME_S, -RESULT_NOT_READY);
@@ -132,7 +134,7 @@
 {
 	const gateway_t *gateway = ctx;
 
-	if (gateway->ready && gateway_key_state(gateway) != KEYS_CURRENT)
+	if (gateway->ready && gateway_lacks_contact(gateway))
 		http_request_reply_error(request, -RESULT_KEYS_STALE, NULL);
 	else if (gateway->ready)
 		http_request_reply(request, 200, "text/plain", STR("ready\n"));
--- a/src/gateway_keys.c
+++ b/src/gateway_keys.c
@@ -1,6 +1,7 @@
 /*
  * Whether a gateway host may accept API keys at the moment, and what it does
- * with requests if not. Also registers the metrics of organisations and keys.
+ * with requests if not, or if it can't read all of the configuration. Also
+ * registers the metrics of organisations and keys.
  */
 #include "gateway_state.h"
 
@@ -15,6 +16,38 @@
  */
 #define MAX_HOLD_S 0.5
 
+/*
+ * Returns when the version in force was last known to be the newest, monotonic;
+ * 0: never. A newer one that cannot be read may have taken keys away.
+ */
+static double
+config_known_at(const gateway_t *gateway)
+{
+	return (gateway->config_unread
+		    ? gateway->config_known_at
+		    : follower_synced_at(gateway->config_follower));
+}
+
+/* Notes whether the newest version in the store cannot be read. */
+void
+gateway_config_unread(gateway_t *gateway, bool unread)
+{
+	if (unread && !gateway->config_unread)
+		gateway->config_known_at =
+		    follower_synced_at(gateway->config_follower);
+	gateway->config_unread = unread;
+	gauge_set(gateway->unread_config, unread);
+}
+
+static key_state_t
+key_state_as_of(const gateway_t *gateway, double known_at)
+{
+	if (gateway->table == NULL || !gateway->table->has_orgs)
+		return (KEYS_CURRENT);
+	return (key_freshness_state(gateway->params.settings->revoke_ms / 1e3,
+	    known_at, clock_monotonic()));
+}
+
 /*
  * Returns whether this host may accept keys now; always KEYS_CURRENT without
  * organisations. Reads the clock, so that a host that was frozen knows at once.
@@ -22,10 +55,28 @@
 key_state_t
 gateway_key_state(const gateway_t *gateway)
 {
-	if (gateway->table == NULL || !gateway->table->has_orgs)
-		return (KEYS_CURRENT);
-	return (key_freshness_state(gateway->params.settings->revoke_ms / 1e3,
-	    follower_synced_at(gateway->config_follower), clock_monotonic()));
+	return (key_state_as_of(gateway, config_known_at(gateway)));
+}
+
+/*
+ * Returns whether callers should use other hosts because this one does not hear
+ * of changes. A version that it cannot read is no such reason: it still serves
+ * what needs no key, and other hosts can mostly read no more of it.
+ */
+bool
+gateway_lacks_contact(const gateway_t *gateway)
+{
+	return (
+	    key_state_as_of(gateway,
+		follower_synced_at(gateway->config_follower)) != KEYS_CURRENT);
+}
+
+/* Refuses a request that a part of the configuration decides on. */
+void
+gateway_refuse_unread(gateway_t *gateway, http_request_t *request)
+{
+	counter_add(gateway->unread_requests, 1);
+	gateway_refuse_request(gateway, request, -RESULT_CONFIG_UNREAD);
 }
 
 /* Logs a change of the state; readiness follows the state by itself. */
@@ -33,15 +84,17 @@
 update_key_state(gateway_t *gateway)
 {
 	key_state_t state = gateway_key_state(gateway);
-	double synced_at = follower_synced_at(gateway->config_follower);
+	double synced_at = config_known_at(gateway);
 
 	gauge_set(gateway->key_age,
 	    synced_at > 0 ? clock_monotonic() - synced_at : 0);
 	if (state == gateway->key_state)
 		return;
-	LOG_INFO("key_state_changed", "state=%s before=%s age_ms=%.0f",
-	    key_state_name(state), key_state_name(gateway->key_state),
-	    synced_at > 0 ? (clock_monotonic() - synced_at) * 1e3 : -1.0);
+	LOG_INFO("key_state_changed",
+	    "state=%s before=%s age_ms=%.0f unread=%d", key_state_name(state),
+	    key_state_name(gateway->key_state),
+	    synced_at > 0 ? (clock_monotonic() - synced_at) * 1e3 : -1.0,
+	    gateway->config_unread);
 	gateway->key_state = state;
 	if (gateway->membership != NULL)
 		membership_set_keys_stale(
@@ -68,7 +121,10 @@
 		return (false);
 	update_key_state(gateway);
 	counter_add(gateway->stale_key_requests, 1);
-	if (follower_connected(gateway->config_follower))
+	/* A read brings nothing new if the newest version is unreadable. */
+	if (gateway->config_unread)
+		gateway_refuse_unread(gateway, request);
+	else if (follower_connected(gateway->config_follower))
 		gateway_queue_request(
 		    gateway, request, arrived, MAX_HOLD_S, -RESULT_KEYS_STALE);
 	else
@@ -104,6 +160,12 @@
 	for (size_t i = 0; i < ORG_ACCESS_COUNT; i++)
 		gateway->identified_requests[i] = counter_get(names[i],
 		    "Requests by whether their key names an organisation");
+	gateway->unread_config = gauge_get("daisypier_config_unread",
+	    "1 while the newest version of the configuration cannot be read");
+	gateway->unread_requests =
+	    counter_get("daisypier_requests_unread_config_total",
+		"Requests that were refused because a part of the "
+		"configuration cannot be read");
 	gateway->orgs = gauge_get("daisypier_organisations",
 	    "Organisations in the configuration in force");
 	gateway->org_keys = gauge_get("daisypier_organisation_keys",
--- a/src/gateway_state.h
+++ b/src/gateway_state.h
@@ -60,6 +60,14 @@
 	ev_timer introduce_timer;
 	bool ready;
 	double ready_since; /* monotonic */
+	/*
+	 * The newest version in the store cannot be read, and what else was
+	 * read last was up to date at this monotonic time.
+	 */
+	bool config_unread;
+	double config_known_at;
+	counter_t *unread_config;
+	counter_t *unread_requests;
 	/* Age of the configuration, see gateway_keys.c. */
 	key_state_t key_state; /* as of the last check */
 	ev_timer key_timer;
@@ -112,13 +120,16 @@
 void gateway_refuse_request(
     gateway_t *gateway, http_request_t *request, int rc);
 void gateway_dispatch_waiting(gateway_t *gateway);
-void gateway_refuse_waiting(gateway_t *gateway);
+void gateway_refuse_waiting(gateway_t *gateway, int rc);
 
 /* gateway_keys.c */
 void gateway_init_key_counters(gateway_t *gateway);
 int gateway_start_keys(void *ctx);
 void gateway_stop_keys(void *ctx);
 key_state_t gateway_key_state(const gateway_t *gateway);
+bool gateway_lacks_contact(const gateway_t *gateway);
+void gateway_config_unread(gateway_t *gateway, bool unread);
+void gateway_refuse_unread(gateway_t *gateway, http_request_t *request);
 bool gateway_withhold_request(
     gateway_t *gateway, http_request_t *request, double arrived);
 void gateway_on_config_synced(gateway_t *gateway);
--- a/src/gateway_store.c
+++ b/src/gateway_store.c
@@ -45,6 +45,31 @@
 	gateway_update_ready(gateway);
 }
 
+static uint64_t
+version_in_force(const gateway_t *gateway)
+{
+	return (gateway->table != NULL ? gateway->table->version : 0);
+}
+
+/*
+ * Notes that the newest version cannot be read. The one in force goes on, but
+ * it is known to be the newest only as of the last read before this one.
+ */
+static void
+config_reject(
+    gateway_t *gateway, const store_record_t *record, const buf_t *fault)
+{
+	counter_add(gateway->rejected_configs, 1);
+	LOG_ERROR("config_rejected",
+	    "offset=%llu bytes=%zu in_force=%llu fault=" STR_FMT,
+	    (unsigned long long)record->offset, record->value.len,
+	    (unsigned long long)version_in_force(gateway),
+	    STR_ARG(str_buf(fault)));
+	gateway_config_unread(gateway, true);
+	if (gateway->table == NULL)
+		gateway_refuse_waiting(gateway, -RESULT_CONFIG_UNREAD);
+}
+
 static void
 on_config_record(void *ctx, const store_record_t *record)
 {
@@ -52,22 +77,19 @@
 	const dialect_t *dialect = gateway->params.dialect;
 	routing_table_t *table;
 	buf_t fault = {0};
-	uint64_t previous_version =
-	    gateway->table != NULL ? gateway->table->version : 0;
+	uint64_t previous_version = version_in_force(gateway);
 
 	if (record->removed ||
 	    !str_equal(record->key, str_of(dialect->config_key)))
 		return;
 	if (dialect->read_routes(record->value, &table, &fault) != 0) {
-		counter_add(gateway->rejected_configs, 1);
-		LOG_ERROR("config_rejected",
-		    "offset=%llu bytes=%zu in_force=%llu fault=" STR_FMT,
-		    (unsigned long long)record->offset, record->value.len,
-		    (unsigned long long)previous_version,
-		    STR_ARG(str_buf(&fault)));
+		config_reject(gateway, record, &fault);
 		buf_free(&fault);
 		return;
 	}
+	/* An older version says nothing about one that could not be read. */
+	if (table->version >= previous_version)
+		gateway_config_unread(gateway, false);
 	if (!routing_table_replaces(table, gateway->table)) {
 		routing_table_unref(table);
 		return;
--- a/src/gateway_waiting.c
+++ b/src/gateway_waiting.c
@@ -22,6 +22,8 @@
 /* Requests beyond this number are refused at once. */
 #define MAX_WAITING_REQUESTS 1024
 #define RETRY_AFTER_S	     0.5
+/* It takes an operator's next version to change that. */
+#define UNREAD_RETRY_AFTER_S 2.0
 
 struct waiting_request_t {
 	gateway_t *gateway;
@@ -50,7 +52,9 @@
 {
 	LOG_INFO("request_not_taken", "request=%s cause=%s waited_ms=%.0f",
 	    info->id, result_name(rc), waited_s * 1e3);
-	http_request_refuse(request, rc, RETRY_AFTER_S, NULL);
+	http_request_refuse(request, rc,
+	    rc == -RESULT_CONFIG_UNREAD ? UNREAD_RETRY_AFTER_S : RETRY_AFTER_S,
+	    NULL);
 }
 
 static void
@@ -153,11 +157,11 @@
 	}
 }
 
-/* Refuses all queued requests, because the host shuts down. */
+/* Refuses all queued requests, because they would wait in vain. */
 void
-gateway_refuse_waiting(gateway_t *gateway)
+gateway_refuse_waiting(gateway_t *gateway, int rc)
 {
 	while (!TAILQ_EMPTY(&gateway->waiting_requests))
 		waiting_request_refuse(
-		    TAILQ_FIRST(&gateway->waiting_requests), -RESULT_STOPPING);
+		    TAILQ_FIRST(&gateway->waiting_requests), rc);
 }
--- a/tests/test_fail_revocation.c
+++ b/tests/test_fail_revocation.c
@@ -294,6 +294,55 @@
 	gateways_end(&fleet);
 }
 
+/*
+ * Guards against keys that stay valid because the version that takes them away
+ * cannot be read, against one such version that stops what needs no key, and
+ * against requests that wait although nothing they wait for can come.
+ */
+static void
+test_unreadable_version(void)
+{
+	double removed_at;
+	double asked_at;
+
+	keys_start(&fleet, 2, REVOKE_MS);
+	gateways_configure(&fleet, EXTRA_ROUTES);
+	for (unsigned i = 0; i < 2; i++)
+		CU_ASSERT(keys_wait_status(&fleet, i, ACME_KEY, 200, NULL));
+	gateways_record(&fleet, "keyed.op", "config", "{\"version\":99,");
+	removed_at = clock_monotonic();
+	for (unsigned i = 0; i < 2; i++) {
+		double last_ok_at = 0;
+
+		CU_ASSERT(
+		    keys_wait_status(&fleet, i, ACME_KEY, 503, &last_ok_at));
+		CU_ASSERT(last_ok_at < removed_at + REVOKE_S);
+		/* The key may be one that this version adds. */
+		CU_ASSERT(keys_ask_with(&fleet, i, "nobody", "un") == 503);
+		CU_ASSERT(keys_readiness(&fleet, i) == 200);
+		CU_ASSERT(keys_ask(&fleet, &(keys_ask_t){.host = i,
+					       .path = "/open/",
+					       .id = "uo"}) == 200);
+	}
+	CU_ASSERT(gateways_runs(&fleet, "un").runs == 0);
+	/* A host that starts now knows nothing, and says so at once. */
+	harness_kill(fleet.hosts[1]);
+	gateways_start_host(&fleet, 1);
+	CU_ASSERT(keys_wait_status(&fleet, 1, ACME_KEY, 503, NULL));
+	asked_at = clock_monotonic();
+	for (unsigned i = 0; i < 4; i++)
+		CU_ASSERT(keys_ask_with(&fleet, 1, BOLT_KEY, "us") == 503);
+	CU_ASSERT(clock_monotonic() < asked_at + 2);
+	/* The next version that can be read ends all this. */
+	fleet.params.tenants = "[" ACME_WITHOUT_KEYS "," BOLT "]";
+	gateways_configure(&fleet, "");
+	for (unsigned i = 0; i < 2; i++) {
+		CU_ASSERT(keys_wait_status(&fleet, i, ACME_KEY, 401, NULL));
+		CU_ASSERT(keys_wait_status(&fleet, i, BOLT_KEY, 200, NULL));
+	}
+	gateways_end(&fleet);
+}
+
 static const suite_test_t tests[] = {
     {"a calm host stays ready", test_calm_host_stays_ready},
     {"a removed key is refused", test_removed_key_is_refused},
@@ -303,6 +352,7 @@
     {"requests wait for the start", test_requests_wait_for_start},
     {"a stale host starts", test_stale_host_starts},
     {"expired history", test_expired_history},
+    {"unreadable version", test_unreadable_version},
     {"directory leaves out stale hosts", test_directory_leaves_out_stale_hosts},
 };
 
