Configuration: an entry that cannot be read withholds only itself

Removed keys stayed valid, new keys got 401, routes stayed as they were.

Cause: the parser stopped at the first fault and refused the text.

An entry that still cannot be read is noted in the table, logged (config_entry_unread) and counted; the rest comes into force. What only that entry could allow or refuse is refused as not run (503 CONFIG_UNREAD): its keys, requests of its route, and unknown keys or targets if the entry does not tell which.

--- a/src/dialect.h
+++ b/src/dialect.h
@@ -70,7 +70,10 @@
 	str_t (*read_key)(const http_request_t *request);
 	/* Returns 0, or -RESULT_BAD_REQUEST and the faulty field in fault. */
 	int (*read_job)(str_t body, job_t *out, buf_t *fault);
-	/* Appends the faulty field to fault, if the text is refused. */
+	/*
+	 * Returns 0 even if single entries cannot be read, see routing_table_t;
+	 * -RESULT_BAD_REQUEST and the reason in fault if the whole text cannot.
+	 */
 	int (*read_routes)(str_t text, routing_table_t **out, buf_t *fault);
 	int (*read_endpoint)(str_t id, str_t text, endpoint_entry_t *out);
 	/*
--- a/src/gateway_http.c
+++ b/src/gateway_http.c
@@ -60,6 +60,10 @@
 	    gateway_withhold_request(gateway, request, arrived))
 		return (false);
 	counter_add(gateway->identified_requests[access], 1);
+	if (access == ORG_ACCESS_UNREAD) {
+		gateway_refuse_unread(gateway, request);
+		return (false);
+	}
 	if (org_access_allowed(access)) {
 		if (*org == NULL ||
 		    http_request_begin_for(request, str_of((*org)->name)))
@@ -95,6 +99,10 @@
 	route = routing_table_match(gateway->table,
 	    str_of(host != NULL ? host : ""),
 	    str_of(http_request_target(request)));
+	if (route == NULL ? gateway->table->lacks_routes : route->unread) {
+		gateway_refuse_unread(gateway, request);
+		return;
+	}
 	if (route == NULL) {
 		LOG_INFO("request_without_route",
 		    "host=%s target=%s config=%llu", host != NULL ? host : "",
--- a/src/gateway_keys.c
+++ b/src/gateway_keys.c
@@ -155,6 +155,8 @@
 		"daisypier_requests_identified_total{outcome=\"no_key\"}",
 	    [ORG_ACCESS_UNKNOWN_KEY] = "daisypier_requests_identified_total"
 				       "{outcome=\"unknown_key\"}",
+	    [ORG_ACCESS_UNREAD] =
+		"daisypier_requests_identified_total{outcome=\"unread\"}",
 	};
 
 	for (size_t i = 0; i < ORG_ACCESS_COUNT; i++)
@@ -162,6 +164,8 @@
 		    "Requests by whether their key names an organisation");
 	gateway->unread_config = gauge_get("daisypier_config_unread",
 	    "1 while the newest version of the configuration cannot be read");
+	gateway->unread_entries = gauge_get("daisypier_config_entries_unread",
+	    "Faults of entries of the version in force that cannot be read");
 	gateway->unread_requests =
 	    counter_get("daisypier_requests_unread_config_total",
 		"Requests that were refused because a part of the "
--- a/src/gateway_state.h
+++ b/src/gateway_state.h
@@ -67,6 +67,7 @@
 	bool config_unread;
 	double config_known_at;
 	counter_t *unread_config;
+	counter_t *unread_entries;
 	counter_t *unread_requests;
 	/* Age of the configuration, see gateway_keys.c. */
 	key_state_t key_state; /* as of the last check */
--- a/src/gateway_store.c
+++ b/src/gateway_store.c
@@ -26,6 +26,8 @@
  * long-polling read would return at once.
  */
 #define ENDPOINTS_POLL_INTERVAL_S 0.45
+/* Faults of one version that are logged; all are counted. */
+#define MAX_LOGGED_FAULTS 20
 
 /* Rebuilds the configuration for admission from routes and endpoints. */
 void
@@ -70,6 +72,18 @@
 		gateway_refuse_waiting(gateway, -RESULT_CONFIG_UNREAD);
 }
 
+/* Logs what of a version cannot be read, and counts it in the metrics. */
+static void
+config_report_faults(gateway_t *gateway, const routing_table_t *table)
+{
+	gauge_set(gateway->unread_entries, (double)table->fault_count);
+	for (size_t i = 0; i < table->fault_count && i < MAX_LOGGED_FAULTS; i++)
+		LOG_ERROR("config_entry_unread",
+		    "version=%llu number=%zu of=%zu fault=%s",
+		    (unsigned long long)table->version, i + 1,
+		    table->fault_count, table->faults[i]);
+}
+
 static void
 on_config_record(void *ctx, const store_record_t *record)
 {
@@ -94,6 +108,7 @@
 		routing_table_unref(table);
 		return;
 	}
+	config_report_faults(gateway, table);
 	LOG_INFO("config_in_force",
 	    "version=%llu before=%llu routes=%zu pools=%zu orgs=%zu keys=%zu "
 	    "offset=%llu",
--- a/src/job_run.c
+++ b/src/job_run.c
@@ -469,6 +469,16 @@
 	item_selection_free(&selection);
 }
 
+/* Returns whether an item has a route, or one that could not be read. */
+static bool
+item_may_have_route(const item_run_t *item)
+{
+	const job_runner_params_t *params = &item->run->runner->params;
+	const routing_table_t *table = params->routes(params->ctx);
+
+	return (item_route(item) != NULL || table->lacks_routes);
+}
+
 static void
 run_abandon_items(job_run_t *run, double wall)
 {
@@ -479,7 +489,7 @@
 
 		if (item->state != ITEM_WAITING && item->state != ITEM_RUNNING)
 			continue;
-		if (item_route(item) != NULL)
+		if (item_may_have_route(item))
 			item->no_route_since = 0;
 		else if (item->no_route_since <= 0)
 			item->no_route_since = wall;
--- a/src/key_index.c
+++ b/src/key_index.c
@@ -105,7 +105,22 @@
 	return (true);
 }
 
-/* Returns the organisation that holds the key, or KEY_INDEX_NONE. */
+/* Makes a key that of no organisation, whoever held it. */
+void
+key_index_withhold(key_index_t *index, str_t key)
+{
+	unsigned char hash[HASH_BYTES];
+
+	if (key_index_add(index, key, KEY_INDEX_WITHHELD))
+		return;
+	hash_key(key, hash);
+	find_entry(index, hash)->org = KEY_INDEX_WITHHELD;
+}
+
+/*
+ * Returns the organisation that holds the key, KEY_INDEX_WITHHELD or
+ * KEY_INDEX_NONE.
+ */
 size_t
 key_index_find(const key_index_t *index, str_t key)
 {
--- a/src/routing_check.c
+++ b/src/routing_check.c
@@ -14,6 +14,7 @@
 	bool is_error;
 } rules[ROUTING_RULES] = {
     [ROUTING_REJECTED] = {"rejected", true},
+    [ROUTING_ENTRY_UNREAD] = {"entry_unread", true},
     [ROUTING_NOT_NEWER] = {"not_newer", true},
     [ROUTING_ROUTE_HIDDEN] = {"route_hidden", false},
     [ROUTING_ROUTE_UNREACHABLE] = {"route_unreachable", false},
@@ -38,7 +39,7 @@
 	return (rules[rule].name);
 }
 
-/* Returns whether hosts do not bring such a configuration into force. */
+/* Returns whether hosts do not bring all of such a configuration into force. */
 bool
 routing_rule_is_error(routing_rule_t rule)
 {
@@ -266,15 +267,20 @@
 }
 
 /*
- * Adds a warning for each entry that contradicts another one or never matches,
- * in the order of the table.
+ * Adds an error for each entry that could not be read, and a warning for each
+ * that contradicts another one or never matches, in the order of the table.
  */
 void
 routing_check(const routing_table_t *table, const routing_limits_t *limits,
     routing_findings_t *findings)
 {
+	for (size_t i = 0; i < table->fault_count; i++)
+		routing_findings_add(findings, ROUTING_ENTRY_UNREAD,
+		    ROUTING_WHOLE_TABLE, "hosts refuse what depends on it: %s",
+		    table->faults[i]);
 	for (size_t i = 0; i < table->route_count; i++)
-		check_route(table, &table->routes[i], limits, findings);
+		if (!table->routes[i].unread)
+			check_route(table, &table->routes[i], limits, findings);
 	for (size_t i = 0; i < table->pool_count; i++)
 		check_pool(table, &table->pools[i], findings);
 	if (table->has_orgs && table->org_count == 0)
--- a/src/routing_check.h
+++ b/src/routing_check.h
@@ -7,8 +7,9 @@
 
 /* What was found; routing_rule_name() is the name in reports. */
 typedef enum routing_rule_t {
-	/* Errors: hosts do not bring the configuration into force. */
+	/* Errors: hosts bring it into force not at all, or not in full. */
 	ROUTING_REJECTED,
+	ROUTING_ENTRY_UNREAD,
 	ROUTING_NOT_NEWER,
 	/* Warnings. */
 	ROUTING_ROUTE_HIDDEN,
--- a/src/routing_table.c
+++ b/src/routing_table.c
@@ -1,6 +1,7 @@
 /* Routing table: maps requests to pools and states how they are handled. */
 #include "routing_table.h"
 
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
@@ -27,6 +28,22 @@
 	return (table);
 }
 
+/* Notes why an entry, or a field of one, could not be read. */
+void
+routing_table_add_fault(routing_table_t *table, const char *fmt, ...)
+{
+	va_list args;
+	char *text;
+
+	va_start(args, fmt);
+	if (vasprintf(&text, fmt, args) < 0)
+		text = xstrdup("");
+	va_end(args);
+	table->faults = (char **)xrealloc(
+	    (void *)table->faults, (table->fault_count + 1) * sizeof(char *));
+	table->faults[table->fault_count++] = text;
+}
+
 static void
 route_free(request_route_t *route)
 {
@@ -38,6 +55,17 @@
 	free(route->prefix);
 }
 
+/* Removes the last route, of which too little could be read. */
+void
+routing_table_drop_route(routing_table_t *table)
+{
+	request_route_t *route = &table->routes[--table->route_count];
+
+	route_free(route);
+	*route = (request_route_t){0};
+	table->lacks_routes = true;
+}
+
 /* Drops a reference; the last one frees the table. NULL is ignored. */
 void
 routing_table_unref(routing_table_t *table)
@@ -51,6 +79,9 @@
 	for (size_t i = 0; i < table->org_count; i++)
 		free(table->orgs[i].name);
 	free(table->orgs);
+	for (size_t i = 0; i < table->fault_count; i++)
+		free(table->faults[i]);
+	free((void *)table->faults);
 	key_index_delete(table->keys);
 	free(table->routes);
 	free(table->pools);
--- a/src/routing_table.h
+++ b/src/routing_table.h
@@ -26,6 +26,7 @@
 	bool resumable;
 	bool has_prompt;   /* requests contain the parts of a prompt */
 	bool is_public;	   /* requests need no key */
+	bool unread;	   /* only host and prefix are known; has no pool */
 	unsigned priority; /* 0 is the most urgent */
 	unsigned max_attempts;
 	double timeout;		  /* seconds until a request must be answered */
@@ -68,11 +69,23 @@
 	org_t *orgs;
 	size_t org_count;
 	key_index_t *keys; /* indices of orgs; NULL without orgs */
+	/*
+	 * What could not be read, one text for each entry or field. Requests
+	 * that may be meant by it are refused as not run, because only the
+	 * entry says whether they are allowed.
+	 */
+	char **faults;
+	size_t fault_count;
+	bool lacks_routes; /* there are routes without a known host or prefix */
+	bool lacks_keys;   /* there are keys that could not be read */
 } routing_table_t;
 
 routing_table_t *routing_table_new(size_t routes, size_t pools);
 routing_table_t *routing_table_ref(routing_table_t *table);
 void routing_table_unref(routing_table_t *table);
+void routing_table_add_fault(routing_table_t *table, const char *fmt, ...)
+    __attribute__((format(printf, 2, 3)));
+void routing_table_drop_route(routing_table_t *table);
 bool routing_table_replaces(
     const routing_table_t *table, const routing_table_t *in_force);
 const request_route_t *routing_table_match(
--- a/tests/test_fail_job_pools.c
+++ b/tests/test_fail_job_pools.c
@@ -43,8 +43,61 @@
 	gateways_end(&fleet);
 }
 
+/* Longer than items wait for a route before they are given up. */
+#define ROUTE_MISSING_S 4.5
+
+/* Puts a configuration into force that has this route only. */
+static void
+configure_route(const char *route)
+{
+	char text[512];
+
+	fleet.config_version += 10;
+	snprintf(text, sizeof(text),
+	    "{\"version\":%llu,\"services\":[],\"routes\":[%s]}",
+	    (unsigned long long)fleet.config_version, route);
+	gateways_record(&fleet, "keyed.op", "config", text);
+}
+
+/*
+ * Guards against items that are given up because the entry of their route
+ * cannot be read: it is not known to be removed.
+ */
+static void
+test_unread_route(void)
+{
+	static const char *const routes[] = {
+	    "{\"name\":\"idle\",\"host\":\"" GATEWAYS_HOST
+	    "\",\"path-prefix\":\"" GATEWAYS_IDLE "\",\"type\":\"unheard-of\"}",
+	    "{\"name\":\"idle\",\"type\":\"batch\"}",
+	};
+
+	gateways_start(
+	    &fleet, &(gateways_params_t){.hosts = 1, .idle_service = true});
+	CU_ASSERT(gateways_submit_to(
+		      &fleet, 0, GATEWAYS_IDLE, "kept-job", 2, 4) == 202);
+	for (size_t i = 0; i < sizeof(routes) / sizeof(routes[0]); i++) {
+		buf_t body = {0};
+
+		configure_route(routes[i]);
+		harness_sleep(ROUTE_MISSING_S);
+		CU_ASSERT(
+		    gateways_results(&fleet, 0, "kept-job", 0, &body) == 200);
+		CU_ASSERT(body.len > 0 &&
+			  strstr(body.data, "\"next-token\":0") != NULL);
+		buf_free(&body);
+	}
+	CU_ASSERT(gateways_configure(&fleet, ""));
+	harness_kill(fleet.engines[0]);
+	fleet.params.service = GATEWAYS_IDLE_SERVICE;
+	gateways_start_engine(&fleet, 0);
+	CU_ASSERT(gateways_wait_job(&fleet, "kept-job", 2, 4, 20));
+	gateways_end(&fleet);
+}
+
 static const suite_test_t tests[] = {
     {"service without endpoints", test_service_without_endpoints},
+    {"unread route", test_unread_route},
 };
 
 SUITE_MAIN("fail_job_pools", tests)
--- a/tests/test_fail_revocation.c
+++ b/tests/test_fail_revocation.c
@@ -343,6 +343,43 @@
 	gateways_end(&fleet);
 }
 
+#define UNREAD_ORG "{\"name\":\"\",\"api-keys\":[\"k-unread\"]}"
+#define UNREAD_ROUTE                                                     \
+	",{\"name\":\"special\",\"host\":\"" GATEWAYS_HOST               \
+	"\",\"path-prefix\":\"/once/special/\",\"type\":\"unheard-of\"," \
+	"\"service\":\"m\",\"max-attempts\":1,\"timeout-ms\":5000}"
+
+/*
+ * Guards against one entry that cannot be read and keeps the rest of a version
+ * from coming into force, and against requests that only that entry could allow
+ * or refuse: they must be refused as not run.
+ */
+static void
+test_unread_entries(void)
+{
+	keys_start(&fleet, 1, REVOKE_MS);
+	CU_ASSERT(keys_wait_status(&fleet, 0, ACME_KEY, 200, NULL));
+	fleet.params.tenants =
+	    "[" ACME_WITHOUT_KEYS "," UNREAD_ORG "," BOLT "]";
+	gateways_configure(&fleet, UNREAD_ROUTE);
+	CU_ASSERT(keys_wait_status(&fleet, 0, ACME_KEY, 401, NULL));
+	CU_ASSERT(keys_ask_with(&fleet, 0, "k-unread", "eu") == 503);
+	CU_ASSERT(
+	    keys_ask(&fleet,
+		&(keys_ask_t){.path = "/once/special/1",
+		    .id = "es",
+		    .headers = {"Authorization: Bearer " BOLT_KEY}}) == 503);
+	CU_ASSERT(gateways_runs(&fleet, "eu").runs == 0);
+	CU_ASSERT(gateways_runs(&fleet, "es").runs == 0);
+	/* Longer than the limit for revocations: this host is up to date. */
+	harness_sleep(REVOKE_S);
+	CU_ASSERT(keys_ask_with(&fleet, 0, BOLT_KEY, "eb") == 200);
+	CU_ASSERT(keys_ask(&fleet,
+		      &(keys_ask_t){.path = "/nowhere/", .id = "en"}) == 404);
+	CU_ASSERT(keys_readiness(&fleet, 0) == 200);
+	gateways_end(&fleet);
+}
+
 static const suite_test_t tests[] = {
     {"a calm host stays ready", test_calm_host_stays_ready},
     {"a removed key is refused", test_removed_key_is_refused},
@@ -353,6 +390,7 @@
     {"a stale host starts", test_stale_host_starts},
     {"expired history", test_expired_history},
     {"unreadable version", test_unreadable_version},
+    {"unread entries", test_unread_entries},
     {"directory leaves out stale hosts", test_directory_leaves_out_stale_hosts},
 };
 
--- a/tests/test_key_index.c
+++ b/tests/test_key_index.c
@@ -80,11 +80,32 @@
 	key_index_delete(NULL);
 }
 
+/*
+ * Guards against a withheld key that counts as its former holder's, or is taken
+ * for one that nobody holds.
+ */
+static void
+test_withheld(void)
+{
+	key_index_t *index = key_index_new(2);
+
+	key_index_add(index, STR("a"), 0);
+	key_index_withhold(index, STR("a"));
+	key_index_withhold(index, STR("b"));
+	CU_ASSERT(key_index_find(index, STR("a")) == KEY_INDEX_WITHHELD);
+	CU_ASSERT(key_index_find(index, STR("b")) == KEY_INDEX_WITHHELD);
+	CU_ASSERT(key_index_find(index, STR("c")) == KEY_INDEX_NONE);
+	CU_ASSERT(!key_index_add(index, STR("a"), 0));
+	CU_ASSERT(key_index_count_org(index, 0) == 0);
+	key_index_delete(index);
+}
+
 static const suite_test_t tests[] = {
     {"every key is found", test_every_key_is_found},
     {"a key is added once", test_key_is_added_once},
     {"all bytes count", test_all_bytes_count},
     {"full and empty index", test_full_and_empty_index},
+    {"withheld", test_withheld},
 };
 
 SUITE_MAIN("key_index", tests)
