--- a/src/job_run.c
+++ b/src/job_run.c
@@ -4,11 +4,9 @@
 #include <math.h>
 #include <stdlib.h>
 #include <string.h>
-#include <strings.h>
 
 #include "clock.h"
 #include "counter.h"
-#include "http_syntax.h"
 #include "logger.h"
 #include "org_access.h"
 #include "result.h"
@@ -183,61 +181,6 @@
 	runner_request_slots(runner, pool);
 }
 
-static void
-item_prepare_request(item_run_t *item)
-{
-	const job_runner_params_t *params = &item->run->runner->params;
-	const dialect_t *dialect = params->dialect;
-	const routing_table_t *table = params->routes(params->ctx);
-	const job_item_t *source = item->item;
-	str_t org = item->run->job->job.org;
-	bool has_orgs = org.len > 0 || (table != NULL && table->has_orgs);
-
-	/* A configuration with organisations may come between two attempts. */
-	if (item->headers.count > 0 && item->has_orgs == has_orgs)
-		return;
-	header_list_free(&item->headers);
-	free(item->target);
-	item->has_orgs = has_orgs;
-	for (size_t i = 0; i < source->header_count; i++) {
-		char *name = str_dup(source->headers[i].name);
-
-		/* Only this host knows from which event an item goes on. */
-		if (!header_is_hop_by_hop(name) &&
-		    strcasecmp(name, dialect->resume_header) != 0 &&
-		    !(has_orgs && dialect_identifies_org(dialect, name)))
-			(void)header_list_add(&item->headers, str_of(name),
-			    source->headers[i].value);
-		free(name);
-	}
-	if (org.len > 0)
-		(void)header_list_set(&item->headers, dialect->org_header, org);
-	(void)header_list_set(&item->headers, "Host", item->run->job->job.host);
-	(void)header_list_set(
-	    &item->headers, dialect->request_id_header, source->id);
-	item->target = str_dup(source->target);
-}
-
-/* Returns the parts of an item's prompt, which are read once. */
-static const prompt_parts_t *
-item_prompt(item_run_t *item)
-{
-	const dialect_t *dialect = item->run->runner->params.dialect;
-	const job_item_t *source = item->item;
-	str_t prompt = {0};
-
-	if (item->prompt.has_request)
-		return (&item->prompt);
-	for (size_t i = 0; i < source->header_count; i++)
-		if (str_equal_nocase(source->headers[i].name,
-			str_of(dialect->prompt_header)))
-			prompt = source->headers[i].value;
-	dialect->read_prompt(prompt, &item->prompt);
-	prompt_parts_set_request(
-	    &item->prompt, source->target, prompt, source->body);
-	return (&item->prompt);
-}
-
 /*
  * Lets an item wait if a part of its prompt is held back. Returns whether it
  * is.
@@ -550,28 +493,6 @@
 	}
 }
 
-/*
- * Marks an item that no endpoint could be sent as it is. Jobs are checked when
- * they are submitted, but earlier versions stored them unchecked.
- */
-static void
-item_check(item_run_t *item)
-{
-	const stored_job_t *job = item->run->job;
-	job_item_fault_t fault = job_item_check(item->item);
-
-	item->malformed = fault.field != JOB_ITEM_NO_FIELD ||
-			  !http_is_field_value(job->job.host);
-	if (item->malformed)
-		LOG_WARN("item_malformed",
-		    "job=%s index=%zu field=%s header=%zu", job->id,
-		    (size_t)(item->item - job->job.items),
-		    fault.field != JOB_ITEM_NO_FIELD
-			? job_item_field_name(fault.field)
-			: "host",
-		    fault.header);
-}
-
 /* Starts to run the items of an accepted job that have no result. */
 void
 job_runner_add(job_runner_t *runner, stored_job_t *job)
--- a/src/job_run_state.h
+++ b/src/job_run_state.h
@@ -128,6 +128,11 @@
 void item_selection_free(item_selection_t *selection);
 double item_candidate_start_by(const item_candidate_t *candidate);
 
+/* job_run_request.c */
+void item_check(item_run_t *item);
+void item_prepare_request(item_run_t *item);
+const prompt_parts_t *item_prompt(item_run_t *item);
+
 /* job_run_plan.c */
 void runner_plan(job_runner_t *runner, double seconds);
 
