Configuration: "unreadable" for what cannot be read, also in metrics

Cause: "unread" already names bytes that a client has not read, and log lines called such entries of endpoints unreadable. Result: no change of behaviour; test_platform_formats, test_check_config, test_fail_revocation, test_fail_orgs and test_fail_job_pools pass.

--- a/src/gateway_http.c
+++ b/src/gateway_http.c
@@ -60,8 +60,8 @@
 	    gateway_withhold_request(gateway, request, arrived))
 		return (false);
 	counter_add(gateway->identified_requests[access], 1);
-	if (access == ORG_ACCESS_UNREAD) {
-		gateway_refuse_unread(gateway, request);
+	if (access == ORG_ACCESS_UNREADABLE) {
+		gateway_refuse_unreadable(gateway, request);
 		return (false);
 	}
 	if (org_access_allowed(access)) {
@@ -99,8 +99,8 @@
 	route = routing_table_match(gateway->table,
 	    str_of(host != NULL ? host : ""),
 	    str_of(http_request_target(request)));
-	if (route == NULL ? gateway->table->lacks_routes : route->unread) {
-		gateway_refuse_unread(gateway, request);
+	if (route == NULL ? gateway->table->lacks_routes : route->unreadable) {
+		gateway_refuse_unreadable(gateway, request);
 		return;
 	}
 	if (route == NULL) {
@@ -130,8 +130,8 @@
 
 	if (gateway->table != NULL && (gateway->ready || gateway->draining))
 		gateway_dispatch(gateway, request, clock_monotonic());
-	else if (gateway->table == NULL && gateway->config_unread)
-		gateway_refuse_unread(gateway, request);
+	else if (gateway->table == NULL && gateway->config_unreadable)
+		gateway_refuse_unreadable(gateway, request);
 	else
 		gateway_queue_request(gateway, request, clock_monotonic(),
 		    MAX_QUEUE_TIME_S, -RESULT_NOT_READY);
--- a/src/gateway_keys.c
+++ b/src/gateway_keys.c
@@ -23,20 +23,20 @@
 static double
 config_known_at(const gateway_t *gateway)
 {
-	return (gateway->config_unread
+	return (gateway->config_unreadable
 		    ? gateway->config_known_at
 		    : follower_synced_at(gateway->config_follower));
 }
 
 /* Notes whether the newest version in the store cannot be read. */
 void
-gateway_config_unread(gateway_t *gateway, bool unread)
+gateway_set_config_unreadable(gateway_t *gateway, bool unreadable)
 {
-	if (unread && !gateway->config_unread)
+	if (unreadable && !gateway->config_unreadable)
 		gateway->config_known_at =
 		    follower_synced_at(gateway->config_follower);
-	gateway->config_unread = unread;
-	gauge_set(gateway->unread_config, unread);
+	gateway->config_unreadable = unreadable;
+	gauge_set(gateway->unreadable_config, unreadable);
 }
 
 static key_state_t
@@ -61,7 +61,7 @@
 /*
  * Returns whether callers should use other hosts because this one does not hear
  * of changes. A version that it cannot read is no such reason: it still serves
- * what needs no key, and other hosts can mostly read no more of it.
+ * what needs no key, and other hosts of its build cannot read it either.
  */
 bool
 gateway_lacks_contact(const gateway_t *gateway)
@@ -73,10 +73,10 @@
 
 /* Refuses a request that a part of the configuration decides on. */
 void
-gateway_refuse_unread(gateway_t *gateway, http_request_t *request)
+gateway_refuse_unreadable(gateway_t *gateway, http_request_t *request)
 {
-	counter_add(gateway->unread_requests, 1);
-	gateway_refuse_request(gateway, request, -RESULT_CONFIG_UNREAD);
+	counter_add(gateway->unreadable_requests, 1);
+	gateway_refuse_request(gateway, request, -RESULT_CONFIG_UNREADABLE);
 }
 
 /* Logs a change of the state; readiness follows the state by itself. */
@@ -91,10 +91,10 @@
 	if (state == gateway->key_state)
 		return;
 	LOG_INFO("key_state_changed",
-	    "state=%s before=%s age_ms=%.0f unread=%d", key_state_name(state),
-	    key_state_name(gateway->key_state),
+	    "state=%s before=%s age_ms=%.0f unreadable=%d",
+	    key_state_name(state), key_state_name(gateway->key_state),
 	    synced_at > 0 ? (clock_monotonic() - synced_at) * 1e3 : -1.0,
-	    gateway->config_unread);
+	    gateway->config_unreadable);
 	gateway->key_state = state;
 	if (gateway->membership != NULL)
 		membership_set_keys_stale(
@@ -122,8 +122,8 @@
 	update_key_state(gateway);
 	counter_add(gateway->stale_key_requests, 1);
 	/* A read brings nothing new if the newest version is unreadable. */
-	if (gateway->config_unread)
-		gateway_refuse_unread(gateway, request);
+	if (gateway->config_unreadable)
+		gateway_refuse_unreadable(gateway, request);
 	else if (follower_connected(gateway->config_follower))
 		gateway_queue_request(
 		    gateway, request, arrived, MAX_HOLD_S, -RESULT_KEYS_STALE);
@@ -155,19 +155,20 @@
 		"daisypier_requests_identified_total{outcome=\"no_key\"}",
 	    [ORG_ACCESS_UNKNOWN_KEY] = "daisypier_requests_identified_total"
 				       "{outcome=\"unknown_key\"}",
-	    [ORG_ACCESS_UNREAD] =
-		"daisypier_requests_identified_total{outcome=\"unread\"}",
+	    [ORG_ACCESS_UNREADABLE] =
+		"daisypier_requests_identified_total{outcome=\"unreadable\"}",
 	};
 
 	for (size_t i = 0; i < ORG_ACCESS_COUNT; i++)
 		gateway->identified_requests[i] = counter_get(names[i],
 		    "Requests by whether their key names an organisation");
-	gateway->unread_config = gauge_get("daisypier_config_unread",
+	gateway->unreadable_config = gauge_get("daisypier_config_unreadable",
 	    "1 while the newest version of the configuration cannot be read");
-	gateway->unread_entries = gauge_get("daisypier_config_entries_unread",
+	gateway->unreadable_entries = gauge_get(
+	    "daisypier_config_entries_unreadable",
 	    "Faults of entries of the version in force that cannot be read");
-	gateway->unread_requests =
-	    counter_get("daisypier_requests_unread_config_total",
+	gateway->unreadable_requests =
+	    counter_get("daisypier_requests_config_unreadable_total",
 		"Requests that were refused because a part of the "
 		"configuration cannot be read");
 	gateway->orgs = gauge_get("daisypier_organisations",
--- a/src/gateway_state.h
+++ b/src/gateway_state.h
@@ -61,14 +61,14 @@
 	bool ready;
 	double ready_since; /* monotonic */
 	/*
-	 * The newest version in the store cannot be read, and what else was
-	 * read last was up to date at this monotonic time.
+	 * The newest version in the store cannot be read; the one in force was
+	 * last known to be the newest at config_known_at, which is monotonic.
 	 */
-	bool config_unread;
+	bool config_unreadable;
 	double config_known_at;
-	counter_t *unread_config;
-	counter_t *unread_entries;
-	counter_t *unread_requests;
+	counter_t *unreadable_config;
+	counter_t *unreadable_entries;
+	counter_t *unreadable_requests;
 	/* Age of the configuration, see gateway_keys.c. */
 	key_state_t key_state; /* as of the last check */
 	ev_timer key_timer;
@@ -129,8 +129,8 @@
 void gateway_stop_keys(void *ctx);
 key_state_t gateway_key_state(const gateway_t *gateway);
 bool gateway_lacks_contact(const gateway_t *gateway);
-void gateway_config_unread(gateway_t *gateway, bool unread);
-void gateway_refuse_unread(gateway_t *gateway, http_request_t *request);
+void gateway_set_config_unreadable(gateway_t *gateway, bool unreadable);
+void gateway_refuse_unreadable(gateway_t *gateway, http_request_t *request);
 bool gateway_withhold_request(
     gateway_t *gateway, http_request_t *request, double arrived);
 void gateway_on_config_synced(gateway_t *gateway);
--- a/src/gateway_store.c
+++ b/src/gateway_store.c
@@ -67,18 +67,18 @@
 	    (unsigned long long)record->offset, record->value.len,
 	    (unsigned long long)version_in_force(gateway),
 	    STR_ARG(str_buf(fault)));
-	gateway_config_unread(gateway, true);
+	gateway_set_config_unreadable(gateway, true);
 	if (gateway->table == NULL)
-		gateway_refuse_waiting(gateway, -RESULT_CONFIG_UNREAD);
+		gateway_refuse_waiting(gateway, -RESULT_CONFIG_UNREADABLE);
 }
 
 /* Logs what of a version cannot be read, and counts it in the metrics. */
 static void
 config_report_faults(gateway_t *gateway, const routing_table_t *table)
 {
-	gauge_set(gateway->unread_entries, (double)table->fault_count);
+	gauge_set(gateway->unreadable_entries, (double)table->fault_count);
 	for (size_t i = 0; i < table->fault_count && i < MAX_LOGGED_FAULTS; i++)
-		LOG_ERROR("config_entry_unread",
+		LOG_ERROR("config_entry_unreadable",
 		    "version=%llu number=%zu of=%zu fault=%s",
 		    (unsigned long long)table->version, i + 1,
 		    table->fault_count, table->faults[i]);
@@ -103,7 +103,7 @@
 	}
 	/* An older version says nothing about one that could not be read. */
 	if (table->version >= previous_version)
-		gateway_config_unread(gateway, false);
+		gateway_set_config_unreadable(gateway, false);
 	if (!routing_table_replaces(table, gateway->table)) {
 		routing_table_unref(table);
 		return;
--- a/src/gateway_waiting.c
+++ b/src/gateway_waiting.c
@@ -23,7 +23,7 @@
 #define MAX_WAITING_REQUESTS 1024
 #define RETRY_AFTER_S	     0.5
 /* It takes an operator's next version to change that. */
-#define UNREAD_RETRY_AFTER_S 2.0
+#define UNREADABLE_RETRY_AFTER_S 2.0
 
 struct waiting_request_t {
 	gateway_t *gateway;
@@ -53,7 +53,8 @@
 	LOG_INFO("request_not_taken", "request=%s cause=%s waited_ms=%.0f",
 	    info->id, result_name(rc), waited_s * 1e3);
 	http_request_refuse(request, rc,
-	    rc == -RESULT_CONFIG_UNREAD ? UNREAD_RETRY_AFTER_S : RETRY_AFTER_S,
+	    rc == -RESULT_CONFIG_UNREADABLE ? UNREADABLE_RETRY_AFTER_S
+					    : RETRY_AFTER_S,
 	    NULL);
 }
 
--- a/src/org_access.c
+++ b/src/org_access.c
@@ -20,7 +20,7 @@
 	i = key_index_find(table->keys, key);
 	if (i == KEY_INDEX_WITHHELD ||
 	    (i == KEY_INDEX_NONE && table->lacks_keys))
-		return (ORG_ACCESS_UNREAD);
+		return (ORG_ACCESS_UNREADABLE);
 	if (i == KEY_INDEX_NONE)
 		return (ORG_ACCESS_UNKNOWN_KEY);
 	*org = &table->orgs[i];
@@ -43,7 +43,7 @@
 	    [ORG_ACCESS_IDENTIFIED] = "identified",
 	    [ORG_ACCESS_NO_KEY] = "no_key",
 	    [ORG_ACCESS_UNKNOWN_KEY] = "unknown_key",
-	    [ORG_ACCESS_UNREAD] = "unread",
+	    [ORG_ACCESS_UNREADABLE] = "unreadable",
 	};
 
 	return (names[access]);
--- a/src/org_access.h
+++ b/src/org_access.h
@@ -9,7 +9,7 @@
 	ORG_ACCESS_IDENTIFIED,	/* the key belongs to an organisation */
 	ORG_ACCESS_NO_KEY,	/* a key is needed and missing */
 	ORG_ACCESS_UNKNOWN_KEY, /* no organisation holds the key */
-	ORG_ACCESS_UNREAD,	/* the entry with the key cannot be read */
+	ORG_ACCESS_UNREADABLE,	/* the entry with the key cannot be read */
 	ORG_ACCESS_COUNT,
 } org_access_t;
 
--- a/src/result.h
+++ b/src/result.h
@@ -60,7 +60,7 @@
 	    "endpoints crash on a part of the prompt; it is held back")        \
 	X(KEYS_STALE, 38, 503, NOT_RUN,                                        \
 	    "this host cannot tell at the moment whether keys are valid")      \
-	X(CONFIG_UNREAD, 39, 503, NOT_RUN,                                     \
+	X(CONFIG_UNREADABLE, 39, 503, NOT_RUN,                                 \
 	    "this host cannot read a part of the configuration")               \
 	X(CANCELLED, 40, 409, FAILED, "it was cancelled")                      \
 	X(INVALID_CONFIG, 50, 422, FAILED, "the configuration has faults")     \
--- a/src/routing_check.c
+++ b/src/routing_check.c
@@ -14,7 +14,7 @@
 	bool is_error;
 } rules[ROUTING_RULES] = {
     [ROUTING_REJECTED] = {"rejected", true},
-    [ROUTING_ENTRY_UNREAD] = {"entry_unread", true},
+    [ROUTING_ENTRY_UNREADABLE] = {"entry_unreadable", true},
     [ROUTING_NOT_NEWER] = {"not_newer", true},
     [ROUTING_ROUTE_HIDDEN] = {"route_hidden", false},
     [ROUTING_ROUTE_UNREACHABLE] = {"route_unreachable", false},
@@ -275,11 +275,11 @@
     routing_findings_t *findings)
 {
 	for (size_t i = 0; i < table->fault_count; i++)
-		routing_findings_add(findings, ROUTING_ENTRY_UNREAD,
+		routing_findings_add(findings, ROUTING_ENTRY_UNREADABLE,
 		    ROUTING_WHOLE_TABLE, "hosts refuse what depends on it: %s",
 		    table->faults[i]);
 	for (size_t i = 0; i < table->route_count; i++)
-		if (!table->routes[i].unread)
+		if (!table->routes[i].unreadable)
 			check_route(table, &table->routes[i], limits, findings);
 	for (size_t i = 0; i < table->pool_count; i++)
 		check_pool(table, &table->pools[i], findings);
--- a/src/routing_check.h
+++ b/src/routing_check.h
@@ -9,7 +9,7 @@
 typedef enum routing_rule_t {
 	/* Errors: hosts bring it into force not at all, or not in full. */
 	ROUTING_REJECTED,
-	ROUTING_ENTRY_UNREAD,
+	ROUTING_ENTRY_UNREADABLE,
 	ROUTING_NOT_NEWER,
 	/* Warnings. */
 	ROUTING_ROUTE_HIDDEN,
--- a/src/routing_table.h
+++ b/src/routing_table.h
@@ -26,7 +26,7 @@
 	bool resumable;
 	bool has_prompt;   /* requests contain the parts of a prompt */
 	bool is_public;	   /* requests need no key */
-	bool unread;	   /* only host and prefix are known; has no pool */
+	bool unreadable;   /* only host and prefix are known; has no pool */
 	unsigned priority; /* 0 is the most urgent */
 	unsigned max_attempts;
 	double timeout;		  /* seconds until a request must be answered */
--- a/tests/test_check_config.c
+++ b/tests/test_check_config.c
@@ -22,7 +22,7 @@
     {"good", CONFIG("7", "5000", ORG_O)},
     {"next", CONFIG("8", "6000", ORG_O)},
     {"warns", CONFIG("8", "5000", "{\"name\":\"o\"}")},
-    {"unread", CONFIG("8", "5000", ORG_O "," ORG_O)},
+    {"unreadable", CONFIG("8", "5000", ORG_O "," ORG_O)},
     {"rejected",
 	"{\"version\":8,\"routes\":[],\"services\":[],\"tenants\":{}}"},
     {"syntax", "{\"version\":8,\n\"secret-key\" 1}"},
@@ -50,9 +50,9 @@
     {{"--check-config", "@rejected"}, 3,
 	"error: configuration: hosts reject it: tenants is no list "
 	"[rejected]\n"},
-    {{"--check-config", "@unread"}, 3,
+    {{"--check-config", "@unreadable"}, 3,
 	"error: configuration: hosts refuse what depends on it: "
-	"tenants.1.name is used twice [entry_unread]\n"},
+	"tenants.1.name is used twice [entry_unreadable]\n"},
     {{"--check-config", "@syntax"}, 3, "no JSON at line 2, column "},
     {{"--check-config", "@nothing"}, 3, "no JSON at line 1, column "},
     {{"--check-config", "@missing"}, 2, NULL},
--- a/tests/test_fail_job_pools.c
+++ b/tests/test_fail_job_pools.c
@@ -64,7 +64,7 @@
  * cannot be read: it is not known to be removed.
  */
 static void
-test_unread_route(void)
+test_unreadable_route(void)
 {
 	static const char *const routes[] = {
 	    "{\"name\":\"idle\",\"host\":\"" GATEWAYS_HOST
@@ -97,7 +97,7 @@
 
 static const suite_test_t tests[] = {
     {"service without endpoints", test_service_without_endpoints},
-    {"unread route", test_unread_route},
+    {"unreadable route", test_unreadable_route},
 };
 
 SUITE_MAIN("fail_job_pools", tests)
--- a/tests/test_fail_revocation.c
+++ b/tests/test_fail_revocation.c
@@ -343,8 +343,8 @@
 	gateways_end(&fleet);
 }
 
-#define UNREAD_ORG "{\"name\":\"\",\"api-keys\":[\"k-unread\"]}"
-#define UNREAD_ROUTE                                                     \
+#define UNREADABLE_ORG "{\"name\":\"\",\"api-keys\":[\"k-unreadable\"]}"
+#define UNREADABLE_ROUTE                                                 \
 	",{\"name\":\"special\",\"host\":\"" GATEWAYS_HOST               \
 	"\",\"path-prefix\":\"/once/special/\",\"type\":\"unheard-of\"," \
 	"\"service\":\"m\",\"max-attempts\":1,\"timeout-ms\":5000}"
@@ -355,15 +355,15 @@
  * or refuse: they must be refused as not run.
  */
 static void
-test_unread_entries(void)
+test_unreadable_entries(void)
 {
 	keys_start(&fleet, 1, REVOKE_MS);
 	CU_ASSERT(keys_wait_status(&fleet, 0, ACME_KEY, 200, NULL));
 	fleet.params.tenants =
-	    "[" ACME_WITHOUT_KEYS "," UNREAD_ORG "," BOLT "]";
-	gateways_configure(&fleet, UNREAD_ROUTE);
+	    "[" ACME_WITHOUT_KEYS "," UNREADABLE_ORG "," BOLT "]";
+	gateways_configure(&fleet, UNREADABLE_ROUTE);
 	CU_ASSERT(keys_wait_status(&fleet, 0, ACME_KEY, 401, NULL));
-	CU_ASSERT(keys_ask_with(&fleet, 0, "k-unread", "eu") == 503);
+	CU_ASSERT(keys_ask_with(&fleet, 0, "k-unreadable", "eu") == 503);
 	CU_ASSERT(
 	    keys_ask(&fleet,
 		&(keys_ask_t){.path = "/once/special/1",
@@ -390,7 +390,7 @@
     {"a stale host starts", test_stale_host_starts},
     {"expired history", test_expired_history},
     {"unreadable version", test_unreadable_version},
-    {"unread entries", test_unread_entries},
+    {"unreadable entries", test_unreadable_entries},
     {"directory leaves out stale hosts", test_directory_leaves_out_stale_hosts},
 };
 
--- a/tests/test_platform_formats.c
+++ b/tests/test_platform_formats.c
@@ -412,13 +412,13 @@
  * neither an organisation's nor unknown, and those of other entries hold.
  */
 static void
-test_unread_organisations(void)
+test_unreadable_organisations(void)
 {
 	static const struct {
 		const char *entry; /* with the key "k" */
 		const char *field;
 		bool lacks_keys;
-	} unread[] = {
+	} unreadable[] = {
 	    {"1", "tenants.1.name", true},
 	    {"{\"api-keys\":[\"k\"]}", "tenants.1.name", false},
 	    {"{\"name\":\"\",\"api-keys\":[\"k\"]}", "tenants.1.name", false},
@@ -441,25 +441,26 @@
 	char fault[160];
 	char list[512];
 
-	for (size_t i = 0; i < sizeof(unread) / sizeof(unread[0]); i++) {
+	for (size_t i = 0; i < sizeof(unreadable) / sizeof(unreadable[0]);
+	     i++) {
 		const org_t *org;
 
 		snprintf(list, sizeof(list),
 		    "[{\"name\":\"g\",\"api-keys\":[\"kept\"]},%s]",
-		    unread[i].entry);
+		    unreadable[i].entry);
 		CU_ASSERT_FATAL(read_orgs(list, &table, fault) == 0);
 		CU_ASSERT_FATAL(table->fault_count >= 1);
 		CU_ASSERT(str_has_prefix(
-		    str_of(table->faults[0]), str_of(unread[i].field)));
-		CU_ASSERT(table->lacks_keys == unread[i].lacks_keys);
+		    str_of(table->faults[0]), str_of(unreadable[i].field)));
+		CU_ASSERT(table->lacks_keys == unreadable[i].lacks_keys);
 		CU_ASSERT(org_access_check(table, false, STR("k"), &org) ==
-			  ORG_ACCESS_UNREAD);
+			  ORG_ACCESS_UNREADABLE);
 		CU_ASSERT(org_access_check(table, false, STR("kept"), &org) ==
 			      ORG_ACCESS_IDENTIFIED &&
 			  strcmp(org->name, "g") == 0);
 		CU_ASSERT(org_access_check(table, false, STR("gone"), &org) ==
-			  (unread[i].lacks_keys ? ORG_ACCESS_UNREAD
-						: ORG_ACCESS_UNKNOWN_KEY));
+			  (unreadable[i].lacks_keys ? ORG_ACCESS_UNREADABLE
+						    : ORG_ACCESS_UNKNOWN_KEY));
 		routing_table_unref(table);
 	}
 	CU_ASSERT(read_orgs("{}", &table, fault) == -RESULT_BAD_REQUEST);
@@ -490,7 +491,7 @@
 	CU_ASSERT_STRING_EQUAL(
 	    table->faults[1], "tenants.2.name is used twice");
 	CU_ASSERT(org_access_check(table, false, STR("both"), &org) ==
-		  ORG_ACCESS_UNREAD);
+		  ORG_ACCESS_UNREADABLE);
 	CU_ASSERT(key_index_find(table->keys, STR("b1")) == 1);
 	CU_ASSERT(key_index_find(table->keys, STR("a1")) == 0);
 	CU_ASSERT(key_index_find(table->keys, STR("a2")) == 0);
@@ -549,7 +550,7 @@
  * into force, or whose requests get another route.
  */
 static void
-test_unread_routes(void)
+test_unreadable_routes(void)
 {
 	static const char text[] =
 	    "{\"version\":7,\"services\":[],\"routes\":[{\"name\":\"a\","
@@ -569,15 +570,15 @@
 	CU_ASSERT(table->fault_count == 1 && !table->lacks_routes);
 	CU_ASSERT_STRING_EQUAL(table->faults[0], "routes.1.type is unknown");
 	route = routing_table_match(table, STR("h"), STR("/p/1"));
-	CU_ASSERT(route != NULL && route->unread);
+	CU_ASSERT(route != NULL && route->unreadable);
 	CU_ASSERT(request_route_select_pool(route, 0) == NULL);
 	route = routing_table_match(table, STR("h"), STR("/q/1"));
-	CU_ASSERT(route != NULL && !route->unread);
+	CU_ASSERT(route != NULL && !route->unreadable);
 	routing_table_unref(table);
 	CU_ASSERT_FATAL(
 	    platform_read_routes(STR(unplaced), &table, &fault) == 0);
 	CU_ASSERT(table->route_count == 1 && table->lacks_routes);
-	CU_ASSERT(table->fault_count == 3 && !table->routes[0].unread);
+	CU_ASSERT(table->fault_count == 3 && !table->routes[0].unreadable);
 	routing_table_unref(table);
 	buf_free(&fault);
 }
@@ -591,10 +592,10 @@
     {"nested entries are rejected", test_nested_entries_are_rejected},
     {"routes", test_routes},
     {"organisations", test_organisations},
-    {"unread organisations", test_unread_organisations},
+    {"unreadable organisations", test_unreadable_organisations},
     {"repeated organisations", test_repeated_organisations},
     {"kinds of numbers", test_kinds_of_numbers},
-    {"unread routes", test_unread_routes},
+    {"unreadable routes", test_unreadable_routes},
     {"jobs", test_jobs},
     {"results", test_results},
     {"repeated entries mean the same", test_repeated_entries_mean_the_same},
