Keys: names of the outcome counters are built by a macro

Cause: make lint reported the one concatenated literal of the list as a missing comma (bugprone-suspicious-missing-comma), since the list has five entries. Change: IDENTIFIED_METRIC(). Result: the names are as before; make lint passes.

--- a/src/gateway_keys.c
+++ b/src/gateway_keys.c
@@ -10,6 +10,9 @@
 #include "result.h"
 
 #define CHECK_INTERVAL_S 0.1
+/* Name of the counter of one outcome. */
+#define IDENTIFIED_METRIC(outcome) \
+	"daisypier_requests_identified_total{outcome=\"" outcome "\"}"
 /*
  * After a freeze or a reload the configuration is read again within
  * milliseconds, so that requests need not be refused.
@@ -147,16 +150,11 @@
 gateway_init_key_counters(gateway_t *gateway)
 {
 	static const char *const names[ORG_ACCESS_COUNT] = {
-	    [ORG_ACCESS_OPEN] =
-		"daisypier_requests_identified_total{outcome=\"open\"}",
-	    [ORG_ACCESS_IDENTIFIED] =
-		"daisypier_requests_identified_total{outcome=\"identified\"}",
-	    [ORG_ACCESS_NO_KEY] =
-		"daisypier_requests_identified_total{outcome=\"no_key\"}",
-	    [ORG_ACCESS_UNKNOWN_KEY] = "daisypier_requests_identified_total"
-				       "{outcome=\"unknown_key\"}",
-	    [ORG_ACCESS_UNREADABLE] =
-		"daisypier_requests_identified_total{outcome=\"unreadable\"}",
+	    [ORG_ACCESS_OPEN] = IDENTIFIED_METRIC("open"),
+	    [ORG_ACCESS_IDENTIFIED] = IDENTIFIED_METRIC("identified"),
+	    [ORG_ACCESS_NO_KEY] = IDENTIFIED_METRIC("no_key"),
+	    [ORG_ACCESS_UNKNOWN_KEY] = IDENTIFIED_METRIC("unknown_key"),
+	    [ORG_ACCESS_UNREADABLE] = IDENTIFIED_METRIC("unreadable"),
 	};
 
 	for (size_t i = 0; i < ORG_ACCESS_COUNT; i++)
