Tests: damaged configurations and jobs; soak removes a key beside odd entries

Cause: versions now come into force in part, so that more texts reach the table, and jobs are checked field by field. Change: 20,000 seeded damages each of a configuration and of a job; what is read must hold only what can be used or sent. The soak's removal of a key comes with a long name and an unreadable entry.

--- a/soak/soak_orgs.c
+++ b/soak/soak_orgs.c
@@ -46,8 +46,13 @@
 	"[" STEADY "," LIMITED                                 \
 	",{\"name\":\"changing\",\"api-keys\":[\"" REMOVED_KEY \
 	"\",\"" KEPT_KEY "\"]}]"
-#define AFTER                  \
-	"[" STEADY "," LIMITED \
+/* Beside the removal: a long name, and an entry that can't be read. */
+#define LONG_ORG                                                       \
+	"{\"name\":\"an-organisation-with-a-name-that-is-longer-than-" \
+	"sixty-three-bytes\",\"api-keys\":[\"k-long\"]}"
+#define UNREADABLE_ORG "{\"name\":\"\",\"api-keys\":[\"k-withheld\"]}"
+#define AFTER                                                  \
+	"[" STEADY "," LIMITED "," LONG_ORG "," UNREADABLE_ORG \
 	",{\"name\":\"changing\",\"api-keys\":[\"" KEPT_KEY "\"]}]"
 
 enum { CALLER_REMOVED = 3, CALLER_KEPT = 4 };
--- a/tests/test_platform_formats.c
+++ b/tests/test_platform_formats.c
@@ -7,6 +7,7 @@
 
 #include "clock.h"
 #include "entry_text.h"
+#include "http_syntax.h"
 #include "org_access.h"
 #include "platform_dialect.h"
 #include "result.h"
@@ -583,6 +584,108 @@
 	buf_free(&fault);
 }
 
+/* Checks what any table must hold that was read, whatever its text was. */
+static void
+check_table(const routing_table_t *table)
+{
+	const org_t *org;
+
+	for (size_t i = 0; i < table->org_count; i++) {
+		CU_ASSERT(
+		    http_is_exact_field_value(str_of(table->orgs[i].name)));
+		CU_ASSERT(table->orgs[i].id[0] != '\0');
+		CU_ASSERT(table->orgs[i].requests_per_s >= 0);
+	}
+	for (size_t i = 0; i < table->route_count; i++) {
+		CU_ASSERT(table->routes[i].prefix[0] == '/');
+		CU_ASSERT(!table->routes[i].unreadable ||
+			  table->routes[i].share_count == 0);
+		CU_ASSERT(table->routes[i].timeout >= 0);
+	}
+	(void)routing_table_match(table, STR("h"), STR("/p/1"));
+	if (org_access_check(table, false, STR("key-a"), &org) ==
+	    ORG_ACCESS_IDENTIFIED)
+		CU_ASSERT(org != NULL);
+}
+
+/*
+ * Guards against a damaged configuration that ends the process, comes into
+ * force with an entry that can't be used, or is refused without a reason.
+ */
+static void
+test_damaged_configurations(void)
+{
+	static const char text[] =
+	    "{\"version\":7,\"routes\":[{\"name\":\"a\",\"host\":\"h\","
+	    "\"path-prefix\":\"/p/\",\"type\":\"stream\",\"timeout-ms\":5000,"
+	    "\"target-latency-ms\":300,\"priority\":1,\"backends\":[{"
+	    "\"service\":\"s\",\"weight\":90}],\"max-attempts\":2}],"
+	    "\"services\":[{\"name\":\"s\",\"engine\":{\"slots\":8}}],"
+	    "\"tenants\":[{\"name\":\"a\",\"api-keys\":[\"key-a\",\"key-b\"],"
+	    "\"rate-per-s\":10,\"burst\":5,\"priority\":2},{\"name\":\"c\","
+	    "\"api-keys\":[\"key-c\"]}]}";
+	rng_t rng = rng_seeded(57);
+	buf_t changed = {0};
+	buf_t fault = {0};
+	unsigned in_part = 0;
+
+	for (unsigned i = 0; i < 20000; i++) {
+		routing_table_t *table;
+
+		change_text(
+		    &rng, STR(text), rng_below(&rng, sizeof(text)), &changed);
+		buf_clear(&fault);
+		if (platform_read_routes(str_buf(&changed), &table, &fault) !=
+		    0) {
+			CU_ASSERT(table == NULL && fault.len > 0);
+			continue;
+		}
+		in_part += table->fault_count > 0;
+		check_table(table);
+		routing_table_unref(table);
+	}
+	CU_ASSERT(in_part > 100);
+	buf_free(&changed);
+	buf_free(&fault);
+}
+
+/*
+ * Guards against a damaged job that ends the process, or is accepted with an
+ * item that can't be sent, or refused without a reason.
+ */
+static void
+test_damaged_jobs(void)
+{
+	static const char text[] =
+	    "{\"items\":[{\"id\":\"a\",\"path\":\"/x/1\",\"headers\":{\"A\":"
+	    "\"b\\n\",\"C\":\"d\"},\"body\":\"q83vEjRWeJA=\",\"tokens\":940},"
+	    "{\"id\":\"b\",\"path\":\"/x/2\",\"body\":\"\",\"tokens\":1}]}";
+	rng_t rng = rng_seeded(58);
+	buf_t changed = {0};
+	buf_t fault = {0};
+	unsigned accepted = 0;
+
+	for (unsigned i = 0; i < 20000; i++) {
+		job_t job;
+
+		change_text(
+		    &rng, STR(text), rng_below(&rng, sizeof(text)), &changed);
+		buf_clear(&fault);
+		if (platform_read_job(str_buf(&changed), &job, &fault) != 0) {
+			CU_ASSERT(fault.len > 0 && job.items == NULL);
+			continue;
+		}
+		accepted++;
+		for (size_t k = 0; k < job.item_count; k++)
+			CU_ASSERT(job_item_check(&job.items[k]).field ==
+				  JOB_ITEM_NO_FIELD);
+		job_free(&job);
+	}
+	CU_ASSERT(accepted > 100);
+	buf_free(&changed);
+	buf_free(&fault);
+}
+
 static const suite_test_t tests[] = {
     {"invalid endpoint entries are rejected",
 	test_invalid_endpoint_entries_are_rejected},
@@ -595,6 +698,8 @@
     {"unreadable organisations", test_unreadable_organisations},
     {"repeated organisations", test_repeated_organisations},
     {"kinds of numbers", test_kinds_of_numbers},
+    {"damaged configurations", test_damaged_configurations},
+    {"damaged jobs", test_damaged_jobs},
     {"unreadable routes", test_unreadable_routes},
     {"jobs", test_jobs},
     {"results", test_results},
