review: case 12, accepted jobs end their owners again and again

Cause: stored jobs are counted by their packed bytes, but held unpacked; small headers take over ten times as much. Nothing limits an item's headers, so the budget for jobs never fills, and each restart loads the same jobs.

--- /dev/null
+++ b/review/12/run.sh
@@ -0,0 +1,4 @@
+#!/bin/sh
+# Case 12; see claim.txt. TROUBLE=0: items have few headers.
+cd "$(dirname "$0")/../.." || exit 2
+RECORD=review/12/record.txt exec build/review-3/case-12
--- a/review/common-3/rig.c
+++ b/review/common-3/rig.c
@@ -22,6 +22,9 @@
 #define SERVER_BACKLOG	1024
 #define MAX_HEAD_BYTES	(1U << 20)
 #define END_WAIT_S	2.0
+#define MEMORY_CHECK_S	0.002
+#define RESTART_DELAY_S 0.5
+#define KB_PER_MB	1024UL
 #define GATEWAY_PROGRAM "target/daisypier-gateway"
 #define TEMPLATE	"deploy/gateway.ini.in"
 
@@ -678,9 +681,46 @@
 	return (kb);
 }
 
+static void *
+memory_thread(void *ctx)
+{
+	host_t *host = ctx;
+
+	while (!host->ends) {
+		unsigned long peak = host_peak_kb(host);
+
+		if (peak > host->memory_mb * KB_PER_MB) {
+			host->ends_by_memory++;
+			record("%s: %lu kB exceed its memory of %lu kB; it is "
+			       "ended and starts again",
+			    host->name, peak, host->memory_mb * KB_PER_MB);
+			kill(host->pid, SIGKILL);
+			waitpid(host->pid, NULL, 0);
+			sleep_s(RESTART_DELAY_S);
+			host_start(host);
+		}
+		sleep_s(MEMORY_CHECK_S);
+	}
+	return (NULL);
+}
+
+void
+host_enforce_memory(host_t *host)
+{
+	if (pthread_create(&host->memory_thread, NULL, memory_thread, host) !=
+	    0)
+		die("thread");
+	host->has_memory_thread = true;
+}
+
 void
 rig_end(rig_t *rig)
 {
+	for (size_t i = 0; i < host_count; i++) {
+		hosts[i]->ends = true;
+		if (hosts[i]->has_memory_thread)
+			pthread_join(hosts[i]->memory_thread, NULL);
+	}
 	for (size_t i = 0; i < host_count; i++) {
 		host_t *host = hosts[i];
 
--- a/review/common-3/rig.h
+++ b/review/common-3/rig.h
@@ -105,6 +105,10 @@
 	char log[256];
 	unsigned memory_mb;
 	pid_t pid;
+	unsigned ends_by_memory; /* see host_enforce_memory() */
+	volatile bool ends;	 /* the rig ends it */
+	pthread_t memory_thread;
+	bool has_memory_thread;
 } host_t;
 
 /* Addresses and folder of one run. */
@@ -125,6 +129,11 @@
 bool host_wait_ready(const host_t *host, double seconds);
 /* Largest resident size of the process so far, in kB; 0: unknown. */
 unsigned long host_peak_kb(const host_t *host);
+/*
+ * Does from now on what the platform does: ends the process when it exceeds its
+ * memory, and starts it again after a short delay.
+ */
+void host_enforce_memory(host_t *host);
 void rig_end(rig_t *rig); /* ends all hosts and removes the folder */
 
 /* A request of a client, on a new connection. */
--- a/review/common-3/site.c
+++ b/review/common-3/site.c
@@ -244,6 +244,32 @@
 	return (site_running(site) > 0 ? 0 : idle);
 }
 
+bool
+site_ordinary_request(const host_t *host, unsigned number)
+{
+	message_t answer;
+	char headers[512];
+	bool ok;
+
+	snprintf(headers, sizeof(headers),
+	    "Host: " SITE_HOST "\r\nX-Daisypier-Request-Id: 9c41d%05x\r\n"
+	    "X-Daisypier-Model: m\r\nX-Daisypier-Token-Usage: 450,31\r\n"
+	    "X-Daisypier-Prompt-Prefix: 5c1e07a2:100,91bd3f06:100,e44%05x:250"
+	    "\r\nX-Daisypier-Deadline-Ms: 5000\r\n",
+	    number, number);
+	call_make(&(call_t){.address = host->callers,
+		      .method = "POST",
+		      .target = SITE_STREAM_PATH "2f",
+		      .headers = headers,
+		      .body = "hello",
+		      .len = 5,
+		      .timeout = CALL_TIMEOUT_S},
+	    &answer);
+	ok = answer.status == 200;
+	message_free(&answer);
+	return (ok);
+}
+
 void
 job_add_item(bytes_t *out, const char *id, unsigned events)
 {
--- a/review/common-3/site.h
+++ b/review/common-3/site.h
@@ -54,6 +54,8 @@
 unsigned site_running(site_t *site);
 double site_idle_s(site_t *site);
 
+/* Makes an ordinary request; returns whether its whole answer came. */
+bool site_ordinary_request(const host_t *host, unsigned number);
 /* Adds an item of a job, as JSON. */
 void job_add_item(bytes_t *out, const char *id, unsigned events);
 /* Submits a job until it is accepted, to hosts in turn; returns the status. */
