--- a/review/common-3/rig.c
+++ b/review/common-3/rig.c
@@ -12,6 +12,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <time.h>
@@ -302,6 +303,30 @@
 	return (true);
 }
 
+static void
+conn_link(conn_t *conn)
+{
+	server_t *server = conn->server;
+
+	pthread_mutex_lock(&server->lock);
+	conn->next = server->conns;
+	server->conns = conn;
+	pthread_mutex_unlock(&server->lock);
+}
+
+static void
+conn_unlink(conn_t *conn)
+{
+	server_t *server = conn->server;
+	conn_t **at = &server->conns;
+
+	pthread_mutex_lock(&server->lock);
+	while (*at != conn)
+		at = &(*at)->next;
+	*at = conn->next;
+	pthread_mutex_unlock(&server->lock);
+}
+
 static void *
 conn_thread(void *ctx)
 {
@@ -317,6 +342,7 @@
 		if (!go_on)
 			break;
 	}
+	conn_unlink(conn);
 	close(conn->fd);
 	bytes_free(&conn->input);
 	free(conn);
@@ -327,16 +353,18 @@
 accept_thread(void *ctx)
 {
 	server_t *server = ctx;
+	int listening = server->fd;
 	int on = 1;
 	int fd;
 
-	while ((fd = accept(server->fd, NULL, NULL)) >= 0) {
+	while ((fd = accept(listening, NULL, NULL)) >= 0) {
 		conn_t *conn = calloc(1, sizeof(*conn));
 		pthread_t thread;
 
 		setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
 		conn->fd = fd;
 		conn->server = server;
+		conn_link(conn);
 		if (pthread_create(&thread, NULL, conn_thread, conn) != 0)
 			die("thread");
 		pthread_detach(thread);
@@ -344,15 +372,18 @@
 	return (NULL);
 }
 
-/* Binds a free port of an address; returns the descriptor. */
+/* Binds a port of an address, a free one if it is 0. */
 static int
 bind_free(const char *ip, unsigned *port)
 {
 	struct sockaddr_in address = {.sin_family = AF_INET};
 	socklen_t size = sizeof(address);
 	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+	int on = 1;
 
+	address.sin_port = htons((uint16_t)*port);
 	inet_pton(AF_INET, ip, &address.sin_addr);
+	setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
 	if (fd < 0 ||
 	    bind(fd, (struct sockaddr *)&address, sizeof(address)) != 0 ||
 	    getsockname(fd, (struct sockaddr *)&address, &size) != 0)
@@ -361,24 +392,63 @@
 	return (fd);
 }
 
+static void
+server_listen(server_t *server)
+{
+	pthread_t thread;
+
+	if (listen(server->fd, SERVER_BACKLOG) != 0 ||
+	    pthread_create(&thread, NULL, accept_thread, server) != 0)
+		die("listen");
+	pthread_detach(thread);
+}
+
 server_t *
 server_start(const char *ip, handler_t handler, void *ctx)
 {
 	server_t *server = calloc(1, sizeof(*server));
-	pthread_t thread;
-	unsigned port;
+	unsigned port = 0;
 
+	pthread_mutex_init(&server->lock, NULL);
 	server->fd = bind_free(ip, &port);
 	server->handler = handler;
 	server->ctx = ctx;
 	snprintf(server->address, sizeof(server->address), "%s:%u", ip, port);
-	if (listen(server->fd, SERVER_BACKLOG) != 0 ||
-	    pthread_create(&thread, NULL, accept_thread, server) != 0)
-		die("listen");
-	pthread_detach(thread);
+	server_listen(server);
 	return (server);
 }
 
+void
+server_crash(server_t *server)
+{
+	const struct linger reset = {.l_onoff = 1};
+
+	/* Ends accept() in its thread. */
+	shutdown(server->fd, SHUT_RDWR);
+	close(server->fd);
+	server->fd = -1;
+	pthread_mutex_lock(&server->lock);
+	for (conn_t *conn = server->conns; conn != NULL; conn = conn->next) {
+		setsockopt(
+		    conn->fd, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+		shutdown(conn->fd, SHUT_RDWR);
+	}
+	pthread_mutex_unlock(&server->lock);
+}
+
+void
+server_return(server_t *server)
+{
+	char ip[32];
+	const char *colon = strchr(server->address, ':');
+	unsigned port = (unsigned)atoi(colon + 1);
+
+	snprintf(ip, sizeof(ip), "%.*s", (int)(colon - server->address),
+	    server->address);
+	server->fd = bind_free(ip, &port);
+	server_listen(server);
+}
+
 static bool
 send_all(int fd, const void *data, size_t len, double until)
 {
@@ -488,6 +558,8 @@
 	snprintf(rig->net, sizeof(rig->net), "127.%d", 16 + getpid() % 200);
 	/* All hosts of a run use the same two ports, at addresses of their own.
 	 */
+	rig->peer_port = 0;
+	rig->callers_port = 0;
 	fd = bind_free("127.0.0.1", &rig->peer_port);
 	close(fd);
 	fd = bind_free("127.0.0.1", &rig->callers_port);
@@ -610,6 +682,8 @@
 	if (host->pid < 0)
 		die("fork");
 	if (host->pid == 0) {
+		/* A case that is killed leaves no host behind. */
+		prctl(PR_SET_PDEATHSIG, SIGKILL);
 		int fd = open(host->log, O_WRONLY | O_CREAT | O_APPEND, 0600);
 
 		dup2(fd, 1);
--- a/review/common-3/rig.h
+++ b/review/common-3/rig.h
@@ -51,7 +51,8 @@
 /* A connection that a server accepted. */
 typedef struct conn_t {
 	int fd;
-	bytes_t input; /* read and not used yet */
+	struct conn_t *next; /* of the server */
+	bytes_t input;	     /* read and not used yet */
 	struct server_t *server;
 } conn_t;
 
@@ -61,12 +62,18 @@
 /* An HTTP server with one thread for each connection. */
 typedef struct server_t {
 	char address[32]; /* IP:PORT */
-	int fd;
+	int fd;		  /* -1 after a crash */
 	handler_t handler;
 	void *ctx;
+	pthread_mutex_t lock;
+	conn_t *conns;
 } server_t;
 
 server_t *server_start(const char *ip, handler_t handler, void *ctx);
+/* Ends a server as a crash does: its connections are reset. */
+void server_crash(server_t *server);
+/* Lets it listen at its address again. */
+void server_return(server_t *server);
 bool conn_send(conn_t *conn, const void *data, size_t len);
 bool conn_reply(conn_t *conn, int status, const char *headers, const void *body,
     size_t len);
--- a/review/common-3/site.c
+++ b/review/common-3/site.c
@@ -6,6 +6,7 @@
 #include <string.h>
 
 #define BEAT_INTERVAL_S 1.2
+#define FIRST_START_MS	1700000000000ULL
 #define SLOTS		8
 #define RETRY_DELAY_S	0.3
 #define CALL_TIMEOUT_S	5.0
@@ -183,8 +184,9 @@
 	    "\"version\":\"v1\",\"slots\":%d,\"state\":\"%s\","
 	    "\"warmup-left-ms\":0,\"stage\":\"both\",\"models\":[{"
 	    "\"name\":\"m\",\"version\":1,\"adapters\":[]}],"
-	    "\"seq\":%u,\"born\":1700000000000}",
-	    server->server->address, SLOTS, state, seq);
+	    "\"seq\":%u,\"born\":%llu}",
+	    server->server->address, SLOTS, state, seq,
+	    FIRST_START_MS + 1000ULL * server->starts);
 	store_put(server->site->store, "keyed.servers", server->id, text);
 }
 
--- a/review/common-3/site.h
+++ b/review/common-3/site.h
@@ -19,9 +19,10 @@
 	char id[32];
 	server_t *server;
 	unsigned running;
-	bool leaving;	/* says so in all its answers */
-	bool own_entry; /* the case writes its entry, not the site */
-	unsigned seq;	/* of the entry that was written last */
+	bool leaving;	 /* says so in all its answers */
+	bool own_entry;	 /* the case writes its entry, not the site */
+	unsigned seq;	 /* of the entry that was written last */
+	unsigned starts; /* after crashes; each has another time of its own */
 } model_server_t;
 
 /*
