Results: list every stored one, and make outputs again that are no text

Cause: platform_write_results() built a row with jansson, which makes no string of bytes that are not UTF-8, left it out and counted it. Nothing had looked at the output before.

Change: a read writes any bytes as text (utf8, json_text), counts the rows on its page and ends it before 1 MB, which escaped outputs could exceed. A whole output that is no text makes the item run again elsewhere, unless another endpoint sends the same bytes. Text whose events end within a character is kept and runs once. Sound endpoints are not reported as failing for it. Old and new hosts exchange the same messages; an old host leaves such rows out as before.

The product's decision on outputs moves from job_run.c to job_run_output.c.

--- a/src/batch_run.c
+++ b/src/batch_run.c
@@ -9,6 +9,7 @@
 #include "batch_item.h"
 #include "batch_state.h"
 #include "clock.h"
+#include "json_text.h"
 #include "result.h"
 
 /* Delay after a refused grant or a START that was not committed, in seconds. */
@@ -118,19 +119,17 @@
 
 	json_object_set_new(object, "index", json_integer(item->index));
 	if (rc == 0) {
-		json_object_set_new(object, "text",
-		    json_stringn(item->output.len > 0 ? item->output.data : "",
-			item->output.len));
+		json_object_set_new(
+		    object, "text", json_text_new(str_buf(&item->output)));
 		json_object_set_new(
 		    object, "tokens", json_integer(item->next_token));
-		json_object_set_new(object, "finish_reason",
-		    json_stringn(
-			reason.len > 0 ? reason.data : "", reason.len));
+		json_object_set_new(
+		    object, "finish_reason", json_text_new(reason));
 	} else {
 		json_object_set_new(
 		    object, "error", json_string(result_name(rc)));
 		json_object_set_new(object, "reason",
-		    detail.len > 0 ? json_stringn(detail.data, detail.len)
+		    detail.len > 0 ? json_text_new(detail)
 				   : json_string(result_text(rc)));
 	}
 	if (item->endpoint[0] != '\0')
--- a/src/httpd.c
+++ b/src/httpd.c
@@ -11,6 +11,7 @@
 #include <jansson.h>
 
 #include "clock.h"
+#include "json_text.h"
 #include "logger.h"
 #include "result.h"
 
@@ -560,10 +561,10 @@
 http_request_reply_error(http_request_t *request, int rc, const char *detail)
 {
 	const result_info_t *info = result_info(rc);
-	json_t *object = json_pack("{s:{s:i,s:s,s:s,s:s}}", "error", "code",
+	json_t *object = json_pack("{s:{s:i,s:s,s:o,s:s}}", "error", "code",
 	    info->number, "name", info->name, "message",
-	    detail != NULL ? detail : info->text, "outcome",
-	    outcome_name(info->outcome));
+	    json_text_new(str_of(detail != NULL ? detail : info->text)),
+	    "outcome", outcome_name(info->outcome));
 	char *text = json_dumps(object, JSON_COMPACT);
 
 	http_request_reply(request, info->http_status, "application/json",
--- a/src/job_run.c
+++ b/src/job_run.c
@@ -26,8 +26,6 @@
 /* Estimated run time of an item until the first one has completed. */
 #define INITIAL_RUN_TIME_S   5.0
 #define RUN_TIME_EWMA_WEIGHT 0.1
-/* A longer output is considered endless and is discarded. */
-#define MAX_OUTPUT_BYTES (8U << 20)
 
 static void
 slot_free(item_slot_t *slot)
@@ -92,19 +90,6 @@
 	event_relay_discard_pending(&item->relay);
 }
 
-/*
- * Returns whether an output can have no valid end: it is too large, or it has
- * more events than the item may have tokens.
- */
-static bool
-item_output_is_endless(const item_run_t *item)
-{
-	unsigned tokens = item->item->tokens;
-
-	return (item->output.len > MAX_OUTPUT_BYTES ||
-		(tokens > 0 && item->events > tokens));
-}
-
 static void
 on_leaving(void *ctx, const grant_endpoint_t *endpoint, bool misdirected)
 {
@@ -114,28 +99,6 @@
 	params->endpoint_says_leaving(params->ctx, endpoint, misdirected);
 }
 
-static bool
-on_event(void *ctx, const relay_event_t *event)
-{
-	item_run_t *item = ctx;
-
-	if (item->events++ > 0)
-		buf_append_char(&item->output, '\n');
-	relay_event_data(event, &item->output);
-	item->tries = 0;
-	return (!item_output_is_endless(item));
-}
-
-/* Discards output that cannot be valid; the item starts from the beginning. */
-static void
-item_discard_output(item_run_t *item)
-{
-	buf_free(&item->output);
-	item->events = 0;
-	item->relay.has_last_id = false;
-	item->relay.last_id = 0;
-}
-
 static void
 on_attempt_done(void *ctx, const attempt_result_t *result)
 {
@@ -148,11 +111,14 @@
 	    .run_seconds = result->run_seconds,
 	    .events = result->events,
 	};
+	bool whole =
+	    result->outcome == ATTEMPT_COMPLETE && result->status == 200;
+	bool believed = whole && item_output_is_believed(item);
 
 	str_copy(pool, sizeof(pool), str_of(item->slot->pool));
 	item->attempt = NULL;
 	item_release_slot(item, &report);
-	if (result->outcome == ATTEMPT_COMPLETE && result->status == 200) {
+	if (believed) {
 		runner->mean_run_time +=
 		    RUN_TIME_EWMA_WEIGHT *
 		    (item->run_time - runner->mean_run_time);
@@ -172,7 +138,7 @@
 		item->rejected = true;
 	else if (result->outcome == ATTEMPT_COMPLETE && result->status == 500)
 		item->failures++;
-	if (item_output_is_endless(item))
+	if (whole || item_output_is_endless(item))
 		item_discard_output(item);
 	item->tries++;
 	item_requeue(item, item_retry_delay(item->tries));
@@ -286,7 +252,7 @@
 	    .fresh_connection =
 		tried_endpoints_has(&item->tried, endpoint->name),
 	    .relay = &item->relay,
-	    .on_event = on_event,
+	    .on_event = item_add_event,
 	    .on_leaving = on_leaving,
 	    .on_done = on_attempt_done,
 	    .ctx = item,
@@ -365,7 +331,7 @@
 		.priority = org_priority(routing_table_org(table, org), route),
 		.deadline = clock_monotonic() + SLOT_REQUEST_TIMEOUT_S,
 		.start_by = item_candidate_start_by(candidate),
-		.avoid_endpoint = "",
+		.avoid_endpoint = item_endpoint_to_avoid(candidate->item),
 		.on_grant = on_grant,
 		.on_revoke = on_revoke,
 		.ctx = slot,
@@ -560,6 +526,9 @@
 	    "daisypier_items_dead_total", "Items that were given up");
 	counters->yielded = counter_get("daisypier_items_yielded_total",
 	    "Attempts that gave their slot to online requests");
+	counters->not_text =
+	    counter_get("daisypier_item_outputs_not_text_total",
+		"Whole outputs that were no text and were made again");
 	counters->failed_attempts =
 	    counter_get("daisypier_item_attempts_failed_total",
 		"Attempts that ended without the item's whole output");
--- a/src/job_run_state.h
+++ b/src/job_run_state.h
@@ -37,6 +37,10 @@
 	double no_route_since; /* wall clock; 0: it has a route */
 	buf_t output;
 	unsigned events;
+	/* Hashes of the last whole output that was no text, and of who sent it.
+	 */
+	uint64_t not_text;
+	uint64_t not_text_endpoint;
 	event_relay_t relay;
 	struct item_slot_t *slot; /* NULL unless running */
 	attempt_t *attempt;
@@ -99,6 +103,7 @@
 	counter_t *done;
 	counter_t *dead;
 	counter_t *yielded;
+	counter_t *not_text;
 	counter_t *failed_attempts;
 } runner_counters_t;
 
@@ -133,6 +138,13 @@
 void item_prepare_request(item_run_t *item);
 const prompt_parts_t *item_prompt(item_run_t *item);
 
+/* job_run_output.c */
+bool item_add_event(void *ctx, const relay_event_t *event);
+bool item_output_is_endless(const item_run_t *item);
+bool item_output_is_believed(item_run_t *item);
+const char *item_endpoint_to_avoid(const item_run_t *item);
+void item_discard_output(item_run_t *item);
+
 /* job_run_plan.c */
 void runner_plan(job_runner_t *runner, double seconds);
 
--- a/src/online_response.c
+++ b/src/online_response.c
@@ -8,6 +8,8 @@
 
 #include <jansson.h>
 
+#include "json_text.h"
+
 /* Lower bound of Retry-After; earlier retries would only add load. */
 #define MIN_RETRY_AFTER_S 1.0
 
@@ -67,10 +69,10 @@
 online_response_send_error(online_request_t *r, outcome_t outcome)
 {
 	const result_info_t *info = result_info(r->rc);
-	json_t *object = json_pack("{s:{s:i,s:s,s:s,s:s}}", "error", "code",
+	const char *message = r->detail[0] != '\0' ? r->detail : info->text;
+	json_t *object = json_pack("{s:{s:i,s:s,s:o,s:s}}", "error", "code",
 	    info->number, "name", info->name, "message",
-	    r->detail[0] != '\0' ? r->detail : info->text, "outcome",
-	    outcome_name(outcome));
+	    json_text_new(str_of(message)), "outcome", outcome_name(outcome));
 	char *text = object != NULL ? json_dumps(object, JSON_COMPACT) : NULL;
 	str_t body = text != NULL ? str_of(text) : STR("{\"error\":{}}");
 	char seconds[24];
--- a/src/online_text.c
+++ b/src/online_text.c
@@ -8,6 +8,7 @@
 #include <jansson.h>
 
 #include "clock.h"
+#include "json_text.h"
 
 #define DEFAULT_MAX_TOKENS 256
 #define MAX_TOKENS_LIMIT   1000000
@@ -125,7 +126,7 @@
 static json_t *
 choice_json(const online_request_t *r, str_t text, const char *finish)
 {
-	json_t *value = json_stringn(text.len > 0 ? text.data : "", text.len);
+	json_t *value = json_text_new(text);
 	json_t *reason = finish != NULL ? json_string(finish) : json_null();
 
 	if (!r->chat)
--- a/src/operator_config.c
+++ b/src/operator_config.c
@@ -3,6 +3,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "json_text.h"
 #include "operator_http_impl.h"
 #include "result.h"
 
@@ -43,16 +44,16 @@
 	for (size_t i = 0; i < newest->texts.site_count; i++) {
 		char *site = str_dup(newest->texts.sites[i].site);
 
-		json_object_set_new(overlays, site,
-		    operator_json_str(newest->texts.sites[i].text));
+		json_object_set_new(
+		    overlays, site, json_text_new(newest->texts.sites[i].text));
 		free(site);
 	}
 	operator_reply(request, 200,
 	    json_pack("{s:I,s:I,s:I,s:o,s:f,s:o,s:o}", "version",
 		(json_int_t)newest->version, "in_force", (json_int_t)in_force,
 		"made_from", (json_int_t)newest->parent, "author",
-		operator_json_str(newest->author), "time", newest->time, "base",
-		operator_json_str(newest->texts.base), "overlays", overlays));
+		json_text_new(newest->author), "time", newest->time, "base",
+		json_text_new(newest->texts.base), "overlays", overlays));
 }
 
 static json_t *
@@ -64,7 +65,7 @@
 		json_array_append_new(list,
 		    json_pack("{s:s,s:i,s:o}", "file", faults->items[i].file,
 			"line", (int)faults->items[i].line, "text",
-			operator_json_str(str_of(faults->items[i].text))));
+			json_text_new(str_of(faults->items[i].text))));
 	return (list);
 }
 
@@ -236,7 +237,7 @@
 			      verdict_name(entry), "made_from",
 			      (json_int_t)entry->parent, "version",
 			      (json_int_t)entry->version, "author",
-			      operator_json_str(str_of(entry->author)), "time",
+			      json_text_new(str_of(entry->author)), "time",
 			      entry->written, "token", token));
 	}
 	if (chain != NULL) {
--- a/src/operator_http.c
+++ b/src/operator_http.c
@@ -5,6 +5,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "json_text.h"
 #include "operator_http_impl.h"
 #include "result.h"
 
@@ -67,24 +68,6 @@
 	json_decref(object);
 }
 
-/* Returns a JSON string; bytes that are not UTF-8 are replaced. */
-json_t *
-operator_json_str(str_t s)
-{
-	json_t *text = json_stringn(s.len > 0 ? s.data : "", s.len);
-	char *plain;
-
-	if (text != NULL)
-		return (text);
-	plain = str_dup(s);
-	for (size_t i = 0; i < s.len; i++)
-		if ((unsigned char)plain[i] >= 0x80)
-			plain[i] = '?';
-	text = json_stringn_nocheck(plain, s.len);
-	free(plain);
-	return (text);
-}
-
 static const char *
 state_name(const member_t *member)
 {
@@ -170,17 +153,17 @@
 	for (size_t i = 0; i < count; i++) {
 		const audit_entry_t *e = &entries[i];
 
-		json_array_append_new(list,
-		    json_pack("{s:f,s:o,s:o,s:o,s:o,s:I,s:I,s:o,s:o,s:o}",
-			"time", e->time, "host", operator_json_str(e->host),
-			"actor", operator_json_str(e->actor), "action",
-			operator_json_str(e->action), "subject",
-			operator_json_str(e->subject), "from_version",
-			(json_int_t)e->from_version, "to_version",
-			(json_int_t)e->to_version, "outcome",
-			operator_json_str(e->outcome), "detail",
-			operator_json_str(e->detail), "request_id",
-			operator_json_str(e->request_id)));
+		json_array_append_new(
+		    list, json_pack("{s:f,s:o,s:o,s:o,s:o,s:I,s:I,s:o,s:o,s:o}",
+			      "time", e->time, "host", json_text_new(e->host),
+			      "actor", json_text_new(e->actor), "action",
+			      json_text_new(e->action), "subject",
+			      json_text_new(e->subject), "from_version",
+			      (json_int_t)e->from_version, "to_version",
+			      (json_int_t)e->to_version, "outcome",
+			      json_text_new(e->outcome), "detail",
+			      json_text_new(e->detail), "request_id",
+			      json_text_new(e->request_id)));
 	}
 	if (rc == 0) {
 		operator_reply(
--- a/src/operator_http_impl.h
+++ b/src/operator_http_impl.h
@@ -33,7 +33,6 @@
     operator_http_t *operators, http_request_t *request, const char *author);
 void operator_call_delete(operator_call_t *call);
 void operator_reply(http_request_t *request, int status, json_t *object);
-json_t *operator_json_str(str_t s);
 
 void operator_get_config(
     operator_http_t *operators, http_request_t *request, const char *author);
--- a/tests/test_platform_formats.c
+++ b/tests/test_platform_formats.c
@@ -5,6 +5,8 @@
 #include <stdio.h>
 #include <stdlib.h>
 
+#include <jansson.h>
+
 #include "clock.h"
 #include "entry_text.h"
 #include "http_syntax.h"
@@ -345,6 +347,80 @@
 	buf_free(&out);
 }
 
+/* Writes a page of results and parses it; positions begin at 10. */
+static json_t *
+write_page(const job_result_t *rows, size_t count, size_t *size)
+{
+	buf_t out = {0};
+	json_t *page;
+
+	platform_write_results(&out, &(job_results_t){.total = 200,
+					 .next = 10 + count,
+					 .results = rows,
+					 .count = count});
+	*size = out.len;
+	page = json_loadb(out.data, out.len, JSON_ALLOW_NUL, NULL);
+	buf_free(&out);
+	return (page);
+}
+
+/*
+ * Guards against a result that is left out of a page and counts as returned:
+ * one with each byte that an endpoint may send, which an earlier version may
+ * have stored, at each outcome.
+ */
+static void
+test_results_of_any_bytes(void)
+{
+	static const job_result_t empty = {.item = STR("i")};
+	job_result_t rows[2 * 256 + 1];
+	size_t count = sizeof(rows) / sizeof(rows[0]);
+	char bytes[256][3];
+	size_t size;
+	json_t *page;
+
+	for (size_t i = 0; i < 256; i++) {
+		memcpy(bytes[i], (const char[]){'a', (char)i, 'b'}, 3);
+		rows[i] =
+		    (job_result_t){.item = STR("i"), .output = {bytes[i], 3}};
+		rows[256 + i] = rows[i];
+		rows[256 + i].outcome = JOB_ITEM_DEAD;
+	}
+	rows[count - 1] = empty;
+	page = write_page(rows, count, &size);
+	CU_ASSERT(json_array_size(json_object_get(page, "results")) == count);
+	CU_ASSERT(json_integer_value(json_object_get(page, "next-token")) ==
+		  (json_int_t)(10 + count));
+	json_decref(page);
+}
+
+/*
+ * Guards against pages over 1 MB, whose outputs grow when they are escaped, and
+ * against results that are skipped because they are not on the page.
+ */
+static void
+test_results_page_size(void)
+{
+	const size_t output_bytes = 100000;
+	char *output = xmalloc(output_bytes);
+	job_result_t rows[9];
+	size_t size;
+	json_t *page;
+
+	memset(output, 1, output_bytes);
+	for (size_t i = 0; i < 9; i++)
+		rows[i] = (job_result_t){
+		    .item = STR("i"), .output = {output, output_bytes}};
+	page = write_page(rows, 9, &size);
+	/* Each byte takes six: two such outputs would be 1.2 MB. */
+	CU_ASSERT(json_array_size(json_object_get(page, "results")) == 1);
+	CU_ASSERT(
+	    json_integer_value(json_object_get(page, "next-token")) == 11);
+	CU_ASSERT(size <= 1000000);
+	json_decref(page);
+	free(output);
+}
+
 /* Parses a configuration with a list of organisations; fault as text. */
 static int
 read_orgs(const char *list, routing_table_t **table, char fault[160])
@@ -703,6 +779,8 @@
     {"unreadable routes", test_unreadable_routes},
     {"jobs", test_jobs},
     {"results", test_results},
+    {"results of any bytes", test_results_of_any_bytes},
+    {"size of a page of results", test_results_page_size},
     {"repeated entries mean the same", test_repeated_entries_mean_the_same},
     {"entries that do not repeat", test_entries_that_do_not_repeat},
 };
