Quarantine: the table of records in a file of its own

quarantine.c had two jobs: what counts as evidence, and which records are kept and sent. The second one moves to quarantine_table.c. A report that is no news is not passed on.

--- a/src/attempt.h
+++ b/src/attempt.h
@@ -39,8 +39,8 @@
 	str_t body;
 	const char *request_id;
 	const prompt_parts_t *parts; /* of the prompt, until the end */
-	double time_limit;    /* seconds, sent to the endpoint; 0: not sent */
-	bool resumes;	      /* the endpoint continues after last_event */
+	double time_limit; /* seconds, sent to the endpoint; 0: not sent */
+	bool resumes;	   /* the endpoint continues after last_event */
 	uint64_t last_event;
 	bool fresh_connection;	 /* not one that has served other requests */
 	double response_timeout; /* seconds until the headers; 0: none */
--- a/src/quarantine.c
+++ b/src/quarantine.c
@@ -18,8 +18,6 @@
  * evidence on widely used parts from being exchanged at each crash.
  */
 #define RECENT_ANSWER_S 1.0
-/* Of more held parts than these there is only a gauge, no line for each. */
-#define MAX_LOGGED_PARTS 64
 /* Creates an empty quarantine; jitter is a random number from 0 to 1. */
 quarantine_t *
 quarantine_new(double jitter)
@@ -46,74 +44,6 @@
 	free(q);
 }
 
-quarantine_entry_t *
-quarantine_entry_find(const quarantine_t *q, uint64_t part)
-{
-	quarantine_entry_t *entry;
-
-	LIST_FOREACH (
-	    entry, &q->buckets[part % QUARANTINE_BUCKETS], bucket_link)
-		if (entry->record.part == part)
-			return (entry);
-	return (NULL);
-}
-
-static void
-news_remove(quarantine_t *q, quarantine_entry_t *entry)
-{
-	TAILQ_REMOVE(&q->by_news[entry->repeated], entry, news_link);
-}
-
-static void
-news_append(quarantine_t *q, quarantine_entry_t *entry)
-{
-	entry->repeated = entry->record.crash_count > 1;
-	TAILQ_INSERT_TAIL(&q->by_news[entry->repeated], entry, news_link);
-}
-
-/* Notes that there is news of an entry: others are dropped first. */
-static void
-entry_has_news(quarantine_t *q, quarantine_entry_t *entry)
-{
-	if (entry->held)
-		return;
-	news_remove(q, entry);
-	news_append(q, entry);
-}
-
-static void
-entry_free(quarantine_t *q, quarantine_entry_t *entry)
-{
-	if (entry->changed)
-		TAILQ_REMOVE(&q->changed, entry, changed_link);
-	if (entry->held)
-		LIST_REMOVE(entry, held_link);
-	else
-		news_remove(q, entry);
-	LIST_REMOVE(entry, link);
-	LIST_REMOVE(entry, bucket_link);
-	q->count--;
-	q->held -= entry->held;
-	free(entry);
-}
-
-/*
- * Removes the record without news for longest, of those with one crash if there
- * are any. Returns false if all are held.
- */
-static bool
-evict_entry(quarantine_t *q)
-{
-	q->dropped++;
-	for (int repeated = false; repeated <= true; repeated++) {
-		if (TAILQ_EMPTY(&q->by_news[repeated]))
-			continue;
-		entry_free(q, TAILQ_FIRST(&q->by_news[repeated]));
-		return (true);
-	}
-	return (false);
-}
-
 static quarantine_answer_t *
 answer_slot(quarantine_t *q, uint64_t part)
 {
@@ -132,93 +62,23 @@
 	return (answer->part == part ? answer->began_at : 0);
 }
 
-/* Returns NULL if the table is full of held parts. */
+/*
+ * Returns the entry of a part, a new one with the last answer that this host
+ * knows, or NULL if all that fit are held.
+ */
 static quarantine_entry_t *
-entry_find_or_add(quarantine_t *q, uint64_t part)
+entry_add(quarantine_t *q, uint64_t part)
 {
 	quarantine_entry_t *entry = quarantine_entry_find(q, part);
 
 	if (entry != NULL)
 		return (entry);
-	if (q->count >= QUARANTINE_MAX_RECORDS && !evict_entry(q))
-		return (NULL);
-	entry = xcalloc(1, sizeof(*entry));
-	entry->record.part = part;
-	entry->record.answered_at = answer_find(q, part);
-	LIST_INSERT_HEAD(&q->entries, entry, link);
-	news_append(q, entry);
-	LIST_INSERT_HEAD(
-	    &q->buckets[part % QUARANTINE_BUCKETS], entry, bucket_link);
-	q->count++;
+	entry = quarantine_entry_add(q, part);
+	if (entry != NULL)
+		entry->record.answered_at = answer_find(q, part);
 	return (entry);
 }
 
-/* Notices and logs that a part has come to be held or is released. */
-void
-quarantine_entry_refresh(quarantine_t *q, quarantine_entry_t *entry, double now)
-{
-	const quarantine_record_t *record = &entry->record;
-	bool held = quarantine_record_is_held(record);
-
-	if (held == entry->held)
-		return;
-	entry->held = held;
-	if (held) {
-		news_remove(q, entry);
-		LIST_INSERT_HEAD(&q->held_entries, entry, held_link);
-		q->held++;
-		q->newly_held = true;
-	} else {
-		/* Its crashes now count against others, without a delay. */
-		LIST_REMOVE(entry, held_link);
-		news_append(q, entry);
-		q->held--;
-		q->judge_at = now;
-	}
-	if (q->held > MAX_LOGGED_PARTS)
-		return;
-	LOG_WARN(held ? "part_held" : "part_released",
-	    "part=%llx crashes=%zu trials=%u last_crash_s=%.3f "
-	    "answered_s=%.3f",
-	    (unsigned long long)record->part, record->crash_count,
-	    record->trials, now - record->held_since,
-	    record->answered_at > 0 ? now - record->answered_at : -1.0);
-}
-
-void
-quarantine_entry_changed(quarantine_t *q, quarantine_entry_t *entry, double now)
-{
-	quarantine_entry_refresh(q, entry, now);
-	entry_has_news(q, entry);
-	quarantine_entry_mark_changed(q, entry);
-	quarantine_judge_soon(q, now);
-}
-
-/*
- * Lets other hosts be told of an entry. What is held, or may be, goes first if
- * not all can be sent.
- */
-void
-quarantine_entry_mark_changed(quarantine_t *q, quarantine_entry_t *entry)
-{
-	if (entry->changed)
-		TAILQ_REMOVE(&q->changed, entry, changed_link);
-	entry->changed = true;
-	entry->reported = false;
-	if (entry->record.crash_count > 1)
-		TAILQ_INSERT_HEAD(&q->changed, entry, changed_link);
-	else
-		TAILQ_INSERT_TAIL(&q->changed, entry, changed_link);
-}
-
-/* Lets all parts be judged once other hosts have had time to object. */
-void
-quarantine_judge_soon(quarantine_t *q, double now)
-{
-	if (q->judge_at <= 0)
-		q->judge_at = now + QUARANTINE_HOLD_DELAY_S;
-}
-
 /* Remembers an endpoint that crashed, for quarantine_endpoint_answered(). */
 static void
 note_endpoint(quarantine_t *q, const quarantine_crash_t *crash)
@@ -241,11 +101,11 @@
 	if (entry == NULL && now - answer_find(q, part) < RECENT_ANSWER_S)
 		return (NULL);
 	if (entry == NULL)
-		entry = entry_find_or_add(q, part);
+		entry = entry_add(q, part);
 	if (entry == NULL ||
 	    !quarantine_record_add_crash(&entry->record, crash))
 		return (NULL);
-	entry_has_news(q, entry);
+	quarantine_entry_has_news(q, entry);
 	return (entry);
 }
 
@@ -327,8 +187,8 @@
 	*report = (quarantine_report_t){0};
 }
 
-/* Adds the crash that another host reports. */
-void
+/* Adds the crash that another host reports. Returns whether it is news. */
+bool
 quarantine_add_report(
     quarantine_t *q, const quarantine_report_t *report, double now)
 {
@@ -340,6 +200,7 @@
 	    q, report->parts, report->count, &report->crash, now, news);
 	crash_has_news(q, news, count, true, now);
 	free(news);
+	return (count > 0);
 }
 
 /* Records that an endpoint has begun to answer a request. */
@@ -407,7 +268,7 @@
 void
 quarantine_merge(quarantine_t *q, const quarantine_record_t *other, double now)
 {
-	quarantine_entry_t *entry = entry_find_or_add(q, other->part);
+	quarantine_entry_t *entry = entry_add(q, other->part);
 	bool changed;
 
 	if (entry == NULL)
@@ -431,25 +292,6 @@
 		quarantine_entry_changed(q, entry, now);
 }
 
-/* Drops the records without news since the given time. */
-void
-quarantine_drop_old_records(quarantine_t *q, double since)
-{
-	quarantine_entry_t *entry = LIST_FIRST(&q->held_entries);
-
-	while (entry != NULL) {
-		quarantine_entry_t *next = LIST_NEXT(entry, held_link);
-
-		if (quarantine_record_last_news(&entry->record) < since)
-			entry_free(q, entry);
-		entry = next;
-	}
-	for (int repeated = false; repeated <= true; repeated++)
-		while ((entry = TAILQ_FIRST(&q->by_news[repeated])) != NULL &&
-		       quarantine_record_last_news(&entry->record) < since)
-			entry_free(q, entry);
-}
-
 /* Returns whether parts have come to be held since the last call. */
 bool
 quarantine_take_newly_held(quarantine_t *q)
@@ -466,73 +308,3 @@
 {
 	return (q->judge_at);
 }
-
-/* Returns a record that changed since it was returned last, or NULL. */
-const quarantine_record_t *
-quarantine_next_changed(quarantine_t *q)
-{
-	quarantine_entry_t *entry = TAILQ_FIRST(&q->changed);
-
-	if (entry == NULL)
-		return (NULL);
-	TAILQ_REMOVE(&q->changed, entry, changed_link);
-	entry->changed = false;
-	return (&entry->record);
-}
-
-/*
- * Returns whether a record tells more than another: held ones do, then those
- * with several crashes, then those with the newest evidence.
- */
-static bool
-tells_more(const quarantine_record_t *record, const quarantine_record_t *other)
-{
-	bool held = quarantine_record_is_held(record);
-	bool repeated = record->crash_count > 1;
-
-	if (held != quarantine_record_is_held(other))
-		return (held);
-	if (repeated != (other->crash_count > 1))
-		return (repeated);
-	return (quarantine_record_last_news(record) >
-		quarantine_record_last_news(other));
-}
-
-/* Writes the records that tell most, in order. */
-size_t
-quarantine_newest(
-    const quarantine_t *q, const quarantine_record_t **records, size_t max)
-{
-	const quarantine_entry_t *entry;
-	size_t count = 0;
-
-	LIST_FOREACH (entry, &q->entries, link) {
-		const quarantine_record_t *record = &entry->record;
-		size_t at = count < max ? count++ : max;
-
-		while (at > 0 && tells_more(record, records[at - 1])) {
-			if (at < max)
-				records[at] = records[at - 1];
-			at--;
-		}
-		if (at < max)
-			records[at] = record;
-	}
-	return (count);
-}
-
-/* Returns what is known of a part, or NULL. */
-const quarantine_record_t *
-quarantine_find(const quarantine_t *q, uint64_t part)
-{
-	const quarantine_entry_t *entry = quarantine_entry_find(q, part);
-
-	return (entry != NULL ? &entry->record : NULL);
-}
-
-quarantine_stats_t
-quarantine_stats(const quarantine_t *q)
-{
-	return ((quarantine_stats_t){
-	    .records = q->count, .held = q->held, .dropped = q->dropped});
-}
--- a/src/quarantine.h
+++ b/src/quarantine.h
@@ -38,7 +38,7 @@
     uint64_t endpoint, double now);
 bool quarantine_take_report(quarantine_t *q, quarantine_report_t *out);
 void quarantine_report_free(quarantine_report_t *report);
-void quarantine_add_report(
+bool quarantine_add_report(
     quarantine_t *q, const quarantine_report_t *report, double now);
 void quarantine_add_answer(
     quarantine_t *q, const prompt_parts_t *parts, double began_at);
--- a/src/quarantine_net.c
+++ b/src/quarantine_net.c
@@ -58,8 +58,8 @@
 	rng_t rng;
 	byte_budget_t record_budget;
 	byte_budget_t report_budget;
-	uint64_t
-	    known_reports[KNOWN_REPORTS]; /* hashes; the oldest is replaced */
+	/* Hashes of reports; the oldest is replaced. */
+	uint64_t known_reports[KNOWN_REPORTS];
 	size_t next_report;
 	ev_timer flush_timer;
 	ev_timer judge_timer;
@@ -237,9 +237,9 @@
 		LOG_WARN("quarantine_message_malformed", "host=%s",
 		    peer_request_address(request));
 	if (report.count > 0 && report_is_new(net, &report)) {
-		quarantine_add_report(net->quarantine, &report, now);
+		if (quarantine_add_report(net->quarantine, &report, now))
+			send_report(net, &report);
 		net_changed(net);
-		send_report(net, &report);
 	}
 	quarantine_report_free(&report);
 	peer_request_reply(request, 0, (str_t){0});
--- a/src/quarantine_state.h
+++ b/src/quarantine_state.h
@@ -64,7 +64,10 @@
 	    report; /* to be sent; see quarantine_take_report() */
 };
 
+/* quarantine_table.c */
 quarantine_entry_t *quarantine_entry_find(const quarantine_t *q, uint64_t part);
+quarantine_entry_t *quarantine_entry_add(quarantine_t *q, uint64_t part);
+void quarantine_entry_has_news(quarantine_t *q, quarantine_entry_t *entry);
 void quarantine_entry_refresh(
     quarantine_t *q, quarantine_entry_t *entry, double now);
 void quarantine_entry_changed(
--- a/tests/test_fail_output_bytes.c
+++ b/tests/test_fail_output_bytes.c
@@ -19,16 +19,6 @@
 
 static gateways_t fleet;
 
-/* Submits a job whose engines have a fault. */
-static void
-submit_with_fault(const char *job, const char *query)
-{
-	gateways_start(&fleet, &(gateways_params_t){.hosts = 2});
-	for (unsigned i = 0; i < ENGINES; i++)
-		gateways_engine_faults(&fleet, i, query);
-	CU_ASSERT_FATAL(gateways_submit(&fleet, 0, job, ITEMS, EVENTS) == 202);
-}
-
 /* Returns a job's results, once all are listed, or NULL. */
 static json_t *
 wait_results(const char *job)
@@ -50,18 +40,29 @@
 	return (NULL);
 }
 
-/* Calls back for the id, the state and the output of each result. */
+typedef void (*check_item_t)(
+    const char *id, const char *state, const char *output);
+
+/* Runs a job at engines that all have a fault, and checks each result. */
 static void
-each_result(json_t *root,
-    void (*callback)(const char *id, const char *state, const char *output))
+check_job(const char *job, const char *fault, check_item_t check_item)
 {
+	json_t *results;
 	json_t *row;
 	size_t i;
 
-	json_array_foreach(json_object_get(root, "results"), i, row)
-	    callback(json_string_value(json_object_get(row, "id")),
+	gateways_start(&fleet, &(gateways_params_t){.hosts = 2});
+	for (unsigned engine = 0; engine < ENGINES; engine++)
+		gateways_engine_faults(&fleet, engine, fault);
+	CU_ASSERT_FATAL(gateways_submit(&fleet, 0, job, ITEMS, EVENTS) == 202);
+	results = wait_results(job);
+	CU_ASSERT_FATAL(results != NULL);
+	json_array_foreach(json_object_get(results, "results"), i, row)
+	    check_item(json_string_value(json_object_get(row, "id")),
 		json_string_value(json_object_get(row, "state")),
 		json_string_value(json_object_get(row, "output")));
+	json_decref(results);
+	gateways_end(&fleet);
 }
 
 /*
@@ -108,14 +109,7 @@
 static void
 test_cut_characters(void)
 {
-	json_t *results;
-
-	submit_with_fault("cut", "cut=1");
-	results = wait_results("cut");
-	CU_ASSERT_FATAL(results != NULL);
-	each_result(results, check_cut_item);
-	json_decref(results);
-	gateways_end(&fleet);
+	check_job("cut", "cut=1", check_cut_item);
 }
 
 static void
@@ -137,14 +131,7 @@
 static void
 test_same_bytes_everywhere(void)
 {
-	json_t *results;
-
-	submit_with_fault("same", "spoil=1000000");
-	results = wait_results("same");
-	CU_ASSERT_FATAL(results != NULL);
-	each_result(results, check_replaced_item);
-	json_decref(results);
-	gateways_end(&fleet);
+	check_job("same", "spoil=1000000", check_replaced_item);
 }
 
 static const suite_test_t tests[] = {
