Endpoints: doubt what stands in the store, not what is written next

Cause: let an endpoint that comes back after a removal wait for its second entry. The rule that an order which is wrong heals rested on further entries as well, so that an endpoint whose clock was set back could have stayed out for good.

Change: an entry of the same start with a higher count than all before is believed after a removal, as before. One that contradicts the order is kept (doubted_entries) and believed if it still stands after 8 s with the store in contact: a living endpoint writes over a late entry, and the store drops that of one that has left. Entries without a start are in no order.

Replay: 0 of 715 late entries used after draining, 187 after a mere removal, none of them older than one before. test_fail_leaving "late entry" and "late entry after a removal" pass.

--- a/src/endpoint_set.c
+++ b/src/endpoint_set.c
@@ -1,13 +1,10 @@
 /* Set of self-registered endpoints; decides which of them receive requests. */
-#include "endpoint_set.h"
+#include "endpoint_set_state.h"
 
 #include <math.h>
 #include <stdlib.h>
 #include <string.h>
-#include <sys/queue.h>
 
-#include "entry_history.h"
-#include "entry_text.h"
 #include "logger.h"
 
 /*
@@ -27,42 +24,6 @@
 #define MASS_EXPIRY_RATIO (1.0 / 3)
 /* Removals less than this far apart count as one event. */
 #define MASS_EXPIRY_WINDOW_S 1.5
-/*
- * Time for the admitting host to answer; afterwards the host grants slots from
- * its local allowance.
- */
-#define GRANT_TIMEOUT_MS 150
-/* Time for a batch request to release its slot after a revocation. */
-#define REVOKE_TIMEOUT_MS 500
-/* Maximum number of online requests that wait for a slot, per pool. */
-#define QUEUE_LIMIT 4096
-
-/* Keeps the sum of the weights of all organisations within an unsigned. */
-#define MAX_ORG_WEIGHT 1e6
-
-#define ENDPOINT_BUCKETS 1024
-
-typedef struct known_endpoint_t {
-	uint64_t hash; /* of the id */
-	LIST_ENTRY(known_endpoint_t) bucket_link;
-	entry_text_t text; /* of the entry, see endpoint_set_keep_text() */
-	endpoint_entry_t entry;
-	bool seen;    /* since the last reload began */
-	bool removed; /* its entry is gone; kept for the grace period */
-	double removed_at;
-	bool may_return; /* removed while entries of running ones were, too */
-	LIST_ENTRY(known_endpoint_t) link;
-} known_endpoint_t;
-
-struct endpoint_set_t {
-	LIST_HEAD(, known_endpoint_t) endpoints;
-	LIST_HEAD(, known_endpoint_t) buckets[ENDPOINT_BUCKETS]; /* by id */
-	leaving_marks_t *leaving_marks;
-	entry_history_t *history;
-	double first_loaded_at;	      /* infinite: not loaded yet */
-	bool connected;		      /* to the store */
-	double connection_changed_at; /* last loss or return of the store */
-};
 
 endpoint_set_t *
 endpoint_set_new(void)
@@ -72,6 +33,7 @@
 	LIST_INIT(&set->endpoints);
 	set->leaving_marks = leaving_marks_new();
 	set->history = entry_history_new();
+	set->doubted = doubted_entries_new();
 	set->connected = true;
 	set->connection_changed_at = -INFINITY;
 	set->first_loaded_at = -INFINITY;
@@ -94,6 +56,7 @@
 		endpoint_free(LIST_FIRST(&set->endpoints));
 	leaving_marks_delete(set->leaving_marks);
 	entry_history_delete(set->history);
+	doubted_entries_delete(set->doubted);
 	free(set);
 }
 
@@ -146,28 +109,13 @@
 	return (true);
 }
 
-/*
- * Returns whether an entry is the endpoint's newest statement. A late one still
- * shows that there is a record of the endpoint.
- */
+/* Adds or updates an endpoint's entry. Returns whether anything changed. */
 static bool
-accept_entry(endpoint_set_t *set, known_endpoint_t *endpoint, str_t id,
-    const entry_stamp_t *stamp, double now)
-{
-	if (endpoint != NULL)
-		endpoint->seen = true;
-	return (entry_history_accept(set->history, id, stamp, now));
-}
-
-/* Adds or updates an endpoint's entry, unless it is a late one. */
-endpoint_put_t
-endpoint_set_put(endpoint_set_t *set, const endpoint_entry_t *entry, double now)
+use_entry(endpoint_set_t *set, const endpoint_entry_t *entry)
 {
 	known_endpoint_t *endpoint = find_endpoint(set, str_of(entry->id));
 	bool changed = true;
 
-	if (!accept_entry(set, endpoint, str_of(entry->id), &entry->stamp, now))
-		return (ENDPOINT_LATE);
 	if (endpoint == NULL) {
 		endpoint = endpoint_add(set, str_of(entry->id));
 		LOG_INFO("endpoint_added",
@@ -187,8 +135,48 @@
 	endpoint->entry = *entry;
 	endpoint->seen = true;
 	endpoint->removed = false;
-	endpoint->may_return = false;
-	return (changed ? ENDPOINT_CHANGED : ENDPOINT_UNCHANGED);
+	return (changed);
+}
+
+/*
+ * Adds or updates an endpoint's entry. A late one is not used, but shows that
+ * there is a record of the endpoint.
+ */
+endpoint_put_t
+endpoint_set_put(endpoint_set_t *set, const endpoint_entry_t *entry, double now)
+{
+	str_t id = str_of(entry->id);
+	known_endpoint_t *endpoint = find_endpoint(set, id);
+
+	if (entry_history_accept(set->history, id, &entry->stamp)) {
+		doubted_entries_drop(set->doubted, id);
+		return (use_entry(set, entry) ? ENDPOINT_CHANGED
+					      : ENDPOINT_UNCHANGED);
+	}
+	if (endpoint != NULL)
+		endpoint->seen = true;
+	doubted_entries_add(set->doubted, entry, now);
+	return (ENDPOINT_LATE);
+}
+
+/* Uses the doubted entries that still stand. Returns whether there were any. */
+static bool
+use_doubted(endpoint_set_t *set, double now)
+{
+	endpoint_entry_t entry;
+	bool changed = false;
+
+	while (doubted_entries_take_due(set->doubted, now, &entry)) {
+		LOG_WARN("endpoint_entry_believed",
+		    "endpoint=%s started_ms=%llu sequence=%llu", entry.id,
+		    (unsigned long long)entry.stamp.started_ms,
+		    (unsigned long long)entry.stamp.sequence);
+		entry_history_restart(
+		    set->history, str_of(entry.id), &entry.stamp);
+		leaving_marks_remove(set->leaving_marks, str_of(entry.id));
+		changed |= use_entry(set, &entry);
+	}
+	return (changed);
 }
 
 /*
@@ -218,8 +206,8 @@
  * parsed.
  */
 bool
-endpoint_set_repeat(endpoint_set_t *set, str_t id, str_t text, double now,
-    endpoint_put_t *result)
+endpoint_set_repeat(
+    endpoint_set_t *set, str_t id, str_t text, endpoint_put_t *result)
 {
 	known_endpoint_t *endpoint = find_endpoint(set, id);
 	entry_stamp_t stamp;
@@ -229,9 +217,12 @@
 	stamp = endpoint->entry.stamp;
 	if (!entry_text_repeats(&endpoint->text, text, &stamp.sequence))
 		return (false);
+	endpoint->seen = true;
 	*result = ENDPOINT_LATE;
-	if (!accept_entry(set, endpoint, id, &stamp, now))
+	/* A late one that says the same as the newest need not be kept. */
+	if (!entry_history_accept(set->history, id, &stamp))
 		return (true);
+	doubted_entries_drop(set->doubted, id);
 	endpoint->entry.stamp = stamp;
 	*result = entry_ends_leaving(set, &endpoint->entry)
 		      ? ENDPOINT_CHANGED
@@ -290,6 +281,8 @@
 {
 	known_endpoint_t *endpoint = find_endpoint(set, id);
 
+	entry_history_removed(set->history, id);
+	doubted_entries_drop(set->doubted, id);
 	if (endpoint == NULL || endpoint->removed)
 		return (false);
 	endpoint->removed = true;
@@ -336,33 +329,29 @@
 {
 	set->connected = connected;
 	set->connection_changed_at = now;
+	doubted_entries_wait_again(set->doubted, now);
 }
 
 /*
- * Drops removed endpoints whose grace period is over. Returns whether there
- * were any.
+ * Drops removed endpoints whose grace period is over, and uses doubted entries
+ * that still stand. Returns whether there were any.
  */
 bool
 endpoint_set_tick(endpoint_set_t *set, double now)
 {
 	known_endpoint_t *endpoint;
 	known_endpoint_t *next;
-	bool changed = false;
+	bool changed = use_doubted(set, now);
 
 	for (endpoint = LIST_FIRST(&set->endpoints); endpoint != NULL;
 	     endpoint = next) {
 		next = LIST_NEXT(endpoint, link);
-		if (!endpoint->removed)
-			continue;
-		if (may_reregister(set, endpoint, now)) {
-			endpoint->may_return = true;
+		if (!endpoint->removed || may_reregister(set, endpoint, now))
 			continue;
-		}
 		LOG_INFO("endpoint_gone", "endpoint=%s pool=%s since_s=%.1f",
 		    endpoint->entry.id, endpoint->entry.pool,
 		    now - endpoint->removed_at);
-		entry_history_left(set->history, str_of(endpoint->entry.id),
-		    endpoint->may_return);
+		entry_history_left(set->history, str_of(endpoint->entry.id));
 		endpoint_free(endpoint);
 		changed = true;
 	}
@@ -459,136 +448,3 @@
 			now - set->first_loaded_at < REREGISTER_GRACE_S);
 	return (!endpoint->entry.draining);
 }
-
-/*
- * Compares structs by their first member, the name. config_pool() needs this
- * order.
- */
-static int
-compare_names(const void *a, const void *b)
-{
-	const char *const *first = (const char *const *)a;
-	const char *const *second = (const char *const *)b;
-
-	return (strcmp(*first, *second));
-}
-
-static void
-config_add_endpoints(fleet_config_t *config, const endpoint_set_t *set)
-{
-	const known_endpoint_t *endpoint;
-
-	config->endpoints =
-	    xcalloc(endpoint_set_count(set) + 1, sizeof(*config->endpoints));
-	LIST_FOREACH (endpoint, &set->endpoints, link) {
-		const endpoint_entry_t *entry = &endpoint->entry;
-
-		if (entry->draining)
-			continue;
-		config->endpoints[config->endpoint_count++] =
-		    (config_endpoint_t){
-			.name = xstrdup(entry->id),
-			.address = xstrdup(entry->address),
-			.zone = xstrdup(entry->zone),
-			.pool = xstrdup(entry->pool),
-			.slots = entry->slots,
-			.version = xstrdup(""),
-			.role = xstrdup(""),
-			.adapters = xstrdup(""),
-		    };
-	}
-	qsort(config->endpoints, config->endpoint_count,
-	    sizeof(*config->endpoints), compare_names);
-}
-
-static void
-config_add_pools(fleet_config_t *config, const routing_table_t *table)
-{
-	config->pools = xcalloc(table->pool_count + 1, sizeof(*config->pools));
-	for (size_t i = 0; i < table->pool_count; i++) {
-		config_pool_t *pool = &config->pools[config->pool_count++];
-
-		pool->name = xstrdup(table->pools[i].name);
-		pool->queue_limit = QUEUE_LIMIT;
-		pool->endpoints =
-		    xcalloc(config->endpoint_count + 1, sizeof(size_t));
-		for (size_t k = 0; k < config->endpoint_count; k++)
-			if (strcmp(config->endpoints[k].pool, pool->name) == 0)
-				pool->endpoints[pool->endpoint_count++] = k;
-	}
-	qsort(config->pools, config->pool_count, sizeof(*config->pools),
-	    compare_names);
-}
-
-/* Organisations share a pool in proportion to their rates. */
-static unsigned
-org_weight(const org_t *org)
-{
-	double weight = fmin(round(org->requests_per_s), MAX_ORG_WEIGHT);
-
-	return (weight > 1 ? (unsigned)weight : 1);
-}
-
-static bool
-is_org_id(const routing_table_t *table, const char *name)
-{
-	for (size_t i = 0; i < table->org_count; i++)
-		if (strcmp(table->orgs[i].id, name) == 0)
-			return (true);
-	return (false);
-}
-
-/*
- * Adds the organisations, and one for each route, under whose name requests
- * without an organisation ask for slots.
- */
-static void
-config_add_orgs(fleet_config_t *config, const routing_table_t *table)
-{
-	config->has_orgs = table->has_orgs;
-	config->orgs = xcalloc(
-	    table->org_count + table->route_count + 1, sizeof(*config->orgs));
-	for (size_t i = 0; i < table->org_count; i++) {
-		const org_t *org = &table->orgs[i];
-
-		config->orgs[config->org_count++] = (config_org_t){
-		    .name = xstrdup(org->id),
-		    .token_hash = xstrdup(""),
-		    .weight = org_weight(org),
-		    .requests_per_s = org->requests_per_s,
-		    .burst = org->burst,
-		};
-		config->limits_orgs |= org->requests_per_s > 0;
-	}
-	for (size_t i = 0; i < table->route_count; i++) {
-		/* A name of both must not hide the organisation's limit. */
-		if (is_org_id(table, table->routes[i].name))
-			continue;
-		config->orgs[config->org_count++] = (config_org_t){
-		    .name = xstrdup(table->routes[i].name),
-		    .token_hash = xstrdup(""),
-		    .weight = 1,
-		};
-	}
-	qsort(config->orgs, config->org_count, sizeof(*config->orgs),
-	    compare_names);
-}
-
-/*
- * Builds the configuration for admission: the pools of the table with the
- * endpoints that are not draining, the organisations, and one organisation per
- * route, so that the routes share a pool fairly.
- */
-fleet_config_t *
-endpoint_set_to_config(const endpoint_set_t *set, const routing_table_t *table)
-{
-	fleet_config_t *config = xcalloc(1, sizeof(*config));
-
-	config->refs = 1;
-	config->fleet.grant_timeout_ms = GRANT_TIMEOUT_MS;
-	config->fleet.revoke_timeout_ms = REVOKE_TIMEOUT_MS;
-	config_add_endpoints(config, set);
-	config_add_pools(config, table);
-	config_add_orgs(config, table);
-	return (config);
-}
--- a/src/endpoint_set.h
+++ b/src/endpoint_set.h
@@ -3,23 +3,11 @@
 #define DAISYPIER_ENDPOINT_SET_H
 
 #include "config.h"
-#include "entry_order.h"
+#include "endpoint_entry.h"
 #include "leaving_marks.h"
 #include "name.h"
 #include "routing_table.h"
 
-/* An endpoint's registration in the store, written by the endpoint itself. */
-typedef struct endpoint_entry_t {
-	char id[ENDPOINT_NAME_SIZE]; /* usually unique to one start of the
-					endpoint */
-	char pool[NAME_SIZE];
-	char address[64]; /* "IP:PORT" */
-	char zone[NAME_SIZE];
-	unsigned slots;
-	bool draining;
-	entry_stamp_t stamp;
-} endpoint_entry_t;
-
 typedef enum endpoint_put_t {
 	ENDPOINT_LATE, /* not the endpoint's newest statement; not used */
 	ENDPOINT_UNCHANGED,
@@ -35,8 +23,8 @@
     endpoint_set_t *set, const endpoint_entry_t *entry, double now);
 void endpoint_set_keep_text(
     endpoint_set_t *set, str_t id, str_t text, str_t counter);
-bool endpoint_set_repeat(endpoint_set_t *set, str_t id, str_t text, double now,
-    endpoint_put_t *result);
+bool endpoint_set_repeat(
+    endpoint_set_t *set, str_t id, str_t text, endpoint_put_t *result);
 bool endpoint_set_remove(endpoint_set_t *set, str_t id, double now);
 void endpoint_set_begin_reload(endpoint_set_t *set);
 bool endpoint_set_end_reload(endpoint_set_t *set, double now);
--- a/src/entry_history.c
+++ b/src/entry_history.c
@@ -94,31 +94,57 @@
 	return (record);
 }
 
+static history_record_t *
+record_find_or_add(entry_history_t *history, str_t id)
+{
+	uint64_t hash = str_hash(id, 0);
+	history_record_t *record = record_find(history, id, hash);
+
+	return (record != NULL ? record : record_add(history, id, hash));
+}
+
 /* Returns whether an entry is its endpoint's newest, see entry_order. */
 bool
 entry_history_accept(
-    entry_history_t *history, str_t id, const entry_stamp_t *stamp, double now)
+    entry_history_t *history, str_t id, const entry_stamp_t *stamp)
 {
-	uint64_t hash = str_hash(id, 0);
-	history_record_t *record = record_find(history, id, hash);
+	history_record_t *record = record_find_or_add(history, id);
 
-	if (record == NULL)
-		record = record_add(history, id, hash);
-	if (!entry_order_accept(&record->order, stamp, now))
+	if (!entry_order_accept(&record->order, stamp))
 		return (false);
 	unmark_left(history, record);
 	return (true);
 }
 
-/* Records that an endpoint is no longer used; see entry_order_removed(). */
+/* Makes an entry the newest one, whatever is known of others. */
+void
+entry_history_restart(
+    entry_history_t *history, str_t id, const entry_stamp_t *stamp)
+{
+	history_record_t *record = record_find_or_add(history, id);
+
+	entry_order_restart(&record->order, stamp);
+	unmark_left(history, record);
+}
+
+/* Records that an endpoint's entry was removed. */
+void
+entry_history_removed(entry_history_t *history, str_t id)
+{
+	history_record_t *record = record_find(history, id, str_hash(id, 0));
+
+	if (record != NULL)
+		entry_order_removed(&record->order);
+}
+
+/* Records that an endpoint without an entry is no longer used. */
 void
-entry_history_left(entry_history_t *history, str_t id, bool may_return)
+entry_history_left(entry_history_t *history, str_t id)
 {
 	history_record_t *record = record_find(history, id, str_hash(id, 0));
 
 	if (record == NULL)
 		return;
-	entry_order_removed(&record->order, may_return);
 	unmark_left(history, record);
 	record->left = true;
 	TAILQ_INSERT_TAIL(&history->left, record, left_link);
--- a/src/entry_history.h
+++ b/src/entry_history.h
@@ -9,8 +9,12 @@
 
 entry_history_t *entry_history_new(void);
 void entry_history_delete(entry_history_t *history);
+
 bool entry_history_accept(
-    entry_history_t *history, str_t id, const entry_stamp_t *stamp, double now);
-void entry_history_left(entry_history_t *history, str_t id, bool may_return);
+    entry_history_t *history, str_t id, const entry_stamp_t *stamp);
+void entry_history_restart(
+    entry_history_t *history, str_t id, const entry_stamp_t *stamp);
+void entry_history_removed(entry_history_t *history, str_t id);
+void entry_history_left(entry_history_t *history, str_t id);
 
 #endif
--- a/src/entry_order.h
+++ b/src/entry_order.h
@@ -14,16 +14,13 @@
 
 /* What is known of the order of one endpoint's entries. Initialize with {0}. */
 typedef struct entry_order_t {
-	bool known; /* there is a newest entry */
-	bool ended; /* it was removed, and nothing explains its return */
+	bool known;   /* there is a newest entry */
+	bool removed; /* since then */
 	entry_stamp_t newest;
-	bool doubting; /* an entry was not taken for newer */
-	entry_stamp_t doubted;
-	double doubted_since; /* seconds */
 } entry_order_t;
 
-bool entry_order_accept(
-    entry_order_t *order, const entry_stamp_t *stamp, double now);
-void entry_order_removed(entry_order_t *order, bool may_return);
+bool entry_order_accept(entry_order_t *order, const entry_stamp_t *stamp);
+void entry_order_removed(entry_order_t *order);
+void entry_order_restart(entry_order_t *order, const entry_stamp_t *stamp);
 
 #endif
--- a/src/gateway_store.c
+++ b/src/gateway_store.c
@@ -225,7 +225,7 @@
 		return;
 	}
 	if (endpoint_set_repeat(
-		endpoints, record->key, record->value, now, &result)) {
+		endpoints, record->key, record->value, &result)) {
 		endpoint_was_put(gateway, record, result);
 		return;
 	}
--- a/src/leaving_marks.c
+++ b/src/leaving_marks.c
@@ -138,6 +138,16 @@
 	return (is_newer);
 }
 
+/* Forgets the notice of an endpoint, if there is one. */
+void
+leaving_marks_remove(leaving_marks_t *marks, str_t endpoint)
+{
+	mark_t *mark = mark_find(marks, endpoint);
+
+	if (mark != NULL)
+		mark_free(marks, mark);
+}
+
 /* Takes notice that an endpoint's entry was removed. */
 void
 leaving_marks_entry_removed(leaving_marks_t *marks, str_t endpoint)
--- a/src/leaving_marks.h
+++ b/src/leaving_marks.h
@@ -21,6 +21,7 @@
 bool leaving_marks_has(const leaving_marks_t *marks, str_t endpoint);
 bool leaving_marks_entry_written(
     leaving_marks_t *marks, str_t endpoint, uint64_t started_ms, bool draining);
+void leaving_marks_remove(leaving_marks_t *marks, str_t endpoint);
 void leaving_marks_entry_removed(leaving_marks_t *marks, str_t endpoint);
 void leaving_marks_each(
     const leaving_marks_t *marks, leaving_mark_cb_t callback, void *ctx);
--- a/tests/test_endpoint_set.c
+++ b/tests/test_endpoint_set.c
@@ -174,17 +174,16 @@
 
 	put_stamped(set, 0, 4, false, 100);
 	endpoint_set_keep_text(set, STR("e1"), text, (str_t){text.data + 5, 1});
-	CU_ASSERT(!endpoint_set_repeat(set, STR("e0"), text, 200, &result));
-	CU_ASSERT(!endpoint_set_repeat(set, STR("new"), text, 200, &result));
+	CU_ASSERT(!endpoint_set_repeat(set, STR("e0"), text, &result));
+	CU_ASSERT(!endpoint_set_repeat(set, STR("new"), text, &result));
 	endpoint_set_begin_reload(set);
-	CU_ASSERT(
-	    endpoint_set_repeat(set, STR("e1"), STR("text 5"), 200, &result));
+	CU_ASSERT(endpoint_set_repeat(set, STR("e1"), STR("text 5"), &result));
 	CU_ASSERT(result == ENDPOINT_UNCHANGED);
 	endpoint_set_end_reload(set, 200);
 	endpoint_set_tick(set, 300);
 	CU_ASSERT(endpoint_set_count(set) == 1);
 	endpoint_set_remove(set, STR("e1"), 301);
-	CU_ASSERT(!endpoint_set_repeat(set, STR("e1"), text, 301, &result));
+	CU_ASSERT(!endpoint_set_repeat(set, STR("e1"), text, &result));
 	endpoint_set_delete(set);
 }
 
@@ -216,6 +215,43 @@
 	endpoint_set_delete(set);
 }
 
+/*
+ * Guards against an endpoint that is never used again since its clock was set
+ * back before it started: its entry is believed once it has stood for longer
+ * than a late one stands.
+ */
+static void
+test_doubted_entry(void)
+{
+	endpoint_set_t *set = endpoint_set_new();
+
+	endpoint_set_set_connected(set, true, 0);
+	put_stamped(set, 5000, 20, true, 100);
+	CU_ASSERT(endpoint_set_mark_leaving(set, STR("e1"), 5000));
+	CU_ASSERT(put_stamped(set, 3000, 1, false, 101) == ENDPOINT_LATE);
+	CU_ASSERT(put_stamped(set, 3000, 2, false, 105) == ENDPOINT_LATE);
+	CU_ASSERT(!endpoint_set_tick(set, 108));
+	CU_ASSERT(!endpoint_set_usable(set, STR("e1"), 108));
+	CU_ASSERT(endpoint_set_tick(set, 109.1));
+	CU_ASSERT(endpoint_set_usable(set, STR("e1"), 109.1));
+	CU_ASSERT(put_stamped(set, 3000, 3, true, 110) == ENDPOINT_CHANGED);
+	/* A late entry that is written over, or removed, is not believed. */
+	CU_ASSERT(put_stamped(set, 3000, 2, false, 111) == ENDPOINT_LATE);
+	CU_ASSERT(put_stamped(set, 3000, 4, true, 112) == ENDPOINT_UNCHANGED);
+	CU_ASSERT(!endpoint_set_tick(set, 130));
+	CU_ASSERT(put_stamped(set, 3000, 2, false, 131) == ENDPOINT_LATE);
+	CU_ASSERT(endpoint_set_remove(set, STR("e1"), 134));
+	(void)endpoint_set_tick(set, 150);
+	CU_ASSERT(endpoint_set_count(set) == 0);
+	/* Nobody could write over it while the store was away. */
+	CU_ASSERT(put_stamped(set, 3000, 2, false, 151) == ENDPOINT_LATE);
+	endpoint_set_set_connected(set, false, 152);
+	endpoint_set_set_connected(set, true, 170);
+	CU_ASSERT(!endpoint_set_tick(set, 171));
+	CU_ASSERT(endpoint_set_count(set) == 0);
+	endpoint_set_delete(set);
+}
+
 /*
  * Guards against a late entry that is taken for a repetition because its text
  * differs from the known one in its count only.
@@ -230,18 +266,18 @@
 	put_stamped(set, 1000, 9, false, 100);
 	endpoint_set_keep_text(set, STR("e1"), text, (str_t){text.data + 6, 1});
 	CU_ASSERT(
-	    endpoint_set_repeat(set, STR("e1"), STR("ready 12"), 101, &result));
+	    endpoint_set_repeat(set, STR("e1"), STR("ready 12"), &result));
 	CU_ASSERT(result == ENDPOINT_UNCHANGED);
 	CU_ASSERT(
-	    endpoint_set_repeat(set, STR("e1"), STR("ready 11"), 102, &result));
+	    endpoint_set_repeat(set, STR("e1"), STR("ready 11"), &result));
 	CU_ASSERT(result == ENDPOINT_LATE);
 	/* The repetition counts: the entry before it is a late one. */
 	CU_ASSERT(put_stamped(set, 1000, 10, true, 103) == ENDPOINT_LATE);
 	CU_ASSERT(put_stamped(set, 1000, 13, true, 104) == ENDPOINT_CHANGED);
 	/* Digits of another number are no count. */
 	endpoint_set_keep_text(set, STR("e1"), text, (str_t){text.data + 6, 1});
-	CU_ASSERT(!endpoint_set_repeat(
-	    set, STR("e1"), STR("ready 14"), 105, &result));
+	CU_ASSERT(
+	    !endpoint_set_repeat(set, STR("e1"), STR("ready 14"), &result));
 	endpoint_set_delete(set);
 }
 
@@ -325,6 +361,7 @@
     {"reload", test_reload},
     {"repeated entry", test_repeated_entry},
     {"late entry", test_late_entry},
+    {"doubted entry", test_doubted_entry},
     {"late repetition", test_late_repetition},
     {"unknown endpoint without store", test_unknown_endpoint_without_store},
     {"unknown endpoint after a start", test_unknown_endpoint_after_a_start},
--- a/tests/test_entry_order.c
+++ b/tests/test_entry_order.c
@@ -41,22 +41,22 @@
 typedef struct life_t {
 	double ended_at; /* the store says that it drains or left; 0: not yet */
 	bool drained;
-	unsigned ignored; /* entries since then */
+	uint64_t newest; /* count that the store has carried out */
 } life_t;
 
 /* Entries that made a life ready which had ended for too long. */
 typedef struct late_uses_t {
 	unsigned after_draining;
 	unsigned after_removal; /* without draining before */
-	unsigned at_once;	/* of these, without one that was ignored */
+	unsigned older;		/* of these, than an entry before */
 	unsigned without_order; /* if the newest record always counts */
 } late_uses_t;
 
 static bool
-accept(entry_order_t *order, uint64_t start, uint64_t sequence, double now)
+accept(entry_order_t *order, uint64_t start, uint64_t sequence)
 {
-	return (entry_order_accept(
-	    order, &(entry_stamp_t){start, sequence, true}, now));
+	return (
+	    entry_order_accept(order, &(entry_stamp_t){start, sequence, true}));
 }
 
 /* Guards against an order that an older entry turns back. */
@@ -65,12 +65,12 @@
 {
 	entry_order_t order = {0};
 
-	CU_ASSERT(accept(&order, 1, 5, 0));
-	CU_ASSERT(accept(&order, 1, 5, 0.1));
-	CU_ASSERT(accept(&order, 1, 7, 1));
-	CU_ASSERT(!accept(&order, 1, 6, 2));
-	CU_ASSERT(!accept(&order, 1, 4, 2));
-	CU_ASSERT(accept(&order, 1, 8, 3));
+	CU_ASSERT(accept(&order, 1, 5));
+	CU_ASSERT(accept(&order, 1, 5));
+	CU_ASSERT(accept(&order, 1, 7));
+	CU_ASSERT(!accept(&order, 1, 6));
+	CU_ASSERT(!accept(&order, 1, 4));
+	CU_ASSERT(accept(&order, 1, 8));
 }
 
 /* Guards against a new start that waits, or an earlier one that returns. */
@@ -79,65 +79,45 @@
 {
 	entry_order_t order = {0};
 
-	CU_ASSERT(accept(&order, 1000, 500, 0));
-	CU_ASSERT(accept(&order, 2000, 1, 1));
-	CU_ASSERT(!accept(&order, 1000, 501, 2));
-	entry_order_removed(&order, false);
-	CU_ASSERT(!accept(&order, 1000, 502, 3));
-	CU_ASSERT(!accept(&order, 2000, 1, 3));
-	CU_ASSERT(accept(&order, 3000, 1, 4));
+	CU_ASSERT(accept(&order, 1000, 500));
+	CU_ASSERT(accept(&order, 2000, 1));
+	CU_ASSERT(!accept(&order, 1000, 501));
+	entry_order_removed(&order);
+	CU_ASSERT(!accept(&order, 1000, 502));
+	CU_ASSERT(!accept(&order, 2000, 1));
+	CU_ASSERT(accept(&order, 3000, 1));
 }
 
 /*
- * Guards against the last write before a removal, carried out behind it. An
- * endpoint that was only silent goes on writing, and is used again.
+ * Guards against an endpoint whose entry expired while it was silent, and that
+ * has to wait for a second entry: the store may make no record of that.
  */
 static void
-test_order_after_a_removal(void)
+test_return_after_a_removal(void)
 {
 	entry_order_t order = {0};
 
-	CU_ASSERT(accept(&order, 1000, 5, 0));
-	entry_order_removed(&order, false);
-	CU_ASSERT(!accept(&order, 1000, 6, 3));
-	CU_ASSERT(accept(&order, 1000, 7, 4));
-	/* In an outage of the store entries of running ones are removed. */
-	entry_order_removed(&order, true);
-	CU_ASSERT(accept(&order, 1000, 8, 5));
+	CU_ASSERT(accept(&order, 1000, 5));
+	entry_order_removed(&order);
+	CU_ASSERT(!accept(&order, 1000, 5));
+	CU_ASSERT(accept(&order, 1000, 6));
+	CU_ASSERT(accept(&order, 1000, 6));
 }
 
-/* Guards against an endpoint that is refused for good by a wrong order. */
-static void
-test_wrong_order_heals(void)
-{
-	entry_order_t order = {0};
-	bool accepted = false;
-	double now = 0;
-
-	/* Its clock was set back before it started again. */
-	CU_ASSERT(accept(&order, 5000, 100, now));
-	for (uint64_t i = 1; !accepted; i++) {
-		now += HEARTBEAT_S;
-		accepted = accept(&order, 3000, i, now);
-	}
-	CU_ASSERT(now > MAX_LATE_S && now < 2 * MAX_LATE_S);
-	CU_ASSERT(accept(&order, 3000, 200, now + 1));
-}
-
-/* Entries that do not state their start or count have what order they can. */
+/* Entries that do not state their start or count are in no order. */
 static void
 test_order_of_incomplete_stamps(void)
 {
 	entry_order_t order = {0};
 
-	CU_ASSERT(accept(&order, 0, 5, 0));
-	CU_ASSERT(!accept(&order, 0, 4, 1));
-	CU_ASSERT(accept(&order, 0, 6, 2));
-	/* It has started again: the next entry tells. */
-	CU_ASSERT(!accept(&order, 0, 1, 3));
-	CU_ASSERT(accept(&order, 0, 2, 4));
-	CU_ASSERT(entry_order_accept(&order, &(entry_stamp_t){0}, 5));
-	CU_ASSERT(accept(&order, 0, 1, 6));
+	CU_ASSERT(accept(&order, 0, 5));
+	CU_ASSERT(accept(&order, 0, 1));
+	CU_ASSERT(accept(&order, 1000, 3));
+	CU_ASSERT(accept(&order, 0, 2));
+	CU_ASSERT(entry_order_accept(&order, &(entry_stamp_t){0}));
+	CU_ASSERT(accept(&order, 1000, 1));
+	CU_ASSERT(
+	    entry_order_accept(&order, &(entry_stamp_t){.started_ms = 1}));
 }
 
 static void
@@ -181,14 +161,14 @@
 }
 
 static void
-note_late_use(late_uses_t *uses, const life_t *life)
+note_late_use(late_uses_t *uses, const write_t *write, const life_t *life)
 {
 	if (life->drained) {
 		uses->after_draining++;
 		return;
 	}
 	uses->after_removal++;
-	uses->at_once += life->ignored == 0;
+	uses->older += write->stamp.sequence <= life->newest;
 }
 
 /* Replays one write and notes whether it makes a life ready too late. */
@@ -198,21 +178,20 @@
 {
 	bool late = life->ended_at > 0 && !write->draining &&
 		    write->done > life->ended_at + DRAIN_PERIOD_S;
-	bool accepted;
 
 	if ((write->removal || write->draining) && life->ended_at <= 0)
 		life->ended_at = write->done;
 	life->drained |= write->draining;
 	if (write->removal) {
-		entry_history_left(history, STR("e"), false);
+		entry_history_removed(history, STR("e"));
+		entry_history_left(history, STR("e"));
 		return;
 	}
-	accepted =
-	    entry_history_accept(history, STR("e"), &write->stamp, write->done);
-	life->ignored += life->ended_at > 0 && !accepted;
 	uses->without_order += late;
-	if (late && accepted)
-		note_late_use(uses, life);
+	if (entry_history_accept(history, STR("e"), &write->stamp) && late)
+		note_late_use(uses, write, life);
+	if (write->stamp.sequence > life->newest)
+		life->newest = write->stamp.sequence;
 }
 
 static void
@@ -230,8 +209,9 @@
 
 /*
  * Replays endpoints of which a third of the writes are late by 1 to 6 s. None
- * is used again after it said that it drains. After a mere removal, a second
- * late entry in a row looks like an endpoint that goes on writing.
+ * is used again after it said that it drains. After a mere removal, a late
+ * entry is used only if it is newer than all before: nothing tells it from that
+ * of an endpoint that was silent.
  */
 static void
 test_replay_of_late_writes(void)
@@ -246,12 +226,12 @@
 			now = add_life(&script, life, now);
 		replay_script(&script, &uses);
 	}
-	printf("[after draining %u, after a removal %u, at once %u; without an "
-	       "order %u] ",
-	    uses.after_draining, uses.after_removal, uses.at_once,
+	printf("[after draining %u, after a removal %u, of them older %u; "
+	       "without an order %u] ",
+	    uses.after_draining, uses.after_removal, uses.older,
 	    uses.without_order);
 	CU_ASSERT(uses.after_draining == 0);
-	CU_ASSERT(uses.at_once == 0);
+	CU_ASSERT(uses.older == 0);
 	CU_ASSERT(uses.without_order > 100);
 }
 
@@ -261,26 +241,26 @@
 {
 	entry_history_t *history = entry_history_new();
 	const entry_stamp_t stamp = {1000, 5, true};
+	const entry_stamp_t late = {1000, 4, true};
 	char id[16];
 
-	CU_ASSERT(entry_history_accept(history, STR("first"), &stamp, 0));
-	entry_history_left(history, STR("first"), false);
-	CU_ASSERT(!entry_history_accept(history, STR("first"), &stamp, 1));
+	CU_ASSERT(entry_history_accept(history, STR("first"), &stamp));
+	entry_history_left(history, STR("first"));
+	CU_ASSERT(!entry_history_accept(history, STR("first"), &late));
 	for (unsigned i = 0; i < 5000; i++) {
 		snprintf(id, sizeof(id), "e%u", i);
-		CU_ASSERT(entry_history_accept(history, str_of(id), &stamp, 2));
-		entry_history_left(history, str_of(id), false);
+		CU_ASSERT(entry_history_accept(history, str_of(id), &stamp));
+		entry_history_left(history, str_of(id));
 	}
-	CU_ASSERT(!entry_history_accept(history, str_of(id), &stamp, 3));
-	CU_ASSERT(entry_history_accept(history, STR("first"), &stamp, 3));
+	CU_ASSERT(!entry_history_accept(history, str_of(id), &late));
+	CU_ASSERT(entry_history_accept(history, STR("first"), &late));
 	entry_history_delete(history);
 }
 
 static const suite_test_t tests[] = {
     {"order within a start", test_order_within_a_start},
     {"order of starts", test_order_of_starts},
-    {"order after a removal", test_order_after_a_removal},
-    {"a wrong order heals", test_wrong_order_heals},
+    {"return after a removal", test_return_after_a_removal},
     {"order of incomplete stamps", test_order_of_incomplete_stamps},
     {"replay of late writes", test_replay_of_late_writes},
     {"the history is bounded", test_history_is_bounded},
