--- a/src/job_run_output.c
+++ b/src/job_run_output.c
@@ -49,16 +49,16 @@
 	if (utf8_is_text(output))
 		return (true);
 	hash = str_hash(output, 0);
-	repeated =
-	    item->not_text == hash && item->not_text_endpoint != endpoint;
+	repeated = item->rejected_output == hash &&
+		   item->rejected_endpoint != endpoint;
 	LOG_WARN("item_output_not_text",
 	    "item=" STR_FMT " job=%s endpoint=%s bytes=%zu repeated=%d",
 	    STR_ARG(item->item->id), item->run->job->id, item->endpoint,
 	    output.len, repeated);
 	if (repeated)
 		return (true);
-	item->not_text = hash;
-	item->not_text_endpoint = endpoint;
+	item->rejected_output = hash;
+	item->rejected_endpoint = endpoint;
 	counter_add(item->run->runner->counters.not_text, 1);
 	return (false);
 }
@@ -70,7 +70,7 @@
 const char *
 item_endpoint_to_avoid(const item_run_t *item)
 {
-	return (item->not_text != 0 ? item->endpoint : "");
+	return (item->rejected_output != 0 ? item->endpoint : "");
 }
 
 /* Discards output that cannot be valid; the item starts from the beginning. */
--- a/src/job_run_state.h
+++ b/src/job_run_state.h
@@ -37,10 +37,10 @@
 	double no_route_since; /* wall clock; 0: it has a route */
 	buf_t output;
 	unsigned events;
-	/* Hashes of the last whole output that was no text, and of who sent it.
+	/* Hashes of the last whole output that was no text and of its sender.
 	 */
-	uint64_t not_text;
-	uint64_t not_text_endpoint;
+	uint64_t rejected_output; /* 0: none */
+	uint64_t rejected_endpoint;
 	event_relay_t relay;
 	struct item_slot_t *slot; /* NULL unless running */
 	attempt_t *attempt;
--- a/src/quarantine.h
+++ b/src/quarantine.h
@@ -15,7 +15,7 @@
  * a head may hold, so that the last crashes are known in full.
  */
 #define QUARANTINE_MAX_RECORDS 16384
-/* Of a crash with more suspected parts hosts tell each other in a report. */
+/* A crash with more suspected parts is passed on to other hosts as a report. */
 #define QUARANTINE_MAX_SINGLE_PARTS 32
 
 typedef struct quarantine_stats_t {
@@ -24,7 +24,7 @@
 	uint64_t dropped; /* records, since the start */
 } quarantine_stats_t;
 
-/* A crash and all parts that are suspected for it. Initialize with {0}. */
+/* A crash and all parts that are suspected of it. Initialize with {0}. */
 typedef struct quarantine_report_t {
 	quarantine_crash_t crash;
 	uint64_t *parts;
--- a/src/quarantine_state.h
+++ b/src/quarantine_state.h
@@ -17,8 +17,8 @@
 typedef struct quarantine_entry_t {
 	quarantine_record_t record;
 	bool changed;	  /* since quarantine_next_changed() returned it */
-	bool reported;	  /* its only crash, to all hosts */
-	bool repeated;	  /* it is in that queue of quarantine_t.by_news */
+	bool reported;	  /* its only crash is known to all hosts by a report */
+	bool repeated;	  /* it is in the queue of parts with several crashes */
 	bool held;	  /* as counted in quarantine_t.held */
 	double judged_at; /* last crash if it is to be held, else 0 */
 	LIST_ENTRY(quarantine_entry_t) link;
@@ -44,14 +44,14 @@
 	double jitter; /* 0 to 1; spreads the trials of the hosts */
 	size_t count;
 	size_t held;
-	uint64_t dropped; /* records, for others */
+	uint64_t dropped; /* records that gave way to others */
 	bool newly_held;  /* since quarantine_take_newly_held() */
 	double judge_at;  /* 0: nothing to judge */
 	LIST_HEAD(, quarantine_entry_t) entries;
 	LIST_HEAD(, quarantine_entry_t) held_entries;
 	/*
-	 * Those that are not held, the one without news for longest first: with
-	 * one crash, and with several.
+	 * Those that are not held, the one without news for longest first;
+	 * [false]: with one crash, [true]: with several.
 	 */
 	quarantine_queue_t by_news[2];
 	quarantine_queue_t changed; /* in the order of sending */
@@ -60,8 +60,7 @@
 	quarantine_answer_t answers[QUARANTINE_ANSWERS];
 	crashed_endpoint_t endpoints[QUARANTINE_ENDPOINTS];
 	size_t next_endpoint;
-	quarantine_report_t
-	    report; /* to be sent; see quarantine_take_report() */
+	quarantine_report_t report; /* see quarantine_take_report() */
 };
 
 /* quarantine_table.c */
