Tests: ports of fleets are reserved

Cause: harness_free_port() let the kernel choose a port and closed it again, so nothing kept two calls from returning the same port. Three tests run at a time and could draw each other's ports between the check and the listening, and an outgoing connection could take one, since the ports came from the kernel's range for these.

Change: harness_port_reserve() takes ports below that range and keeps a socket on an address of its own until the test ends, so neither this nor another test gets the port. A program that does not become ready has its output printed.

--- a/tests/harness.c
+++ b/tests/harness.c
@@ -1,4 +1,4 @@
-/* Runs the real programs in tests: processes, ports, HTTP and files. */
+/* Runs the real programs in tests: processes, HTTP and files. */
 #include "harness.h"
 
 #include <arpa/inet.h>
@@ -26,7 +26,6 @@
 #define READY_TIMEOUT_S	    20.0
 #define DEFAULT_HTTP_TIME_S 10.0
 #define POLL_INTERVAL_S	    0.01
-#define FREE_PORT_TRIES	    100
 
 struct harness_process_t {
 	pid_t pid; /* 0: it has ended and was waited for */
@@ -145,7 +144,8 @@
 
 /*
  * Starts a program and waits for its ready line, up to timeout seconds.
- * Returns NULL when it did not become ready; then it is killed.
+ * Returns NULL when it did not become ready; then it is killed, and its output
+ * so far is printed.
  */
 harness_process_t *
 harness_start_within(
@@ -154,6 +154,7 @@
 	harness_process_t *process = process_spawn(program, args);
 	double deadline = clock_monotonic() + timeout;
 	buf_t line = {0};
+	buf_t seen = {0};
 	bool ready = false;
 
 	while (!ready && process_read_line(process, deadline, &line)) {
@@ -163,14 +164,18 @@
 			    str_of(strrchr(line.data, ' ') + 1));
 			ready = true;
 		}
+		buf_append(&seen, str_buf(&line));
+		buf_append_char(&seen, '\n');
 		buf_clear(&line);
 	}
+	if (!ready) {
+		fprintf(stderr, "%s did not become ready; its output:\n%.*s",
+		    program, (int)seen.len, seen.data);
+		harness_kill(process);
+	}
 	buf_free(&line);
-	if (ready)
-		return (process);
-	fprintf(stderr, "%s did not become ready\n", program);
-	harness_kill(process);
-	return (NULL);
+	buf_free(&seen);
+	return (ready ? process : NULL);
 }
 
 /* Starts a program and waits for its ready line; NULL when there is none. */
@@ -337,48 +342,6 @@
 	return (rc);
 }
 
-static bool
-port_is_free(const char *address, uint16_t port, int type, uint16_t *bound)
-{
-	struct sockaddr_in in = {
-	    .sin_family = AF_INET,
-	    .sin_port = htons(port),
-	};
-	socklen_t len = sizeof(in);
-	int fd = socket(AF_INET, type | SOCK_CLOEXEC, 0);
-	bool ok;
-
-	inet_pton(AF_INET, address, &in.sin_addr);
-	ok = bind(fd, (struct sockaddr *)&in, sizeof(in)) == 0 &&
-	     getsockname(fd, (struct sockaddr *)&in, &len) == 0;
-	close(fd);
-	*bound = ntohs(in.sin_port);
-	return (ok);
-}
-
-/*
- * Returns a port that is free for TCP and UDP on all given IP addresses, or 0.
- * Nothing keeps it free until the caller binds it.
- */
-uint16_t
-harness_free_port(const char *const *addresses, size_t count)
-{
-	for (int i = 0; i < FREE_PORT_TRIES; i++) {
-		uint16_t port;
-		uint16_t same;
-		bool ok = port_is_free(addresses[0], 0, SOCK_STREAM, &port);
-
-		for (size_t k = 0; ok && k < count; k++)
-			ok =
-			    port_is_free(
-				addresses[k], port, SOCK_STREAM, &same) &&
-			    port_is_free(addresses[k], port, SOCK_DGRAM, &same);
-		if (ok)
-			return (port);
-	}
-	return (0);
-}
-
 static size_t
 on_curl_bytes(char *data, size_t size, size_t count, void *ctx)
 {
--- a/tests/harness.h
+++ b/tests/harness.h
@@ -1,4 +1,4 @@
-/* Runs the real programs in tests: processes, ports, HTTP and files. */
+/* Runs the real programs in tests: processes, HTTP and files. */
 #ifndef DAISYPIER_TESTS_HARNESS_H
 #define DAISYPIER_TESTS_HARNESS_H
 
@@ -23,8 +23,6 @@
 int harness_run(const char *program, const char *const *args, double timeout,
     buf_t *output);
 
-uint16_t harness_free_port(const char *const *addresses, size_t count);
-
 typedef struct harness_request_t {
 	const char *method; /* NULL: "GET" */
 	const char *url;
--- a/tests/harness_cluster.c
+++ b/tests/harness_cluster.c
@@ -8,6 +8,7 @@
 
 #include "clock.h"
 #include "harness.h"
+#include "harness_port.h"
 
 #define LOG_TICK_S 0.001
 
@@ -141,7 +142,7 @@
 	}
 	for (size_t i = 0; i < CLUSTER_HOSTS; i++)
 		addresses[i] = cluster->hosts[i].address;
-	cluster->port = harness_free_port(addresses, CLUSTER_HOSTS);
+	cluster->port = harness_port_reserve(addresses, CLUSTER_HOSTS);
 	for (size_t i = 0; i < CLUSTER_HOSTS; i++)
 		cluster_start(cluster, i);
 	ev_timer_init(
--- a/tests/harness_gateways.c
+++ b/tests/harness_gateways.c
@@ -10,6 +10,7 @@
 #include <sodium.h>
 
 #include "clock.h"
+#include "harness_port.h"
 
 #define STORE_ADDRESS	"127.0.0.1"
 #define READY_TIMEOUT_S 20
@@ -409,7 +410,7 @@
 		addresses[i] = ips[i];
 	}
 	fleet->proxy_port =
-	    harness_free_port(addresses, fleet->params.engines + 1);
+	    harness_port_reserve(addresses, fleet->params.engines + 1);
 	for (unsigned i = 0; i <= fleet->params.engines; i++) {
 		char target[64];
 
@@ -455,12 +456,15 @@
 		fleet->params.engine_prefix = "e";
 	if (fleet->params.event_ms == 0)
 		fleet->params.event_ms = 10;
-	fleet->callers_port = harness_free_port(host_ips, GATEWAYS_MAX_HOSTS);
-	fleet->readiness_port = harness_free_port(host_ips, GATEWAYS_MAX_HOSTS);
-	fleet->directory_port = harness_free_port(host_ips, GATEWAYS_MAX_HOSTS);
-	fleet->peer_port = harness_free_port(host_ips, GATEWAYS_MAX_HOSTS);
+	fleet->callers_port =
+	    harness_port_reserve(host_ips, GATEWAYS_MAX_HOSTS);
+	fleet->readiness_port =
+	    harness_port_reserve(host_ips, GATEWAYS_MAX_HOSTS);
+	fleet->directory_port =
+	    harness_port_reserve(host_ips, GATEWAYS_MAX_HOSTS);
+	fleet->peer_port = harness_port_reserve(host_ips, GATEWAYS_MAX_HOSTS);
 	fleet->engine_port =
-	    harness_free_port(engine_ips, GATEWAYS_MAX_ENGINES);
+	    harness_port_reserve(engine_ips, GATEWAYS_MAX_ENGINES);
 	fleet->store = harness_start("standin-users-store",
 	    (const char *const[]){"--address", STORE_ADDRESS, NULL});
 	if (fleet->params.proxied)
--- a/tests/harness_hosts.c
+++ b/tests/harness_hosts.c
@@ -11,6 +11,7 @@
 
 #include "clock.h"
 #include "config_record.h"
+#include "harness_port.h"
 #include "placement.h"
 #include "standin_tokens.h"
 
@@ -43,10 +44,10 @@
 		addresses[count] = text[count];
 		count++;
 	}
-	hosts->http_port = harness_free_port(addresses, count);
-	hosts->peer_port = harness_free_port(addresses, count);
-	hosts->operator_port = harness_free_port(addresses, count);
-	hosts->endpoint_port = harness_free_port(addresses, count);
+	hosts->http_port = harness_port_reserve(addresses, count);
+	hosts->peer_port = harness_port_reserve(addresses, count);
+	hosts->operator_port = harness_port_reserve(addresses, count);
+	hosts->endpoint_port = harness_port_reserve(addresses, count);
 }
 
 static void
--- a/tests/harness_links.c
+++ b/tests/harness_links.c
@@ -8,6 +8,8 @@
 #include <stdio.h>
 #include <stdlib.h>
 
+#include "harness_port.h"
+
 #define MAX_LINKS (GATEWAYS_MAX_HOSTS * (GATEWAYS_MAX_HOSTS - 1))
 
 static void
@@ -34,17 +36,8 @@
 		host_address(i, ips[i], sizeof(ips[i]));
 		addresses[i] = ips[i];
 	}
-	for (unsigned i = 0; i < links->hosts; i++) {
-		bool taken = true;
-
-		while (taken) {
-			links->ports[i] =
-			    harness_free_port(addresses, links->hosts);
-			taken = false;
-			for (unsigned k = 0; k < i; k++)
-				taken |= links->ports[k] == links->ports[i];
-		}
-	}
+	for (unsigned i = 0; i < links->hosts; i++)
+		links->ports[i] = harness_port_reserve(addresses, links->hosts);
 }
 
 /* Starts the proxy; the hosts start after it with its ports. */
--- a/tests/test_faultproxy.c
+++ b/tests/test_faultproxy.c
@@ -12,6 +12,7 @@
 
 #include "clock.h"
 #include "harness.h"
+#include "harness_port.h"
 
 typedef struct proxy_test_t {
 	harness_process_t *platform;
@@ -28,7 +29,7 @@
 	const char *args[] = {option, forward, NULL};
 	harness_process_t *proxy;
 
-	*port = harness_free_port(&address, 1);
+	*port = harness_port_reserve(&address, 1);
 	snprintf(forward, sizeof(forward), "%s:%u=127.0.0.1:%u", address, *port,
 	    target);
 	proxy = harness_start("faultproxy", args);
--- a/tests/test_grants.c
+++ b/tests/test_grants.c
@@ -12,6 +12,7 @@
 #include "counter.h"
 #include "grants.h"
 #include "harness.h"
+#include "harness_port.h"
 #include "placement.h"
 #include "require.h"
 #include "result.h"
@@ -156,7 +157,7 @@
 		member->instance = i + 1;
 		member->ready = i == admitting;
 	}
-	port = harness_free_port(host_addresses, HOSTS);
+	port = harness_port_reserve(host_addresses, HOSTS);
 	REQUIRE(port != 0);
 	for (size_t i = 0; i < HOSTS; i++)
 		start_host(t, i, mode, port);
--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -6,6 +6,7 @@
 #include <string.h>
 
 #include "harness.h"
+#include "harness_port.h"
 #include "harness_hostile.h"
 #include "httpc.h"
 #include "httpd.h"
@@ -346,7 +347,7 @@
 test_endless_framing_ends_the_call(void)
 {
 	static const char *const address = "127.0.0.1";
-	uint16_t port = harness_free_port(&address, 1);
+	uint16_t port = harness_port_reserve(&address, 1);
 	hostile_t *server =
 	    hostile_start(address, port, HOSTILE_CHUNK_SIZE, false);
 	http_test_t test;
@@ -382,7 +383,7 @@
 	static const char *const address = "127.0.0.1";
 
 	for (unsigned i = 0; i < sizeof(modes) / sizeof(modes[0]); i++) {
-		uint16_t port = harness_free_port(&address, 1);
+		uint16_t port = harness_port_reserve(&address, 1);
 		hostile_t *server =
 		    hostile_start(address, port, modes[i], false);
 		http_test_t test;
@@ -420,7 +421,7 @@
 test_empty_header_is_empty(void)
 {
 	static const char *const address = "127.0.0.1";
-	uint16_t port = harness_free_port(&address, 1);
+	uint16_t port = harness_port_reserve(&address, 1);
 	hostile_t *server =
 	    hostile_start(address, port, HOSTILE_ERROR_TEXT, false);
 	http_test_t test;
