Forward: an endpoint's own 503, 429 or 408 is a failed attempt

Cause: forward_plan() passed each whole response on if the request could not run again. To a caller these statuses promise that the request has not run, but an endpoint says so only with its header or with 421. 408 and 429 also counted as fast successes of the endpoint, and were passed on where another endpoint could have answered.

Change: such a response is an attempt that failed: it is made elsewhere if the request may run again, else the caller gets 502.

--- a/src/attempt.c
+++ b/src/attempt.c
@@ -192,7 +192,8 @@
 		*rc = -RESULT_BROKEN_ANSWER;
 		return (ATTEMPT_INCOMPLETE);
 	}
-	if (http->status >= 500)
+	if (http->status >= 500 ||
+	    response_status_promises_not_run(http->status))
 		*rc = -RESULT_ENDPOINT_FAILED;
 	return (ATTEMPT_COMPLETE);
 }
--- a/src/forward_plan.c
+++ b/src/forward_plan.c
@@ -3,6 +3,7 @@
 
 #include <math.h>
 
+#include "response_check.h"
 #include "result.h"
 
 /* With less time left, another attempt is not worthwhile. */
@@ -89,6 +90,23 @@
 	return (state->may_have_run ? FORWARD_FAIL : FORWARD_REFUSE);
 }
 
+/*
+ * Returns the step after a whole response that is no refusal. Load pattern:
+ * endpoints that begin to work on a request and then answer 503.
+ */
+static forward_step_t
+step_after_response(const forward_state_t *state, int status, bool retry)
+{
+	bool untrue_refusal = response_status_promises_not_run(status);
+
+	/* A 5xx status is final unless the request may run again. */
+	if ((status >= 500 || untrue_refusal) && retry && may_run_again(state))
+		return (FORWARD_RETRY);
+	if (state->response_started)
+		return (status == 200 ? FORWARD_DELIVER : FORWARD_ABORT);
+	return (untrue_refusal ? FORWARD_FAIL : FORWARD_DELIVER);
+}
+
 /* Decides the next step of a request after an attempt has ended. */
 forward_step_t
 forward_plan(
@@ -98,12 +116,7 @@
 
 	switch (result->outcome) {
 	case ATTEMPT_COMPLETE:
-		/* A 5xx status is final unless the request may run again. */
-		if (result->status >= 500 && retry && may_run_again(state))
-			return (FORWARD_RETRY);
-		return (state->response_started && result->status != 200
-			    ? FORWARD_ABORT
-			    : FORWARD_DELIVER);
+		return (step_after_response(state, result->status, retry));
 	case ATTEMPT_UNREACHABLE:
 	case ATTEMPT_REFUSED:
 		return (retry ? FORWARD_RETRY : final_step(state));
--- a/src/response_check.c
+++ b/src/response_check.c
@@ -11,6 +11,20 @@
 	return (head->status == STATUS_MISDIRECTED_REQUEST || head->not_run);
 }
 
+/*
+ * Returns whether a status promises a caller that its request has not run and
+ * never will. An endpoint's response with it that is no refusal does not say
+ * so, and can't be passed on.
+ */
+bool
+response_status_promises_not_run(int status)
+{
+	return (status == STATUS_REQUEST_TIMEOUT ||
+		status == STATUS_MISDIRECTED_REQUEST ||
+		status == STATUS_TOO_MANY_REQUESTS ||
+		status == STATUS_SERVICE_UNAVAILABLE);
+}
+
 static response_fault_t
 success_fault(const response_head_t *head)
 {
--- a/src/response_check.h
+++ b/src/response_check.h
@@ -5,7 +5,10 @@
 #include <stdbool.h>
 
 enum {
+	STATUS_REQUEST_TIMEOUT = 408,
 	STATUS_MISDIRECTED_REQUEST = 421, /* it was for another endpoint */
+	STATUS_TOO_MANY_REQUESTS = 429,
+	STATUS_SERVICE_UNAVAILABLE = 503,
 };
 
 /* Why a response is not passed on. */
@@ -34,6 +37,7 @@
 response_fault_t response_head_fault(
     const response_head_t *head, const char *request_id);
 bool response_is_refusal(const response_head_t *head);
+bool response_status_promises_not_run(int status);
 const char *response_fault_name(response_fault_t fault);
 
 #endif
--- a/tests/test_forward_plan.c
+++ b/tests/test_forward_plan.c
@@ -59,6 +59,31 @@
 	CU_ASSERT(forward_failure(0) != 0);
 }
 
+/*
+ * Replay of an endpoint that begins a request and answers with a status that
+ * promises the caller that it did not run: the promise must not be passed on.
+ */
+static void
+test_untrue_refusals(void)
+{
+	static const int statuses[] = {408, 421, 429, 503};
+
+	for (size_t i = 0; i < sizeof(statuses) / sizeof(statuses[0]); i++) {
+		forward_state_t state = resumable;
+
+		CU_ASSERT(
+		    step(once, ATTEMPT_COMPLETE, statuses[i]) == FORWARD_FAIL);
+		CU_ASSERT(step(state, ATTEMPT_COMPLETE, statuses[i]) ==
+			  FORWARD_RETRY);
+		state.attempts_sent = 1;
+		CU_ASSERT(
+		    step(state, ATTEMPT_COMPLETE, statuses[i]) == FORWARD_FAIL);
+		state.response_started = true;
+		CU_ASSERT(step(state, ATTEMPT_COMPLETE, statuses[i]) ==
+			  FORWARD_ABORT);
+	}
+}
+
 /* A non-repeatable request must not run twice. */
 static void
 test_no_second_run(void)
@@ -242,6 +267,7 @@
 }
 
 static const suite_test_t tests[] = {
+    {"untrue refusals", test_untrue_refusals},
     {"refused before the caller leaves", test_refused_before_the_caller_leaves},
     {"a cut off attempt is reported", test_cut_off_is_reported},
     {"failures show no run time", test_failures_show_no_run_time},
