Models of stored results and of late copies of responses

job_results.pml: results are stored by appends that are conditional, late or lost, by two hosts that both take themselves for the owner. ONE_RECORD is the present protocol: a long output in one record, which the store refuses with all others of the append; results of another job are never listed.

late_copies.pml: failures of an item are counted by hosts that may read a late copy of a response.

--- a/model/run.sh
+++ b/model/run.sh
@@ -1,8 +1,10 @@
 #!/bin/sh
-# Searches every state of the model in its bounds, then turns each mechanism off
-# and fails unless spin finds the violation that the mechanism prevents.
+# Searches every state of each model in its bounds, then turns each mechanism
+# off and fails unless spin finds the violation that the mechanism prevents.
 set -eu
-model=$(dirname "$0")/shard.pml
+models=$(dirname "$0")
+# The model that search() and variant() use.
+model=$models/shard.pml
 work=${MODEL_BUILD:-build/model}
 failed=0
 total=0
@@ -133,5 +135,20 @@
 		variant intent $switch $intent
 	done
 }
+echo "Results longer than a record:"
+model=$models/job_results.pml
+search -O2 job_results
+judge job_results
+for switch in REACH ONE_RECORD NO_CONDITION RESULT_FIRST NO_COMPARISON \
+    NO_ORDER; do
+	variant job_results $switch
+done
+echo "Late copies of responses:"
+model=$models/late_copies.pml
+search -O2 late_copies
+judge late_copies
+for switch in REACH KEPT_CONNECTION FORGOTTEN_ATTEMPTS; do
+	variant late_copies $switch
+done
 echo "$total states searched, $failed failed"
 [ $failed -eq 0 ]
