--- a/src/job_partition.c
+++ b/src/job_partition.c
@@ -4,6 +4,7 @@
 #include <stdlib.h>
 
 #include "clock.h"
+#include "job_records.h"
 #include "logger.h"
 #include "result.h"
 
--- /dev/null
+++ b/src/job_record_key.c
@@ -0,0 +1,41 @@
+/* Keys of the records in which jobs are stored. */
+#include "job_record_key.h"
+
+#include "job.h"
+
+/* Takes "/<index>" off the end. Returns false if there is none. */
+static bool
+take_index(str_t *rest, uint64_t *index)
+{
+	size_t slash = rest->len;
+
+	while (slash > 0 && rest->data[slash - 1] != '/')
+		slash--;
+	if (slash == 0 ||
+	    str_to_u64((str_t){rest->data + slash, rest->len - slash}, index) !=
+		0 ||
+	    *index > JOB_RECORD_MAX_INDEX)
+		return (false);
+	rest->len = slash - 1;
+	return (true);
+}
+
+/*
+ * Parses "<kind><job>[/<index>]"; the job's id refers to the key. Returns false
+ * when the key is malformed.
+ */
+bool
+job_record_key_parse(str_t key, job_record_key_t *out)
+{
+	str_t rest = key;
+
+	*out = (job_record_key_t){0};
+	if (key.len < 2)
+		return (false);
+	out->kind = key.data[0];
+	if ((out->kind == JOB_RECORD_CHUNK || out->kind == JOB_RECORD_RESULT) &&
+	    !take_index(&rest, &out->index))
+		return (false);
+	out->job = (str_t){rest.data + 1, rest.len > 0 ? rest.len - 1 : 0};
+	return (out->job.len > 0 && out->job.len < JOB_KEY_SIZE);
+}
--- a/src/job_table.c
+++ b/src/job_table.c
@@ -1,27 +1,14 @@
 /* The jobs of one partition, rebuilt from the records of the store. */
 #include "job_table.h"
 
-#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
+#include "job_record_key.h"
 #include "logger.h"
 #include "result.h"
 #include "wire.h"
 
-/*
- * A key is one character for the kind of record and the job's id, followed by
- * "/<index>" for chunks and results. Accepting the same job again overwrites
- * its records, so acceptance needs no coordination between hosts.
- */
-#define KEY_JOB		'J'
-#define KEY_CHUNK	'P'
-#define KEY_RESULT	'R'
-#define KEY_END		'E'
-#define MAX_CHUNK_BYTES 200000
-/* Highest valid index in a key, and the most chunks of a job. */
-#define MAX_KEY_INDEX 100000
-
 struct job_table_t {
 	TAILQ_HEAD(, stored_job_t) jobs;
 	size_t count;
@@ -59,16 +46,6 @@
 	table->account = account;
 }
 
-static void
-chunks_free(stored_job_t *job)
-{
-	for (size_t i = 0; i < job->chunk_capacity; i++)
-		free(job->chunks[i].data);
-	free(job->chunks);
-	job->chunks = NULL;
-	job->chunk_capacity = 0;
-}
-
 static void
 stored_job_remove(job_table_t *table, stored_job_t *job)
 {
@@ -77,7 +54,7 @@
 	table->count--;
 	if (table->account != NULL)
 		memory_account_release(table->account, MEMORY_JOBS, job->bytes);
-	chunks_free(job);
+	chunk_list_free(&job->chunks);
 	for (size_t i = 0; i < job->result_capacity; i++)
 		free(job->results[i].data);
 	free(job->results);
@@ -169,41 +146,6 @@
 	return (false);
 }
 
-/* Parses "<kind><job>[/<index>]". Returns false when the key is malformed. */
-static bool
-key_parse(str_t key, char *kind, str_t *job, uint64_t *index)
-{
-	size_t slash = key.len;
-
-	if (key.len < 2)
-		return (false);
-	*kind = key.data[0];
-	*index = 0;
-	if (*kind == KEY_CHUNK || *kind == KEY_RESULT) {
-		while (slash > 0 && key.data[slash - 1] != '/')
-			slash--;
-		if (slash < 2 ||
-		    str_to_u64((str_t){key.data + slash, key.len - slash},
-			index) != 0 ||
-		    *index > MAX_KEY_INDEX)
-			return (false);
-		slash--;
-	}
-	*job = (str_t){key.data + 1, slash - 1};
-	return (job->len > 0 && job->len < JOB_KEY_SIZE);
-}
-
-static void
-chunks_reserve(stored_job_t *job, size_t count)
-{
-	if (count <= job->chunk_capacity)
-		return;
-	job->chunks = xrealloc(job->chunks, count * sizeof(*job->chunks));
-	memset(job->chunks + job->chunk_capacity, 0,
-	    (count - job->chunk_capacity) * sizeof(*job->chunks));
-	job->chunk_capacity = count;
-}
-
 /* Assembles and accepts a job once its record and all chunks were read. */
 static job_change_t
 job_assemble(stored_job_t *job)
@@ -212,19 +154,13 @@
 	int rc;
 
 	if (job->accepted || job->chunk_count == 0 ||
-	    job->chunk_capacity < job->chunk_count)
+	    !chunk_list_join(&job->chunks, job->chunk_count, &packed))
 		return (JOB_CHANGE_NONE);
-	for (size_t i = 0; i < job->chunk_count; i++)
-		if (job->chunks[i].data == NULL)
-			return (JOB_CHANGE_NONE);
-	for (size_t i = 0; i < job->chunk_count; i++)
-		buf_append(
-		    &packed, (str_t){job->chunks[i].data, job->chunks[i].len});
 	rc = job_unpack(str_buf(&packed), &job->job);
 	buf_free(&packed);
 	if (rc != 0)
 		return (JOB_CHANGE_MALFORMED);
-	chunks_free(job);
+	chunk_list_free(&job->chunks);
 	job->job.submitted = job->submitted;
 	job->accepted = true;
 	return (JOB_CHANGE_ACCEPTED);
@@ -235,12 +171,9 @@
 {
 	if (job->accepted)
 		return (JOB_CHANGE_NONE); /* the job was accepted again */
-	chunks_reserve(job, index + 1);
-	job->bytes -= job->chunks[index].len;
-	job->bytes += data.len;
-	free(job->chunks[index].data);
-	job->chunks[index].data = xmemdup(data.data, data.len);
-	job->chunks[index].len = data.len;
+	job->bytes -= job->chunks.bytes;
+	chunk_list_put(&job->chunks, index, data);
+	job->bytes += job->chunks.bytes;
 	return (job_assemble(job));
 }
 
@@ -261,7 +194,7 @@
 	count = wire_read_u64(&reader);
 	submitted = wire_read_double(&reader);
 	first = wire_read_str(&reader);
-	if (!reader.fault && count > 0 && count <= MAX_KEY_INDEX) {
+	if (!reader.fault && count > 0 && count <= JOB_RECORD_MAX_INDEX) {
 		if (job->chunk_count == 0)
 			job->submitted = submitted;
 		job->chunk_count = (uint32_t)count;
@@ -325,7 +258,7 @@
 	stored_job_t *job = job_table_find(table, id);
 
 	/* The job's own record is removed last. */
-	if (job != NULL && kind == KEY_JOB)
+	if (job != NULL && kind == JOB_RECORD_JOB)
 		stored_job_remove(table, job);
 }
 
@@ -335,34 +268,32 @@
 {
 	job_change_t change = JOB_CHANGE_NONE;
 	stored_job_t *job;
-	uint64_t index;
+	job_record_key_t key;
 	size_t bytes;
-	char kind;
-	str_t id;
 
-	if (!key_parse(record->key, &kind, &id, &index)) {
+	if (!job_record_key_parse(record->key, &key)) {
 		LOG_WARN("job_record_unreadable", "key=" STR_FMT,
 		    STR_ARG(record->key));
 		return;
 	}
 	if (record->removed) {
-		apply_removal(table, kind, id);
+		apply_removal(table, key.kind, key.job);
 		return;
 	}
-	job = job_find_or_add(table, id);
+	job = job_find_or_add(table, key.job);
 	job->seen = true;
 	bytes = job->bytes;
-	switch (kind) {
-	case KEY_JOB:
+	switch (key.kind) {
+	case JOB_RECORD_JOB:
 		change = apply_job(job, record->value);
 		break;
-	case KEY_CHUNK:
-		change = apply_chunk(job, index, record->value);
+	case JOB_RECORD_CHUNK:
+		change = apply_chunk(job, key.index, record->value);
 		break;
-	case KEY_RESULT:
-		change = apply_result(job, index, record->value);
+	case JOB_RECORD_RESULT:
+		change = apply_result(job, key.index, record->value);
 		break;
-	case KEY_END:
+	case JOB_RECORD_END:
 		change = job->ended ? JOB_CHANGE_NONE : JOB_CHANGE_ENDED;
 		job->ended = true;
 		break;
@@ -382,125 +313,3 @@
 	else if (change != JOB_CHANGE_NONE)
 		table->on_change(table->ctx, job, change);
 }
-
-static str_t
-records_take_buf(job_records_t *out, buf_t *buf)
-{
-	str_t s = str_buf(buf);
-
-	out->strings = (char **)xrealloc(
-	    (void *)out->strings, (out->string_count + 1) * sizeof(char *));
-	out->strings[out->string_count++] = buf->data;
-	*buf = (buf_t){0};
-	return (s);
-}
-
-static void
-records_add(
-    job_records_t *out, char kind, str_t job, const char *suffix, buf_t *value)
-{
-	buf_t key = {0};
-	store_record_t *record;
-
-	buf_printf(&key, "%c" STR_FMT "%s", kind, STR_ARG(job), suffix);
-	out->records =
-	    xrealloc(out->records, (out->count + 1) * sizeof(*out->records));
-	record = &out->records[out->count++];
-	*record = (store_record_t){.removed = value == NULL};
-	record->key = records_take_buf(out, &key);
-	if (value != NULL)
-		record->value = records_take_buf(out, value);
-	out->bytes += record->key.len + record->value.len;
-}
-
-/* Adds the records of an accepted job; its own record comes last. */
-void
-job_records_accept(job_records_t *out, const job_t *job)
-{
-	buf_t packed = {0};
-	buf_t value = {0};
-	msgpack_packer packer;
-	size_t chunk_count;
-	char suffix[32];
-
-	job_pack(job, &packed);
-	chunk_count = (packed.len + MAX_CHUNK_BYTES - 1) / MAX_CHUNK_BYTES;
-	for (size_t i = 1; i < chunk_count; i++) {
-		size_t from = i * MAX_CHUNK_BYTES;
-		size_t len = packed.len - from < MAX_CHUNK_BYTES
-				 ? packed.len - from
-				 : MAX_CHUNK_BYTES;
-		buf_t chunk = {0};
-
-		buf_append(&chunk, (str_t){packed.data + from, len});
-		snprintf(suffix, sizeof(suffix), "/%zu", i);
-		records_add(out, KEY_CHUNK, job->id, suffix, &chunk);
-	}
-	wire_packer_init(&packer, &value);
-	msgpack_pack_array(&packer, 3);
-	msgpack_pack_uint64(&packer, chunk_count);
-	msgpack_pack_double(&packer, job->submitted);
-	wire_pack_bin(&packer,
-	    (str_t){packed.data,
-		packed.len < MAX_CHUNK_BYTES ? packed.len : MAX_CHUNK_BYTES});
-	records_add(out, KEY_JOB, job->id, "", &value);
-	buf_free(&packed);
-}
-
-void
-job_records_result(job_records_t *out, str_t job, uint64_t position,
-    const job_result_t *result)
-{
-	buf_t value = {0};
-	msgpack_packer packer;
-	char suffix[32];
-
-	wire_packer_init(&packer, &value);
-	msgpack_pack_array(&packer, 3);
-	wire_pack_str(&packer, result->item);
-	msgpack_pack_uint64(&packer, result->outcome);
-	wire_pack_bin(&packer, result->output);
-	snprintf(suffix, sizeof(suffix), "/%llu", (unsigned long long)position);
-	records_add(out, KEY_RESULT, job, suffix, &value);
-}
-
-/* Adds the record of a job that its caller ended. */
-void
-job_records_end(job_records_t *out, str_t job)
-{
-	buf_t value = {0};
-
-	buf_append_char(&value, '1');
-	records_add(out, KEY_END, job, "", &value);
-}
-
-/* Adds the removals of all records of a job, its own record last. */
-void
-job_records_remove(job_records_t *out, const stored_job_t *job)
-{
-	str_t id = str_of(job->id);
-	char suffix[32];
-
-	for (size_t i = 0; i < job->result_capacity; i++) {
-		snprintf(suffix, sizeof(suffix), "/%zu", i);
-		records_add(out, KEY_RESULT, id, suffix, NULL);
-	}
-	for (size_t i = 1; i < job->chunk_count; i++) {
-		snprintf(suffix, sizeof(suffix), "/%zu", i);
-		records_add(out, KEY_CHUNK, id, suffix, NULL);
-	}
-	if (job->ended)
-		records_add(out, KEY_END, id, "", NULL);
-	records_add(out, KEY_JOB, id, "", NULL);
-}
-
-/* Frees the list and the strings of its records. */
-void
-job_records_free(job_records_t *records)
-{
-	for (size_t i = 0; i < records->string_count; i++)
-		free(records->strings[i]);
-	free((void *)records->strings);
-	free(records->records);
-	*records = (job_records_t){0};
-}
--- a/src/job_table.h
+++ b/src/job_table.h
@@ -4,18 +4,13 @@
 
 #include <sys/queue.h>
 
+#include "chunk_list.h"
 #include "job.h"
 #include "memory_account.h"
 #include "store.h"
 
 typedef struct job_table_t job_table_t;
 
-/* A part of a serialized job; the job's own record holds the first one. */
-typedef struct job_chunk_t {
-	char *data;
-	size_t len;
-} job_chunk_t;
-
 /* The result at one position; data is NULL until its record was read. */
 typedef struct stored_result_t {
 	char *data;
@@ -33,8 +28,7 @@
 	/* Used until the job is accepted, except chunk_count and submitted. */
 	uint32_t chunk_count; /* 0: the job's record was not read yet */
 	double submitted;
-	job_chunk_t *chunks;
-	size_t chunk_capacity;
+	chunk_list_t chunks; /* the first one is in the job's own record */
 	/* By position; listed counts the results before the first gap. */
 	stored_result_t *results;
 	size_t result_capacity;
@@ -68,22 +62,6 @@
 size_t job_table_count(const job_table_t *table);
 bool stored_job_has_result(const stored_job_t *job, str_t item);
 
-/* Records to append; the list owns their memory. */
-typedef struct job_records_t {
-	store_record_t *records;
-	size_t count;
-	size_t bytes;
-	char **strings;
-	size_t string_count;
-} job_records_t;
-
-void job_records_accept(job_records_t *out, const job_t *job);
-void job_records_result(job_records_t *out, str_t job, uint64_t position,
-    const job_result_t *result);
-void job_records_end(job_records_t *out, str_t job);
-void job_records_remove(job_records_t *out, const stored_job_t *job);
-void job_records_free(job_records_t *records);
-
 unsigned job_partition_of(str_t job);
 
 #endif
--- a/src/job_write.h
+++ b/src/job_write.h
@@ -5,7 +5,7 @@
 #include <ev.h>
 
 #include "httpd.h"
-#include "job_table.h"
+#include "job_records.h"
 
 typedef struct job_write_t job_write_t;
 
--- a/tests/test_fail_smuggling.c
+++ b/tests/test_fail_smuggling.c
@@ -12,7 +12,7 @@
 
 #include "clock.h"
 #include "harness_gateways.h"
-#include "job_table.h"
+#include "job_records.h"
 
 #define HOST_IP		  "127.0.0.21"
 #define ANSWER_TIMEOUT_S  5
--- a/tests/test_job_partition.c
+++ b/tests/test_job_partition.c
@@ -6,6 +6,7 @@
 #include "clock.h"
 #include "harness_store.h"
 #include "job_partition.h"
+#include "job_records.h"
 #include "job_results.h"
 #include "result.h"
 
--- a/tests/test_job_table.c
+++ b/tests/test_job_table.c
@@ -4,7 +4,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "job_table.h"
+#include "job_records.h"
 
 #define BODY_SIZE 150000
 
