Jobs: an output longer than a record is stored in pieces

Cause: an item's output of up to 8 MB became one record, the store refuses records over 262,144 bytes and all others of the append with them, and the owner repeated that append for ever. No result of the partition was listed.

Change: such an output is stored in pieces of 200,000 bytes, then the result's own record with their number and the hash of the whole. An owner appends what the store lacks, so lost answers, conflicts and new owners go on from there; pieces of two runs are never joined.

--- a/src/chunk_list.c
+++ b/src/chunk_list.c
@@ -29,6 +29,19 @@
 	chunk->len = data.len;
 }
 
+/* Returns whether the chunk of an index was put and has these bytes. */
+bool
+chunk_list_holds(const chunk_list_t *list, size_t index, str_t data)
+{
+	const chunk_t *chunk;
+
+	if (index >= list->capacity)
+		return (false);
+	chunk = &list->chunks[index];
+	return (chunk->data != NULL &&
+		str_equal((str_t){chunk->data, chunk->len}, data));
+}
+
 static bool
 is_whole(const chunk_list_t *list, size_t count)
 {
--- a/src/chunk_list.h
+++ b/src/chunk_list.h
@@ -16,6 +16,7 @@
 } chunk_list_t;
 
 void chunk_list_put(chunk_list_t *list, size_t index, str_t data);
+bool chunk_list_holds(const chunk_list_t *list, size_t index, str_t data);
 bool chunk_list_join(const chunk_list_t *list, size_t count, buf_t *out);
 void chunk_list_free(chunk_list_t *list);
 
--- a/src/job_partition.c
+++ b/src/job_partition.c
@@ -13,8 +13,9 @@
 /* Delay before a failed append of results is retried, in seconds. */
 #define APPEND_RETRY_DELAY_S 0.15
 #define APPEND_TIMEOUT_S     1.5
-/* Limit for one append; a single result may exceed it. */
-#define MAX_APPEND_BYTES 1000000
+/* Limit for one append, and from where on no more results are looked for. */
+#define MAX_APPEND_BYTES  1000000
+#define FULL_APPEND_BYTES 900000
 /* Imported progress of a job that is still unknown expires after this. */
 #define IMPORT_MAX_AGE_S	10.0
 #define EXPIRY_CHECK_INTERVAL_S 10.0
@@ -107,17 +108,47 @@
 		   });
 }
 
-/* Position after the listed results and the earlier pending ones of the job. */
-static uint64_t
-next_position(const stored_job_t *job, const pending_result_t *last)
+/*
+ * Sets the position after the listed results and the earlier pending ones of
+ * the job. Returns false if one of these is not whole with this append: a
+ * result behind it would leave a gap, and the next owner would number its
+ * results over it.
+ */
+static bool
+next_position(
+    const stored_job_t *job, const pending_result_t *last, uint64_t *position)
 {
-	uint64_t position = job->listed;
 	const pending_result_t *pending = last;
 
+	*position = job->listed;
 	while ((pending = TAILQ_PREV(pending, pending_result_list_t, entry)) !=
-	       NULL)
-		position += str_equal(str_of(pending->job), str_of(job->id));
-	return (position);
+	       NULL) {
+		if (!str_equal(str_of(pending->job), str_of(job->id)))
+			continue;
+		if (!pending->appended)
+			return (false);
+		(*position)++;
+	}
+	return (true);
+}
+
+/* Adds the records of a pending result; returns whether it is whole then. */
+static bool
+add_pending_result(const job_partition_t *partition,
+    const pending_result_t *pending, job_records_t *records)
+{
+	const stored_job_t *job =
+	    job_table_find(partition->table, str_of(pending->job));
+	job_result_t result = {
+	    .item = str_of(pending->item),
+	    .outcome = pending->outcome,
+	    .output = str_buf(&pending->output),
+	};
+	uint64_t position;
+
+	return (next_position(job, pending, &position) &&
+		job_records_result(
+		    records, job, position, &result, MAX_APPEND_BYTES));
 }
 
 /* Appends pending results, each at a position of its own. */
@@ -125,26 +156,17 @@
 append_results(job_partition_t *partition)
 {
 	job_records_t records = {0};
-	const pending_result_t *pending;
+	pending_result_t *pending;
 
 	if (partition->append_call != NULL ||
 	    !follower_loaded(partition->follower))
 		return;
 	pending_results_prune(partition);
 	TAILQ_FOREACH (pending, &partition->pending_results, entry) {
-		const stored_job_t *job =
-		    job_table_find(partition->table, str_of(pending->job));
-		job_result_t result = {
-		    .item = str_of(pending->item),
-		    .outcome = pending->outcome,
-		    .output = str_buf(&pending->output),
-		};
-
-		if (records.bytes > 0 &&
-		    records.bytes + result.output.len > MAX_APPEND_BYTES)
+		pending->appended =
+		    add_pending_result(partition, pending, &records);
+		if (records.bytes > FULL_APPEND_BYTES)
 			break;
-		job_records_result(&records, str_of(job->id),
-		    next_position(job, pending), &result);
 	}
 	append_records(partition, &records);
 	job_records_free(&records);
--- a/src/job_partition_state.h
+++ b/src/job_partition_state.h
@@ -13,6 +13,7 @@
 	char item[JOB_ID_SIZE];
 	job_outcome_t outcome;
 	buf_t output;
+	bool appended; /* its own record is in the last append */
 	TAILQ_ENTRY(pending_result_t) entry;
 } pending_result_t;
 
--- a/src/job_record_key.c
+++ b/src/job_record_key.c
@@ -21,21 +21,25 @@
 }
 
 /*
- * Parses "<kind><job>[/<index>]"; the job's id refers to the key. Returns false
- * when the key is malformed.
+ * Parses a key; the job's id refers to it. Returns false when the key is
+ * malformed.
  */
 bool
 job_record_key_parse(str_t key, job_record_key_t *out)
 {
 	str_t rest = key;
+	bool valid = true;
 
 	*out = (job_record_key_t){0};
 	if (key.len < 2)
 		return (false);
 	out->kind = key.data[0];
-	if ((out->kind == JOB_RECORD_CHUNK || out->kind == JOB_RECORD_RESULT) &&
-	    !take_index(&rest, &out->index))
+	if (out->kind == JOB_RECORD_CHUNK || out->kind == JOB_RECORD_PIECE)
+		valid = take_index(&rest, &out->index);
+	if (out->kind == JOB_RECORD_RESULT || out->kind == JOB_RECORD_PIECE)
+		valid = valid && take_index(&rest, &out->position);
+	if (!valid || rest.len < 2 || rest.len > JOB_KEY_SIZE)
 		return (false);
-	out->job = (str_t){rest.data + 1, rest.len > 0 ? rest.len - 1 : 0};
-	return (out->job.len > 0 && out->job.len < JOB_KEY_SIZE);
+	out->job = (str_t){rest.data + 1, rest.len - 1};
+	return (true);
 }
--- a/src/job_records.c
+++ b/src/job_records.c
@@ -7,7 +7,10 @@
 #include "job_record_key.h"
 #include "wire.h"
 
+/* A record of the store holds 262,144 bytes with its key. */
 #define MAX_CHUNK_BYTES 200000
+/* Fraction of an append for pieces of outputs; other results fill the rest. */
+#define PIECES_RATIO 0.6
 
 static str_t
 records_take_buf(job_records_t *out, buf_t *buf)
@@ -39,6 +42,24 @@
 	out->bytes += record->key.len + record->value.len;
 }
 
+/* Returns the number of chunks of a text with so many bytes. */
+static size_t
+chunk_count(size_t bytes)
+{
+	return ((bytes + MAX_CHUNK_BYTES - 1) / MAX_CHUNK_BYTES);
+}
+
+/* Returns the part of a text that has this index if it is cut into chunks. */
+static str_t
+chunk_of(str_t text, size_t index)
+{
+	size_t from = index * MAX_CHUNK_BYTES;
+	size_t len = text.len - from;
+
+	return ((str_t){
+	    text.data + from, len < MAX_CHUNK_BYTES ? len : MAX_CHUNK_BYTES});
+}
+
 /* Adds the records of an accepted job; its own record comes last. */
 void
 job_records_accept(job_records_t *out, const job_t *job)
@@ -46,48 +67,91 @@
 	buf_t packed = {0};
 	buf_t value = {0};
 	msgpack_packer packer;
-	size_t chunk_count;
+	size_t count;
 	char suffix[32];
 
 	job_pack(job, &packed);
-	chunk_count = (packed.len + MAX_CHUNK_BYTES - 1) / MAX_CHUNK_BYTES;
-	for (size_t i = 1; i < chunk_count; i++) {
-		size_t from = i * MAX_CHUNK_BYTES;
-		size_t len = packed.len - from < MAX_CHUNK_BYTES
-				 ? packed.len - from
-				 : MAX_CHUNK_BYTES;
+	count = chunk_count(packed.len);
+	for (size_t i = 1; i < count; i++) {
 		buf_t chunk = {0};
 
-		buf_append(&chunk, (str_t){packed.data + from, len});
+		buf_append(&chunk, chunk_of(str_buf(&packed), i));
 		snprintf(suffix, sizeof(suffix), "/%zu", i);
 		records_add(out, JOB_RECORD_CHUNK, job->id, suffix, &chunk);
 	}
 	wire_packer_init(&packer, &value);
 	msgpack_pack_array(&packer, 3);
-	msgpack_pack_uint64(&packer, chunk_count);
+	msgpack_pack_uint64(&packer, count);
 	msgpack_pack_double(&packer, job->submitted);
-	wire_pack_bin(&packer,
-	    (str_t){packed.data,
-		packed.len < MAX_CHUNK_BYTES ? packed.len : MAX_CHUNK_BYTES});
+	wire_pack_bin(&packer, chunk_of(str_buf(&packed), 0));
 	records_add(out, JOB_RECORD_JOB, job->id, "", &value);
 	buf_free(&packed);
 }
 
-void
-job_records_result(job_records_t *out, str_t job, uint64_t position,
-    const job_result_t *result)
+/*
+ * Adds the pieces of an output that the store does not have yet, up to a part
+ * of max_bytes. Returns whether the store has all of them with these.
+ */
+static bool
+add_pieces(job_records_t *out, const stored_job_t *job, uint64_t position,
+    str_t output, size_t max_bytes)
+{
+	size_t count = chunk_count(output.len);
+	double limit = (double)max_bytes * PIECES_RATIO;
+
+	for (size_t i = 0; i < count; i++) {
+		str_t piece = chunk_of(output, i);
+		buf_t value = {0};
+		char suffix[48];
+
+		if (stored_job_has_piece(job, position, i, piece))
+			continue;
+		if (out->bytes > 0 && (double)(out->bytes + piece.len) > limit)
+			return (false);
+		buf_append(&value, piece);
+		snprintf(suffix, sizeof(suffix), "/%llu/%zu",
+		    (unsigned long long)position, i);
+		records_add(
+		    out, JOB_RECORD_PIECE, str_of(job->id), suffix, &value);
+	}
+	return (true);
+}
+
+/*
+ * Adds the records of a result at a position, up to max_bytes of records in
+ * all; an empty list takes one record in any case. A long output is cut into
+ * pieces, which come before the result's own record. Returns false if more
+ * appends are needed; the result counts only with its own record.
+ */
+bool
+job_records_result(job_records_t *out, const stored_job_t *job,
+    uint64_t position, const job_result_t *result, size_t max_bytes)
 {
+	bool is_long = result->output.len > MAX_CHUNK_BYTES;
 	buf_t value = {0};
 	msgpack_packer packer;
 	char suffix[32];
 
+	if (is_long) {
+		if (!add_pieces(out, job, position, result->output, max_bytes))
+			return (false);
+	} else if (out->bytes > 0 &&
+		   out->bytes + result->output.len > max_bytes) {
+		return (false);
+	}
 	wire_packer_init(&packer, &value);
-	msgpack_pack_array(&packer, 3);
+	msgpack_pack_array(&packer, is_long ? 4 : 3);
 	wire_pack_str(&packer, result->item);
 	msgpack_pack_uint64(&packer, result->outcome);
-	wire_pack_bin(&packer, result->output);
+	if (is_long) {
+		msgpack_pack_uint64(&packer, chunk_count(result->output.len));
+		msgpack_pack_uint64(&packer, str_hash(result->output, 0));
+	} else {
+		wire_pack_bin(&packer, result->output);
+	}
 	snprintf(suffix, sizeof(suffix), "/%llu", (unsigned long long)position);
-	records_add(out, JOB_RECORD_RESULT, job, suffix, &value);
+	records_add(out, JOB_RECORD_RESULT, str_of(job->id), suffix, &value);
+	return (true);
 }
 
 /* Adds the record of a job that its caller ended. */
@@ -100,6 +164,19 @@
 	records_add(out, JOB_RECORD_END, job, "", &value);
 }
 
+static void
+remove_pieces(job_records_t *out, const stored_job_t *job, size_t position)
+{
+	char suffix[48];
+
+	for (uint64_t i = 0; i < job->results[position].piece_count; i++) {
+		snprintf(suffix, sizeof(suffix), "/%zu/%llu", position,
+		    (unsigned long long)i);
+		records_add(
+		    out, JOB_RECORD_PIECE, str_of(job->id), suffix, NULL);
+	}
+}
+
 /* Adds the removals of all records of a job, its own record last. */
 void
 job_records_remove(job_records_t *out, const stored_job_t *job)
@@ -108,6 +185,7 @@
 	char suffix[32];
 
 	for (size_t i = 0; i < job->result_capacity; i++) {
+		remove_pieces(out, job, i);
 		snprintf(suffix, sizeof(suffix), "/%zu", i);
 		records_add(out, JOB_RECORD_RESULT, id, suffix, NULL);
 	}
--- a/src/job_table.c
+++ b/src/job_table.c
@@ -46,6 +46,14 @@
 	table->account = account;
 }
 
+static void
+stored_result_free(stored_result_t *result)
+{
+	free(result->data);
+	chunk_list_free(&result->pieces);
+	buf_free(&result->record);
+}
+
 static void
 stored_job_remove(job_table_t *table, stored_job_t *job)
 {
@@ -56,7 +64,7 @@
 		memory_account_release(table->account, MEMORY_JOBS, job->bytes);
 	chunk_list_free(&job->chunks);
 	for (size_t i = 0; i < job->result_capacity; i++)
-		free(job->results[i].data);
+		stored_result_free(&job->results[i]);
 	free(job->results);
 	job_free(&job->job);
 	free(job);
@@ -136,6 +144,16 @@
 	return (job);
 }
 
+/* Returns whether a piece of an output that is not whole has these bytes. */
+bool
+stored_job_has_piece(
+    const stored_job_t *job, uint64_t position, size_t index, str_t data)
+{
+	return (position < job->result_capacity &&
+		chunk_list_holds(&job->results[position].pieces, index, data));
+}
+
+/* Returns whether an item has a result, listed or behind a gap. */
 bool
 stored_job_has_result(const stored_job_t *job, str_t item)
 {
@@ -204,20 +222,9 @@
 	return (change);
 }
 
-static job_change_t
-apply_result(stored_job_t *job, size_t position, str_t value)
+static stored_result_t *
+result_reserve(stored_job_t *job, size_t position)
 {
-	wire_message_t message;
-	wire_reader_t reader;
-	stored_result_t *result;
-	size_t before = job->listed;
-
-	if (position < job->result_capacity &&
-	    job->results[position].data != NULL)
-		return (JOB_CHANGE_NONE);
-	if (wire_message_decode(&message, value) != 0)
-		return (JOB_CHANGE_MALFORMED);
-	reader = wire_reader(wire_message_root(&message));
 	if (position >= job->result_capacity) {
 		job->results = xrealloc(
 		    job->results, (position + 1) * sizeof(*job->results));
@@ -226,32 +233,157 @@
 			sizeof(*job->results));
 		job->result_capacity = position + 1;
 	}
-	result = &job->results[position];
-	result->item = wire_read_str(&reader);
-	result->outcome = wire_read_u64(&reader) == JOB_ITEM_DONE
-			      ? JOB_ITEM_DONE
-			      : JOB_ITEM_DEAD;
-	result->output = wire_read_str(&reader);
-	if (!reader.fault) {
-		size_t item_len = result->item.len;
-
-		result->data = xmalloc(item_len + result->output.len + 1);
-		job->bytes += item_len + result->output.len;
-		memcpy(result->data, result->item.data, item_len);
-		memcpy(result->data + item_len, result->output.data,
-		    result->output.len);
-		result->item.data = result->data;
-		result->output.data = result->data + item_len;
-	}
-	wire_message_free(&message);
+	return (&job->results[position]);
+}
+
+/* Drops what was kept until the result is whole. */
+static void
+result_forget_pieces(stored_job_t *job, stored_result_t *result)
+{
+	job->bytes -= result->pieces.bytes + result->record.len;
+	chunk_list_free(&result->pieces);
+	buf_free(&result->record);
+}
+
+/* Sets a whole result. */
+static void
+result_set(stored_job_t *job, stored_result_t *result, const job_result_t *from)
+{
+	size_t item_len = from->item.len;
+
+	result_forget_pieces(job, result);
+	result->data = xmalloc(item_len + from->output.len + 1);
+	memcpy(result->data, from->item.data, item_len);
+	if (from->output.len > 0)
+		memcpy(result->data + item_len, from->output.data,
+		    from->output.len);
+	result->item = (str_t){result->data, item_len};
+	result->output = (str_t){result->data + item_len, from->output.len};
+	result->outcome = from->outcome;
+	job->bytes += item_len + from->output.len;
+}
+
+/* Counts the results before the first gap again. */
+static job_change_t
+update_listed(stored_job_t *job)
+{
+	size_t before = job->listed;
+
 	while (job->listed < job->result_capacity &&
 	       job->results[job->listed].data != NULL)
 		job->listed++;
-	if (reader.fault)
-		return (JOB_CHANGE_MALFORMED);
 	return (job->listed > before ? JOB_CHANGE_LISTED : JOB_CHANGE_NONE);
 }
 
+/* Keeps the record of a result until all pieces of its output were read. */
+static job_change_t
+result_wait_for_pieces(stored_job_t *job, stored_result_t *result, str_t value)
+{
+	buf_t copy = {0};
+
+	buf_append(&copy, value);
+	job->bytes += copy.len - result->record.len;
+	buf_free(&result->record);
+	result->record = copy;
+	return (JOB_CHANGE_NONE);
+}
+
+/*
+ * Joins the pieces of an output. Returns false while they are not those of the
+ * result's record: pieces of an earlier owner may have been read before those
+ * that replaced them.
+ */
+static bool
+join_pieces(
+    const stored_result_t *result, uint64_t count, uint64_t hash, buf_t *output)
+{
+	if (!chunk_list_join(&result->pieces, count, output))
+		return (false);
+	if (str_hash(str_buf(output), 0) == hash)
+		return (true);
+	buf_free(output);
+	return (false);
+}
+
+/*
+ * Reads the rest of a result's record, the output or the number of pieces that
+ * hold it and its hash, and sets the result unless it lacks pieces.
+ */
+static job_change_t
+apply_output(stored_job_t *job, stored_result_t *result,
+    const job_result_t *fields, wire_reader_t *reader, str_t value)
+{
+	job_result_t whole = *fields;
+	wire_reader_t pieces_reader = *reader;
+	uint64_t count = wire_read_u64(&pieces_reader);
+	uint64_t hash = wire_read_u64(&pieces_reader);
+	buf_t output = {0};
+
+	if (pieces_reader.fault) {
+		whole.output = wire_read_str(reader);
+		if (reader->fault)
+			return (JOB_CHANGE_MALFORMED);
+	} else {
+		if (count == 0 || count > JOB_RECORD_MAX_INDEX)
+			return (JOB_CHANGE_MALFORMED);
+		if (!join_pieces(result, count, hash, &output))
+			return (result_wait_for_pieces(job, result, value));
+		whole.output = str_buf(&output);
+	}
+	result_set(job, result, &whole);
+	buf_free(&output);
+	return (update_listed(job));
+}
+
+static job_change_t
+apply_result(stored_job_t *job, size_t position, str_t value)
+{
+	wire_message_t message;
+	wire_reader_t reader;
+	job_result_t fields = {0};
+	job_change_t change;
+
+	if (position < job->result_capacity &&
+	    job->results[position].data != NULL)
+		return (JOB_CHANGE_NONE);
+	if (wire_message_decode(&message, value) != 0)
+		return (JOB_CHANGE_MALFORMED);
+	reader = wire_reader(wire_message_root(&message));
+	fields.item = wire_read_str(&reader);
+	fields.outcome = wire_read_u64(&reader) == JOB_ITEM_DONE
+			     ? JOB_ITEM_DONE
+			     : JOB_ITEM_DEAD;
+	change = apply_output(
+	    job, result_reserve(job, position), &fields, &reader, value);
+	wire_message_free(&message);
+	return (change);
+}
+
+static job_change_t
+apply_piece(stored_job_t *job, const job_record_key_t *key, str_t data)
+{
+	stored_result_t *result = result_reserve(job, key->position);
+	buf_t record;
+	job_change_t change;
+
+	if (key->index >= result->piece_count)
+		result->piece_count = key->index + 1;
+	if (result->data != NULL)
+		return (JOB_CHANGE_NONE);
+	job->bytes -= result->pieces.bytes;
+	chunk_list_put(&result->pieces, key->index, data);
+	job->bytes += result->pieces.bytes;
+	if (result->record.len == 0)
+		return (JOB_CHANGE_NONE);
+	/* The record is freed while it is applied. */
+	record = result->record;
+	result->record = (buf_t){0};
+	job->bytes -= record.len;
+	change = apply_result(job, key->position, str_buf(&record));
+	buf_free(&record);
+	return (change);
+}
+
 static void
 apply_removal(job_table_t *table, char kind, str_t id)
 {
@@ -291,7 +423,10 @@
 		change = apply_chunk(job, key.index, record->value);
 		break;
 	case JOB_RECORD_RESULT:
-		change = apply_result(job, key.index, record->value);
+		change = apply_result(job, key.position, record->value);
+		break;
+	case JOB_RECORD_PIECE:
+		change = apply_piece(job, &key, record->value);
 		break;
 	case JOB_RECORD_END:
 		change = job->ended ? JOB_CHANGE_NONE : JOB_CHANGE_ENDED;
--- a/src/job_table.h
+++ b/src/job_table.h
@@ -11,12 +11,18 @@
 
 typedef struct job_table_t job_table_t;
 
-/* The result at one position; data is NULL until its record was read. */
+/*
+ * The result at one position; data is NULL until its record and all pieces of a
+ * long output were read.
+ */
 typedef struct stored_result_t {
 	char *data;
 	str_t item;
 	job_outcome_t outcome;
 	str_t output;
+	chunk_list_t pieces;  /* until the result is whole */
+	buf_t record;	      /* the result's record, while it lacks pieces */
+	uint64_t piece_count; /* highest index that was read, plus 1 */
 } stored_result_t;
 
 typedef struct stored_job_t {
@@ -60,6 +66,8 @@
 stored_job_t *job_table_find(const job_table_t *table, str_t id);
 stored_job_t *job_table_first(const job_table_t *table);
 size_t job_table_count(const job_table_t *table);
+bool stored_job_has_piece(
+    const stored_job_t *job, uint64_t position, size_t index, str_t data);
 bool stored_job_has_result(const stored_job_t *job, str_t item);
 
 unsigned job_partition_of(str_t job);
--- a/tests/harness_gateway_jobs.c
+++ b/tests/harness_gateway_jobs.c
@@ -108,9 +108,9 @@
 	return (status);
 }
 
-/* Checks one result's text. */
+/* Checks one result's text, whose events were padded with so many bytes. */
 static bool
-result_is_right(json_t *row, unsigned events)
+result_is_right(json_t *row, unsigned events, unsigned padding)
 {
 	const char *id = json_string_value(json_object_get(row, "id"));
 	const char *state = json_string_value(json_object_get(row, "state"));
@@ -120,8 +120,11 @@
 
 	if (id == NULL || state == NULL || text == NULL)
 		return (false);
-	for (unsigned i = 0; i < events; i++)
+	for (unsigned i = 0; i < events; i++) {
 		buf_printf(&expected, "%s%s.%u", i > 0 ? "\n" : "", id, i);
+		for (unsigned k = 0; k < padding; k++)
+			buf_append_char(&expected, 'x');
+	}
 	right = strcmp(state, "done") == 0 &&
 		str_equal(str_of(text), str_buf(&expected));
 	buf_free(&expected);
@@ -136,6 +139,15 @@
 bool
 gateways_wait_job(gateways_t *fleet, const char *job, unsigned items,
     unsigned events, double timeout)
+{
+	return (
+	    gateways_wait_padded_job(fleet, job, items, events, 0, timeout));
+}
+
+/* The same for a job that ran while the engines had the fault "pad". */
+bool
+gateways_wait_padded_job(gateways_t *fleet, const char *job, unsigned items,
+    unsigned events, unsigned padding, double timeout)
 {
 	double end = clock_monotonic() + timeout;
 	char(*seen)[96] = xcalloc(items + 1, sizeof(*seen));
@@ -166,7 +178,8 @@
 			size_t at = after + i;
 
 			right &=
-			    result_is_right(row, events) && at < items &&
+			    result_is_right(row, events, padding) &&
+			    at < items &&
 			    (seen[at][0] == '\0' || strcmp(seen[at], id) == 0);
 			if (!right)
 				break;
--- a/tests/harness_gateways.h
+++ b/tests/harness_gateways.h
@@ -130,5 +130,7 @@
     unsigned after, buf_t *body);
 bool gateways_wait_job(gateways_t *fleet, const char *job, unsigned items,
     unsigned events, double timeout);
+bool gateways_wait_padded_job(gateways_t *fleet, const char *job,
+    unsigned items, unsigned events, unsigned padding, double timeout);
 
 #endif
--- a/tests/test_job_table.c
+++ b/tests/test_job_table.c
@@ -7,6 +7,7 @@
 #include "job_records.h"
 
 #define BODY_SIZE 150000
+#define MAX_BYTES 1000000 /* of an append */
 
 typedef struct changes_t {
 	unsigned count[JOB_CHANGE_MALFORMED + 1];
@@ -93,10 +94,12 @@
 static void
 apply_result(job_table_t *table, const char *item, uint64_t position)
 {
+	stored_job_t job = {.id = "job1"};
 	job_records_t records = {0};
 
-	job_records_result(&records, STR("job1"), position,
-	    &(job_result_t){.item = str_of(item), .output = STR("text")});
+	job_records_result(&records, &job, position,
+	    &(job_result_t){.item = str_of(item), .output = STR("text")},
+	    MAX_BYTES);
 	apply_all(table, &records, false);
 	job_records_free(&records);
 }
@@ -127,6 +130,195 @@
 	job_table_delete(table);
 }
 
+#define OUTPUT_SIZE	 650000
+#define MAX_RECORD_BYTES 262144
+
+static buf_t
+make_output(char text)
+{
+	buf_t output = {0};
+
+	for (size_t i = 0; i < OUTPUT_SIZE; i++)
+		buf_append_char(&output, (char)(text + (char)(i % 7)));
+	return (output);
+}
+
+/* Adds the records of item a's result; returns whether no more are needed. */
+static bool
+add_long_result(const job_table_t *table, str_t output, job_records_t *records)
+{
+	const stored_job_t none = {.id = "job1"};
+	const stored_job_t *job = job_table_find(table, STR("job1"));
+
+	return (job_records_result(records, job != NULL ? job : &none, 0,
+	    &(job_result_t){.item = STR("a"), .output = output}, MAX_BYTES));
+}
+
+/* Appends of one owner until the result is stored; returns their number. */
+static unsigned
+store_long_result(job_table_t *table, str_t output)
+{
+	unsigned appends = 0;
+	bool whole = false;
+
+	while (!whole && appends < 10) {
+		job_records_t records = {0};
+
+		whole = add_long_result(table, output, &records);
+		CU_ASSERT(records.bytes <= MAX_BYTES);
+		for (size_t i = 0; i < records.count; i++)
+			CU_ASSERT(records.records[i].key.len +
+				      records.records[i].value.len <
+				  MAX_RECORD_BYTES);
+		apply_all(table, &records, false);
+		job_records_free(&records);
+		appends++;
+	}
+	return (appends);
+}
+
+static bool
+lists_output(const job_table_t *table, str_t output)
+{
+	const stored_job_t *job = job_table_find(table, STR("job1"));
+
+	return (job != NULL && job->listed == 1 &&
+		str_equal(job->results[0].item, STR("a")) &&
+		str_equal(job->results[0].output, output));
+}
+
+/*
+ * Guards against an output that fits no record of the store, and against one
+ * that is listed without one of its pieces.
+ */
+static void
+test_long_output(void)
+{
+	changes_t changes = {0};
+	job_table_t *table = job_table_new(on_change, &changes);
+	buf_t output = make_output('a');
+	const stored_job_t *job;
+
+	CU_ASSERT(store_long_result(table, str_buf(&output)) == 2);
+	CU_ASSERT(lists_output(table, str_buf(&output)));
+	CU_ASSERT(changes.count[JOB_CHANGE_LISTED] == 1);
+	job = job_table_find(table, STR("job1"));
+	CU_ASSERT(job != NULL && job->bytes == OUTPUT_SIZE + 1);
+	buf_free(&output);
+	job_table_delete(table);
+}
+
+/*
+ * Guards against a result that depends on the order in which its records are
+ * read, as in a reload by keys.
+ */
+static void
+test_pieces_in_any_order(void)
+{
+	buf_t output = make_output('a');
+	const stored_job_t none = {.id = "job1"};
+
+	for (int reversed = 0; reversed < 2; reversed++) {
+		changes_t changes = {0};
+		job_table_t *table = job_table_new(on_change, &changes);
+		job_records_t records = {0};
+
+		CU_ASSERT(job_records_result(&records, &none, 0,
+		    &(job_result_t){
+			.item = STR("a"), .output = str_buf(&output)},
+		    10 * (size_t)OUTPUT_SIZE));
+		CU_ASSERT(records.count == 5);
+		for (size_t i = 0; i < records.count; i++) {
+			CU_ASSERT(!lists_output(table, str_buf(&output)));
+			job_table_apply(
+			    table, &records.records[reversed ? 4 - i : i]);
+		}
+		CU_ASSERT(lists_output(table, str_buf(&output)));
+		apply_all(table, &records, reversed);
+		CU_ASSERT(lists_output(table, str_buf(&output)));
+		CU_ASSERT(changes.count[JOB_CHANGE_LISTED] == 1);
+		CU_ASSERT(changes.count[JOB_CHANGE_MALFORMED] == 0);
+		job_records_free(&records);
+		job_table_delete(table);
+	}
+	buf_free(&output);
+}
+
+/*
+ * Guards against an output made of two runs, after an owner ended between its
+ * appends and the next one has another output.
+ */
+static void
+test_pieces_of_two_runs(void)
+{
+	changes_t changes = {0};
+	job_table_t *table = job_table_new(on_change, &changes);
+	buf_t first = make_output('a');
+	buf_t second = make_output('m');
+	job_records_t records = {0};
+
+	CU_ASSERT(!add_long_result(table, str_buf(&first), &records));
+	apply_all(table, &records, false);
+	CU_ASSERT(store_long_result(table, str_buf(&second)) == 2);
+	CU_ASSERT(lists_output(table, str_buf(&second)));
+	job_records_free(&records);
+	buf_free(&first);
+	buf_free(&second);
+	job_table_delete(table);
+}
+
+/*
+ * Guards against an output made of two runs at a host that read the first
+ * owner's piece and then the second owner's result, in a reload by keys.
+ */
+static void
+test_piece_that_is_replaced_later(void)
+{
+	changes_t changes = {0};
+	job_table_t *table = job_table_new(on_change, &changes);
+	buf_t first = make_output('a');
+	buf_t second = make_output('m');
+	job_records_t old = {0};
+	job_records_t new = {0};
+	const stored_job_t none = {.id = "job1"};
+
+	CU_ASSERT(!add_long_result(table, str_buf(&first), &old));
+	job_records_result(&new, &none, 0,
+	    &(job_result_t){.item = STR("a"), .output = str_buf(&second)},
+	    10 * (size_t)OUTPUT_SIZE);
+	job_table_apply(table, &old.records[0]);
+	for (size_t i = 1; i < new.count; i++)
+		job_table_apply(table, &new.records[i]);
+	CU_ASSERT(changes.count[JOB_CHANGE_LISTED] == 0);
+	apply_all(table, &new, false);
+	CU_ASSERT(lists_output(table, str_buf(&second)));
+	job_records_free(&old);
+	job_records_free(&new);
+	buf_free(&first);
+	buf_free(&second);
+	job_table_delete(table);
+}
+
+/* Guards against pieces that stay in the store when their job is removed. */
+static void
+test_removal_of_pieces(void)
+{
+	changes_t changes = {0};
+	job_table_t *table = job_table_new(on_change, &changes);
+	buf_t output = make_output('a');
+	job_records_t removal = {0};
+	unsigned pieces = 0;
+
+	store_long_result(table, str_buf(&output));
+	job_records_remove(&removal, job_table_find(table, STR("job1")));
+	for (size_t i = 0; i < removal.count; i++)
+		pieces += removal.records[i].key.data[0] == 'O';
+	CU_ASSERT(pieces == 4);
+	job_records_free(&removal);
+	buf_free(&output);
+	job_table_delete(table);
+}
+
 /* Guards against jobs that are never removed, or survive a reload. */
 static void
 test_removal(void)
@@ -172,6 +364,10 @@
 	    {"Rjob/1", "\x93\x01"},
 	    {"Xjob", "x"},
 	    {"Pjob/abc", "x"},
+	    {"Ojob/1", "x"},
+	    {"Ojob/1/abc", "x"},
+	    {"Rjob/2", "\x93\xa1\x61\x00\x02"},
+	    {"Rjob/3", "\x94\xa1\x61\x00\x00\x02"},
 	};
 	changes_t changes = {0};
 	job_table_t *table = job_table_new(on_change, &changes);
@@ -258,6 +454,11 @@
 static const suite_test_t tests[] = {
     {"chunks in any order", test_chunks_in_any_order},
     {"positions are contiguous", test_positions_are_contiguous},
+    {"long output", test_long_output},
+    {"pieces in any order", test_pieces_in_any_order},
+    {"pieces of two runs", test_pieces_of_two_runs},
+    {"a piece that is replaced later", test_piece_that_is_replaced_later},
+    {"removal of pieces", test_removal_of_pieces},
     {"removal", test_removal},
     {"unreadable records", test_unreadable_records},
     {"end", test_end},
