Jobs: a partition that comes back does not reuse kept connections

Cause: an item keeps a list of the endpoints that had it, since one may send its failure once more on the kept connection. The list is lost when the partition moves to another host and back; model/late_copies.pml shows the item given up for one failure (FORGOTTEN_ATTEMPTS).

Change: jobs that were stored before this host owned the partition again count as tried at every endpoint, so their items use new connections.

The move itself is shown by the model only.

--- a/src/job_run.c
+++ b/src/job_run.c
@@ -459,6 +459,18 @@
 	}
 }
 
+/*
+ * Returns whether this host may have sent items of the job to endpoints before
+ * and has forgotten to which, while connections to them were kept. Jobs that
+ * come while the runner is paused were stored before this host owned the
+ * partition again.
+ */
+static bool
+may_have_run_here(const job_runner_t *runner)
+{
+	return (runner->params.owned_before && runner->paused);
+}
+
 /* Starts to run the items of an accepted job that have no result. */
 void
 job_runner_add(job_runner_t *runner, stored_job_t *job)
@@ -475,6 +487,8 @@
 	for (size_t i = 0; i < job->job.item_count; i++) {
 		run->items[i].run = run;
 		run->items[i].item = &job->job.items[i];
+		if (may_have_run_here(runner))
+			tried_endpoints_add_all(&run->items[i].tried);
 		item_check(&run->items[i]);
 	}
 	job->run = run;
--- a/src/job_run.h
+++ b/src/job_run.h
@@ -30,7 +30,8 @@
 	/* An endpoint says that it leaves; see attempt_params_t. */
 	void (*endpoint_says_leaving)(
 	    void *ctx, const grant_endpoint_t *endpoint, bool misdirected);
-	void *ctx; /* of routes() and the callbacks about endpoints */
+	void *ctx;	   /* of routes() and the callbacks about endpoints */
+	bool owned_before; /* this host has run jobs of the partition already */
 } job_runner_params_t;
 
 job_runner_t *job_runner_new(const job_runner_params_t *params);
--- a/src/jobs.c
+++ b/src/jobs.c
@@ -88,8 +88,10 @@
 			.endpoint_usable = endpoint_usable,
 			.endpoint_says_leaving = endpoint_says_leaving,
 			.ctx = jobs,
+			.owned_before = jobs->owned_before[partition],
 		    },
 	    });
+	jobs->owned_before[partition] = true;
 }
 
 static void
--- a/src/jobs_state.h
+++ b/src/jobs_state.h
@@ -19,6 +19,7 @@
 struct jobs_t {
 	jobs_params_t params;
 	job_partition_t *partitions[STORE_PARTITIONS]; /* NULL: not owned */
+	bool owned_before[STORE_PARTITIONS];	       /* by this process */
 	/* Monotonic time since which placement names this host; 0: another. */
 	double assigned_since[STORE_PARTITIONS];
 	double started;
--- a/src/tried_endpoints.c
+++ b/src/tried_endpoints.c
@@ -21,3 +21,10 @@
 	if (!tried_endpoints_has(tried, name))
 		tried->hashes[tried->count++] = str_hash(str_of(name), 0);
 }
+
+/* Adds every endpoint there is, for a request whose attempts are not known. */
+void
+tried_endpoints_add_all(tried_endpoints_t *tried)
+{
+	tried->count = TRIED_ENDPOINTS_MAX;
+}
--- a/src/tried_endpoints.h
+++ b/src/tried_endpoints.h
@@ -16,5 +16,6 @@
 
 bool tried_endpoints_has(const tried_endpoints_t *tried, const char *name);
 void tried_endpoints_add(tried_endpoints_t *tried, const char *name);
+void tried_endpoints_add_all(tried_endpoints_t *tried);
 
 #endif
--- a/tests/test_tried_endpoints.c
+++ b/tests/test_tried_endpoints.c
@@ -33,9 +33,25 @@
 	CU_ASSERT(tried.count == TRIED_ENDPOINTS_MAX);
 }
 
+/*
+ * Guards against a late copy of a failure that counts as a second one, after an
+ * item's partition moved to another host and back and its list was lost.
+ */
+static void
+test_unknown_attempts(void)
+{
+	tried_endpoints_t tried = {0};
+
+	tried_endpoints_add_all(&tried);
+	CU_ASSERT(tried_endpoints_has(&tried, "a"));
+	tried_endpoints_add(&tried, "a");
+	CU_ASSERT(tried_endpoints_has(&tried, "b"));
+}
+
 static const suite_test_t tests[] = {
     {"added endpoints are known", test_added_endpoints_are_known},
     {"full list knows all", test_full_list_knows_all},
+    {"unknown attempts", test_unknown_attempts},
 };
 
 SUITE_MAIN("tried_endpoints", tests)
