Jobs: keys of records are printed where they are parsed

Each writer of records put its key's end together itself. No record changes; test_job_table, test_job_partition and test_fail_long_output pass.

--- a/src/job_record_key.c
+++ b/src/job_record_key.c
@@ -20,26 +20,48 @@
 	return (true);
 }
 
+static bool
+has_position(char kind)
+{
+	return (kind == JOB_RECORD_RESULT || kind == JOB_RECORD_PIECE);
+}
+
+static bool
+has_index(char kind)
+{
+	return (kind == JOB_RECORD_CHUNK || kind == JOB_RECORD_PIECE);
+}
+
 /*
- * Parses a key; the job's id refers to it. Returns false when the key is
+ * Parses a key; the job's id refers to its text. Returns false when the key is
  * malformed.
  */
 bool
-job_record_key_parse(str_t key, job_record_key_t *out)
+job_record_key_parse(str_t text, job_record_key_t *out)
 {
-	str_t rest = key;
-	bool valid = true;
+	str_t rest = text;
 
 	*out = (job_record_key_t){0};
-	if (key.len < 2)
+	if (text.len < 2)
+		return (false);
+	out->kind = text.data[0];
+	if (has_index(out->kind) && !take_index(&rest, &out->index))
+		return (false);
+	if (has_position(out->kind) && !take_index(&rest, &out->position))
 		return (false);
-	out->kind = key.data[0];
-	if (out->kind == JOB_RECORD_CHUNK || out->kind == JOB_RECORD_PIECE)
-		valid = take_index(&rest, &out->index);
-	if (out->kind == JOB_RECORD_RESULT || out->kind == JOB_RECORD_PIECE)
-		valid = valid && take_index(&rest, &out->position);
-	if (!valid || rest.len < 2 || rest.len > JOB_KEY_SIZE)
+	if (rest.len < 2 || rest.len > JOB_KEY_SIZE)
 		return (false);
 	out->job = (str_t){rest.data + 1, rest.len - 1};
 	return (true);
 }
+
+/* Appends a key's text. */
+void
+job_record_key_print(const job_record_key_t *key, buf_t *out)
+{
+	buf_printf(out, "%c" STR_FMT, key->kind, STR_ARG(key->job));
+	if (has_position(key->kind))
+		buf_printf(out, "/%llu", (unsigned long long)key->position);
+	if (has_index(key->kind))
+		buf_printf(out, "/%llu", (unsigned long long)key->index);
+}
--- a/src/job_record_key.h
+++ b/src/job_record_key.h
@@ -28,6 +28,7 @@
 	uint64_t index;	   /* of a chunk or piece */
 } job_record_key_t;
 
-bool job_record_key_parse(str_t key, job_record_key_t *out);
+bool job_record_key_parse(str_t text, job_record_key_t *out);
+void job_record_key_print(const job_record_key_t *key, buf_t *out);
 
 #endif
--- a/src/job_records.c
+++ b/src/job_records.c
@@ -1,7 +1,6 @@
 /* Builds the records in which jobs are stored. */
 #include "job_records.h"
 
-#include <stdio.h>
 #include <stdlib.h>
 
 #include "job_record_key.h"
@@ -24,19 +23,19 @@
 	return (s);
 }
 
+/* Adds a record with a value, which it takes over, or the removal of a key. */
 static void
-records_add(
-    job_records_t *out, char kind, str_t job, const char *suffix, buf_t *value)
+records_add(job_records_t *out, const job_record_key_t *key, buf_t *value)
 {
-	buf_t key = {0};
+	buf_t text = {0};
 	store_record_t *record;
 
-	buf_printf(&key, "%c" STR_FMT "%s", kind, STR_ARG(job), suffix);
+	job_record_key_print(key, &text);
 	out->records =
 	    xrealloc(out->records, (out->count + 1) * sizeof(*out->records));
 	record = &out->records[out->count++];
 	*record = (store_record_t){.removed = value == NULL};
-	record->key = records_take_buf(out, &key);
+	record->key = records_take_buf(out, &text);
 	if (value != NULL)
 		record->value = records_take_buf(out, value);
 	out->bytes += record->key.len + record->value.len;
@@ -68,23 +67,25 @@
 	buf_t value = {0};
 	msgpack_packer packer;
 	size_t count;
-	char suffix[32];
 
 	job_pack(job, &packed);
 	count = chunk_count(packed.len);
 	for (size_t i = 1; i < count; i++) {
+		job_record_key_t key = {
+		    .kind = JOB_RECORD_CHUNK, .job = job->id, .index = i};
 		buf_t chunk = {0};
 
 		buf_append(&chunk, chunk_of(str_buf(&packed), i));
-		snprintf(suffix, sizeof(suffix), "/%zu", i);
-		records_add(out, JOB_RECORD_CHUNK, job->id, suffix, &chunk);
+		records_add(out, &key, &chunk);
 	}
 	wire_packer_init(&packer, &value);
 	msgpack_pack_array(&packer, 3);
 	msgpack_pack_uint64(&packer, count);
 	msgpack_pack_double(&packer, job->submitted);
 	wire_pack_bin(&packer, chunk_of(str_buf(&packed), 0));
-	records_add(out, JOB_RECORD_JOB, job->id, "", &value);
+	records_add(out,
+	    &(job_record_key_t){.kind = JOB_RECORD_JOB, .job = job->id},
+	    &value);
 	buf_free(&packed);
 }
 
@@ -101,18 +102,20 @@
 
 	for (size_t i = 0; i < count; i++) {
 		str_t piece = chunk_of(output, i);
+		job_record_key_t key = {
+		    .kind = JOB_RECORD_PIECE,
+		    .job = str_of(job->id),
+		    .position = position,
+		    .index = i,
+		};
 		buf_t value = {0};
-		char suffix[48];
 
 		if (stored_job_has_piece(job, position, i, piece))
 			continue;
 		if (out->bytes > 0 && (double)(out->bytes + piece.len) > limit)
 			return (false);
 		buf_append(&value, piece);
-		snprintf(suffix, sizeof(suffix), "/%llu/%zu",
-		    (unsigned long long)position, i);
-		records_add(
-		    out, JOB_RECORD_PIECE, str_of(job->id), suffix, &value);
+		records_add(out, &key, &value);
 	}
 	return (true);
 }
@@ -128,9 +131,13 @@
     uint64_t position, const job_result_t *result, size_t max_bytes)
 {
 	bool is_long = result->output.len > MAX_CHUNK_BYTES;
+	job_record_key_t key = {
+	    .kind = JOB_RECORD_RESULT,
+	    .job = str_of(job->id),
+	    .position = position,
+	};
 	buf_t value = {0};
 	msgpack_packer packer;
-	char suffix[32];
 
 	if (is_long) {
 		if (!add_pieces(out, job, position, result->output, max_bytes))
@@ -149,8 +156,7 @@
 	} else {
 		wire_pack_bin(&packer, result->output);
 	}
-	snprintf(suffix, sizeof(suffix), "/%llu", (unsigned long long)position);
-	records_add(out, JOB_RECORD_RESULT, str_of(job->id), suffix, &value);
+	records_add(out, &key, &value);
 	return (true);
 }
 
@@ -161,41 +167,34 @@
 	buf_t value = {0};
 
 	buf_append_char(&value, '1');
-	records_add(out, JOB_RECORD_END, job, "", &value);
-}
-
-static void
-remove_pieces(job_records_t *out, const stored_job_t *job, size_t position)
-{
-	char suffix[48];
-
-	for (uint64_t i = 0; i < job->results[position].piece_count; i++) {
-		snprintf(suffix, sizeof(suffix), "/%zu/%llu", position,
-		    (unsigned long long)i);
-		records_add(
-		    out, JOB_RECORD_PIECE, str_of(job->id), suffix, NULL);
-	}
+	records_add(out,
+	    &(job_record_key_t){.kind = JOB_RECORD_END, .job = job}, &value);
 }
 
 /* Adds the removals of all records of a job, its own record last. */
 void
 job_records_remove(job_records_t *out, const stored_job_t *job)
 {
-	str_t id = str_of(job->id);
-	char suffix[32];
+	job_record_key_t key = {.job = str_of(job->id)};
 
-	for (size_t i = 0; i < job->result_capacity; i++) {
-		remove_pieces(out, job, i);
-		snprintf(suffix, sizeof(suffix), "/%zu", i);
-		records_add(out, JOB_RECORD_RESULT, id, suffix, NULL);
-	}
-	for (size_t i = 1; i < job->chunk_count; i++) {
-		snprintf(suffix, sizeof(suffix), "/%zu", i);
-		records_add(out, JOB_RECORD_CHUNK, id, suffix, NULL);
+	for (; key.position < job->result_capacity; key.position++) {
+		const stored_result_t *result = &job->results[key.position];
+
+		key.kind = JOB_RECORD_PIECE;
+		for (key.index = 0; key.index < result->piece_count;
+		     key.index++)
+			records_add(out, &key, NULL);
+		key.kind = JOB_RECORD_RESULT;
+		records_add(out, &key, NULL);
 	}
+	key.kind = JOB_RECORD_CHUNK;
+	for (key.index = 1; key.index < job->chunk_count; key.index++)
+		records_add(out, &key, NULL);
+	key.kind = JOB_RECORD_END;
 	if (job->ended)
-		records_add(out, JOB_RECORD_END, id, "", NULL);
-	records_add(out, JOB_RECORD_JOB, id, "", NULL);
+		records_add(out, &key, NULL);
+	key.kind = JOB_RECORD_JOB;
+	records_add(out, &key, NULL);
 }
 
 /* Frees the list and the strings of its records. */
