--- a/tests/test_fail_long_output.c
+++ b/tests/test_fail_long_output.c
@@ -1,5 +1,4 @@
-/* Failure tests of items whose outputs are longer than a record of the store.
- */
+/* Failure tests of items with outputs longer than a record of the store. */
 #include "suite.h"
 
 #include <stdio.h>
@@ -15,6 +14,7 @@
 
 static gateways_t fleet;
 
+/* Lets all engines add so many bytes to the data of each event. */
 static void
 set_padding(unsigned bytes)
 {
@@ -26,7 +26,7 @@
 }
 
 static bool
-is_run(const char *item)
+has_completed(const char *item)
 {
 	gateways_runs_t runs = gateways_runs(&fleet, item);
 
@@ -43,9 +43,9 @@
 	set_padding(PADDING);
 	CU_ASSERT(gateways_submit(&fleet, host, job, 1, EVENTS) == 202);
 	snprintf(item, sizeof(item), "%s-0", job);
-	while (!is_run(item) && clock_monotonic() < end)
+	while (!has_completed(item) && clock_monotonic() < end)
 		harness_sleep(0.05);
-	CU_ASSERT(is_run(item));
+	CU_ASSERT(has_completed(item));
 	set_padding(0);
 }
 
