Gateway: a started host lists no part of the fleet as the whole

Callers saw: for some milliseconds after a host became ready, its directory listed only itself. Callers close their connections to hosts that a list leaves out, so they crowd on the host that has just started.

Cause: the directory lists the ready members known at that moment, while being ready depends on the configuration and the endpoints only. The host list and the answers of the other hosts arrive on their own.

Change: a host that has never been ready refuses to list hosts; one that has just become ready does so until it has heard of each host that has a record, for at most 1 s. Callers then ask another host.

Measured: test_fail_host_list freezes the other host while one starts. It failed before (listed alone at once) and passes now; test_fail_revocation passes.

--- a/src/gateway_hosts.c
+++ b/src/gateway_hosts.c
@@ -20,6 +20,12 @@
 #define INTRODUCE_DURATION_S 3.0
 /* Interval of introductions to hosts that are not known as living. */
 #define INTRODUCE_INTERVAL_S 0.4
+/*
+ * Maximum time that a ready host waits for the others' answers before it lists
+ * hosts to callers: two lost introductions, and no longer than a caller waits
+ * for a host list before it asks another host.
+ */
+#define HEARING_DURATION_S 1.0
 
 /* A host with a record in the store; it may have stopped since. */
 struct listed_host_t {
@@ -192,6 +198,31 @@
 	ev_timer_again(gateway->params.loop, &gateway->introduce_timer);
 }
 
+/*
+ * Returns whether this host knows enough of the others to list them for
+ * callers: it has become ready, and has heard of each host that has a record or
+ * has waited long enough. Callers close their connections to hosts that a list
+ * leaves out, so a host that has just started must not list itself alone.
+ */
+bool
+gateway_can_list_hosts(const gateway_t *gateway)
+{
+	const listed_host_t *host;
+
+	if (gateway->ready_since == 0)
+		return (false);
+	if (gateway->host_follower == NULL ||
+	    clock_monotonic() >= gateway->ready_since + HEARING_DURATION_S)
+		return (true);
+	if (!follower_loaded(gateway->host_follower))
+		return (false);
+	LIST_FOREACH (host, &gateway->listed_hosts, entry)
+		if (membership_find(
+			gateway_members(gateway), str_of(host->name)) == NULL)
+			return (false);
+	return (true);
+}
+
 static const follower_events_t host_events = {
     .on_reload = on_hosts_reload,
     .on_record = on_host_record,
--- a/src/gateway_http.c
+++ b/src/gateway_http.c
@@ -194,9 +194,14 @@
 	const char *addresses[MAX_DIRECTORY_ENTRIES];
 	char address_texts[MAX_DIRECTORY_ENTRIES][64];
 	member_t *members;
-	size_t count = select_members(gateway, &members);
+	size_t count;
 	buf_t body = {0};
 
+	if (!gateway_can_list_hosts(gateway)) {
+		http_request_reply_error(request, -RESULT_NOT_READY, NULL);
+		return;
+	}
+	count = select_members(gateway, &members);
 	count = entries_order(members, count,
 	    &(entries_params_t){
 		.caller = http_request_client(request),
--- a/src/gateway_state.h
+++ b/src/gateway_state.h
@@ -60,7 +60,7 @@
 	ev_timer announce_timer;
 	ev_timer introduce_timer;
 	bool ready;
-	double ready_since; /* monotonic */
+	double ready_since; /* monotonic; 0: has never been ready */
 	/*
 	 * The newest version in the store cannot be read; the one in force was
 	 * last known to be the newest at config_known_at, which is monotonic.
@@ -115,6 +115,7 @@
 int gateway_start_hosts(void *ctx);
 void gateway_stop_hosts(void *ctx);
 void gateway_introduce_to_hosts(gateway_t *gateway);
+bool gateway_can_list_hosts(const gateway_t *gateway);
 void gateway_remove_host_record(gateway_t *gateway);
 
 /* gateway_waiting.c */
