Jobs: an owner removes all finished jobs that are due

Operators saw: finished jobs pile up in the store and in the memory of their owners when more than 1.6 jobs a second finish in all.

Cause: an owner removed one finished job each 10 s, and skipped that if an append was in flight at that moment.

Change: the decision is a module of its own, job_expiry: each append takes the removals of expired jobs up to 200,000 bytes. While more jobs are due or an append is in flight, the next one follows after 1 s, else after 10 s. 200,000 bytes keep results waiting for 10 ms at the store's 20 MB/s.

--- a/src/job_partition.c
+++ b/src/job_partition.c
@@ -4,6 +4,7 @@
 #include <stdlib.h>
 
 #include "clock.h"
+#include "job_expiry.h"
 #include "job_records.h"
 #include "logger.h"
 #include "result.h"
@@ -17,8 +18,7 @@
 #define MAX_APPEND_BYTES  1000000
 #define FULL_APPEND_BYTES 900000
 /* Imported progress of a job that is still unknown expires after this. */
-#define IMPORT_MAX_AGE_S	10.0
-#define EXPIRY_CHECK_INTERVAL_S 10.0
+#define IMPORT_MAX_AGE_S 10.0
 
 static void append_results(job_partition_t *partition);
 static void imported_items_apply(
@@ -272,38 +272,29 @@
     .on_connection_change = on_connection_change,
 };
 
-/* Returns whether a job is finished or ended and its retention has passed. */
-static bool
-job_is_expired(const job_partition_t *partition, const stored_job_t *job)
-{
-	return (job->accepted && partition->params.keep > 0 &&
-		clock_wall() > job->submitted + partition->params.keep &&
-		(job->ended || job->listed >= job->job.item_count));
-}
-
+/* Removes expired jobs. Results come first: a removal waits for their append.
+ */
 static void
 on_expiry_timer(struct ev_loop *loop, ev_timer *timer, int events)
 {
 	job_partition_t *partition = timer->data;
 	job_records_t records = {0};
-	const stored_job_t *job;
 
-	(void)loop;
 	(void)events;
-	if (partition->append_call != NULL ||
-	    !follower_loaded(partition->follower))
-		return;
-	for (job = job_table_first(partition->table); job != NULL;
-	     job = TAILQ_NEXT(job, entry)) {
-		if (!job_is_expired(partition, job))
-			continue;
-		LOG_INFO("job_forgotten", "job=%s partition=%u", job->id,
-		    partition->params.partition);
-		job_records_remove(&records, job);
-		break; /* one job per interval keeps the appends small */
+	timer->repeat = JOB_EXPIRY_BUSY_INTERVAL_S;
+	if (partition->append_call == NULL &&
+	    follower_loaded(partition->follower)) {
+		timer->repeat = job_expiry_select(
+		    &(job_expiry_t){
+			.partition = partition->params.partition,
+			.keep = partition->params.keep,
+			.now = clock_wall(),
+		    },
+		    partition->table, &records);
+		append_records(partition, &records);
+		job_records_free(&records);
 	}
-	append_records(partition, &records);
-	job_records_free(&records);
+	ev_timer_again(loop, timer);
 }
 
 static void
@@ -403,7 +394,7 @@
 	job_table_set_account(partition->table, params->account);
 	ev_timer_init(&partition->append_timer, on_append_timer, 0, 0);
 	ev_timer_init(&partition->expiry_timer, on_expiry_timer,
-	    EXPIRY_CHECK_INTERVAL_S, EXPIRY_CHECK_INTERVAL_S);
+	    JOB_EXPIRY_INTERVAL_S, JOB_EXPIRY_INTERVAL_S);
 	partition->append_timer.data = partition;
 	partition->expiry_timer.data = partition;
 	ev_timer_start(params->loop, &partition->expiry_timer);
