--- a/src/job_expiry.c
+++ b/src/job_expiry.c
@@ -27,10 +27,11 @@
 	     job = TAILQ_NEXT(job, entry)) {
 		if (!job_is_expired(expiry, job))
 			continue;
-		if (!job_records_remove(out, job, JOB_EXPIRY_APPEND_BYTES))
+		if (out->bytes >= JOB_EXPIRY_APPEND_BYTES)
 			return (JOB_EXPIRY_BUSY_INTERVAL_S);
 		LOG_INFO("job_forgotten", "job=%s partition=%u", job->id,
 		    expiry->partition);
+		job_records_remove(out, job);
 	}
 	return (JOB_EXPIRY_INTERVAL_S);
 }
--- a/src/job_records.c
+++ b/src/job_records.c
@@ -2,7 +2,6 @@
 #include "job_records.h"
 
 #include <stdlib.h>
-#include <string.h>
 
 #include "job_record_key.h"
 #include "wire.h"
@@ -11,8 +10,6 @@
 #define MAX_CHUNK_BYTES 200000
 /* Fraction of an append for pieces of outputs; other results fill the rest. */
 #define PIECES_RATIO 0.6
-/* A key is longer than its job's id by its kind and two indexes at most. */
-#define MAX_KEY_EXTRA_BYTES 24
 
 static str_t
 records_take_buf(job_records_t *out, buf_t *buf)
@@ -174,68 +171,21 @@
 	    &(job_record_key_t){.kind = JOB_RECORD_END, .job = job}, &value);
 }
 
-/* Returns whether a position holds records of a result or of its pieces. */
-static bool
-result_has_records(const stored_result_t *result)
-{
-	return (result->data != NULL || result->record.len > 0 ||
-		result->piece_count > 0);
-}
-
-/* Returns the most bytes that the removals of all records of a job can take. */
-static size_t
-removal_bytes(const stored_job_t *job)
+/* Adds the removals of all records of a job, its own record last. */
+void
+job_records_remove(job_records_t *out, const stored_job_t *job)
 {
-	size_t count = job->chunk_count + 2; /* its end and its own record */
-
-	for (size_t i = 0; i < job->result_capacity; i++)
-		count += 1 + job->results[i].piece_count;
-	return (count * (strlen(job->id) + MAX_KEY_EXTRA_BYTES));
-}
+	job_record_key_t key = {.job = str_of(job->id)};
 
-static void
-remove_result(job_records_t *out, const stored_job_t *job, size_t position)
-{
-	const stored_result_t *result = &job->results[position];
-	job_record_key_t key = {
-	    .kind = JOB_RECORD_PIECE,
-	    .job = str_of(job->id),
-	    .position = position,
-	};
+	for (; key.position < job->result_capacity; key.position++) {
+		const stored_result_t *result = &job->results[key.position];
 
-	if (!result_has_records(result))
-		return;
-	for (; key.index < result->piece_count; key.index++)
+		key.kind = JOB_RECORD_PIECE;
+		for (key.index = 0; key.index < result->piece_count;
+		     key.index++)
+			records_add(out, &key, NULL);
+		key.kind = JOB_RECORD_RESULT;
 		records_add(out, &key, NULL);
-	key.kind = JOB_RECORD_RESULT;
-	records_add(out, &key, NULL);
-}
-
-/*
- * Adds removals of the records of a job, up to max_bytes in the list. Returns
- * false if more appends are needed. A job that does not fit one append is first
- * marked as ended, so that no owner runs the items whose results are gone, and
- * then loses its results from the last one on, so that a reader never gets a
- * wrong one. Its own record is removed last.
- */
-bool
-job_records_remove(
-    job_records_t *out, const stored_job_t *job, size_t max_bytes)
-{
-	job_record_key_t key = {.job = str_of(job->id)};
-
-	if (out->bytes + removal_bytes(job) > max_bytes) {
-		if (out->bytes > 0)
-			return (false);
-		if (!job->ended) {
-			job_records_end(out, str_of(job->id));
-			return (false);
-		}
-	}
-	for (size_t i = job->result_capacity; i > 0; i--) {
-		if (out->bytes >= max_bytes)
-			return (false);
-		remove_result(out, job, i - 1);
 	}
 	key.kind = JOB_RECORD_CHUNK;
 	for (key.index = 1; key.index < job->chunk_count; key.index++)
@@ -245,7 +195,6 @@
 		records_add(out, &key, NULL);
 	key.kind = JOB_RECORD_JOB;
 	records_add(out, &key, NULL);
-	return (true);
 }
 
 /* Frees the list and the strings of its records. */
--- a/src/job_records.h
+++ b/src/job_records.h
@@ -17,8 +17,7 @@
 bool job_records_result(job_records_t *out, const stored_job_t *job,
     uint64_t position, const job_result_t *result, size_t max_bytes);
 void job_records_end(job_records_t *out, str_t job);
-bool job_records_remove(
-    job_records_t *out, const stored_job_t *job, size_t max_bytes);
+void job_records_remove(job_records_t *out, const stored_job_t *job);
 void job_records_free(job_records_t *records);
 
 #endif
--- a/src/job_table.c
+++ b/src/job_table.c
@@ -384,45 +384,14 @@
 	return (change);
 }
 
-/* Frees the result at a position; those behind it are no longer listed. */
 static void
-remove_result(stored_job_t *job, uint64_t position)
+apply_removal(job_table_t *table, char kind, str_t id)
 {
-	stored_result_t *result;
-
-	if (position >= job->result_capacity)
-		return;
-	result = &job->results[position];
-	job->bytes -= result->pieces.bytes + result->record.len;
-	if (result->data != NULL)
-		job->bytes -= result->item.len + result->output.len;
-	stored_result_free(result);
-	*result = (stored_result_t){0};
-	if (job->listed > position)
-		job->listed = position;
-}
-
-/*
- * Applies the removal of a record. The job's own record is removed last; before
- * that, a job that has ended may lose its results in several appends.
- */
-static void
-apply_removal(job_table_t *table, const job_record_key_t *key)
-{
-	stored_job_t *job = job_table_find(table, key->job);
-	size_t bytes;
+	stored_job_t *job = job_table_find(table, id);
 
-	if (job == NULL)
-		return;
-	bytes = job->bytes;
-	if (key->kind == JOB_RECORD_JOB) {
+	/* The job's own record is removed last. */
+	if (job != NULL && kind == JOB_RECORD_JOB)
 		stored_job_remove(table, job);
-	} else if (key->kind == JOB_RECORD_RESULT && job->ended) {
-		remove_result(job, key->position);
-		if (table->account != NULL)
-			memory_account_release(
-			    table->account, MEMORY_JOBS, bytes - job->bytes);
-	}
 }
 
 /* Applies one record. Records may come in any order and more than once. */
@@ -440,7 +409,7 @@
 		return;
 	}
 	if (record->removed) {
-		apply_removal(table, &key);
+		apply_removal(table, key.kind, key.job);
 		return;
 	}
 	job = job_find_or_add(table, key.job);
--- a/tests/test_job_expiry.c
+++ b/tests/test_job_expiry.c
@@ -14,8 +14,6 @@
 /* The partition of the replay gets its share of the jobs. */
 #define PARTITION_RATE (JOBS_PER_S / STORE_PARTITIONS)
 #define MAX_BYTES      1000000 /* of an append of results */
-/* The removals of a job with so many items exceed one append. */
-#define LONG_JOB_ITEMS 20000
 
 typedef struct replay_t {
 	job_table_t *table;
@@ -146,27 +144,6 @@
 	job_table_delete(r.table);
 }
 
-/*
- * Guards against a job that is never removed, and holds back all others,
- * because the store refuses an append as large as its removal.
- */
-static void
-test_long_job_is_removed(void)
-{
-	replay_t r = {.table = job_table_new(on_change, NULL), .now = 1000};
-
-	store_job(&r, LONG_JOB_ITEMS, LONG_JOB_ITEMS);
-	store_job(&r, 2, 2);
-	r.now += KEEP_S + 1;
-	for (unsigned i = 0; i < 10 && job_table_count(r.table) > 0; i++) {
-		check_expiry(&r);
-		r.now = r.next_check;
-	}
-	CU_ASSERT(job_table_count(r.table) == 0);
-	CU_ASSERT(r.most_bytes < 1.1 * JOB_EXPIRY_APPEND_BYTES);
-	job_table_delete(r.table);
-}
-
 /* Guards against the removal of jobs whose items or retention are not over. */
 static void
 test_only_expired_jobs_are_removed(void)
@@ -191,7 +168,6 @@
 static const suite_test_t tests[] = {
     {"removal keeps up", test_removal_keeps_up},
     {"appends are small", test_appends_are_small},
-    {"a long job is removed", test_long_job_is_removed},
     {"only expired jobs are removed", test_only_expired_jobs_are_removed},
 };
 
--- a/tests/test_job_table.c
+++ b/tests/test_job_table.c
@@ -310,8 +310,7 @@
 	unsigned pieces = 0;
 
 	store_long_result(table, str_buf(&output));
-	CU_ASSERT(job_records_remove(
-	    &removal, job_table_find(table, STR("job1")), MAX_BYTES));
+	job_records_remove(&removal, job_table_find(table, STR("job1")));
 	for (size_t i = 0; i < removal.count; i++)
 		pieces += removal.records[i].key.data[0] == 'O';
 	CU_ASSERT(pieces == 4);
@@ -333,8 +332,7 @@
 	job_records_accept(&records, &job);
 	apply_all(table, &records, false);
 	apply_result(table, "a", 0);
-	CU_ASSERT(job_records_remove(
-	    &removal, job_table_find(table, STR("job1")), MAX_BYTES));
+	job_records_remove(&removal, job_table_find(table, STR("job1")));
 	for (size_t i = 0; i < removal.count; i++)
 		CU_ASSERT(removal.records[i].removed);
 	apply_all(table, &removal, false);
@@ -453,82 +451,6 @@
 	buf_free(&packed);
 }
 
-#define PARTED_ITEMS 7
-#define PARTED_BYTES 40 /* of removals in one append: fewer than a job has */
-
-/* Whether the listed results are the first ones, each with its own text. */
-static bool
-lists_first_results(const stored_job_t *job)
-{
-	for (size_t i = 0; i < job->listed; i++) {
-		char item[2] = {(char)('a' + (char)i), '\0'};
-
-		if (job->results[i].data == NULL ||
-		    !str_equal(job->results[i].item, str_of(item)))
-			return (false);
-	}
-	return (true);
-}
-
-/* Removes a part of the job; returns whether it was the last one. */
-static bool
-remove_part(job_table_t *table, size_t *removed_results, size_t *most_bytes)
-{
-	job_records_t records = {0};
-	bool last =
-	    job_records_remove(&records, job_table_first(table), PARTED_BYTES);
-
-	for (size_t i = 0; i < records.count; i++)
-		*removed_results += records.records[i].removed &&
-				    records.records[i].key.data[0] == 'R';
-	if (records.bytes > *most_bytes)
-		*most_bytes = records.bytes;
-	apply_all(table, &records, false);
-	job_records_free(&records);
-	return (last);
-}
-
-/*
- * Guards against a job whose removal is refused because it exceeds an append,
- * against items that run again because their results are gone, and against
- * wrong results for a reader meanwhile.
- */
-static void
-test_removal_in_parts(void)
-{
-	changes_t changes = {0};
-	job_table_t *table = job_table_new(on_change, &changes);
-	job_t job = make_job(PARTED_ITEMS);
-	job_records_t records = {0};
-	size_t removed_results = 0;
-	size_t most_bytes = 0;
-	unsigned parts = 1;
-
-	job_records_accept(&records, &job);
-	apply_all(table, &records, false);
-	for (unsigned i = 0; i < PARTED_ITEMS; i++) {
-		char item[2] = {(char)('a' + (char)i), '\0'};
-
-		apply_result(table, item, i);
-	}
-	CU_ASSERT(job_table_first(table)->listed == PARTED_ITEMS);
-	while (
-	    !remove_part(table, &removed_results, &most_bytes) && parts < 20) {
-		CU_ASSERT(job_table_first(table)->ended);
-		CU_ASSERT(lists_first_results(job_table_first(table)));
-		parts++;
-	}
-	CU_ASSERT(parts > 2 && parts < 20);
-	CU_ASSERT(removed_results == PARTED_ITEMS);
-	CU_ASSERT(most_bytes < 2 * PARTED_BYTES);
-	CU_ASSERT(changes.count[JOB_CHANGE_ENDED] == 1);
-	CU_ASSERT(changes.count[JOB_CHANGE_REMOVED] == 1);
-	CU_ASSERT(job_table_count(table) == 0);
-	job_records_free(&records);
-	job_free(&job);
-	job_table_delete(table);
-}
-
 static const suite_test_t tests[] = {
     {"chunks in any order", test_chunks_in_any_order},
     {"positions are contiguous", test_positions_are_contiguous},
@@ -538,7 +460,6 @@
     {"a piece that is replaced later", test_piece_that_is_replaced_later},
     {"removal of pieces", test_removal_of_pieces},
     {"removal", test_removal},
-    {"removal in parts", test_removal_in_parts},
     {"unreadable records", test_unreadable_records},
     {"end", test_end},
     {"job keys", test_job_keys},
