--- a/src/httpd_intake.c
+++ b/src/httpd_intake.c
@@ -128,9 +128,9 @@
 	    "no memory for the body at the moment");
 }
 
-/* Refuses a request whose client does not send a body, or waits with it. */
-static enum MHD_Result
-refuse_at_head(http_request_t *request, int rc, const char *detail)
+/* Refuses a request before its body is read; the connection ends with it. */
+enum MHD_Result
+httpd_refuse_at_head(http_request_t *request, int rc, const char *detail)
 {
 	const result_info_t *info = result_info(rc);
 
@@ -163,15 +163,15 @@
 			     MHD_HTTP_HEADER_TRANSFER_ENCODING) != NULL;
 	if (!httpd_places_head(request, has_body)) {
 		if (!has_body || expects)
-			return (refuse_at_head(request, -RESULT_OVERLOADED,
-			    TOO_MANY_REQUESTS_DETAIL));
+			return (httpd_refuse_at_head(request,
+			    -RESULT_OVERLOADED, TOO_MANY_REQUESTS_DETAIL));
 		httpd_intake_refuse(
 		    request, -RESULT_OVERLOADED, TOO_MANY_REQUESTS_DETAIL);
 		return (MHD_YES);
 	}
 	if (length > httpd->max_body && expects) {
 		counter_add(httpd->counters.too_large, 1);
-		return (refuse_at_head(
+		return (httpd_refuse_at_head(
 		    request, -RESULT_TOO_LARGE, "the body is too large"));
 	}
 	if (length > httpd->max_body) {
--- a/tests/test_fail_smuggling.c
+++ b/tests/test_fail_smuggling.c
@@ -323,11 +323,49 @@
 	gateways_end(&fleet);
 }
 
+/*
+ * Guards against a request whose end an endpoint or a proxy may see elsewhere
+ * than this host, and against one that gets no answer because this host waits
+ * for the wrong end.
+ */
+static void
+test_framing_of_callers(void)
+{
+	static const char *const faulty[] = {
+	    "Content-Length: 0\r\nContent-Length: 40",
+	    "Content-Length: 40\r\nContent-Length: 0",
+	    "Content-Length: 0, 40",
+	    "Content-Length: -1",
+	    "Content-Length:",
+	    "Transfer-Encoding: gzip",
+	    "Transfer-Encoding: chunked, gzip",
+	    "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked",
+	    "Transfer-Encoding: chunked\r\nContent-Length: 0",
+	    "Expect: 100-continue\r\nTransfer-Encoding: gzip",
+	};
+	char id[16];
+
+	gateways_start(&fleet, &(gateways_params_t){.hosts = 1});
+	for (size_t i = 0; i < sizeof(faulty) / sizeof(faulty[0]); i++) {
+		snprintf(id, sizeof(id), "framing-%zu", i);
+		CU_ASSERT(
+		    send_head(id, "POST /once/1 HTTP/1.1", faulty[i]) == 400);
+		CU_ASSERT(gateways_runs(&fleet, id).runs == 0);
+	}
+	/* A length that is repeated without a contradiction is allowed. */
+	CU_ASSERT(send_head("repeated", "POST /once/1 HTTP/1.1",
+		      "Content-Length: 0\r\nContent-Length: 0") == 200);
+	CU_ASSERT(send_head("chunked", "POST /once/1 HTTP/1.1",
+		      "Transfer-Encoding: Chunked\r\n\r\n0") == 200);
+	gateways_end(&fleet);
+}
+
 static const suite_test_t tests[] = {
     {"items are checked", test_items_are_checked},
     {"headers of items", test_headers_of_items},
     {"stored job", test_stored_job},
     {"heads of callers", test_heads_of_callers},
+    {"framing of callers", test_framing_of_callers},
 };
 
 SUITE_MAIN("fail_smuggling", tests)
