HTTP server: an absolute URL as target is accepted

Callers saw: 404 for "POST http://host/path HTTP/1.1", the form that clients use towards a proxy. RFC 9112, section 3.2.2, wants each server to accept it, and its host to stand above the header.

Cause: routes were matched with the whole URL as path.

Change: the server splits such a target (http_target). http_request_host() returns the host of the URL, else the header; routing, jobs and the request to the endpoint use it.

--- a/src/forward.c
+++ b/src/forward.c
@@ -505,6 +505,8 @@
 		return;
 	if (f->table->has_orgs && dialect_identifies_org(dialect, name))
 		return;
+	if (strcasecmp(name, "Host") == 0)
+		value = http_request_host(f->request);
 	(void)header_list_add(&f->headers, str_of(name), str_of(value));
 }
 
--- a/src/gateway_http.c
+++ b/src/gateway_http.c
@@ -85,7 +85,7 @@
 void
 gateway_dispatch(gateway_t *gateway, http_request_t *request, double arrived)
 {
-	const char *host = http_request_header(request, "Host");
+	const char *host = http_request_host(request);
 	const request_route_t *route;
 	const org_t *org;
 	job_call_t call = {0};
@@ -96,16 +96,15 @@
 			jobs_call(gateway->jobs, request, &call, org);
 		return;
 	}
-	route = routing_table_match(gateway->table,
-	    str_of(host != NULL ? host : ""),
-	    str_of(http_request_target(request)));
+	route = routing_table_match(
+	    gateway->table, str_of(host), str_of(http_request_target(request)));
 	if (route == NULL ? gateway->table->lacks_routes : route->unreadable) {
 		gateway_refuse_unreadable(gateway, request);
 		return;
 	}
 	if (route == NULL) {
 		LOG_INFO("request_without_route",
-		    "host=%s target=%s config=%llu", host != NULL ? host : "",
+		    "host=%s target=%s config=%llu", host,
 		    http_request_target(request),
 		    (unsigned long long)gateway->table->version);
 		http_request_reply_error(request, -RESULT_NO_ROUTE, NULL);
--- a/src/httpd.c
+++ b/src/httpd.c
@@ -12,6 +12,7 @@
 
 #include "clock.h"
 #include "http_framing.h"
+#include "http_target.h"
 #include "json_text.h"
 #include "logger.h"
 #include "result.h"
@@ -157,6 +158,7 @@
 	request->httpd->open--;
 	http_request_clear_headers(request);
 	free(request->headers);
+	free(request->authority);
 	free(request->target);
 	free(request->path);
 	buf_free(&request->body);
@@ -209,7 +211,7 @@
 
 	request->httpd = httpd;
 	request->connection = connection;
-	request->target = xstrdup(target);
+	request->authority = http_target_split(target, &request->target);
 	httpd_client_address(
 	    connection, request->client, sizeof(request->client));
 	LIST_INSERT_HEAD(&httpd->requests, request, entry);
@@ -286,7 +288,7 @@
 
 	(void)connection;
 	if (request->path == NULL) {
-		request->path = xstrdup(url);
+		free(http_target_split(url, &request->path));
 		request->method = method;
 		request->knows_chunks =
 		    strcmp(version, MHD_HTTP_VERSION_1_0) != 0;
@@ -431,13 +433,24 @@
 	return (request->path);
 }
 
-/* Returns the path and query as received, or an absolute URL. */
+/* Returns the path and query as received, without the host of a URL. */
 const char *
 http_request_target(const http_request_t *request)
 {
 	return (request->target);
 }
 
+/* Returns the host that the request is for, with its port; may be empty. */
+const char *
+http_request_host(const http_request_t *request)
+{
+	const char *host = http_request_header(request, MHD_HTTP_HEADER_HOST);
+
+	if (request->authority != NULL)
+		return (request->authority);
+	return (host != NULL ? host : "");
+}
+
 /* Returns a query argument, or NULL. */
 const char *
 http_request_query(const http_request_t *request, const char *name)
--- a/src/httpd.h
+++ b/src/httpd.h
@@ -41,6 +41,7 @@
 const char *http_request_method(const http_request_t *request);
 const char *http_request_path(const http_request_t *request);
 const char *http_request_target(const http_request_t *request);
+const char *http_request_host(const http_request_t *request);
 const char *http_request_query(const http_request_t *request, const char *name);
 const char *http_request_header(
     const http_request_t *request, const char *name);
--- a/src/httpd_state.h
+++ b/src/httpd_state.h
@@ -59,8 +59,9 @@
 struct http_request_t {
 	httpd_t *httpd;
 	struct MHD_Connection *connection;
-	char *target; /* as received */
-	char *path;   /* decoded; NULL until all headers have arrived */
+	char *authority; /* of an absolute target; NULL: none */
+	char *target;	 /* path and query as received */
+	char *path;	 /* decoded; NULL until all headers have arrived */
 	const char *method;
 	bool knows_chunks; /* the client's version of HTTP has them */
 	char client[INET6_ADDRSTRLEN];
--- a/src/jobs_submit.c
+++ b/src/jobs_submit.c
@@ -81,7 +81,6 @@
 void
 jobs_submit(jobs_t *jobs, http_request_t *request, const org_t *org)
 {
-	const char *host = http_request_header(request, "Host");
 	request_info_t info = {0};
 	job_records_t records = {0};
 	job_t job = {0};
@@ -118,7 +117,7 @@
 	job.id = job_copy_str(&job, str_of(key));
 	if (org != NULL)
 		job.org = job_copy_str(&job, str_of(org->name));
-	job.host = job_copy_str(&job, str_of(host != NULL ? host : ""));
+	job.host = job_copy_str(&job, str_of(http_request_host(request)));
 	job.target = job_copy_str(&job, str_of(http_request_target(request)));
 	job.submitted = clock_wall();
 	job_records_accept(&records, &job);
--- a/tests/test_fail_smuggling.c
+++ b/tests/test_fail_smuggling.c
@@ -360,12 +360,48 @@
 	gateways_end(&fleet);
 }
 
+/*
+ * Guards against a 404 for a target in the form that proxies use, and against
+ * a route or an endpoint's request for another host than that target names.
+ */
+static void
+test_absolute_targets(void)
+{
+	static const char *const sound[] = {
+	    "POST http://calls.example/once/1 HTTP/1.1",
+	    "POST HTTP://Calls.Example:80/once/1?a=/b HTTP/1.1",
+	};
+	static const char *const unknown[] = {
+	    "POST http://other.example/once/1 HTTP/1.1",
+	    "POST http://calls.example?/once/1 HTTP/1.1",
+	    "POST http:///once/1 HTTP/1.1",
+	    "POST https://calls.example/once/1 HTTP/1.1",
+	    "POST http://other.example/http://calls.example/once/1 HTTP/1.1",
+	};
+	char id[16];
+
+	gateways_start(&fleet, &(gateways_params_t){.hosts = 1});
+	for (size_t i = 0; i < sizeof(sound) / sizeof(sound[0]); i++) {
+		snprintf(id, sizeof(id), "absolute-%zu", i);
+		CU_ASSERT(send_head(id, sound[i], "Content-Length: 0") == 200);
+		CU_ASSERT(gateways_runs(&fleet, id).runs == 1);
+	}
+	for (size_t i = 0; i < sizeof(unknown) / sizeof(unknown[0]); i++) {
+		snprintf(id, sizeof(id), "unknown-%zu", i);
+		CU_ASSERT(
+		    send_head(id, unknown[i], "Content-Length: 0") == 404);
+		CU_ASSERT(gateways_runs(&fleet, id).runs == 0);
+	}
+	gateways_end(&fleet);
+}
+
 static const suite_test_t tests[] = {
     {"items are checked", test_items_are_checked},
     {"headers of items", test_headers_of_items},
     {"stored job", test_stored_job},
     {"heads of callers", test_heads_of_callers},
     {"framing of callers", test_framing_of_callers},
+    {"absolute targets", test_absolute_targets},
 };
 
 SUITE_MAIN("fail_smuggling", tests)
