Model of the entries of endpoints that leave

Change: model/leaving_entries.pml has an endpoint with two lives, expiry, two late writes and a clock that is set back, and one host. make model runs it with six mutants: the two former protocols, the rule that was reverted, no start, no belief, and what the protocol does not cover (a write of the first life carried out after a second one whose clock was set back).

--- a/model/run.sh
+++ b/model/run.sh
@@ -150,5 +150,13 @@
 for switch in REACH KEPT_CONNECTION FORGOTTEN_ATTEMPTS; do
 	variant late_copies $switch
 done
+echo "Late entries of endpoints that leave:"
+model=$models/leaving_entries.pml
+search -O2 leaving_entries
+judge leaving_entries
+for switch in REACH LOG_ORDER FORGET_AT_REMOVAL NO_START NO_BELIEF \
+    SECOND_ENTRY LATE_AT_SET_BACK; do
+	variant leaving_entries $switch
+done
 echo "$total states searched, $failed failed"
 [ $failed -eq 0 ]
