HTTP server: the framing is checked where heads are taken in

Cause: httpd.c had grown by the check of a head, which is the job of httpd_intake.c, and exported a function for it. Change: httpd_intake_head() checks the framing, then, with an account, the body's length and room. No change of behaviour. Measured: test_fail_smuggling, test_http, test_httpd, test_httpd_intake pass.

--- a/src/httpd.c
+++ b/src/httpd.c
@@ -11,7 +11,6 @@
 #include <jansson.h>
 
 #include "clock.h"
-#include "http_framing.h"
 #include "http_target.h"
 #include "json_text.h"
 #include "logger.h"
@@ -257,27 +256,6 @@
 	return (MHD_YES);
 }
 
-static void
-on_framing_header(void *ctx, const char *name, const char *value)
-{
-	http_framing_add(ctx, str_of(name), str_of(value));
-}
-
-/* Checks a request whose headers have arrived. */
-static enum MHD_Result
-on_head(http_request_t *request)
-{
-	http_framing_t framing = {0};
-
-	http_request_each_header(request, on_framing_header, &framing);
-	if (framing.fault != NULL)
-		return (httpd_refuse_at_head(
-		    request, -RESULT_BAD_REQUEST, framing.fault));
-	return (request->httpd->params.account != NULL
-		    ? httpd_intake_head(request)
-		    : MHD_YES);
-}
-
 static enum MHD_Result
 on_access(void *ctx, struct MHD_Connection *connection, const char *url,
     const char *method, const char *version, const char *data, size_t *size,
@@ -292,7 +270,7 @@
 		request->method = method;
 		request->knows_chunks =
 		    strcmp(version, MHD_HTTP_VERSION_1_0) != 0;
-		return (on_head(request));
+		return (httpd_intake_head(request));
 	}
 	if (request->refused || (*size > 0 && httpd->params.account != NULL)) {
 		size_t len = *size;
--- a/src/httpd_intake.c
+++ b/src/httpd_intake.c
@@ -8,6 +8,7 @@
 #include <sys/socket.h>
 
 #include "clock.h"
+#include "http_framing.h"
 #include "logger.h"
 #include "result.h"
 
@@ -129,8 +130,8 @@
 }
 
 /* Refuses a request before its body is read; the connection ends with it. */
-enum MHD_Result
-httpd_refuse_at_head(http_request_t *request, int rc, const char *detail)
+static enum MHD_Result
+refuse_at_head(http_request_t *request, int rc, const char *detail)
 {
 	const result_info_t *info = result_info(rc);
 
@@ -142,9 +143,15 @@
 	return (httpd_request_queue(request));
 }
 
-/* Checks the announced length when all headers have arrived. */
-enum MHD_Result
-httpd_intake_head(http_request_t *request)
+static void
+on_framing_header(void *ctx, const char *name, const char *value)
+{
+	http_framing_add(ctx, str_of(name), str_of(value));
+}
+
+/* Checks the announced length, and whether there is room for the body. */
+static enum MHD_Result
+check_body(http_request_t *request)
 {
 	const httpd_t *httpd = request->httpd;
 	const char *text = MHD_lookup_connection_value(request->connection,
@@ -163,15 +170,15 @@
 			     MHD_HTTP_HEADER_TRANSFER_ENCODING) != NULL;
 	if (!httpd_places_head(request, has_body)) {
 		if (!has_body || expects)
-			return (httpd_refuse_at_head(request,
-			    -RESULT_OVERLOADED, TOO_MANY_REQUESTS_DETAIL));
+			return (refuse_at_head(request, -RESULT_OVERLOADED,
+			    TOO_MANY_REQUESTS_DETAIL));
 		httpd_intake_refuse(
 		    request, -RESULT_OVERLOADED, TOO_MANY_REQUESTS_DETAIL);
 		return (MHD_YES);
 	}
 	if (length > httpd->max_body && expects) {
 		counter_add(httpd->counters.too_large, 1);
-		return (httpd_refuse_at_head(
+		return (refuse_at_head(
 		    request, -RESULT_TOO_LARGE, "the body is too large"));
 	}
 	if (length > httpd->max_body) {
@@ -187,6 +194,20 @@
 	return (MHD_YES);
 }
 
+/* Checks a request when all its headers have arrived. */
+enum MHD_Result
+httpd_intake_head(http_request_t *request)
+{
+	http_framing_t framing = {0};
+
+	http_request_each_header(request, on_framing_header, &framing);
+	if (framing.fault != NULL)
+		return (refuse_at_head(
+		    request, -RESULT_BAD_REQUEST, framing.fault));
+	return (request->httpd->params.account != NULL ? check_body(request)
+						       : MHD_YES);
+}
+
 /* Ignores what follows a refusal, up to a limit. */
 static enum MHD_Result
 ignore_data(http_request_t *request, size_t size)
--- a/src/httpd_state.h
+++ b/src/httpd_state.h
@@ -119,8 +119,6 @@
 void httpd_intake_refuse(http_request_t *request, int rc, const char *detail);
 void httpd_intake_request_begin(http_request_t *request);
 void httpd_intake_request_end(http_request_t *request);
-enum MHD_Result httpd_refuse_at_head(
-    http_request_t *request, int rc, const char *detail);
 enum MHD_Result httpd_intake_head(http_request_t *request);
 enum MHD_Result httpd_intake_data(
     http_request_t *request, const char *data, size_t size);
