test_quarantine: the test of urgent news frees its parts

Cause: "urgent news" did not free the parts of its prompt, and the leak check of the sanitizer build ended the program with 1. Change: it frees them.

--- a/tests/test_quarantine.c
+++ b/tests/test_quarantine.c
@@ -688,6 +688,7 @@
 	quarantine_merge(other, &news, 110);
 	CU_ASSERT(take_news(other, &news) == 1);
 	CU_ASSERT(quarantine_stats(other).held == 0);
+	prompt_parts_free(&parts);
 	quarantine_delete(q);
 	quarantine_delete(other);
 }
